--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Pinned versions of the tools that CI installs into tools/bin.
+BUF_VERSION = v1.75.0
+GOFUMPT_VERSION = v0.12.0
+GOLANGCI_LINT_VERSION = v2.15.0
+PROTOC_GEN_CONNECT_VERSION = v1.21.1
+PROTOC_GEN_GO_VERSION = v1.36.12
+
+TOOLS = $(CURDIR)/tools/bin
+GO_TEST = go test -race -count=1
+
+export GOFLAGS = -buildvcs=false
+
+.PHONY: build check-generated format generate lint test tools
+
+build:
+	go build -o bin/buckthorndyke ./cmd/buckthorndyke
+
+check-generated: generate
+	git diff --exit-code -- wire
+
+format:
+	$(TOOLS)/golangci-lint fmt
+
+generate:
+	$(TOOLS)/buf generate
+
+lint:
+	@test -z "$$($(TOOLS)/gofumpt -l $$(git ls-files '*.go' | grep -v -e '\.pb\.go$$' -e '\.connect\.go$$'))" || { echo 'gofumpt: not formatted'; exit 1; }
+	$(TOOLS)/golangci-lint run
+
+test:
+	$(GO_TEST) ./...
+
+tools:
+	GOBIN=$(TOOLS) go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	GOBIN=$(TOOLS) go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	GOBIN=$(TOOLS) go install connectrpc.com/connect/cmd/protoc-gen-connect-go@$(PROTOC_GEN_CONNECT_VERSION)
--- /dev/null
+++ b/audit.go
@@ -0,0 +1,15 @@
+package buckthorndyke
+
+// AuditEntry is one attempt to change the configuration, accepted or not.
+type AuditEntry struct {
+	Accepted bool
+	// At is the log service's wall time of the record.
+	At Millis
+	// Base is the version that the change was made from.
+	Base Offset
+	By   string
+	// Difference lists the lines that were added ("+") and removed ("-").
+	Difference []string
+	Offset     Offset
+	Reason     string
+}
--- /dev/null
+++ b/ids.go
@@ -0,0 +1,47 @@
+package buckthorndyke
+
+import "strconv"
+
+// Identifiers. Each is opaque text that is compared for equality only.
+type (
+	// CallerID names a caller in the rules.
+	CallerID string
+	// DomainID names a failure domain.
+	DomainID string
+	// Fingerprint identifies the content of a request, so that a request that
+	// is sent again can be recognized.
+	Fingerprint string
+	// JobID identifies one attempt of a request on one runner.
+	JobID string
+	// ModelID names a model or an adapter in the rules.
+	ModelID string
+	// OrderID identifies an order to a runner.
+	OrderID string
+	// ProposalID identifies a proposal in the control stream.
+	ProposalID string
+	// RequestID identifies a caller's request.
+	RequestID string
+	// RunnerID names a runner.
+	RunnerID string
+	// ServiceID names a plain service.
+	ServiceID string
+	// VMID names a VM, whatever its role.
+	VMID string
+)
+
+// Incarnation tells two lives of one VM's process apart. A later life has the
+// higher number.
+type Incarnation uint64
+
+// NoOffset is the offset before the first record of a stream.
+const NoOffset Offset = 0
+
+// Offset is the position of a record in a stream of the log service. The first
+// record has offset 1. Accepted offsets also serve as versions and as fencing
+// numbers.
+type Offset uint64
+
+// String returns o in decimal.
+func (o Offset) String() string {
+	return strconv.FormatUint(uint64(o), 10)
+}
--- /dev/null
+++ b/placement.go
@@ -0,0 +1,87 @@
+package buckthorndyke
+
+import "slices"
+
+// Slot is the permission of one runner to hold one model.
+type Slot struct {
+	Runner RunnerID
+	// Withdrawn is set once the permission is withdrawn. The slot counts until
+	// the runner's owner has confirmed the eviction.
+	Withdrawn bool
+}
+
+// Placement is the set of runners that may hold a model.
+type Placement struct {
+	Model ModelID
+	slots []Slot
+	// Version is the offset of the record that last changed the placement.
+	Version Offset
+}
+
+// Counted returns the number of slots that count against the replica maximum.
+func (p Placement) Counted() int { return len(p.slots) }
+
+// Permits reports whether runner may load the model.
+func (p Placement) Permits(runner RunnerID) bool {
+	s, ok := p.Slot(runner)
+	return ok && !s.Withdrawn
+}
+
+// Permitted returns the runners that may load the model.
+func (p Placement) Permitted() []RunnerID {
+	var runners []RunnerID
+	for _, s := range p.slots {
+		if !s.Withdrawn {
+			runners = append(runners, s.Runner)
+		}
+	}
+	return runners
+}
+
+// Slot returns the slot of runner.
+func (p Placement) Slot(runner RunnerID) (Slot, bool) {
+	for _, s := range p.slots {
+		if s.Runner == runner {
+			return s, true
+		}
+	}
+	return Slot{}, false
+}
+
+// Slots returns a copy of all slots, sorted by runner.
+func (p Placement) Slots() []Slot { return slices.Clone(p.slots) }
+
+// WithSlot returns a copy of p that holds s in place of any slot of its runner.
+func (p Placement) WithSlot(s Slot) Placement {
+	p = p.WithoutSlot(s.Runner)
+	at, _ := slices.BinarySearchFunc(p.slots, s.Runner, func(have Slot, want RunnerID) int {
+		switch {
+		case have.Runner < want:
+			return -1
+		case have.Runner > want:
+			return 1
+		default:
+			return 0
+		}
+	})
+	p.slots = slices.Insert(p.slots, at, s)
+	return p
+}
+
+// WithVersion returns a copy of p last changed at v.
+func (p Placement) WithVersion(v Offset) Placement {
+	p.Version = v
+	return p
+}
+
+// WithoutSlot returns a copy of p without the slot of runner.
+func (p Placement) WithoutSlot(runner RunnerID) Placement {
+	next := make([]Slot, 0, len(p.slots)+1)
+	for _, s := range p.slots {
+		if s.Runner != runner {
+			next = append(next, s)
+		}
+	}
+	p.slots = next
+	return p
+}
--- /dev/null
+++ b/refusal.go
@@ -0,0 +1,96 @@
+package buckthorndyke
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Codes of refusals and failures. They are part of the caller interface.
+const (
+	CodeBadRequest         Code = "bad-request"
+	CodeCallerGone         Code = "caller-gone"
+	CodeClaimUnavailable   Code = "claim-unavailable"
+	CodeCrashSuspect       Code = "crash-suspect"
+	CodeDeadline           Code = "deadline"
+	CodeDraining           Code = "draining"
+	CodeDuplicate          Code = "duplicate"
+	CodeEngineFailed       Code = "engine-failed"
+	CodeForbidden          Code = "forbidden"
+	CodeInternal           Code = "internal"
+	CodeKeyExpired         Code = "key-expired"
+	CodeKeyInvalid         Code = "key-invalid"
+	CodeKeyReused          Code = "key-reused"
+	CodeLogUnavailable     Code = "log-unavailable"
+	CodeModelUnknown       Code = "model-unknown"
+	CodeNotOwner           Code = "not-owner"
+	CodeNotReady           Code = "not-ready"
+	CodeOverloaded         Code = "overloaded"
+	CodePreempted          Code = "preempted"
+	CodeQuarantined        Code = "quarantined"
+	CodeRunnerUnavailable  Code = "runner-unavailable"
+	CodeServiceUnavailable Code = "service-unavailable"
+	CodeServiceUnknown     Code = "service-unknown"
+	CodeStale              Code = "stale"
+	CodeTooLarge           Code = "too-large"
+	CodeUnauthenticated    Code = "unauthenticated"
+)
+
+// Code is the stable, kebab-case name of a reason for a refusal or a failure.
+type Code string
+
+// RefusalError is the error of a request that was not served. It carries the verdict
+// on whether the request may have run.
+type RefusalError struct {
+	code       Code
+	message    string
+	retryAfter Millis
+	verdict    Verdict
+}
+
+// NewRefusal returns a refusal with the given code, verdict and message.
+func NewRefusal(code Code, verdict Verdict, message string) *RefusalError {
+	return &RefusalError{code: code, message: message, verdict: verdict}
+}
+
+// Code returns the reason's stable name.
+func (r *RefusalError) Code() Code { return r.code }
+
+// Error implements error.
+func (r *RefusalError) Error() string {
+	return fmt.Sprintf("%s: %s (%s)", r.code, r.message, r.verdict)
+}
+
+// Message returns the reason in words.
+func (r *RefusalError) Message() string { return r.message }
+
+// RetryAfter returns how long the caller should wait before it sends the
+// request again, or 0 if that is not known.
+func (r *RefusalError) RetryAfter() Millis { return r.retryAfter }
+
+// Verdict returns whether the request may have run.
+func (r *RefusalError) Verdict() Verdict { return r.verdict }
+
+// WithRetryAfter returns a copy of r that asks the caller to wait for d.
+func (r *RefusalError) WithRetryAfter(d Millis) *RefusalError {
+	next := *r
+	next.retryAfter = d
+	return &next
+}
+
+// WithVerdict returns a copy of r with another verdict.
+func (r *RefusalError) WithVerdict(v Verdict) *RefusalError {
+	next := *r
+	next.verdict = v
+	return &next
+}
+
+// RefusalOf returns the refusal in err's chain. Any other error becomes one
+// with CodeInternal and the verdict that err carries.
+func RefusalOf(err error) *RefusalError {
+	var r *RefusalError
+	if errors.As(err, &r) {
+		return r
+	}
+	return NewRefusal(CodeInternal, VerdictOf(err), err.Error())
+}
--- /dev/null
+++ b/self.go
@@ -0,0 +1,10 @@
+package buckthorndyke
+
+// Self is what a process knows of itself from its settings.
+type Self struct {
+	Domain      DomainID
+	Incarnation Incarnation
+	// PeerAddress is the IP address and port at which peers reach this VM.
+	PeerAddress string
+	VM          VMID
+}
--- /dev/null
+++ b/state.go
@@ -0,0 +1,125 @@
+package buckthorndyke
+
+// Quarantine stops a request that crashes runners.
+type Quarantine struct {
+	Crashes     int
+	Fingerprint Fingerprint
+	Model       ModelID
+	Offset      Offset
+}
+
+// State is what the control stream says up to an offset. It is immutable, and
+// equal on all processes that have folded the same records.
+type State struct {
+	// Audit holds the most recent attempts to change the rules, by offset.
+	Audit      Table[Offset, AuditEntry]
+	Members    Table[VMID, Member]
+	Offset     Offset
+	Ownerships Table[RunnerID, Ownership]
+	Placements Table[ModelID, Placement]
+	// Proposals holds the rulings of recent proposals, to recognize duplicates.
+	Proposals   Table[ProposalID, Ruling]
+	Quarantines Table[Fingerprint, Quarantine]
+	Rules       Rules
+	RulesText   string
+	// RulesVersion is the offset of the record that made the rules.
+	RulesVersion Offset
+	// Unknown counts the records that this version of the program cannot read.
+	Unknown int
+	// rulings lists the keys of Proposals by offset.
+	rulings Table[Offset, ProposalID]
+}
+
+// Owner returns the ownership of runner.
+func (s State) Owner(runner RunnerID) (Ownership, bool) {
+	return s.Ownerships.Get(runner)
+}
+
+// PlacementOf returns the placement that decides where model may be loaded.
+func (s State) PlacementOf(model ModelID) (Placement, bool) {
+	rule, ok := s.Rules.Models.Get(model)
+	if !ok {
+		return Placement{}, false
+	}
+	return s.Placements.Get(rule.Home())
+}
+
+// WithAudit returns a state that also holds e and at most keep entries.
+func (s State) WithAudit(e AuditEntry, keep int) State {
+	s.Audit = s.Audit.With(e.Offset, e)
+	for s.Audit.Len() > keep {
+		s.Audit = s.Audit.Without(firstKey(s.Audit))
+	}
+	return s
+}
+
+// WithMember returns a state that holds m.
+func (s State) WithMember(m Member) State {
+	s.Members = s.Members.With(m.VM, m)
+	return s
+}
+
+// WithOffset returns a state that has folded all records up to offset.
+func (s State) WithOffset(offset Offset) State {
+	s.Offset = offset
+	return s
+}
+
+// WithOwnership returns a state that holds o.
+func (s State) WithOwnership(o Ownership) State {
+	s.Ownerships = s.Ownerships.With(o.Runner, o)
+	return s
+}
+
+// WithPlacement returns a state that holds p.
+func (s State) WithPlacement(p Placement) State {
+	s.Placements = s.Placements.With(p.Model, p)
+	return s
+}
+
+// WithQuarantine returns a state that holds q.
+func (s State) WithQuarantine(q Quarantine) State {
+	s.Quarantines = s.Quarantines.With(q.Fingerprint, q)
+	return s
+}
+
+// WithRules returns a state whose rules are those of text, accepted at version.
+func (s State) WithRules(rules Rules, text string, version Offset) State {
+	s.Rules = rules
+	s.RulesText = text
+	s.RulesVersion = version
+	return s
+}
+
+// WithRuling returns a state that also holds r and at most keep rulings.
+func (s State) WithRuling(r Ruling, keep int) State {
+	s.Proposals = s.Proposals.With(r.ID, r)
+	s.rulings = s.rulings.With(r.Offset, r.ID)
+	for s.rulings.Len() > keep {
+		oldest := firstKey(s.rulings)
+		id, _ := s.rulings.Get(oldest)
+		s.rulings = s.rulings.Without(oldest)
+		s.Proposals = s.Proposals.Without(id)
+	}
+	return s
+}
+
+// WithUnknown returns a state that has met one more unreadable record.
+func (s State) WithUnknown() State {
+	s.Unknown++
+	return s
+}
+
+// WithoutMember returns a state without vm.
+func (s State) WithoutMember(vm VMID) State {
+	s.Members = s.Members.Without(vm)
+	return s
+}
+
+// firstKey returns the lowest key of a table of offsets.
+func firstKey[V any](t Table[Offset, V]) Offset {
+	for k := range t.All() {
+		return k
+	}
+	return NoOffset
+}
--- /dev/null
+++ b/timekeeper/real.go
@@ -0,0 +1,30 @@
+// Package timekeeper implements the clock.
+package timekeeper
+
+import (
+	"time"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// RealClock is the machine's monotonic clock. In a testing/synctest bubble it
+// follows the bubble's fake time.
+type RealClock struct {
+	start time.Time
+}
+
+// NewRealClock returns a clock that starts at the current wall time.
+func NewRealClock() *RealClock {
+	return &RealClock{start: time.Now()}
+}
+
+// After implements buckthorndyke.Clock.
+func (c *RealClock) After(d buckthorndyke.Millis) <-chan time.Time {
+	return time.After(d.Duration())
+}
+
+// Now implements buckthorndyke.Clock.
+func (c *RealClock) Now() buckthorndyke.Millis {
+	elapsed := time.Since(c.start)
+	return buckthorndyke.Millis(c.start.Add(elapsed).UnixMilli())
+}
