--- /dev/null
+++ b/fault.go
@@ -0,0 +1,92 @@
+package buckthorndyke
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// maxFaultsInMessage bounds the faults that FaultsError.Error names, since the
+// message is kept in the audit trail.
+const maxFaultsInMessage = 20
+
+// Kinds of faults.
+const (
+	FaultAddress    FaultKind = "bad-address"
+	FaultCharacter  FaultKind = "bad-character"
+	FaultConflict   FaultKind = "conflict"
+	FaultDuplicate  FaultKind = "duplicate"
+	FaultMissing    FaultKind = "missing"
+	FaultRange      FaultKind = "out-of-range"
+	FaultReference  FaultKind = "unknown-reference"
+	FaultSyntax     FaultKind = "syntax"
+	FaultType       FaultKind = "bad-type"
+	FaultUnasked    FaultKind = "unasked"
+	FaultUnknownKey FaultKind = "unknown-key"
+	FaultValue      FaultKind = "bad-value"
+)
+
+// FaultKind is the stable, kebab-case name of a kind of fault.
+type FaultKind string
+
+// FaultError is one thing that is wrong in a text that an operator wrote.
+type FaultError struct {
+	Cause string
+	// Column counts characters from 1.
+	Column int
+	Kind   FaultKind
+	// Line counts from 1.
+	Line int
+	// Mend says what to write instead.
+	Mend string
+}
+
+// Error implements error.
+func (f FaultError) Error() string {
+	return fmt.Sprintf("line %d, column %d: %s; %s", f.Line, f.Column, f.Cause, f.Mend)
+}
+
+// FaultsError holds all faults of one text. A text with faults is not applied.
+type FaultsError struct {
+	faults []FaultError
+}
+
+// NewFaults returns an error that holds faults in the order of the text, or nil
+// if there are none.
+func NewFaults(faults []FaultError) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	sorted := slices.Clone(faults)
+	slices.SortStableFunc(sorted, func(a, b FaultError) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+	return &FaultsError{faults: sorted}
+}
+
+// Error implements error. It names only the first of many faults.
+func (e *FaultsError) Error() string {
+	var b strings.Builder
+	for i, f := range e.faults {
+		if i == maxFaultsInMessage {
+			fmt.Fprintf(&b, "\nand %d more", len(e.faults)-i)
+			break
+		}
+		if i > 0 {
+			b.WriteByte('\n')
+		}
+		b.WriteString(f.Error())
+	}
+	return b.String()
+}
+
+// Faults returns all faults.
+func (e *FaultsError) Faults() []FaultError {
+	return slices.Clone(e.faults)
+}
+
+// Verdict returns NotRun: nothing of the text was applied.
+func (e *FaultsError) Verdict() Verdict {
+	return NotRun
+}
--- /dev/null
+++ b/parser/kinds.go
@@ -0,0 +1,159 @@
+package parser
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// Ranges of numbers in rules.
+const (
+	maxFirstTokenMS = int(buckthorndyke.Hour)
+	maxMaxTokens    = 1 << 20
+	maxMemoryMB     = 1 << 21
+	maxPercent      = 100
+	maxQueueLimit   = 1 << 16
+	maxReplicas     = 1 << 12
+)
+
+// tokenDigits is the length of a SHA-256 in hexadecimal.
+const tokenDigits = 64
+
+func (p *parse) adapter(l line) {
+	name, ok := p.define(l)
+	f := scanFields(p, l, []string{keyBase, keyMemory}, nil)
+	memory := f.integer(keyMemory, 0, 1, maxMemoryMB)
+	base, has := f.values[keyBase]
+	if has {
+		p.refer(l, base, kindModel)
+	}
+	if ok {
+		p.rules = p.rules.WithModel(buckthorndyke.ModelRule{
+			AskedBy:  l.askedBy,
+			Base:     buckthorndyke.ModelID(base.text),
+			ID:       buckthorndyke.ModelID(name.text),
+			MemoryMB: memory,
+		})
+	}
+}
+
+func (p *parse) caller(l line) {
+	name, ok := p.define(l)
+	f := scanFields(p, l, []string{keyRank, keyTokenSHA256}, []string{keyModels, keyServices})
+	rule := buckthorndyke.CallerRule{
+		AskedBy:     l.askedBy,
+		ID:          buckthorndyke.CallerID(name.text),
+		Rank:        f.rank(),
+		TokenSHA256: p.token(f),
+	}
+	for _, w := range f.list(keyModels) {
+		p.refer(l, w, kindAdapter)
+		rule.Models = append(rule.Models, buckthorndyke.ModelID(w.text))
+	}
+	for _, w := range f.list(keyServices) {
+		p.refer(l, w, kindService)
+		rule.Services = append(rule.Services, buckthorndyke.ServiceID(w.text))
+	}
+	if ok {
+		p.rules = p.rules.WithCaller(rule)
+	}
+}
+
+func (p *parse) model(l line) {
+	name, ok := p.define(l)
+	f := scanFields(p, l, []string{keyMemory, keyReplicas}, nil)
+	rule := buckthorndyke.ModelRule{
+		AskedBy:  l.askedBy,
+		ID:       buckthorndyke.ModelID(name.text),
+		MemoryMB: f.integer(keyMemory, 0, 1, maxMemoryMB),
+		Replicas: f.integer(keyReplicas, 0, 1, maxReplicas),
+	}
+	if ok {
+		p.rules = p.rules.WithModel(rule)
+	}
+}
+
+func (p *parse) rank(l line) {
+	name, ok := p.define(l)
+	f := scanFields(p, l, nil, []string{keySharePercent, keyQueueLimit, keyFirstToken, keyMaxTokens})
+	rank, known := buckthorndyke.ParseRank(name.text)
+	if ok && !known {
+		l.report(p, name.column, buckthorndyke.FaultValue, fmt.Sprintf("%q is no rank", name.text), mendRank)
+	}
+	rule := buckthorndyke.DefaultRankRule(rank)
+	rule.AskedBy = l.askedBy
+	rule.FirstToken = buckthorndyke.Millis(f.integer(keyFirstToken, int(rule.FirstToken), 1, maxFirstTokenMS))
+	rule.MaxTokens = f.integer(keyMaxTokens, rule.MaxTokens, 1, maxMaxTokens)
+	rule.QueueLimit = f.integer(keyQueueLimit, rule.QueueLimit, 1, maxQueueLimit)
+	rule.SharePercent = f.integer(keySharePercent, rule.SharePercent, 0, maxPercent)
+	if w, has := f.values[keySharePercent]; has && known && !rank.Paid() && rule.SharePercent > 0 {
+		f.report(w, buckthorndyke.FaultConflict, "the free rank has a share", "write share-percent=0")
+	}
+	if ok && known {
+		p.rules = p.rules.WithRank(rule)
+	}
+}
+
+func (p *parse) service(l line) {
+	name, ok := p.define(l)
+	f := scanFields(p, l, nil, []string{keyIdempotent})
+	rule := buckthorndyke.ServiceRule{AskedBy: l.askedBy, ID: buckthorndyke.ServiceID(name.text)}
+	for _, w := range f.list(keyIdempotent) {
+		rule.Idempotent = append(rule.Idempotent, f.call(w))
+	}
+	if ok {
+		p.rules = p.rules.WithService(rule)
+	}
+}
+
+// call returns the pattern of idempotent calls in "METHOD" or "METHOD:/path".
+func (f fields) call(w word) string {
+	method, path, paired := strings.Cut(w.text, ":")
+	if method == "" || strings.Trim(method, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") != "" ||
+		(paired && !strings.HasPrefix(path, "/")) {
+		f.report(w, buckthorndyke.FaultValue, fmt.Sprintf("%q is no call", w.text),
+			"write METHOD or METHOD:/path, with the method in capitals")
+	}
+	if paired {
+		return method + " " + path
+	}
+	return method
+}
+
+// mendRank says which ranks there are.
+const mendRank = "write urgent, ordinary or free"
+
+// rank returns the rank of a caller.
+func (f fields) rank() buckthorndyke.Rank {
+	w, ok := f.values[keyRank]
+	if !ok {
+		return buckthorndyke.RankFree
+	}
+	rank, known := buckthorndyke.ParseRank(w.text)
+	if !known {
+		f.report(w, buckthorndyke.FaultValue, fmt.Sprintf("%q is no rank", w.text), mendRank)
+	}
+	return rank
+}
+
+// token returns the digest of a caller's token.
+func (p *parse) token(f fields) string {
+	w, ok := f.values[keyTokenSHA256]
+	if !ok {
+		return ""
+	}
+	if len(w.text) != tokenDigits || strings.Trim(w.text, "0123456789abcdef") != "" {
+		// The value is not repeated, since it may be the token itself.
+		f.report(w, buckthorndyke.FaultValue, "the token is no SHA-256",
+			"write the token's SHA-256 as 64 lower-case hexadecimal digits, never the token")
+		return ""
+	}
+	if first, ok := p.tokens[w.text]; ok {
+		f.report(w, buckthorndyke.FaultDuplicate,
+			fmt.Sprintf("the caller on line %d has the same token", first.line.number), "give each caller its own token")
+		return ""
+	}
+	p.tokens[w.text] = place{line: f.line, word: w}
+	return w.text
+}
--- /dev/null
+++ b/parser/references.go
@@ -0,0 +1,67 @@
+package parser
+
+import (
+	"fmt"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// refer notes that a rule of the given kind must define the name in w. For an
+// adapter a model does as well.
+func (p *parse) refer(l line, w word, kind string) {
+	p.references = append(p.references, reference{kind: kind, place: place{line: l, word: w}})
+}
+
+// checkReferences reports the names that no rule defines.
+func (p *parse) checkReferences() {
+	for _, r := range p.references {
+		name := r.word.text
+		if r.kind == kindModel {
+			p.checkBase(r)
+			continue
+		}
+		if _, ok := p.defined(r.kind, name); !ok {
+			what := r.kind
+			if what == kindAdapter {
+				what = "model or adapter"
+			}
+			r.line.report(p, r.word.column, buckthorndyke.FaultReference,
+				fmt.Sprintf("no rule defines the %s %q", what, name), "add its rule or remove the name")
+		}
+	}
+}
+
+// checkBase reports an adapter whose base is not a model.
+func (p *parse) checkBase(r reference) {
+	name := r.word.text
+	if _, ok := p.names[kindModel][name]; ok {
+		return
+	}
+	if _, ok := p.names[kindAdapter][name]; ok {
+		r.line.report(p, r.word.column, buckthorndyke.FaultConflict,
+			fmt.Sprintf("the base %q is an adapter", name), "name the model that the adapter was made for")
+		return
+	}
+	r.line.report(p, r.word.column, buckthorndyke.FaultReference,
+		fmt.Sprintf("no rule defines the model %q", name), "add its rule or name another base")
+}
+
+// checkShares reports shares that add up to more than there is. A rank without
+// a rule takes its default share.
+func (p *parse) checkShares() {
+	total := 0
+	var last place
+	for rank := buckthorndyke.RankUrgent; rank < buckthorndyke.RankCount; rank++ {
+		if rank.Paid() {
+			total += p.rules.RankRuleOf(rank).SharePercent
+		}
+		if at, ok := p.names[kindRank][rank.String()]; ok && at.line.number > last.line.number {
+			last = at
+		}
+	}
+	if total > maxPercent {
+		last.line.report(p, last.word.column, buckthorndyke.FaultConflict,
+			fmt.Sprintf("the shares of all ranks add up to %d percent, with the defaults of ranks without a rule", total),
+			"lower a share-percent so that they add up to at most 100")
+	}
+}
--- /dev/null
+++ b/parser/rules.go
@@ -0,0 +1,163 @@
+// Package parser reads the operators' rules: plain text with one rule a line,
+// each with a comment that names who asked for it.
+package parser
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// Limits of the text.
+const (
+	// MaxTextBytes bounds the text of rules.
+	MaxTextBytes = 16 << 20
+	// maxNameBytes bounds a name.
+	maxNameBytes = 64
+)
+
+// Kinds of rules.
+const (
+	kindAdapter = "adapter"
+	kindCaller  = "caller"
+	kindModel   = "model"
+	kindRank    = "rank"
+	kindService = "service"
+)
+
+// kinds names all kinds of rules.
+const kinds = "adapter, caller, model, rank or service"
+
+// Rules implements buckthorndyke.RulesParser.
+type Rules struct{}
+
+// NewRules returns a parser of rules.
+func NewRules() Rules {
+	return Rules{}
+}
+
+// Parse implements buckthorndyke.RulesParser. Its error is a
+// *buckthorndyke.FaultsError that holds all faults.
+func (Rules) Parse(text string) (buckthorndyke.Rules, error) {
+	p := newParse()
+	if len(text) > MaxTextBytes {
+		line{number: 1}.report(p, 1, buckthorndyke.FaultRange,
+			fmt.Sprintf("the text has %d bytes", len(text)), fmt.Sprintf("write at most %d bytes", MaxTextBytes))
+		return buckthorndyke.Rules{}, buckthorndyke.NewFaults(p.faults)
+	}
+	number := 0
+	for text := range strings.SplitSeq(text, "\n") {
+		number++
+		if l, ok := scan(p, number, text); ok {
+			p.rule(l)
+		}
+	}
+	p.checkReferences()
+	p.checkShares()
+	if err := buckthorndyke.NewFaults(p.faults); err != nil {
+		return buckthorndyke.Rules{}, err
+	}
+	return p.rules, nil
+}
+
+// place is where a name was written.
+type place struct {
+	line line
+	word word
+}
+
+// reference is the use of a name that another rule must define.
+type reference struct {
+	place
+	kind string
+}
+
+// parse holds what is known of a text while it is read.
+type parse struct {
+	faults []buckthorndyke.FaultError
+	// names holds the places of all defined names by kind, also of rules with
+	// faults, so that one fault does not bring about others.
+	names      map[string]map[string]place
+	references []reference
+	rules      buckthorndyke.Rules
+	tokens     map[string]place
+}
+
+func newParse() *parse {
+	p := &parse{names: make(map[string]map[string]place), tokens: make(map[string]place)}
+	for _, kind := range []string{kindAdapter, kindCaller, kindModel, kindRank, kindService} {
+		p.names[kind] = make(map[string]place)
+	}
+	return p
+}
+
+// rule reads the rule on one line.
+func (p *parse) rule(l line) {
+	switch kind := l.words[0].text; kind {
+	case kindAdapter:
+		p.adapter(l)
+	case kindCaller:
+		p.caller(l)
+	case kindModel:
+		p.model(l)
+	case kindRank:
+		p.rank(l)
+	case kindService:
+		p.service(l)
+	default:
+		l.report(p, l.words[0].column, buckthorndyke.FaultSyntax,
+			fmt.Sprintf("%q is no kind of rule", kind), "start the line with "+kinds)
+	}
+}
+
+// define returns the name that the rule on l defines. Models and adapters share
+// their names.
+func (p *parse) define(l line) (word, bool) {
+	kind := l.words[0].text
+	if len(l.words) < 2 || strings.Contains(l.words[1].text, "=") {
+		l.report(p, l.words[0].column, buckthorndyke.FaultMissing,
+			fmt.Sprintf("the %s has no name", kind), "write its name after "+kind)
+		return word{}, false
+	}
+	name := l.words[1]
+	if !isName(name.text) {
+		l.report(p, name.column, buckthorndyke.FaultValue, fmt.Sprintf("%q is no name", name.text),
+			fmt.Sprintf("write at most %d lower-case letters and digits with single hyphens between", maxNameBytes))
+		return word{}, false
+	}
+	if first, ok := p.defined(kind, name.text); ok {
+		l.report(p, name.column, buckthorndyke.FaultDuplicate,
+			fmt.Sprintf("%q is already defined on line %d", name.text, first.line.number), "keep one or rename one")
+		return word{}, false
+	}
+	p.names[kind][name.text] = place{line: l, word: name}
+	return name, true
+}
+
+// defined returns where a name of the given kind was defined before.
+func (p *parse) defined(kind, name string) (place, bool) {
+	at, ok := p.names[kind][name]
+	switch {
+	case ok:
+	case kind == kindAdapter:
+		at, ok = p.names[kindModel][name]
+	case kind == kindModel:
+		at, ok = p.names[kindAdapter][name]
+	default:
+	}
+	return at, ok
+}
+
+// isName reports whether text is a name in kebab case.
+func isName(text string) bool {
+	if text == "" || len(text) > maxNameBytes {
+		return false
+	}
+	for part := range strings.SplitSeq(text, "-") {
+		if part == "" || strings.Trim(part, "abcdefghijklmnopqrstuvwxyz0123456789") != "" {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/parser/scanner.go
@@ -0,0 +1,117 @@
+package parser
+
+import (
+	"fmt"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// askedForBy starts the comment that every rule needs.
+const askedForBy = "asked for by "
+
+// word is a run of characters between blanks.
+type word struct {
+	// column counts characters from 1.
+	column int
+	text   string
+}
+
+// line is one line of the text that holds a rule.
+type line struct {
+	askedBy string
+	number  int
+	words   []word
+}
+
+// report records a fault at a column of the line.
+func (l line) report(p *parse, column int, kind buckthorndyke.FaultKind, cause, mend string) {
+	p.faults = append(p.faults, buckthorndyke.FaultError{
+		Cause:  cause,
+		Column: column,
+		Kind:   kind,
+		Line:   l.number,
+		Mend:   mend,
+	})
+}
+
+// scan returns the rule in text, the line with the given number, and whether it
+// holds one that can be read on.
+func scan(p *parse, number int, text string) (line, bool) {
+	l := line{number: number}
+	if !l.checkCharacters(p, text) {
+		return l, false
+	}
+	body, comment, commented := strings.Cut(text, "#")
+	l.words = split(body)
+	if len(l.words) == 0 {
+		return l, false
+	}
+	l.askedBy = asker(comment)
+	if l.askedBy == "" {
+		column := utf8.RuneCountInString(strings.TrimRight(body, " \t")) + 1
+		if commented {
+			column = utf8.RuneCountInString(body) + 1
+		}
+		l.report(p, column, buckthorndyke.FaultUnasked, "the rule does not say who asked for it",
+			"end the line in \"# asked for by NAME\"")
+	}
+	return l, true
+}
+
+// asker returns the name in the comment "asked for by NAME", or nothing.
+func asker(comment string) string {
+	name, ok := strings.CutPrefix(strings.TrimLeft(comment, " \t"), askedForBy)
+	if !ok {
+		return ""
+	}
+	return strings.TrimSpace(name)
+}
+
+// checkCharacters reports the first character of text that must not be there.
+func (l line) checkCharacters(p *parse, text string) bool {
+	column := 0
+	for i, r := range text {
+		column++
+		if r == '\t' {
+			continue
+		}
+		_, size := utf8.DecodeRuneInString(text[i:])
+		broken := r == utf8.RuneError && size == 1
+		if !broken && !unicode.IsControl(r) && !unicode.Is(unicode.Cf, r) {
+			continue
+		}
+		cause := fmt.Sprintf("the character %U is not allowed", r)
+		if broken {
+			cause = "the text is not valid UTF-8"
+		}
+		l.report(p, column, buckthorndyke.FaultCharacter, cause,
+			"remove it; write plain UTF-8 with line feeds at the ends of lines")
+		return false
+	}
+	return true
+}
+
+// split returns the words of body.
+func split(body string) []word {
+	var words []word
+	column, start, startColumn := 0, -1, 0
+	for i, r := range body {
+		column++
+		blank := r == ' ' || r == '\t'
+		switch {
+		case blank && start >= 0:
+			words = append(words, word{column: startColumn, text: body[start:i]})
+			start = -1
+		case !blank && start < 0:
+			start, startColumn = i, column
+		default:
+		}
+	}
+	if start >= 0 {
+		words = append(words, word{column: startColumn, text: body[start:]})
+	}
+	return words
+}
