feat(configurer): read settings files with all their faults at once

Settings are JSON with comments. Unknown keys, bad addresses, values out of range and missing values are reported together, each with line, column, cause and a way to mend it. The syntax tree of hujson is read directly, since decoding into a struct gives up at the first fault and loses its place. Syntax errors end the reading; they are reported alone.

A secret is given in the text or by the path of a file, and is not printed.

--- /dev/null
+++ b/configurer/parseserve.go
@@ -0,0 +1,196 @@
+package configurer
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// Policies of eviction.
+const (
+	PolicyAdaptive = "adaptive"
+	PolicyFixed    = "fixed"
+	PolicyLRU      = "lru"
+)
+
+// Defaults of the settings of an entry VM.
+const (
+	defaultAdapterLoads      = 30
+	defaultBodyLimitBytes    = 1 << 20
+	defaultCheckpointEvery   = 2000
+	defaultColdStartWeight   = 0.5
+	defaultConnectionLimit   = 1024
+	defaultDrainLimit        = 30 * buckthorndyke.Second
+	defaultDriftPermille     = 10
+	defaultFixed             = 5 * buckthorndyke.Minute
+	defaultHeaderLimitBytes  = 16 << 10
+	defaultLease             = 3 * buckthorndyke.Second
+	defaultModelLoads        = 4
+	defaultModelLoadsASecond = 4
+	defaultProbeInterval     = 500 * buckthorndyke.Millisecond
+	defaultRequestTimeout    = 5 * buckthorndyke.Minute
+	defaultStalenessLimit    = 10 * buckthorndyke.Second
+)
+
+// Ranges of the settings of an entry VM.
+const (
+	maxBodyLimitBytes   = 64 << 20
+	maxCheckpointEvery  = 100_000
+	maxConnectionLimit  = 100_000
+	maxDrainLimit       = 10 * buckthorndyke.Minute
+	maxDriftPermille    = 500
+	maxFixed            = buckthorndyke.Day
+	maxHeaderLimitBytes = 1 << 20
+	maxLease            = buckthorndyke.Minute
+	maxLoads            = 10_000
+	maxProbeInterval    = 30 * buckthorndyke.Second
+	maxRequestTimeout   = buckthorndyke.Hour
+	maxStalenessLimit   = buckthorndyke.Hour
+	minBodyLimitBytes   = 1 << 10
+	minDrainLimit       = 100 * buckthorndyke.Millisecond
+	minHeaderLimitBytes = 1 << 10
+	minLease            = 200 * buckthorndyke.Millisecond
+	minProbeInterval    = 20 * buckthorndyke.Millisecond
+)
+
+// ParseServe returns the settings of an entry VM in data. Its error is a
+// *buckthorndyke.FaultsError that holds all faults. Secrets in files are not
+// read; see Serve.WithSecrets.
+func ParseServe(data []byte) (Serve, error) {
+	d := &document{data: data}
+	root := d.parse()
+	s := Serve{
+		Callers:         root.callers(),
+		CheckpointEvery: root.integer("checkpoint-every", defaultCheckpointEvery, 1, maxCheckpointEvery),
+		Domain:          buckthorndyke.DomainID(root.name("failure-domain")),
+		DrainLimit:      root.millis("drain-limit-ms", defaultDrainLimit, minDrainLimit, maxDrainLimit),
+		DriftPermille:   root.integer("drift-permille", defaultDriftPermille, 0, maxDriftPermille),
+		KeepWarm:        root.keepWarm(),
+		Lease:           root.millis("lease-ms", defaultLease, minLease, maxLease),
+		LogAddress:      root.platform("log"),
+		LogLevel:        root.choice("log-level", "info", "debug", "warn", "error"),
+		Operator:        root.operator(),
+		Peers:           root.peers(),
+		ProbeInterval:   root.millis("probe-interval-ms", defaultProbeInterval, minProbeInterval, maxProbeInterval),
+		Runners:         root.runners(),
+		StalenessLimit:  root.millis("staleness-limit-ms", defaultStalenessLimit, minLease, maxStalenessLimit),
+		VM:              buckthorndyke.VMID(root.name("vm")),
+		VMListAddress:   root.platform("vm-list"),
+		WeightStore:     root.weightStore(),
+	}
+	root.close()
+	root.checkAddresses(s)
+	root.checkTimes(s)
+	if err := buckthorndyke.NewFaults(d.faults); err != nil {
+		return Serve{}, err
+	}
+	return s, nil
+}
+
+func (o object) callers() Callers {
+	section := o.object("callers", true)
+	defer section.close()
+	return Callers{
+		Address:          section.address(addressListen),
+		BodyLimitBytes:   section.integer("body-limit-bytes", defaultBodyLimitBytes, minBodyLimitBytes, maxBodyLimitBytes),
+		ConnectionLimit:  section.integer("connection-limit", defaultConnectionLimit, 1, maxConnectionLimit),
+		HeaderLimitBytes: section.integer("header-limit-bytes", defaultHeaderLimitBytes, minHeaderLimitBytes, maxHeaderLimitBytes),
+		RequestTimeout: section.millis("request-timeout-ms",
+			defaultRequestTimeout, 100*buckthorndyke.Millisecond, maxRequestTimeout),
+	}
+}
+
+func (o object) keepWarm() KeepWarm {
+	section := o.object("keep-warm", false)
+	defer section.close()
+	return KeepWarm{
+		ColdStartWeight: section.fraction("cold-start-weight", defaultColdStartWeight),
+		Fixed:           section.millis("fixed-ms", defaultFixed, buckthorndyke.Millisecond, maxFixed),
+		Policy:          section.choice("policy", PolicyAdaptive, PolicyFixed, PolicyLRU),
+	}
+}
+
+func (o object) operator() Operator {
+	section := o.object("operator", true)
+	defer section.close()
+	return Operator{Address: section.address(addressListen), Token: section.secret("token")}
+}
+
+func (o object) peers() Peers {
+	section := o.object("peers", true)
+	defer section.close()
+	return Peers{Address: section.address(addressListen), Key: section.secret("key")}
+}
+
+// platform returns the address in the section of one of the platform's
+// services.
+func (o object) platform(key string) string {
+	section := o.object(key, true)
+	defer section.close()
+	return section.address(addressRemote)
+}
+
+func (o object) runners() Runners {
+	section := o.object("runners", false)
+	defer section.close()
+	r := Runners{CheckFence: section.boolean("check-fence", true)}
+	for _, name := range section.names("exceptions") {
+		r.Exceptions = append(r.Exceptions, buckthorndyke.RunnerID(name))
+	}
+	return r
+}
+
+func (o object) weightStore() WeightStore {
+	section := o.object("weight-store", true)
+	defer section.close()
+	return WeightStore{
+		Address:             section.address(addressRemote),
+		AdapterLoadsAtOnce:  section.integer("adapter-loads-at-once", defaultAdapterLoads, 1, maxLoads),
+		ModelLoadsAtOnce:    section.integer("model-loads-at-once", defaultModelLoads, 1, maxLoads),
+		ModelLoadsPerSecond: section.integer("model-loads-per-second", defaultModelLoadsASecond, 1, maxLoads),
+	}
+}
+
+// checkAddresses reports addresses of the process itself that are the same.
+func (o object) checkAddresses(s Serve) {
+	seen := make(map[string]string)
+	for _, own := range []struct{ key, address string }{
+		{"callers", s.Callers.Address},
+		{"peers", s.Peers.Address},
+		{"operator", s.Operator.Address},
+	} {
+		if own.address == "" || strings.HasSuffix(own.address, ":0") {
+			continue
+		}
+		if first, ok := seen[own.address]; ok {
+			o.conflict(own.key, fmt.Sprintf("%s and %s have the same address", first, own.key), "give each its own port")
+		}
+		seen[own.address] = own.key
+	}
+}
+
+// checkTimes reports times that contradict each other.
+func (o object) checkTimes(s Serve) {
+	if s.ProbeInterval >= s.Lease {
+		o.conflict("probe-interval-ms", fmt.Sprintf("the probe interval of %d ms is not below the lease of %d ms", s.ProbeInterval, s.Lease),
+			"lower probe-interval-ms or raise lease-ms")
+	}
+	if s.StalenessLimit < s.Lease {
+		o.conflict("staleness-limit-ms", fmt.Sprintf("the staleness limit of %d ms is below the lease of %d ms", s.StalenessLimit, s.Lease),
+			"raise staleness-limit-ms or lower lease-ms")
+	}
+}
+
+// conflict reports a fault at the value under key, or at the object if the
+// value is a default.
+func (o object) conflict(key, cause, mend string) {
+	if o.absent {
+		return
+	}
+	at := o.at
+	if value, ok := o.member(key); ok {
+		at = value.StartOffset
+	}
+	o.d.report(at, buckthorndyke.FaultConflict, cause, mend)
+}
