--- /dev/null
+++ b/asserter/asserter.go
@@ -0,0 +1,70 @@
+// Package asserter holds the assertions that the tests of all packages share.
+package asserter
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// Contains reports an error if got lacks part.
+func Contains(t testing.TB, got, part string) {
+	t.Helper()
+	if !strings.Contains(got, part) {
+		t.Errorf("%q lacks %q", got, part)
+	}
+}
+
+// Equal reports an error if got and want differ.
+func Equal[V any](t testing.TB, got, want V) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("difference (-want +got):\n%s", diff)
+	}
+}
+
+// Error stops the test if err is nil.
+func Error(t testing.TB, err error) {
+	t.Helper()
+	if err == nil {
+		t.Fatal("got no error")
+	}
+}
+
+// Lacks reports an error if got contains part.
+func Lacks(t testing.TB, got, part string) {
+	t.Helper()
+	if strings.Contains(got, part) {
+		t.Errorf("%q contains %q", got, part)
+	}
+}
+
+// NoError stops the test if err is not nil.
+func NoError(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("unexpected error: %v", err)
+	}
+}
+
+// Refused reports an error unless err is a refusal with the given code and
+// verdict.
+func Refused(t testing.TB, err error, code buckthorndyke.Code, verdict buckthorndyke.Verdict) {
+	t.Helper()
+	Error(t, err)
+	r := buckthorndyke.RefusalOf(err)
+	if r.Code() != code || r.Verdict() != verdict {
+		t.Errorf("got %v, want %s (%s)", r, code, verdict)
+	}
+}
+
+// True reports an error with the given description if ok is false.
+func True(t testing.TB, ok bool, description string) {
+	t.Helper()
+	if !ok {
+		t.Error(description)
+	}
+}
--- /dev/null
+++ b/connector/connectpeers.go
@@ -0,0 +1,58 @@
+package connector
+
+import (
+	"net/http"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/wire/wireconnect"
+)
+
+// Times after which a silent connection to a peer is given up.
+const (
+	peerPingAfter   = 2 * buckthorndyke.Second
+	peerPingTimeout = 2 * buckthorndyke.Second
+)
+
+// ConnectPeers reaches peers by the connect protocol over HTTP/2 without TLS.
+type ConnectPeers struct {
+	client  *http.Client
+	encoder buckthorndyke.Encoder
+}
+
+// NewConnectPeers returns peers that are called with the fleet's key.
+func NewConnectPeers(key string, encoder buckthorndyke.Encoder) *ConnectPeers {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{
+		HTTP2: &http.HTTP2Config{
+			PingTimeout:     peerPingTimeout.Duration(),
+			SendPingTimeout: peerPingAfter.Duration(),
+		},
+		Protocols: protocols,
+	}
+	return &ConnectPeers{
+		client:  &http.Client{Transport: &bearerTransport{base: transport, token: key}},
+		encoder: encoder,
+	}
+}
+
+// At implements buckthorndyke.Peers.
+func (p *ConnectPeers) At(address string) buckthorndyke.Peer {
+	return &ConnectPeer{
+		client:  wireconnect.NewPeerServiceClient(p.client, "http://"+address),
+		encoder: p.encoder,
+	}
+}
+
+// bearerTransport adds a bearer token to each request.
+type bearerTransport struct {
+	base  http.RoundTripper
+	token string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *bearerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+t.token)
+	return t.base.RoundTrip(r)
+}
--- a/mailer/mailer_test.go
+++ b/mailer/mailer_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"testing/synctest"
 
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
 )
 
@@ -13,16 +14,16 @@
 		box := mailer.NewMailbox[mailer.Reply[int]]()
 		go func() { (<-box.Receive()).Answer(7) }()
 		got, err := mailer.Ask(t.Context(), box, func(r mailer.Reply[int]) mailer.Reply[int] { return r })
-		assertNoError(t, err)
-		assertEqual(t, got, 7)
+		asserter.NoError(t, err)
+		asserter.Equal(t, got, 7)
 	})
 	t.Run("send to a full mailbox ends with its context", func(t *testing.T) {
 		box := mailer.NewMailbox[int](mailer.WithCapacity(1))
-		assertEqual(t, box.TrySend(1), true)
-		assertEqual(t, box.TrySend(2), false)
+		asserter.Equal(t, box.TrySend(1), true)
+		asserter.Equal(t, box.TrySend(2), false)
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		assertEqual(t, box.Send(ctx, 2) != nil, true)
+		asserter.Equal(t, box.Send(ctx, 2) != nil, true)
 	})
 }
 
@@ -35,10 +36,10 @@
 			go func() { _ = feed.Serve(ctx) }()
 			values := feed.Subscribe(ctx)
 			for v := range 5 {
-				assertNoError(t, feed.Publish(ctx, v))
+				asserter.NoError(t, feed.Publish(ctx, v))
 				synctest.Wait()
 			}
-			assertEqual(t, <-values, 4)
+			asserter.Equal(t, <-values, 4)
 		})
 	})
 	t.Run("a late subscriber gets the newest value", func(t *testing.T) {
@@ -47,23 +48,9 @@
 			defer cancel()
 			feed := mailer.NewFeed[string]()
 			go func() { _ = feed.Serve(ctx) }()
-			assertNoError(t, feed.Publish(ctx, "new"))
+			asserter.NoError(t, feed.Publish(ctx, "new"))
 			synctest.Wait()
-			assertEqual(t, <-feed.Subscribe(ctx), "new")
+			asserter.Equal(t, <-feed.Subscribe(ctx), "new")
 		})
 	})
 }
-
-func assertEqual[V comparable](t *testing.T, got, want V) {
-	t.Helper()
-	if got != want {
-		t.Errorf("got %v, want %v", got, want)
-	}
-}
-
-func assertNoError(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatalf("unexpected error: %v", err)
-	}
-}
--- /dev/null
+++ b/readiness.go
@@ -0,0 +1,9 @@
+package buckthorndyke
+
+import "context"
+
+// Readiness says whether a process can take callers' requests.
+type Readiness interface {
+	// Ready returns nil, or a *RefusalError that says why not.
+	Ready(ctx context.Context) error
+}
--- a/timekeeper/real_test.go
+++ b/timekeeper/real_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/timekeeper"
 )
 
@@ -14,14 +15,7 @@
 			clock := timekeeper.NewRealClock()
 			before := clock.Now()
 			<-clock.After(250 * buckthorndyke.Millisecond)
-			assertElapsed(t, clock.Now()-before, 250*buckthorndyke.Millisecond)
+			asserter.Equal(t, clock.Now()-before, 250*buckthorndyke.Millisecond)
 		})
 	})
 }
-
-func assertElapsed(t *testing.T, got, want buckthorndyke.Millis) {
-	t.Helper()
-	if got != want {
-		t.Errorf("elapsed %d ms, want %d ms", got, want)
-	}
-}
--- /dev/null
+++ b/translator/claim.go
@@ -0,0 +1,112 @@
+package translator
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/wire"
+)
+
+// AnswerFromWire returns the service's answer in m, or nil if m is nil.
+func AnswerFromWire(m *wire.ServiceAnswer) *buckthorndyke.ServiceAnswer {
+	if m == nil {
+		return nil
+	}
+	answer := &buckthorndyke.ServiceAnswer{Body: m.GetBody(), Header: http.Header{}, Status: int(m.GetStatus())}
+	for _, h := range m.GetHeaders() {
+		answer.Header[h.GetName()] = h.GetValues()
+	}
+	return answer
+}
+
+// AnswerToWire returns the message that carries a, or nil if a is nil.
+func AnswerToWire(a *buckthorndyke.ServiceAnswer) *wire.ServiceAnswer {
+	if a == nil {
+		return nil
+	}
+	m := &wire.ServiceAnswer{Body: a.Body, Status: int32(a.Status)}
+	for name, values := range a.Header {
+		m.Headers = append(m.Headers, &wire.Header{Name: name, Values: values})
+	}
+	slices.SortFunc(m.Headers, func(a, b *wire.Header) int {
+		if a.GetName() < b.GetName() {
+			return -1
+		}
+		return 1
+	})
+	return m
+}
+
+// ClaimKeyFromWire returns the key in m.
+func ClaimKeyFromWire(m *wire.ClaimKey) buckthorndyke.ClaimKey {
+	return buckthorndyke.ClaimKey{
+		Caller:  buckthorndyke.CallerID(m.GetCaller()),
+		Key:     m.GetKey(),
+		Service: buckthorndyke.ServiceID(m.GetService()),
+	}
+}
+
+// ClaimKeyToWire returns the message that carries k.
+func ClaimKeyToWire(k buckthorndyke.ClaimKey) *wire.ClaimKey {
+	return &wire.ClaimKey{Caller: string(k.Caller), Key: k.Key, Service: string(k.Service)}
+}
+
+// ClaimReplyFromWire returns the reply in m.
+func ClaimReplyFromWire(m *wire.ClaimResponse) buckthorndyke.ClaimReply {
+	return buckthorndyke.ClaimReply{
+		Answer:   AnswerFromWire(m.GetAnswer()),
+		Granted:  m.GetGranted(),
+		Mismatch: m.GetMismatch(),
+		Verdict:  buckthorndyke.ParseVerdict(m.GetVerdict()),
+	}
+}
+
+// ClaimReplyToWire returns the message that carries r.
+func ClaimReplyToWire(r buckthorndyke.ClaimReply) *wire.ClaimResponse {
+	return &wire.ClaimResponse{
+		Answer:   AnswerToWire(r.Answer),
+		Granted:  r.Granted,
+		Mismatch: r.Mismatch,
+		Verdict:  r.Verdict.String(),
+	}
+}
+
+// ClaimRequestFromWire returns the request in m.
+func ClaimRequestFromWire(m *wire.ClaimRequest) buckthorndyke.ClaimRequest {
+	return buckthorndyke.ClaimRequest{
+		Fingerprint: buckthorndyke.Fingerprint(m.GetFingerprint()),
+		ID:          buckthorndyke.RequestID(m.GetId()),
+		Key:         ClaimKeyFromWire(m.GetKey()),
+		VM:          buckthorndyke.VMID(m.GetVm()),
+	}
+}
+
+// ClaimRequestToWire returns the message that carries r.
+func ClaimRequestToWire(r buckthorndyke.ClaimRequest) *wire.ClaimRequest {
+	return &wire.ClaimRequest{
+		Fingerprint: string(r.Fingerprint),
+		Id:          string(r.ID),
+		Key:         ClaimKeyToWire(r.Key),
+		Vm:          string(r.VM),
+	}
+}
+
+// OutcomeFromWire returns the outcome in m.
+func OutcomeFromWire(m *wire.SettleRequest) buckthorndyke.ClaimOutcome {
+	return buckthorndyke.ClaimOutcome{
+		Answer:  AnswerFromWire(m.GetOutcome().GetAnswer()),
+		ID:      buckthorndyke.RequestID(m.GetId()),
+		Key:     ClaimKeyFromWire(m.GetKey()),
+		Verdict: buckthorndyke.ParseVerdict(m.GetOutcome().GetVerdict()),
+	}
+}
+
+// OutcomeToWire returns the message that carries o.
+func OutcomeToWire(o buckthorndyke.ClaimOutcome) *wire.SettleRequest {
+	return &wire.SettleRequest{
+		Id:      string(o.ID),
+		Key:     ClaimKeyToWire(o.Key),
+		Outcome: &wire.ClaimOutcome{Answer: AnswerToWire(o.Answer), Verdict: o.Verdict.String()},
+	}
+}
