feat(standin): in-memory stand-ins of the platform, runners and services

Tests and the fault matrix need small fakes at the root interfaces whose faults are set by message and whose journals can be asserted on. Each is a task with a mailbox, so that it also works in a synctest bubble.

Ruled out: an answer that is only late on its way back. Delays also hold the request back, because an append, order or call that takes effect after its sender has given up is the harder case.

--- /dev/null
+++ b/standin/assert_test.go
@@ -0,0 +1,96 @@
+package standin_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/standin"
+	"github.com/buckthorndyke/buckthorndyke/timekeeper"
+)
+
+// inBubble runs test in a bubble with a clock. Its tasks end with the context.
+func inBubble(t *testing.T, test func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		test(ctx, t, timekeeper.NewRealClock())
+	})
+}
+
+func assertCode(t *testing.T, err error, want buckthorndyke.Code) {
+	t.Helper()
+	if err == nil {
+		t.Fatalf("got no error, want code %s", want)
+	}
+	if got := buckthorndyke.RefusalOf(err).Code(); got != want {
+		t.Errorf("got code %s, want %s: %v", got, want, err)
+	}
+}
+
+func assertEqual[V any](t *testing.T, got, want V) {
+	t.Helper()
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("difference (-want +got):\n%s", d)
+	}
+}
+
+func assertNoError(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("unexpected error: %v", err)
+	}
+}
+
+func assertVerdict(t *testing.T, err error, want buckthorndyke.Verdict) {
+	t.Helper()
+	if err == nil {
+		t.Fatalf("got no error, want verdict %s", want)
+	}
+	if got := buckthorndyke.VerdictOf(err); got != want {
+		t.Errorf("got verdict %s, want %s: %v", got, want, err)
+	}
+}
+
+// load loads a model or adapter and fails the test unless that works.
+func load(ctx context.Context, t *testing.T, engine buckthorndyke.Engine, order buckthorndyke.Order) {
+	t.Helper()
+	order.Kind = buckthorndyke.OrderLoad
+	if order.ID == "" {
+		order.ID = buckthorndyke.OrderID("load-" + order.Model)
+	}
+	state, err := engine.Order(ctx, order)
+	assertNoError(t, err)
+	assertEqual(t, state, buckthorndyke.OrderDone)
+}
+
+// collect returns the texts of a stream's tokens up to its end mark or error.
+func collect(ctx context.Context, t *testing.T, s buckthorndyke.TokenStream, first int) ([]string, error) {
+	t.Helper()
+	var texts []string
+	for {
+		token, err := s.Next(ctx)
+		if err != nil {
+			return texts, err
+		}
+		assertEqual(t, token.Index, first+len(texts))
+		if token.Last {
+			return texts, nil
+		}
+		texts = append(texts, token.Text)
+	}
+}
+
+// startEngine returns an engine that runs, with a store behind it.
+func startEngine(
+	ctx context.Context, clock buckthorndyke.Clock, cfg standin.EngineConfig, opts ...standin.EngineOption,
+) *standin.MemoryEngine {
+	store := standin.NewMemoryWeightStore(clock)
+	engine := standin.NewMemoryEngine(clock, store, cfg, opts...)
+	standin.Start(ctx, store, engine)
+	return engine
+}
--- /dev/null
+++ b/standin/enginejob.go
@@ -0,0 +1,169 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+// spareItems is the room of a stream for doubled and crossed tokens, the end
+// mark and an error.
+const spareItems = 4
+
+// engineJob is a job of a MemoryEngine.
+type engineJob struct {
+	cancel context.CancelCauseFunc
+	faults EngineFaults
+	job    buckthorndyke.Job
+	// start is closed once the job has a slot.
+	start   chan struct{}
+	started bool
+	stream  *memoryStream
+}
+
+// enqueue accepts a job.
+func (s *engineState) enqueue(ctx context.Context, job buckthorndyke.Job) *memoryStream {
+	jobCtx, cancel := context.WithCancelCause(ctx)
+	j := &engineJob{
+		cancel: cancel, job: job, start: make(chan struct{}),
+		stream: &memoryStream{cancel: cancel, items: make(chan streamItem, s.answerLength(job)+spareItems)},
+	}
+	s.jobs[job.ID] = j
+	s.journal.Jobs[job.Request]++
+	at, _ := slices.BinarySearchFunc(s.queue, job.Rank+1, func(q *engineJob, r buckthorndyke.Rank) int {
+		return int(q.job.Rank) - int(r)
+	})
+	s.queue = slices.Insert(s.queue, at, j)
+	run := jobRun{
+		box: s.box, cfg: s.cfg, clock: s.clock, incarnation: s.started, job: j, length: s.answerLength(job),
+	}
+	go run.serve(ctx, jobCtx)
+	s.startJobs()
+	s.record()
+	return j.stream
+}
+
+// answerLength returns the number of tokens of the whole answer to job.
+func (s *engineState) answerLength(job buckthorndyke.Job) int {
+	length := s.cfg.AnswerTokens
+	if job.MaxTokens > 0 {
+		length = min(length, len(job.Resume)+job.MaxTokens)
+	}
+	return max(length, len(job.Resume))
+}
+
+// endJob forgets a job and gives its slot to the next.
+func (s *engineState) endJob(job *engineJob) {
+	delete(s.jobs, job.job.ID)
+	s.queue = slices.DeleteFunc(s.queue, func(q *engineJob) bool { return q == job })
+	if job.started {
+		s.running--
+	}
+	s.startJobs()
+	s.record()
+}
+
+// startJobs starts the first jobs of the queue while there are free slots.
+func (s *engineState) startJobs() {
+	for s.running < s.cfg.Slots && len(s.queue) > 0 {
+		job := s.queue[0]
+		s.queue = s.queue[1:]
+		job.faults = s.faults
+		s.faults = s.faults.withoutStreamFaults()
+		job.started = true
+		s.running++
+		s.journal.HighestRunning = max(s.journal.HighestRunning, s.running)
+		close(job.start)
+	}
+}
+
+// jobRun is the task that writes the answer to one job.
+type jobRun struct {
+	box         *mailer.Mailbox[message[*engineState]]
+	cfg         EngineConfig
+	clock       buckthorndyke.Clock
+	incarnation buckthorndyke.Incarnation
+	job         *engineJob
+	length      int
+}
+
+// serve writes the answer, closes the stream and reports to the engine, whose
+// context is ctx. The job ends early with jobCtx.
+func (r jobRun) serve(ctx, jobCtx context.Context) {
+	if err := r.write(jobCtx); err != nil {
+		r.job.stream.items <- streamItem{err: err, job: r.job.job.ID}
+	}
+	close(r.job.stream.items)
+	r.job.cancel(nil)
+	_ = r.box.Send(ctx, jobEndedMessage{incarnation: r.incarnation, job: r.job})
+}
+
+// write writes the answer. It returns the error that breaks the stream.
+func (r jobRun) write(ctx context.Context) error {
+	select {
+	case <-r.job.start:
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	if err := r.wait(ctx, r.cfg.Prefill); err != nil {
+		return err
+	}
+	if strings.Contains(r.job.job.Prompt, CrashPrompt) {
+		return r.crash(ctx)
+	}
+	for i := len(r.job.job.Resume); i < r.length; i++ {
+		if f := r.job.faults; f.CutStreamAfter > 0 && i-len(r.job.job.Resume) == f.CutStreamAfter {
+			return errCut
+		}
+		r.emit(i)
+		if err := r.wait(ctx, r.cfg.TokenInterval); err != nil {
+			return err
+		}
+	}
+	r.put(r.job.job.ID, buckthorndyke.Token{Index: r.length, Last: true})
+	return nil
+}
+
+// crash crashes the engine and waits for its end.
+func (r jobRun) crash(ctx context.Context) error {
+	if err := r.box.Send(ctx, crashMessage{reply: mailer.NewReply[acknowledged]()}); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return context.Cause(ctx)
+}
+
+// emit writes the token with the given index, with the faults of the stream.
+func (r jobRun) emit(index int) {
+	job := r.job.job
+	token := buckthorndyke.Token{Index: index, Text: TokenText(job.Model, job.Prompt, index)}
+	r.put(job.ID, token)
+	if index != len(job.Resume) {
+		return
+	}
+	if r.job.faults.DoubleToken {
+		r.put(job.ID, token)
+	}
+	if r.job.faults.CrossToken {
+		other := buckthorndyke.Token{Index: index + 1, Text: TokenText(job.Model, "another prompt", index+1)}
+		r.put(job.ID+"-other", other)
+	}
+}
+
+// put writes a token as one of the job with the given id.
+func (r jobRun) put(id buckthorndyke.JobID, token buckthorndyke.Token) {
+	r.job.stream.items <- streamItem{job: id, token: token}
+}
+
+// wait waits for d, or returns the cause that ended ctx.
+func (r jobRun) wait(ctx context.Context, d buckthorndyke.Millis) error {
+	select {
+	case <-r.clock.After(d):
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/standin/engineorders_test.go
@@ -0,0 +1,157 @@
+package standin_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/standin"
+)
+
+func TestMemoryEngineOrders(t *testing.T) {
+	t.Run("an old fencing number is refused if the engine checks it", func(t *testing.T) {
+		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
+			engine := startEngine(ctx, clock, standin.EngineConfig{ChecksFence: true})
+			assertOrder(ctx, t, engine, buckthorndyke.Order{Fence: 7, ID: "f", Kind: buckthorndyke.OrderFence}, buckthorndyke.OrderDone)
+			old := buckthorndyke.Order{Fence: 6, ID: "old", Kind: buckthorndyke.OrderLoad, Model: model}
+			assertOrder(ctx, t, engine, old, buckthorndyke.OrderFenced)
+			status, err := engine.Status(ctx)
+			assertNoError(t, err)
+			assertEqual(t, status.Fence, 7)
+			assertEqual(t, status.Orders["old"], buckthorndyke.OrderFenced)
+			assertEqual(t, len(status.Residents), 0)
+		})
+	})
+	t.Run("an old fencing number is ignored otherwise", func(t *testing.T) {
+		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
+			engine := startEngine(ctx, clock, standin.EngineConfig{})
+			assertOrder(ctx, t, engine, buckthorndyke.Order{Fence: 7, ID: "f", Kind: buckthorndyke.OrderFence}, buckthorndyke.OrderDone)
+			load(ctx, t, engine, buckthorndyke.Order{Fence: 6, Model: model})
+		})
+	})
+	t.Run("an order whose answer is lost is carried out", func(t *testing.T) {
+		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
+			engine := startEngine(ctx, clock, standin.EngineConfig{})
+			assertNoError(t, engine.SetFaults(ctx, standin.EngineFaults{LoseOrderAnswers: 1}))
+			order := buckthorndyke.Order{ID: "o", Kind: buckthorndyke.OrderLoad, MemoryMB: 8000, Model: model}
+			_, err := engine.Order(ctx, order)
+			assertVerdict(t, err, buckthorndyke.MayHaveRun)
+			assertOrderState(ctx, t, engine, "o", buckthorndyke.OrderRunning)
+			assertOrder(ctx, t, engine, order, buckthorndyke.OrderDone)
+			assertOrderState(ctx, t, engine, "o", buckthorndyke.OrderDone)
+			journal, err := engine.Journal(ctx)
+			assertNoError(t, err)
+			assertEqual(t, journal.Loads[model], 1)
+			assertEqual(t, len(journal.Orders), 1)
+		})
+	})
+	t.Run("a late order is carried out after its sender has given up", func(t *testing.T) {
+		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
+			engine := startEngine(ctx, clock, standin.EngineConfig{})
+			assertNoError(t, engine.SetFaults(ctx, standin.EngineFaults{OrderDelay: buckthorndyke.Minute}))
+			short, cancel := context.WithTimeout(ctx, buckthorndyke.Second.Duration())
+			defer cancel()
+			_, err := engine.Order(short, buckthorndyke.Order{ID: "o", Kind: buckthorndyke.OrderLoad, Model: model})
+			assertVerdict(t, err, buckthorndyke.MayHaveRun)
+			assertOrderState(ctx, t, engine, "o", "")
+			<-clock.After(2 * buckthorndyke.Minute)
+			assertOrderState(ctx, t, engine, "o", buckthorndyke.OrderDone)
+		})
+	})
+	t.Run("an order beyond the memory is carried out and recorded", func(t *testing.T) {
+		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
+			engine := startEngine(ctx, clock, standin.EngineConfig{MemoryMB: 10000})
+			load(ctx, t, engine, buckthorndyke.Order{MemoryMB: 8000, Model: model})
+			assertOvercommitted(ctx, t, engine, false, 8000)
+			load(ctx, t, engine, buckthorndyke.Order{MemoryMB: 8000, Model: "another"})
+			assertOvercommitted(ctx, t, engine, true, 16000)
+		})
+	})
+	t.Run("an adapter needs its base and goes with it", func(t *testing.T) {
+		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
+			engine := startEngine(ctx, clock, standin.EngineConfig{})
+			adapter := buckthorndyke.Order{Base: model, ID: "early", Kind: buckthorndyke.OrderLoad, MemoryMB: 50, Model: "adapter"}
+			assertOrder(ctx, t, engine, adapter, buckthorndyke.OrderFailed)
+			load(ctx, t, engine, buckthorndyke.Order{MemoryMB: 8000, Model: model})
+			adapter.ID = "later"
+			before := clock.Now()
+			assertOrder(ctx, t, engine, adapter, buckthorndyke.OrderDone)
+			assertBetween(t, clock.Now()-before, 5*buckthorndyke.Millisecond, 10*buckthorndyke.Millisecond)
+			unload := buckthorndyke.Order{ID: "u", Kind: buckthorndyke.OrderUnload, Model: model}
+			assertOrder(ctx, t, engine, unload, buckthorndyke.OrderDone)
+			status, err := engine.Status(ctx)
+			assertNoError(t, err)
+			assertEqual(t, len(status.Residents), 0)
+		})
+	})
+	t.Run("an unload ends a load of the model as failed", func(t *testing.T) {
+		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
+			engine := startEngine(ctx, clock, standin.EngineConfig{})
+			go func() {
+				_, _ = engine.Order(ctx, buckthorndyke.Order{ID: "l", Kind: buckthorndyke.OrderLoad, MemoryMB: 8000, Model: model})
+			}()
+			synctest.Wait()
+			assertOrder(ctx, t, engine, buckthorndyke.Order{ID: "u", Kind: buckthorndyke.OrderUnload, Model: model}, buckthorndyke.OrderDone)
+			assertOrderState(ctx, t, engine, "l", buckthorndyke.OrderFailed)
+		})
+	})
+	t.Run("a status lags except for its orders", func(t *testing.T) {
+		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
+			engine := startEngine(ctx, clock, standin.EngineConfig{StatusLag: buckthorndyke.Second})
+			load(ctx, t, engine, buckthorndyke.Order{MemoryMB: 1000, Model: model})
+			status, err := engine.Status(ctx)
+			assertNoError(t, err)
+			assertEqual(t, status.Orders["load-"+buckthorndyke.OrderID(model)], buckthorndyke.OrderDone)
+			assertEqual(t, len(status.Residents), 0)
+			<-clock.After(2 * buckthorndyke.Second)
+			status, err = engine.Status(ctx)
+			assertNoError(t, err)
+			assertEqual(t, status.Residents, []buckthorndyke.Resident{{MemoryMB: 1000, Model: model}})
+		})
+	})
+	t.Run("a cached checkpoint loads faster", func(t *testing.T) {
+		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
+			engine := startEngine(ctx, clock, standin.EngineConfig{CachedOnDisk: []buckthorndyke.ModelID{"disk"}})
+			before := clock.Now()
+			load(ctx, t, engine, buckthorndyke.Order{MemoryMB: 8000, Model: "disk"})
+			assertEqual(t, clock.Now()-before, 2*buckthorndyke.Second)
+			before = clock.Now()
+			load(ctx, t, engine, buckthorndyke.Order{MemoryMB: 8000, Model: "remote"})
+			assertEqual(t, clock.Now()-before, 4*buckthorndyke.Second)
+		})
+	})
+}
+
+func assertBetween(t *testing.T, got, low, high buckthorndyke.Millis) {
+	t.Helper()
+	if got < low || got > high {
+		t.Errorf("got %d ms, want from %d to %d ms", got, low, high)
+	}
+}
+
+func assertOrder(
+	ctx context.Context, t *testing.T, engine buckthorndyke.Engine, order buckthorndyke.Order, want buckthorndyke.OrderState,
+) {
+	t.Helper()
+	got, err := engine.Order(ctx, order)
+	assertNoError(t, err)
+	assertEqual(t, got, want)
+}
+
+func assertOrderState(
+	ctx context.Context, t *testing.T, engine buckthorndyke.Engine, id buckthorndyke.OrderID, want buckthorndyke.OrderState,
+) {
+	t.Helper()
+	status, err := engine.Status(ctx)
+	assertNoError(t, err)
+	assertEqual(t, status.Orders[id], want)
+}
+
+func assertOvercommitted(ctx context.Context, t *testing.T, engine *standin.MemoryEngine, want bool, highestMB int) {
+	t.Helper()
+	journal, err := engine.Journal(ctx)
+	assertNoError(t, err)
+	assertEqual(t, journal.Overcommitted, want)
+	assertEqual(t, journal.HighestMemoryMB, highestMB)
+}
--- /dev/null
+++ b/standin/enginestate.go
@@ -0,0 +1,225 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+// Load times of adapters, from adapterLoadMin to adapterLoadMin+adapterLoadSpread.
+const (
+	adapterLoadMin    = 5 * buckthorndyke.Millisecond
+	adapterLoadSpread = 5 * buckthorndyke.Millisecond
+)
+
+// Causes that end a job or a load.
+var (
+	errCancelled = buckthorndyke.NewRefusal(
+		buckthorndyke.CodeCallerGone, buckthorndyke.MayHaveRun, "the job was cancelled")
+	errCrashed = buckthorndyke.NewRefusal(
+		buckthorndyke.CodeEngineFailed, buckthorndyke.MayHaveRun, "the runner crashed")
+	errCut = buckthorndyke.NewRefusal(
+		buckthorndyke.CodeEngineFailed, buckthorndyke.MayHaveRun, "the stream broke before its end mark")
+	errOrderAnswerLost = buckthorndyke.NewRefusal(
+		buckthorndyke.CodeEngineFailed, buckthorndyke.MayHaveRun, "the answer to the order was lost")
+	errUnloaded = buckthorndyke.NewRefusal(
+		buckthorndyke.CodeEngineFailed, buckthorndyke.MayHaveRun, "the model was unloaded")
+)
+
+// orderAnswer is the answer to an order.
+type orderAnswer = result[buckthorndyke.OrderState]
+
+// engineState is the state of a MemoryEngine.
+type engineState struct {
+	box     *mailer.Mailbox[message[*engineState]]
+	cached  map[buckthorndyke.ModelID]buckthorndyke.Tier
+	cfg     EngineConfig
+	clock   buckthorndyke.Clock
+	faults  EngineFaults
+	fence   buckthorndyke.Offset
+	history []statusRecord
+	jobs    map[buckthorndyke.JobID]*engineJob
+	journal EngineJournal
+	loads   map[buckthorndyke.ModelID]engineLoad
+	orders  map[buckthorndyke.OrderID]buckthorndyke.OrderState
+	// queue holds the jobs that wait for a slot, in the order of their ranks.
+	queue      []*engineJob
+	residents  map[buckthorndyke.ModelID]buckthorndyke.Resident
+	restarting bool
+	running    int
+	started    buckthorndyke.Incarnation
+	store      *MemoryWeightStore
+}
+
+// engineLoad is a load that is under way.
+type engineLoad struct {
+	cancel context.CancelFunc
+	order  buckthorndyke.OrderID
+	// replies are those of the order and of its repetitions.
+	replies []mailer.Reply[orderAnswer]
+}
+
+// answer answers the load's order.
+func (l engineLoad) answer(a orderAnswer) {
+	for _, reply := range l.replies {
+		reply.Answer(a)
+	}
+}
+
+// statusRecord is a status as it was at an instant.
+type statusRecord struct {
+	at     buckthorndyke.Millis
+	status buckthorndyke.EngineStatus
+}
+
+func newEngineState(
+	box *mailer.Mailbox[message[*engineState]], clock buckthorndyke.Clock, store *MemoryWeightStore, cfg EngineConfig,
+) *engineState {
+	s := &engineState{
+		box: box, cached: make(map[buckthorndyke.ModelID]buckthorndyke.Tier), cfg: cfg, clock: clock,
+		journal: EngineJournal{
+			Jobs:  make(map[buckthorndyke.RequestID]int),
+			Loads: make(map[buckthorndyke.ModelID]int),
+		},
+		started: buckthorndyke.Incarnation(clock.Now()),
+		store:   store,
+	}
+	for _, model := range cfg.CachedOnDisk {
+		s.cached[model] = buckthorndyke.TierDisk
+	}
+	for _, model := range cfg.CachedInMemory {
+		s.cached[model] = buckthorndyke.TierMemory
+	}
+	s.clear()
+	return s
+}
+
+// clear forgets all that a crash loses. The fencing number is kept.
+func (s *engineState) clear() {
+	s.jobs = make(map[buckthorndyke.JobID]*engineJob)
+	s.loads = make(map[buckthorndyke.ModelID]engineLoad)
+	s.orders = make(map[buckthorndyke.OrderID]buckthorndyke.OrderState)
+	s.residents = make(map[buckthorndyke.ModelID]buckthorndyke.Resident)
+	s.history = nil
+	s.queue = nil
+	s.running = 0
+}
+
+// drop removes a model from memory and ends its load and its jobs.
+func (s *engineState) drop(model buckthorndyke.ModelID) {
+	if load, loading := s.loads[model]; loading {
+		load.cancel()
+		delete(s.loads, model)
+		s.orders[load.order] = buckthorndyke.OrderFailed
+		load.answer(orderAnswer{value: buckthorndyke.OrderFailed})
+	}
+	for _, job := range s.jobs {
+		if job.job.Model == model {
+			s.journal.UnloadedUnderJobs++
+			job.cancel(errUnloaded)
+		}
+	}
+	delete(s.residents, model)
+	s.record()
+}
+
+// hold puts a model into memory.
+func (s *engineState) hold(r buckthorndyke.Resident) {
+	s.residents[r.Model] = r
+	used := s.memoryUsed()
+	s.journal.HighestMemoryMB = max(s.journal.HighestMemoryMB, used)
+	s.journal.Overcommitted = s.journal.Overcommitted || used > s.cfg.MemoryMB
+	s.record()
+}
+
+// loadTime returns how long a load takes at full speed.
+func (s *engineState) loadTime(order buckthorndyke.Order) buckthorndyke.Millis {
+	span := adapterLoadMin + buckthorndyke.Millis(xxhash.Sum64String(string(order.Model))%uint64(adapterLoadSpread+1))
+	if order.Base == "" {
+		rate := s.cfg.RemoteMBPerSecond
+		switch s.tier(order.Model) {
+		case buckthorndyke.TierMemory:
+			rate = s.cfg.MemoryMBPerSecond
+		case buckthorndyke.TierDisk:
+			rate = s.cfg.DiskMBPerSecond
+		default:
+		}
+		span = buckthorndyke.Millis(order.MemoryMB) * buckthorndyke.Second / buckthorndyke.Millis(rate)
+	}
+	if s.faults.SlowLoads > 0 {
+		span *= buckthorndyke.Millis(s.faults.SlowLoads)
+	}
+	return span
+}
+
+// memoryUsed returns the memory that the residents take.
+func (s *engineState) memoryUsed() int {
+	used := 0
+	for _, r := range s.residents {
+		used += r.MemoryMB
+	}
+	return used
+}
+
+// record remembers the status for as long as statuses lag.
+func (s *engineState) record() {
+	if s.cfg.StatusLag <= 0 {
+		return
+	}
+	now := s.clock.Now()
+	s.history = append(s.history, statusRecord{at: now, status: s.status()})
+	for len(s.history) > 1 && s.history[1].at+s.cfg.StatusLag <= now {
+		s.history = s.history[1:]
+	}
+}
+
+// report returns the status as far as it has become visible.
+func (s *engineState) report() buckthorndyke.EngineStatus {
+	report := s.status()
+	now := s.clock.Now()
+	for i, r := range s.history {
+		if i == 0 || r.at+s.cfg.StatusLag <= now {
+			report = r.status
+		}
+	}
+	report.Orders = maps.Clone(s.orders)
+	return report
+}
+
+// status returns the status as it is.
+func (s *engineState) status() buckthorndyke.EngineStatus {
+	return buckthorndyke.EngineStatus{
+		Cached:   maps.Clone(s.cached),
+		Fence:    s.fence,
+		Jobs:     slices.Sorted(maps.Keys(s.jobs)),
+		MemoryMB: s.cfg.MemoryMB,
+		Residents: slices.SortedFunc(maps.Values(s.residents), func(a, b buckthorndyke.Resident) int {
+			return cmp.Compare(a.Model, b.Model)
+		}),
+		Slots:   s.cfg.Slots,
+		Started: s.started,
+	}
+}
+
+// tier returns where the engine finds a checkpoint.
+func (s *engineState) tier(model buckthorndyke.ModelID) buckthorndyke.Tier {
+	if tier, ok := s.cached[model]; ok {
+		return tier
+	}
+	return buckthorndyke.TierRemote
+}
+
+// unreachable returns the error of a call that cannot reach the engine, or nil.
+func (s *engineState) unreachable() error {
+	if !s.restarting && !s.faults.Down {
+		return nil
+	}
+	return buckthorndyke.NewRefusal(
+		buckthorndyke.CodeRunnerUnavailable, buckthorndyke.NotRun, "the runner is down")
+}
--- /dev/null
+++ b/standin/logmessages.go
@@ -0,0 +1,125 @@
+package standin
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+// appendMessage asks a MemoryLog for an append.
+type appendMessage struct {
+	// arrived is set once the request has reached the log.
+	arrived bool
+	data    []byte
+	reply   mailer.Reply[result[buckthorndyke.Offset]]
+	stream  buckthorndyke.Stream
+}
+
+func (m appendMessage) handle(ctx context.Context, s *logState) {
+	if !m.arrived && s.faults.Delay > 0 {
+		m.arrived = true
+		s.arrive(ctx, m)
+		return
+	}
+	answer := result[buckthorndyke.Offset]{delay: s.returnDelay()}
+	if s.faults.Down {
+		answer.err = logDown()
+		m.reply.Answer(answer)
+		return
+	}
+	stream := s.stream(m.stream)
+	answer.value = stream.add(m.data, s.clock.Now(), s.retention)
+	s.stats.Appends++
+	s.stats.AppendedBytes += len(m.data)
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		answer.value = buckthorndyke.NoOffset
+		answer.err = buckthorndyke.NewRefusal(
+			buckthorndyke.CodeLogUnavailable, buckthorndyke.MayHaveRun, "the answer to the append was lost")
+	}
+	m.reply.Answer(answer)
+	stream.wake(s.returnDelay(), nil)
+}
+
+// readMessage asks a MemoryLog for records.
+type readMessage struct {
+	arrived bool
+	// done is closed once the reader has given up.
+	done   <-chan struct{}
+	from   buckthorndyke.Offset
+	reply  mailer.Reply[result[buckthorndyke.Batch]]
+	stream buckthorndyke.Stream
+	wait   buckthorndyke.Millis
+}
+
+func (m readMessage) handle(ctx context.Context, s *logState) {
+	if !m.arrived && s.faults.Delay > 0 {
+		m.arrived = true
+		s.arrive(ctx, m)
+		return
+	}
+	if s.faults.Down {
+		m.reply.Answer(result[buckthorndyke.Batch]{delay: s.returnDelay(), err: logDown()})
+		return
+	}
+	s.stats.Reads++
+	stream := s.stream(m.stream)
+	batch := stream.batch(m.from)
+	if len(batch.Entries) > 0 || m.from < batch.First || m.wait <= 0 {
+		m.reply.Answer(result[buckthorndyke.Batch]{delay: s.returnDelay(), value: batch})
+		return
+	}
+	stream.waiting[m.reply] = m.from
+	expired := s.clock.After(m.wait)
+	go func() {
+		select {
+		case <-expired:
+		case <-m.done:
+		case <-ctx.Done():
+			return
+		}
+		_ = s.box.Send(ctx, readExpiredMessage{reply: m.reply, stream: m.stream})
+	}()
+}
+
+// readExpiredMessage ends a read that has waited long enough.
+type readExpiredMessage struct {
+	reply  mailer.Reply[result[buckthorndyke.Batch]]
+	stream buckthorndyke.Stream
+}
+
+func (m readExpiredMessage) handle(_ context.Context, s *logState) {
+	stream := s.stream(m.stream)
+	from, waits := stream.waiting[m.reply]
+	if !waits {
+		return
+	}
+	delete(stream.waiting, m.reply)
+	m.reply.Answer(result[buckthorndyke.Batch]{delay: s.returnDelay(), value: stream.batch(from)})
+}
+
+// logFaultsMessage replaces the faults of a MemoryLog.
+type logFaultsMessage struct {
+	faults LogFaults
+	reply  mailer.Reply[acknowledged]
+}
+
+func (m logFaultsMessage) handle(_ context.Context, s *logState) {
+	s.faults = m.faults
+	if s.faults.Down {
+		for _, stream := range s.streams {
+			stream.wake(0, logDown())
+		}
+	}
+	m.reply.Answer(acknowledged{})
+}
+
+// logStatsMessage asks a MemoryLog what it has carried.
+type logStatsMessage struct {
+	reply mailer.Reply[LogStats]
+}
+
+func (m logStatsMessage) handle(_ context.Context, s *logState) {
+	m.reply.Answer(s.stats)
+}
--- /dev/null
+++ b/standin/memorystream.go
@@ -0,0 +1,53 @@
+package standin
+
+import (
+	"context"
+	"io"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// streamItem is a token on its way, or the error that broke the stream.
+type streamItem struct {
+	err   error
+	job   buckthorndyke.JobID
+	token buckthorndyke.Token
+}
+
+// memoryStream is the answer of a MemoryEngine to one job. It has one reader.
+type memoryStream struct {
+	cancel context.CancelCauseFunc
+	broken error
+	items  chan streamItem
+}
+
+// Close implements buckthorndyke.TokenStream.
+func (s *memoryStream) Close() error {
+	s.cancel(errCancelled)
+	return nil
+}
+
+// Next implements buckthorndyke.TokenStream. After the end mark it returns
+// io.EOF.
+func (s *memoryStream) Next(ctx context.Context) (buckthorndyke.Token, error) {
+	item, err := s.next(ctx)
+	return item.token, err
+}
+
+// next returns the next item.
+func (s *memoryStream) next(ctx context.Context) (streamItem, error) {
+	if s.broken != nil {
+		return streamItem{}, s.broken
+	}
+	select {
+	case item, ok := <-s.items:
+		if !ok {
+			s.broken = io.EOF
+			return streamItem{}, io.EOF
+		}
+		s.broken = item.err
+		return item, item.err
+	case <-ctx.Done():
+		return streamItem{}, ended(ctx, buckthorndyke.MayHaveRun)
+	}
+}
--- /dev/null
+++ b/standin/memoryvmlist.go
@@ -0,0 +1,131 @@
+package standin
+
+import (
+	"context"
+	"slices"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+// VMListFaults are the faults of a VM list.
+type VMListFaults struct {
+	// Down refuses to list.
+	Down bool `json:"down"`
+}
+
+// MemoryVMList is a VM list in memory. It implements buckthorndyke.VMList.
+type MemoryVMList struct {
+	task[*vmListState]
+}
+
+// VMListOption configures a MemoryVMList.
+type VMListOption func(*vmListState)
+
+// WithLag makes the list show a change only after lag.
+func WithLag(lag buckthorndyke.Millis) VMListOption {
+	return func(s *vmListState) { s.lag = lag }
+}
+
+// WithVMs makes the list show vms from the start.
+func WithVMs(vms ...buckthorndyke.VM) VMListOption {
+	return func(s *vmListState) { s.shown = slices.Clone(vms) }
+}
+
+// NewMemoryVMList returns an empty list.
+func NewMemoryVMList(clock buckthorndyke.Clock, opts ...VMListOption) *MemoryVMList {
+	return &MemoryVMList{task: newTask(func(*mailer.Mailbox[message[*vmListState]]) *vmListState {
+		s := &vmListState{clock: clock}
+		for _, opt := range opts {
+			opt(s)
+		}
+		return s
+	})}
+}
+
+// List implements buckthorndyke.VMList.
+func (l *MemoryVMList) List(ctx context.Context) ([]buckthorndyke.VM, error) {
+	r, err := ask(ctx, &l.task, func(r mailer.Reply[result[[]buckthorndyke.VM]]) message[*vmListState] {
+		return listMessage{reply: r}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return r.value, r.err
+}
+
+// Set replaces the VMs. The change shows after the list's lag.
+func (l *MemoryVMList) Set(ctx context.Context, vms []buckthorndyke.VM) error {
+	vms = slices.Clone(vms)
+	return tell(ctx, &l.task, func(r mailer.Reply[acknowledged]) message[*vmListState] {
+		return setVMsMessage{reply: r, vms: vms}
+	})
+}
+
+// SetFaults replaces the faults of the list.
+func (l *MemoryVMList) SetFaults(ctx context.Context, f VMListFaults) error {
+	return tell(ctx, &l.task, func(r mailer.Reply[acknowledged]) message[*vmListState] {
+		return vmListFaultsMessage{faults: f, reply: r}
+	})
+}
+
+// vmListState is the state of a MemoryVMList.
+type vmListState struct {
+	changes []vmListChange
+	clock   buckthorndyke.Clock
+	faults  VMListFaults
+	lag     buckthorndyke.Millis
+	shown   []buckthorndyke.VM
+}
+
+// advance shows the changes that have become visible.
+func (s *vmListState) advance() {
+	for len(s.changes) > 0 && s.changes[0].at+s.lag <= s.clock.Now() {
+		s.shown = s.changes[0].vms
+		s.changes = s.changes[1:]
+	}
+}
+
+// vmListChange is a change that may not show yet.
+type vmListChange struct {
+	at  buckthorndyke.Millis
+	vms []buckthorndyke.VM
+}
+
+// listMessage asks a MemoryVMList for its VMs.
+type listMessage struct {
+	reply mailer.Reply[result[[]buckthorndyke.VM]]
+}
+
+func (m listMessage) handle(_ context.Context, s *vmListState) {
+	if s.faults.Down {
+		m.reply.Answer(result[[]buckthorndyke.VM]{err: buckthorndyke.NewRefusal(
+			buckthorndyke.CodeServiceUnavailable, buckthorndyke.NotRun, "the VM list is down")})
+		return
+	}
+	s.advance()
+	m.reply.Answer(result[[]buckthorndyke.VM]{value: slices.Clone(s.shown)})
+}
+
+// setVMsMessage replaces the VMs of a MemoryVMList.
+type setVMsMessage struct {
+	reply mailer.Reply[acknowledged]
+	vms   []buckthorndyke.VM
+}
+
+func (m setVMsMessage) handle(_ context.Context, s *vmListState) {
+	s.changes = append(s.changes, vmListChange{at: s.clock.Now(), vms: m.vms})
+	s.advance()
+	m.reply.Answer(acknowledged{})
+}
+
+// vmListFaultsMessage replaces the faults of a MemoryVMList.
+type vmListFaultsMessage struct {
+	faults VMListFaults
+	reply  mailer.Reply[acknowledged]
+}
+
+func (m vmListFaultsMessage) handle(_ context.Context, s *vmListState) {
+	s.faults = m.faults
+	m.reply.Answer(acknowledged{})
+}
--- /dev/null
+++ b/standin/memoryweightstore.go
@@ -0,0 +1,104 @@
+package standin
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+// Limits of a weight store.
+const (
+	// defaultModelRate is the number of models that start to load in a second.
+	defaultModelRate = 4
+	// modelsAtFullSpeed and adaptersAtFullSpeed are the loads at once beyond
+	// which each takes longer in proportion.
+	modelsAtFullSpeed   = 4
+	adaptersAtFullSpeed = 30
+	// defaultSizeMB is the size of a checkpoint that was not given.
+	defaultSizeMB = 8000
+)
+
+// MemoryWeightStore is a rate-limited weight store in memory. It implements
+// buckthorndyke.WeightStore, and engines load through it.
+type MemoryWeightStore struct {
+	task[*storeState]
+}
+
+// StoreOption configures a MemoryWeightStore.
+type StoreOption func(*storeState)
+
+// WithCheckpoints sets the sizes of some checkpoints.
+func WithCheckpoints(checkpoints ...buckthorndyke.Checkpoint) StoreOption {
+	return func(s *storeState) {
+		for _, c := range checkpoints {
+			s.sizes[c.Model] = c.SizeMB
+		}
+	}
+}
+
+// WithDefaultSize sets the size of all other checkpoints, in megabytes. With 0
+// the store has no others.
+func WithDefaultSize(sizeMB int) StoreOption {
+	return func(s *storeState) { s.defaultSizeMB = sizeMB }
+}
+
+// WithModelRate sets the number of models that start to load in a second.
+func WithModelRate(perSecond int) StoreOption {
+	return func(s *storeState) { s.modelRate = perSecond }
+}
+
+// NewMemoryWeightStore returns a store with the default limits.
+func NewMemoryWeightStore(clock buckthorndyke.Clock, opts ...StoreOption) *MemoryWeightStore {
+	return &MemoryWeightStore{task: newTask(func(box *mailer.Mailbox[message[*storeState]]) *storeState {
+		s := &storeState{
+			box: box, clock: clock, defaultSizeMB: defaultSizeMB, modelRate: defaultModelRate,
+			sizes: make(map[buckthorndyke.ModelID]int),
+		}
+		for _, opt := range opts {
+			opt(s)
+		}
+		return s
+	})}
+}
+
+// Describe implements buckthorndyke.WeightStore.
+func (w *MemoryWeightStore) Describe(
+	ctx context.Context, model buckthorndyke.ModelID,
+) (buckthorndyke.Checkpoint, error) {
+	r, err := ask(ctx, &w.task, func(r mailer.Reply[result[buckthorndyke.Checkpoint]]) message[*storeState] {
+		return describeMessage{model: model, reply: r}
+	})
+	if err != nil {
+		return buckthorndyke.Checkpoint{}, err
+	}
+	return r.value, r.err
+}
+
+// Fetch waits until weights that take span at full speed have come from the
+// store.
+func (w *MemoryWeightStore) Fetch(
+	ctx context.Context, model buckthorndyke.ModelID, adapter bool, span buckthorndyke.Millis,
+) error {
+	err, askErr := ask(ctx, &w.task, func(r mailer.Reply[error]) message[*storeState] {
+		return fetchMessage{adapter: adapter, done: ctx.Done(), model: model, reply: r, span: span}
+	})
+	if askErr != nil {
+		return askErr
+	}
+	return err
+}
+
+// SetFaults replaces the faults of the store.
+func (w *MemoryWeightStore) SetFaults(ctx context.Context, f StoreFaults) error {
+	return tell(ctx, &w.task, func(r mailer.Reply[acknowledged]) message[*storeState] {
+		return storeFaultsMessage{faults: f, reply: r}
+	})
+}
+
+// Stats returns what the store has carried so far.
+func (w *MemoryWeightStore) Stats(ctx context.Context) (StoreStats, error) {
+	return ask(ctx, &w.task, func(r mailer.Reply[StoreStats]) message[*storeState] {
+		return storeStatsMessage{reply: r}
+	})
+}
--- /dev/null
+++ b/standin/storestate.go
@@ -0,0 +1,190 @@
+package standin
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+// StoreFaults are the faults of a weight store.
+type StoreFaults struct {
+	// Down refuses to describe and to load.
+	Down bool `json:"down"`
+	// SlowFactor multiplies the time of each load that starts, unless it is 0.
+	SlowFactor int `json:"slow-factor"`
+}
+
+// StoreStats counts what a weight store has carried.
+type StoreStats struct {
+	Adapters          int `json:"adapters"`
+	HighestAdapters   int `json:"highest-adapters"`
+	HighestModels     int `json:"highest-models"`
+	Models            int `json:"models"`
+	ModelsBeyondLimit int `json:"models-beyond-limit"`
+}
+
+// storeState is the state of a MemoryWeightStore.
+type storeState struct {
+	adapters      int
+	box           *mailer.Mailbox[message[*storeState]]
+	clock         buckthorndyke.Clock
+	defaultSizeMB int
+	faults        StoreFaults
+	modelRate     int
+	models        int
+	sizes         map[buckthorndyke.ModelID]int
+	// starts are the newest modelRate instants at which a model started to load.
+	starts []buckthorndyke.Millis
+	stats  StoreStats
+}
+
+// begin counts a load and returns how long it takes.
+func (s *storeState) begin(adapter bool, span buckthorndyke.Millis) buckthorndyke.Millis {
+	if s.faults.SlowFactor > 0 {
+		span *= buckthorndyke.Millis(s.faults.SlowFactor)
+	}
+	if adapter {
+		s.adapters++
+		s.stats.Adapters++
+		s.stats.HighestAdapters = max(s.stats.HighestAdapters, s.adapters)
+		return stretch(span, s.adapters, adaptersAtFullSpeed)
+	}
+	s.models++
+	s.stats.Models++
+	s.stats.HighestModels = max(s.stats.HighestModels, s.models)
+	if s.models > modelsAtFullSpeed {
+		s.stats.ModelsBeyondLimit++
+	}
+	return s.startDelay() + stretch(span, s.models, modelsAtFullSpeed)
+}
+
+// down returns the error of a store that is down, or nil.
+func (s *storeState) down() error {
+	if !s.faults.Down {
+		return nil
+	}
+	return buckthorndyke.NewRefusal(
+		buckthorndyke.CodeServiceUnavailable, buckthorndyke.NotRun, "the weight store is down")
+}
+
+// end counts a load that has ended.
+func (s *storeState) end(adapter bool) {
+	if adapter {
+		s.adapters--
+		return
+	}
+	s.models--
+}
+
+// size returns the size of a checkpoint.
+func (s *storeState) size(model buckthorndyke.ModelID) (int, error) {
+	size, ok := s.sizes[model]
+	if !ok {
+		size = s.defaultSizeMB
+	}
+	if size == 0 {
+		return 0, buckthorndyke.NewRefusal(
+			buckthorndyke.CodeModelUnknown, buckthorndyke.NotRun, "the weight store has no checkpoint of "+string(model))
+	}
+	return size, nil
+}
+
+// startDelay reserves the next start of a model and returns the wait for it.
+func (s *storeState) startDelay() buckthorndyke.Millis {
+	now := s.clock.Now()
+	start := now
+	if len(s.starts) >= s.modelRate {
+		start = max(now, s.starts[0]+buckthorndyke.Second)
+		s.starts = s.starts[1:]
+	}
+	s.starts = append(s.starts, start)
+	return start - now
+}
+
+// stretch returns the time of a load that would take span alone.
+func stretch(span buckthorndyke.Millis, active, atFullSpeed int) buckthorndyke.Millis {
+	if active <= atFullSpeed {
+		return span
+	}
+	return span * buckthorndyke.Millis(active) / buckthorndyke.Millis(atFullSpeed)
+}
+
+// describeMessage asks a MemoryWeightStore for a checkpoint.
+type describeMessage struct {
+	model buckthorndyke.ModelID
+	reply mailer.Reply[result[buckthorndyke.Checkpoint]]
+}
+
+func (m describeMessage) handle(_ context.Context, s *storeState) {
+	err := s.down()
+	var size int
+	if err == nil {
+		size, err = s.size(m.model)
+	}
+	m.reply.Answer(result[buckthorndyke.Checkpoint]{
+		err: err, value: buckthorndyke.Checkpoint{Model: m.model, SizeMB: size},
+	})
+}
+
+// fetchMessage asks a MemoryWeightStore for weights.
+type fetchMessage struct {
+	adapter bool
+	// done is closed once the runner has given up.
+	done  <-chan struct{}
+	model buckthorndyke.ModelID
+	reply mailer.Reply[error]
+	span  buckthorndyke.Millis
+}
+
+func (m fetchMessage) handle(ctx context.Context, s *storeState) {
+	err := s.down()
+	if err == nil {
+		_, err = s.size(m.model)
+	}
+	if err != nil {
+		m.reply.Answer(err)
+		return
+	}
+	loaded := s.clock.After(s.begin(m.adapter, m.span))
+	go func() {
+		select {
+		case <-loaded:
+		case <-m.done:
+		case <-ctx.Done():
+			return
+		}
+		_ = s.box.Send(ctx, fetchEndedMessage{adapter: m.adapter, reply: m.reply})
+	}()
+}
+
+// fetchEndedMessage tells a MemoryWeightStore that a load has ended.
+type fetchEndedMessage struct {
+	adapter bool
+	reply   mailer.Reply[error]
+}
+
+func (m fetchEndedMessage) handle(_ context.Context, s *storeState) {
+	s.end(m.adapter)
+	m.reply.Answer(nil)
+}
+
+// storeFaultsMessage replaces the faults of a MemoryWeightStore.
+type storeFaultsMessage struct {
+	faults StoreFaults
+	reply  mailer.Reply[acknowledged]
+}
+
+func (m storeFaultsMessage) handle(_ context.Context, s *storeState) {
+	s.faults = m.faults
+	m.reply.Answer(acknowledged{})
+}
+
+// storeStatsMessage asks a MemoryWeightStore what it has carried.
+type storeStatsMessage struct {
+	reply mailer.Reply[StoreStats]
+}
+
+func (m storeStatsMessage) handle(_ context.Context, s *storeState) {
+	m.reply.Answer(s.stats)
+}
