feat(arbiter): fold proposals and encode them

All changes of the control stream are ruled on by one pure fold; an owner may take its own runner again to name other successors. A record with a field that this version does not know is unknown as a whole: its known part may mean something else.

--- /dev/null
+++ b/arbiter/arbiter.go
@@ -0,0 +1,138 @@
+// Package arbiter folds proposals into State. It is pure: every process that
+// folds the same records reaches the same rulings.
+package arbiter
+
+import "github.com/buckthorndyke/buckthorndyke"
+
+// Limits of what a state keeps.
+const (
+	defaultAuditLimit      = 512
+	defaultQuarantineLimit = 1024
+	defaultRulingLimit     = 1024
+	// differenceLimit bounds the lines that an audit entry keeps.
+	differenceLimit = 100
+)
+
+// Difference lists the lines that a new text adds ("+") to an old one or
+// removes ("-") from it.
+type Difference func(before, after string) []string
+
+// Arbiter rules on proposals.
+type Arbiter struct {
+	auditLimit      int
+	difference      Difference
+	parser          buckthorndyke.RulesParser
+	quarantineLimit int
+	rulingLimit     int
+}
+
+// Option configures an Arbiter.
+type Option func(*Arbiter)
+
+// WithAuditLimit keeps the newest n audit entries.
+func WithAuditLimit(n int) Option {
+	return func(a *Arbiter) { a.auditLimit = n }
+}
+
+// WithDifference fills the audit entries' differences by d.
+func WithDifference(d Difference) Option {
+	return func(a *Arbiter) { a.difference = d }
+}
+
+// WithRulingLimit recognizes duplicates among the newest n rulings.
+func WithRulingLimit(n int) Option {
+	return func(a *Arbiter) { a.rulingLimit = n }
+}
+
+// New returns an arbiter that reads rules by parser. All processes must be given
+// the same options.
+func New(parser buckthorndyke.RulesParser, opts ...Option) *Arbiter {
+	a := &Arbiter{
+		auditLimit:      defaultAuditLimit,
+		difference:      func(string, string) []string { return nil },
+		parser:          parser,
+		quarantineLimit: defaultQuarantineLimit,
+		rulingLimit:     defaultRulingLimit,
+	}
+	for _, opt := range opts {
+		opt(a)
+	}
+	return a
+}
+
+// Fold rules on the proposal in the record at offset, which the log service
+// appended at the wall time at, and returns the state after it. A record at or
+// before the state's offset changes nothing.
+func (a *Arbiter) Fold(
+	s buckthorndyke.State, offset buckthorndyke.Offset, at buckthorndyke.Millis, p buckthorndyke.Proposal,
+) (buckthorndyke.State, buckthorndyke.Ruling) {
+	if offset <= s.Offset {
+		ruling, _ := s.Proposals.Get(p.ID)
+		return s, ruling
+	}
+	if ruling, ok := s.Proposals.Get(p.ID); ok {
+		return s.WithOffset(offset), ruling
+	}
+	if _, ok := p.Change.(buckthorndyke.UnknownChange); ok {
+		ruling := buckthorndyke.Ruling{ID: p.ID, Offset: offset, Reason: reasonUnknown}
+		return s.WithUnknown().WithOffset(offset), ruling
+	}
+	next, reason := a.apply(s, record{at: at, offset: offset, proposal: p})
+	ruling := buckthorndyke.Ruling{Accepted: reason == "", ID: p.ID, Offset: offset, Reason: reason}
+	return next.WithRuling(ruling, a.rulingLimit).WithOffset(offset), ruling
+}
+
+// apply returns the state that the record makes and, if it is rejected, why.
+func (a *Arbiter) apply(s buckthorndyke.State, r record) (buckthorndyke.State, string) {
+	if r.proposal.ID == "" {
+		return s, reasonNoID
+	}
+	switch c := r.proposal.Change.(type) {
+	case buckthorndyke.CheckpointChange:
+		return applyCheckpoint(s, r, c)
+	case buckthorndyke.FreeSlotChange:
+		return applyFreeSlot(s, r, c)
+	case buckthorndyke.JoinChange:
+		return applyJoin(s, r, c)
+	case buckthorndyke.LeaveChange:
+		return applyLeave(s, r, c)
+	case buckthorndyke.PermitChange:
+		return applyPermit(s, r, c)
+	case buckthorndyke.QuarantineChange:
+		return a.applyQuarantine(s, r, c)
+	case buckthorndyke.ReleaseChange:
+		return applyRelease(s, r, c)
+	case buckthorndyke.RulesChange:
+		return a.applyRules(s, r, c)
+	case buckthorndyke.TakeChange:
+		return applyTake(s, r, c)
+	case buckthorndyke.WithdrawChange:
+		return applyWithdraw(s, r, c)
+	default:
+		return s, reasonUnknown
+	}
+}
+
+// applyCheckpoint changes nothing: a follower that folds the record already
+// holds the state in it. One that starts from the checkpoint begins with its
+// state and folds on from there.
+func applyCheckpoint(
+	s buckthorndyke.State, r record, c buckthorndyke.CheckpointChange,
+) (buckthorndyke.State, string) {
+	if c.State.Offset >= r.offset {
+		return s, reasonFuture
+	}
+	return s, ""
+}
+
+// record is a proposal with its place in the stream.
+type record struct {
+	at       buckthorndyke.Millis
+	offset   buckthorndyke.Offset
+	proposal buckthorndyke.Proposal
+}
+
+// by reports whether the given life of vm proposed the record.
+func (r record) by(vm buckthorndyke.VMID, incarnation buckthorndyke.Incarnation) bool {
+	return r.proposal.Proposer == vm && r.proposal.Incarnation == incarnation
+}
--- /dev/null
+++ b/arbiter/arbiter_test.go
@@ -0,0 +1,216 @@
+package arbiter_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/arbiter"
+)
+
+func TestFoldOwnership(t *testing.T) {
+	t.Run("a successor takes over from a member, another VM does not", func(t *testing.T) {
+		f := newFold(t, join("a", 1), join("b", 1), join("c", 1), take("a", 1, "r", 0, "b"))
+		f.assertRejected(take("c", 1, "r", 4, "a"))
+		f.assertAccepted(take("b", 1, "r", 4, "c"))
+		o, _ := f.state.Owner("r")
+		assertEqual(t, o.Owner, "b")
+		assertEqual(t, o.Previous, "a")
+		assertEqual(t, o.Epoch, f.state.Offset)
+	})
+	t.Run("a take that is based on an old epoch is rejected", func(t *testing.T) {
+		f := newFold(t, join("a", 1), join("b", 1), take("a", 1, "r", 0, "b"), take("b", 1, "r", 3, "a"))
+		f.assertRejected(take("a", 1, "r", 3, "b"))
+	})
+	t.Run("ownerships of an earlier life lapse", func(t *testing.T) {
+		f := newFold(t, join("a", 1), join("b", 1), take("a", 1, "r", 0))
+		f.assertRejected(take("b", 1, "r", 3))
+		f.assertAccepted(join("a", 2))
+		f.assertRejected(take("a", 1, "r", 3))
+		f.assertAccepted(take("b", 1, "r", 3))
+	})
+	t.Run("a released runner has no previous owner", func(t *testing.T) {
+		f := newFold(t, join("a", 1), join("b", 1), take("a", 1, "r", 0))
+		f.assertAccepted(release("a", 1, "r", 3, ""))
+		f.assertRejected(release("a", 1, "r", 3, ""))
+		f.assertAccepted(take("b", 1, "r", 3))
+		o, _ := f.state.Owner("r")
+		assertEqual(t, o.Previous, "")
+	})
+	t.Run("a handover raises the epoch", func(t *testing.T) {
+		f := newFold(t, join("a", 1), join("b", 7), take("a", 1, "r", 0, "b"))
+		f.assertRejected(release("a", 1, "r", 3, "nobody"))
+		f.assertAccepted(release("a", 1, "r", 3, "b"))
+		o, _ := f.state.Owner("r")
+		assertEqual(t, o.OwnedBy("b", 7), true)
+		assertEqual(t, o.Epoch, f.state.Offset)
+		f.assertRejected(take("b", 7, "r", 3))
+	})
+	t.Run("a draining member takes nothing", func(t *testing.T) {
+		f := newFold(t, join("a", 1), leave("a", 1, true))
+		f.assertRejected(take("a", 1, "r", 0))
+		f.assertAccepted(join("a", 1))
+		f.assertRejected(take("a", 1, "r", 0))
+	})
+}
+
+func TestFoldMembers(t *testing.T) {
+	t.Run("an older life neither joins nor removes the later one", func(t *testing.T) {
+		f := newFold(t, join("a", 2))
+		f.assertRejected(join("a", 1))
+		f.assertRejected(leave("a", 1, false))
+		f.assertAccepted(leave("a", 2, false))
+		assertEqual(t, f.state.Members.Has("a"), false)
+	})
+	t.Run("only the VM itself joins", func(t *testing.T) {
+		f := newFold(t)
+		p := join("a", 1)
+		p.Proposer = "b"
+		f.assertRejected(p)
+	})
+}
+
+func TestFoldPlacement(t *testing.T) {
+	setUp := func(t *testing.T) *fold {
+		return newFold(
+			t, rules(0, "m 2\nn 1"), join("a", 1), take("a", 1, "r", 0), take("a", 1, "q", 0), take("a", 1, "p", 0),
+		)
+	}
+	t.Run("a permission that moves counts until the eviction is confirmed", func(t *testing.T) {
+		f := setUp(t)
+		f.assertAccepted(permit("m", 0, "r", "q"))
+		v := f.state.Offset
+		f.assertRejected(permit("m", v, "p"))
+		f.assertAccepted(withdraw("m", v, "r"))
+		v = f.state.Offset
+		f.assertRejected(permit("m", v, "p"))
+		f.assertRejected(freeSlot("a", 1, 4, "m", "r"))
+		f.assertAccepted(freeSlot("a", 1, 3, "m", "r"))
+		f.assertAccepted(permit("m", f.state.Offset, "p"))
+	})
+	t.Run("an old base is rejected", func(t *testing.T) {
+		f := setUp(t)
+		f.assertAccepted(permit("m", 0, "r"))
+		f.assertRejected(permit("m", 0, "q"))
+		f.assertRejected(withdraw("m", 0, "r"))
+	})
+	t.Run("a slot that is not withdrawn is not freed", func(t *testing.T) {
+		f := setUp(t)
+		f.assertAccepted(permit("m", 0, "r"))
+		f.assertRejected(freeSlot("a", 1, 3, "m", "r"))
+	})
+	t.Run("a model that is gone from the rules gets no permit and its placement ends", func(t *testing.T) {
+		f := setUp(t)
+		f.assertAccepted(permit("m", 0, "r"))
+		f.assertAccepted(rules(1, "n 1"))
+		f.assertRejected(permit("m", f.state.Offset-1, "q"))
+		f.assertAccepted(withdraw("m", f.state.Offset-2, "r"))
+		f.assertAccepted(freeSlot("a", 1, 3, "m", "r"))
+		assertEqual(t, f.state.Placements.Has("m"), false)
+	})
+}
+
+func TestFoldRules(t *testing.T) {
+	t.Run("of two operators who race one wins, and both are audited", func(t *testing.T) {
+		f := newFold(t, rules(0, "m 1"))
+		f.assertAccepted(rules(1, "m 2"))
+		f.assertRejected(rules(1, "m 3"))
+		assertEqual(t, f.state.RulesText, "m 2")
+		assertEqual(t, f.state.RulesVersion, 2)
+		assertEqual(t, f.state.Audit.Len(), 3)
+		lost, _ := f.state.Audit.Get(3)
+		assertEqual(t, lost.Accepted, false)
+		assertEqual(t, strings.Join(lost.Difference, " "), "-m 2 +m 3")
+	})
+	t.Run("a text with faults changes nothing", func(t *testing.T) {
+		f := newFold(t, rules(0, "m 1"))
+		f.assertRejected(rules(1, "bad"))
+		assertEqual(t, f.state.RulesVersion, 1)
+	})
+	t.Run("a proposal that was appended twice is ruled on once", func(t *testing.T) {
+		f := newFold(t)
+		p := rules(0, "m 1")
+		f.assertAccepted(p)
+		f.assertAccepted(p)
+		assertEqual(t, f.state.RulesVersion, 1)
+		assertEqual(t, f.state.Audit.Len(), 1)
+	})
+}
+
+func TestFoldUnknown(t *testing.T) {
+	t.Run("an unknown change is counted and changes nothing else", func(t *testing.T) {
+		f := newFold(t, join("a", 1))
+		f.assertRejected(propose("", 0, buckthorndyke.UnknownChange{Data: []byte{1}}))
+		assertEqual(t, f.state.Unknown, 1)
+		assertEqual(t, f.state.Offset, 2)
+		assertEqual(t, f.state.Members.Len(), 1)
+	})
+}
+
+// fold applies proposals one after the other.
+type fold struct {
+	arbiter *arbiter.Arbiter
+	next    int
+	state   buckthorndyke.State
+	t       *testing.T
+}
+
+func newFold(t *testing.T, accepted ...buckthorndyke.Proposal) *fold {
+	t.Helper()
+	f := &fold{arbiter: newArbiter(), t: t}
+	for _, p := range accepted {
+		f.assertAccepted(p)
+	}
+	return f
+}
+
+func (f *fold) add(p buckthorndyke.Proposal) buckthorndyke.Ruling {
+	var ruling buckthorndyke.Ruling
+	f.state, ruling = f.arbiter.Fold(f.state, f.state.Offset+1, 0, p)
+	return ruling
+}
+
+func (f *fold) assertAccepted(p buckthorndyke.Proposal) {
+	f.t.Helper()
+	if r := f.add(p); !r.Accepted {
+		f.t.Fatalf("%T was rejected: %s", p.Change, r.Reason)
+	}
+}
+
+func (f *fold) assertRejected(p buckthorndyke.Proposal) {
+	f.t.Helper()
+	r := f.add(p)
+	if r.Accepted || r.Reason == "" {
+		f.t.Fatalf("%T was accepted or rejected without a reason: %+v", p.Change, r)
+	}
+}
+
+func assertEqual[V comparable](t *testing.T, got, want V) {
+	t.Helper()
+	if got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// lineParser reads one "model replicas" pair a line.
+type lineParser struct{}
+
+func (lineParser) Parse(text string) (buckthorndyke.Rules, error) {
+	var r buckthorndyke.Rules
+	for line := range strings.Lines(text) {
+		fields := strings.Fields(line)
+		if len(fields) != 2 {
+			return buckthorndyke.Rules{}, errors.New("line 1, column 1: expected two fields")
+		}
+		model := buckthorndyke.ModelID(fields[0])
+		r = r.WithModel(buckthorndyke.ModelRule{ID: model, Replicas: int(fields[1][0] - '0')})
+	}
+	return r, nil
+}
+
+func newArbiter() *arbiter.Arbiter {
+	return arbiter.New(lineParser{}, arbiter.WithDifference(func(before, after string) []string {
+		return []string{"-" + before, "+" + after}
+	}))
+}
--- /dev/null
+++ b/arbiter/ownerships.go
@@ -0,0 +1,62 @@
+package arbiter
+
+import (
+	"slices"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// applyRelease gives up a runner, or hands it over to the heir at once.
+func applyRelease(s buckthorndyke.State, r record, c buckthorndyke.ReleaseChange) (buckthorndyke.State, string) {
+	o, ok := s.Ownerships.Get(c.Runner)
+	if !ok || !r.by(o.Owner, o.Incarnation) {
+		return s, reasonNotOwner
+	}
+	if o.Epoch != c.Epoch {
+		return s, reasonBase
+	}
+	if c.Heir == "" {
+		return s.WithOwnership(o.WithOwner("", 0).WithPrevious("")), ""
+	}
+	heir, ok := s.Members.Get(c.Heir)
+	if !ok || heir.Leaving || heir.VM == o.Owner {
+		return s, reasonHeir
+	}
+	o.Successors = without(o.Successors, heir.VM)
+	return s.WithOwnership(o.WithOwner(heir.VM, heir.Incarnation).WithPrevious("").WithEpoch(r.offset)), ""
+}
+
+// applyTake makes the proposer the owner of a runner. While the current owner
+// is a member only its successors may do that, or the owner itself, to name
+// other successors.
+func applyTake(s buckthorndyke.State, r record, c buckthorndyke.TakeChange) (buckthorndyke.State, string) {
+	o := c.Ownership
+	if o.Runner == "" {
+		return s, reasonNoRunner
+	}
+	if !r.by(o.Owner, o.Incarnation) {
+		return s, reasonProposer
+	}
+	if !mayOwn(s, o.Owner, o.Incarnation) {
+		return s, reasonNoMember
+	}
+	have, _ := s.Ownerships.Get(o.Runner)
+	if have.Epoch != c.Base {
+		return s, reasonBase
+	}
+	renewed := have.OwnedBy(o.Owner, o.Incarnation)
+	if isMember(s, have.Owner, have.Incarnation) && !renewed && !have.HasSuccessor(o.Owner) {
+		return s, reasonNotSuccessor
+	}
+	previous := have.Owner
+	if renewed {
+		previous = have.Previous
+	}
+	o.Successors = without(o.Successors, o.Owner)
+	return s.WithOwnership(o.WithPrevious(previous).WithEpoch(r.offset)), ""
+}
+
+// without returns a copy of vms that does not hold vm.
+func without(vms []buckthorndyke.VMID, vm buckthorndyke.VMID) []buckthorndyke.VMID {
+	return slices.DeleteFunc(slices.Clone(vms), func(v buckthorndyke.VMID) bool { return v == vm })
+}
--- /dev/null
+++ b/arbiter/proposals_test.go
@@ -0,0 +1,68 @@
+package arbiter_test
+
+import (
+	"strconv"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// lastID makes the ids of the test's proposals unique.
+var lastID int
+
+func propose(
+	vm buckthorndyke.VMID, incarnation buckthorndyke.Incarnation, c buckthorndyke.Change,
+) buckthorndyke.Proposal {
+	lastID++
+	id := buckthorndyke.ProposalID(strconv.Itoa(lastID))
+	return buckthorndyke.Proposal{Change: c, ID: id, Incarnation: incarnation, Proposer: vm}
+}
+
+func join(vm buckthorndyke.VMID, incarnation buckthorndyke.Incarnation) buckthorndyke.Proposal {
+	m := buckthorndyke.Member{Incarnation: incarnation, VM: vm}
+	return propose(vm, incarnation, buckthorndyke.JoinChange{Member: m})
+}
+
+func leave(vm buckthorndyke.VMID, incarnation buckthorndyke.Incarnation, draining bool) buckthorndyke.Proposal {
+	c := buckthorndyke.LeaveChange{Draining: draining, Incarnation: incarnation, VM: vm}
+	return propose(vm, incarnation, c)
+}
+
+func take(
+	vm buckthorndyke.VMID, incarnation buckthorndyke.Incarnation, runner buckthorndyke.RunnerID,
+	base buckthorndyke.Offset, successors ...buckthorndyke.VMID,
+) buckthorndyke.Proposal {
+	o := buckthorndyke.Ownership{Incarnation: incarnation, Owner: vm, Runner: runner, Successors: successors}
+	return propose(vm, incarnation, buckthorndyke.TakeChange{Base: base, Ownership: o})
+}
+
+func release(
+	vm buckthorndyke.VMID, incarnation buckthorndyke.Incarnation, runner buckthorndyke.RunnerID,
+	epoch buckthorndyke.Offset, heir buckthorndyke.VMID,
+) buckthorndyke.Proposal {
+	c := buckthorndyke.ReleaseChange{Epoch: epoch, Heir: heir, Runner: runner}
+	return propose(vm, incarnation, c)
+}
+
+func permit(
+	model buckthorndyke.ModelID, base buckthorndyke.Offset, runners ...buckthorndyke.RunnerID,
+) buckthorndyke.Proposal {
+	return propose("", 0, buckthorndyke.PermitChange{Base: base, Model: model, Runners: runners})
+}
+
+func withdraw(
+	model buckthorndyke.ModelID, base buckthorndyke.Offset, runner buckthorndyke.RunnerID,
+) buckthorndyke.Proposal {
+	return propose("", 0, buckthorndyke.WithdrawChange{Base: base, Model: model, Runner: runner})
+}
+
+func freeSlot(
+	vm buckthorndyke.VMID, incarnation buckthorndyke.Incarnation, epoch buckthorndyke.Offset,
+	model buckthorndyke.ModelID, runner buckthorndyke.RunnerID,
+) buckthorndyke.Proposal {
+	c := buckthorndyke.FreeSlotChange{Epoch: epoch, Model: model, Runner: runner}
+	return propose(vm, incarnation, c)
+}
+
+func rules(base buckthorndyke.Offset, text string) buckthorndyke.Proposal {
+	return propose("", 0, buckthorndyke.RulesChange{Base: base, By: "op", Text: text})
+}
--- /dev/null
+++ b/encoder/unknown.go
@@ -0,0 +1,32 @@
+package encoder
+
+import "google.golang.org/protobuf/reflect/protoreflect"
+
+// hasUnknownFields reports whether m or a message in it has a field that this
+// version of the program does not know. Such a record may mean something else
+// than its known fields say.
+func hasUnknownFields(m protoreflect.Message) bool {
+	if len(m.GetUnknown()) > 0 {
+		return true
+	}
+	found := false
+	m.Range(func(field protoreflect.FieldDescriptor, v protoreflect.Value) bool {
+		found = field.Message() != nil && valueHasUnknownFields(field, v)
+		return !found
+	})
+	return found
+}
+
+// valueHasUnknownFields looks into the message or messages in a field.
+func valueHasUnknownFields(field protoreflect.FieldDescriptor, v protoreflect.Value) bool {
+	if !field.IsList() {
+		return hasUnknownFields(v.Message())
+	}
+	list := v.List()
+	for i := range list.Len() {
+		if hasUnknownFields(list.Get(i).Message()) {
+			return true
+		}
+	}
+	return false
+}
--- a/state.go
+++ b/state.go
@@ -116,6 +116,18 @@
 	return s
 }
 
+// WithoutPlacement returns a state without the placement of model.
+func (s State) WithoutPlacement(model ModelID) State {
+	s.Placements = s.Placements.Without(model)
+	return s
+}
+
+// WithoutQuarantine returns a state without the quarantine of f.
+func (s State) WithoutQuarantine(f Fingerprint) State {
+	s.Quarantines = s.Quarantines.Without(f)
+	return s
+}
+
 // firstKey returns the lowest key of a table of offsets.
 func firstKey[V any](t Table[Offset, V]) Offset {
 	for k := range t.All() {
