feat(follower): tail the control stream; proposer waits for rulings

The follower starts from the newest checkpoint that the log still continues, from a ready peer while the log is down, and never folds across a gap. A lease counts from the instant before the read that reached the tail was sent. The proposer reports not-run only if no append can have taken effect.

--- /dev/null
+++ b/supervisor/follower/follower.go
@@ -0,0 +1,108 @@
+// Package follower tails the control stream, folds it and publishes the state.
+package follower
+
+import (
+	"context"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/arbiter"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+// Defaults.
+const (
+	defaultCheckpointAge     = buckthorndyke.Hour
+	defaultCheckpointRecords = 1000
+	defaultReadTimeout       = 3 * buckthorndyke.Second
+	defaultReadWait          = buckthorndyke.Second
+	firstBackoff             = 100 * buckthorndyke.Millisecond
+	maxBackoff               = 2 * buckthorndyke.Second
+	backoffFactor            = 2
+)
+
+// Addresses returns the addresses at which peers may answer.
+type Addresses func(ctx context.Context) []string
+
+// Follower implements buckthorndyke.Follower. It supervises the task that tails
+// the stream and the feed that its subscribers hang on.
+type Follower struct {
+	feed *mailer.Feed[buckthorndyke.Progress]
+	tail *tail
+}
+
+// Option configures a Follower.
+type Option func(*config)
+
+type config struct {
+	addresses         Addresses
+	checkpointAge     buckthorndyke.Millis
+	checkpointRecords buckthorndyke.Offset
+	peers             buckthorndyke.Peers
+	readTimeout       buckthorndyke.Millis
+	readWait          buckthorndyke.Millis
+	self              buckthorndyke.Self
+}
+
+// WithCheckpoints has a checkpoint appended after every so many records, or
+// once the last one is older than age. Both must be well below what the log
+// keeps.
+func WithCheckpoints(records int, age buckthorndyke.Millis) Option {
+	return func(c *config) { c.checkpointRecords, c.checkpointAge = buckthorndyke.Offset(records), age }
+}
+
+// WithPeers lets a follower that starts while the log is down take the state of
+// a peer.
+func WithPeers(peers buckthorndyke.Peers, addresses Addresses) Option {
+	return func(c *config) { c.peers, c.addresses = peers, addresses }
+}
+
+// WithReadTimeout bounds a read beyond its wait.
+func WithReadTimeout(d buckthorndyke.Millis) Option {
+	return func(c *config) { c.readTimeout = d }
+}
+
+// WithReadWait sets how long a read waits at the tail. A lease is renewed once
+// per read, so that it must be several times longer.
+func WithReadWait(d buckthorndyke.Millis) Option {
+	return func(c *config) { c.readWait = d }
+}
+
+// WithSelf names this VM, so that it takes its turn in appending checkpoints.
+func WithSelf(self buckthorndyke.Self) Option {
+	return func(c *config) { c.self = self }
+}
+
+// New returns a follower that tails log while its Serve runs.
+func New(
+	log buckthorndyke.Log, a *arbiter.Arbiter, encoder buckthorndyke.Encoder, clock buckthorndyke.Clock, opts ...Option,
+) *Follower {
+	cfg := config{
+		checkpointAge:     defaultCheckpointAge,
+		checkpointRecords: defaultCheckpointRecords,
+		readTimeout:       defaultReadTimeout,
+		readWait:          defaultReadWait,
+	}
+	for _, opt := range opts {
+		opt(&cfg)
+	}
+	feed := mailer.NewFeed[buckthorndyke.Progress]()
+	return &Follower{feed: feed, tail: newTail(cfg, log, a, encoder, clock, feed)}
+}
+
+// Serve implements suture.Service.
+func (f *Follower) Serve(ctx context.Context) error {
+	s := suture.NewSimple("follower")
+	s.Add(f.feed)
+	s.Add(f.tail)
+	return s.Serve(ctx)
+}
+
+// String implements fmt.Stringer.
+func (f *Follower) String() string { return "follower" }
+
+// Subscribe implements buckthorndyke.Follower.
+func (f *Follower) Subscribe(ctx context.Context) <-chan buckthorndyke.Progress {
+	return f.feed.Subscribe(ctx)
+}
--- /dev/null
+++ b/supervisor/proposer/attempt.go
@@ -0,0 +1,98 @@
+package proposer
+
+import (
+	"context"
+	"time"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// attempt is the state of one call of Propose.
+type attempt struct {
+	appends chan appendResult
+	backoff buckthorndyke.Millis
+	data    []byte
+	id      buckthorndyke.ProposalID
+	// offset is where the record was appended, or NoOffset if that is not known.
+	offset   buckthorndyke.Offset
+	progress <-chan buckthorndyke.Progress
+	proposer *Proposer
+	// verdict is NotRun until the record may have been appended.
+	verdict buckthorndyke.Verdict
+}
+
+type appendResult struct {
+	err    error
+	offset buckthorndyke.Offset
+}
+
+// run appends the record until it is known to be in the log, and waits for its
+// ruling.
+func (a *attempt) run(ctx context.Context) (buckthorndyke.Ruling, error) {
+	var retry <-chan time.Time
+	pending := true
+	a.append(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return a.stop(pending)
+		case r := <-a.appends:
+			pending = false
+			a.note(r)
+			if r.err != nil {
+				retry = a.wait()
+			}
+		case <-retry:
+			retry, pending = nil, true
+			a.append(ctx)
+		case p := <-a.progress:
+			if ruling, ok := p.State.Proposals.Get(a.id); ok {
+				return ruling, nil
+			}
+			if a.offset != buckthorndyke.NoOffset && p.State.Offset >= a.offset {
+				return buckthorndyke.Ruling{}, unfinished(buckthorndyke.MayHaveRun)
+			}
+		}
+	}
+}
+
+// append sends the record once, without waiting for the answer.
+func (a *attempt) append(ctx context.Context) {
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, a.proposer.appendTimeout.Duration())
+		defer cancel()
+		offset, err := a.proposer.log.Append(ctx, buckthorndyke.ControlStream, a.data)
+		a.appends <- appendResult{err: err, offset: offset}
+	}()
+}
+
+// note takes the answer of an append into account.
+func (a *attempt) note(r appendResult) {
+	if r.err == nil {
+		a.offset = r.offset
+	}
+	if buckthorndyke.VerdictOf(r.err) != buckthorndyke.NotRun {
+		a.verdict = buckthorndyke.MayHaveRun
+	}
+}
+
+// stop returns the error of an attempt whose time is over. An append that does
+// not answer soon after its context has ended may have taken effect.
+func (a *attempt) stop(pending bool) (buckthorndyke.Ruling, error) {
+	if pending {
+		select {
+		case r := <-a.appends:
+			a.note(r)
+		case <-a.proposer.clock.After(cancelGrace):
+			a.verdict = buckthorndyke.MayHaveRun
+		}
+	}
+	return buckthorndyke.Ruling{}, unfinished(a.verdict)
+}
+
+// wait returns a channel that receives once it is time for the next append.
+func (a *attempt) wait() <-chan time.Time {
+	d := a.backoff
+	a.backoff = min(a.backoff*backoffFactor, maxBackoff)
+	return a.proposer.clock.After(d)
+}
--- /dev/null
+++ b/supervisor/proposer/proposer.go
@@ -0,0 +1,110 @@
+// Package proposer appends proposals to the control stream and waits for their
+// rulings.
+package proposer
+
+import (
+	"context"
+
+	"github.com/google/uuid"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// Defaults.
+const (
+	// cancelGrace is how long a cancelled append may take to say whether it took
+	// effect.
+	cancelGrace          = 200 * buckthorndyke.Millisecond
+	defaultAppendTimeout = 3 * buckthorndyke.Second
+	defaultTimeout       = 20 * buckthorndyke.Second
+	firstBackoff         = 100 * buckthorndyke.Millisecond
+	maxBackoff           = 2 * buckthorndyke.Second
+	backoffFactor        = 2
+)
+
+// Proposer implements buckthorndyke.Proposer. Each call keeps its own state, so
+// calls share nothing.
+type Proposer struct {
+	appendTimeout buckthorndyke.Millis
+	clock         buckthorndyke.Clock
+	encoder       buckthorndyke.Encoder
+	follower      buckthorndyke.Follower
+	log           buckthorndyke.Log
+	newID         func() buckthorndyke.ProposalID
+	self          buckthorndyke.Self
+	timeout       buckthorndyke.Millis
+}
+
+// Option configures a Proposer.
+type Option func(*Proposer)
+
+// WithAppendTimeout bounds one append.
+func WithAppendTimeout(d buckthorndyke.Millis) Option {
+	return func(p *Proposer) { p.appendTimeout = d }
+}
+
+// WithIDs draws the ids of proposals from newID.
+func WithIDs(newID func() buckthorndyke.ProposalID) Option {
+	return func(p *Proposer) { p.newID = newID }
+}
+
+// WithTimeout bounds the whole of a proposal.
+func WithTimeout(d buckthorndyke.Millis) Option {
+	return func(p *Proposer) { p.timeout = d }
+}
+
+// New returns a proposer for self.
+func New(
+	log buckthorndyke.Log, encoder buckthorndyke.Encoder, follower buckthorndyke.Follower,
+	self buckthorndyke.Self, clock buckthorndyke.Clock, opts ...Option,
+) *Proposer {
+	p := &Proposer{
+		appendTimeout: defaultAppendTimeout,
+		clock:         clock,
+		encoder:       encoder,
+		follower:      follower,
+		log:           log,
+		newID:         func() buckthorndyke.ProposalID { return buckthorndyke.ProposalID(uuid.NewString()) },
+		self:          self,
+		timeout:       defaultTimeout,
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// Propose implements buckthorndyke.Proposer.
+func (p *Proposer) Propose(ctx context.Context, c buckthorndyke.Change) (buckthorndyke.Ruling, error) {
+	id := p.newID()
+	data, err := p.encoder.EncodeProposal(buckthorndyke.Proposal{
+		Change: c, ID: id, Incarnation: p.self.Incarnation, Proposer: p.self.VM,
+	})
+	if err != nil {
+		return buckthorndyke.Ruling{}, buckthorndyke.NewRefusal(buckthorndyke.CodeInternal, buckthorndyke.NotRun, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.timeout.Duration())
+	defer cancel()
+	if ctx.Err() != nil {
+		return buckthorndyke.Ruling{}, unfinished(buckthorndyke.NotRun)
+	}
+	a := &attempt{
+		appends:  make(chan appendResult, 1),
+		backoff:  firstBackoff,
+		data:     data,
+		id:       id,
+		progress: p.follower.Subscribe(ctx),
+		proposer: p,
+		verdict:  buckthorndyke.NotRun,
+	}
+	return a.run(ctx)
+}
+
+// unfinished returns the error of a proposal whose time is over.
+func unfinished(verdict buckthorndyke.Verdict) error {
+	message := "the log has not accepted the proposal in time"
+	if verdict != buckthorndyke.NotRun {
+		message = "the ruling on the proposal is not known"
+	}
+	return buckthorndyke.NewRefusal(buckthorndyke.CodeLogUnavailable, verdict, message)
+}
