feat(launcher,demonstrator): start a small site of processes

Cause: the demo and the tests of separate processes need the same start, pause, kill and stop of processes. Ruled out: a shell script, since it cannot choose free ports on a machine with Go alone.

--- /dev/null
+++ b/demonstrator/demonstration.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/launcher"
+	"github.com/buckthorndyke/buckthorndyke/timekeeper"
+)
+
+// What the demonstration sends. The token and the names are those of the
+// Lakeshore example rules.
+const (
+	demoCaller  = "demo-town-clerk"
+	demoModel   = "hall-reverb"
+	demoRunners = 4
+	demoService = "bookings"
+	entryCount  = 3
+	stopTimeout = 60 * buckthorndyke.Second
+)
+
+// demonstration runs one site from its start to its end.
+type demonstration struct {
+	binary    string
+	clock     buckthorndyke.Clock
+	out       io.Writer
+	processes []*launcher.Process
+	rules     string
+}
+
+func newDemonstration(binary, rules string, out io.Writer) *demonstration {
+	return &demonstration{binary: binary, clock: timekeeper.NewRealClock(), out: out, rules: rules}
+}
+
+// apply puts the rules in force on all entry VMs.
+func (d *demonstration) apply(ctx context.Context, l *launcher.Launcher, site launcher.Site, folder string) error {
+	token := filepath.Join(folder, "operator-token")
+	if err := os.WriteFile(token, []byte(launcher.OperatorToken), 0o600); err != nil {
+		return errors.Wrap(err, "write the operator's token")
+	}
+	out, err := l.Run(ctx, "rules", "apply", d.rules, "--as", "demo-operator",
+		"--operator", site.Entries[0].Operator, "--token-file", token)
+	d.printf("%s", out)
+	return err
+}
+
+func (d *demonstration) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.out, format, args...)
+}
+
+// run starts the site, sends the requests and stops the site.
+func (d *demonstration) run(ctx context.Context) (err error) {
+	folder, err := os.MkdirTemp("", "buckthorndyke-demo-")
+	if err != nil {
+		return errors.Wrap(err, "make a folder for the settings")
+	}
+	defer func() { err = errors.CombineErrors(err, os.RemoveAll(folder)) }()
+	defer d.kill()
+	logs, err := os.Create(filepath.Join(folder, "site.log"))
+	if err != nil {
+		return errors.Wrap(err, "make the log file")
+	}
+	defer func() { _ = logs.Close() }()
+	if err := d.show(ctx, folder, logs); err != nil {
+		return errors.CombineErrors(err, d.printTail(logs.Name()))
+	}
+	return nil
+}
+
+// show runs the steps of the demonstration.
+func (d *demonstration) show(ctx context.Context, folder string, logs io.Writer) error {
+	site, err := launcher.NewSite(ctx, entryCount, demoRunners, demoService)
+	if err != nil {
+		return err
+	}
+	l := launcher.New(d.binary, folder, launcher.WithOutput(logs))
+	if err := d.start(ctx, l, site); err != nil {
+		return err
+	}
+	if err := d.apply(ctx, l, site, folder); err != nil {
+		return err
+	}
+	if err := d.stream(ctx, site.Entries[0]); err != nil {
+		return err
+	}
+	if err := d.book(ctx, site.Entries[1]); err != nil {
+		return err
+	}
+	return d.stop(ctx)
+}
+
+// kill ends what still runs after a failure.
+func (d *demonstration) kill() {
+	for _, p := range d.processes {
+		p.Kill()
+	}
+}
+
+// start starts the stand-ins and the entry VMs.
+func (d *demonstration) start(ctx context.Context, l *launcher.Launcher, site launcher.Site) error {
+	p, err := l.Start(ctx, "stand-in", "stand-in", site.StandInSettings(), "http://"+site.VMList+"/livez")
+	if err != nil {
+		return err
+	}
+	d.processes = append(d.processes, p)
+	for i, e := range site.Entries {
+		p, err := l.Start(ctx, e.Name, "serve", site.EntrySettings(i), "http://"+e.Callers+"/readyz")
+		if err != nil {
+			return err
+		}
+		d.processes = append(d.processes, p)
+		d.printf("%s serves callers on %s\n", e.Name, e.Callers)
+	}
+	return nil
+}
+
+// stop asks all processes to end, the stand-ins last.
+func (d *demonstration) stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout.Duration())
+	defer cancel()
+	for len(d.processes) > 0 {
+		last := len(d.processes) - 1
+		p := d.processes[last]
+		code, err := p.Stop(ctx)
+		if err != nil {
+			return err
+		}
+		d.printf("%s stopped with exit code %d\n", p.Name, code)
+		if code != 0 {
+			return errors.Newf("%s stopped with exit code %d", p.Name, code)
+		}
+		d.processes = d.processes[:last]
+	}
+	return nil
+}
--- /dev/null
+++ b/launcher/site.go
@@ -0,0 +1,124 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+)
+
+// Sizes of the site that a Site describes.
+const (
+	domains         = 3
+	runnerMemoryMB  = 48_000
+	runnerSlots     = 8
+	serviceReplicas = 3
+)
+
+// Secrets of sites on loopback.
+const (
+	FleetKey      = "loopback-fleet-key"
+	OperatorToken = "loopback-operator-token"
+)
+
+// Entry holds the addresses of one entry VM.
+type Entry struct {
+	Callers  string
+	Name     string
+	Operator string
+	Peers    string
+}
+
+// Site holds the addresses of a site's processes.
+type Site struct {
+	Entries     []Entry
+	Log         string
+	Runners     []string
+	Services    []string
+	ServiceName string
+	VMList      string
+	WeightStore string
+	// Overrides replace settings of the entry VMs.
+	Overrides map[string]any
+	// RunnersIgnoreFence makes all runners ignore fencing numbers.
+	RunnersIgnoreFence bool
+}
+
+// NewSite returns a site with free addresses for the given numbers of entry VMs
+// and runners, and one plain service.
+func NewSite(ctx context.Context, entries, runners int, service string) (Site, error) {
+	site := Site{ServiceName: service}
+	addresses, err := FreeAddresses(ctx, 3+3*entries+runners+serviceReplicas)
+	if err != nil {
+		return site, err
+	}
+	take := func() string {
+		address := addresses[0]
+		addresses = addresses[1:]
+		return address
+	}
+	site.Log, site.VMList, site.WeightStore = take(), take(), take()
+	for i := range entries {
+		site.Entries = append(site.Entries, Entry{
+			Callers: take(), Name: fmt.Sprintf("entry-%d", i+1), Operator: take(), Peers: take(),
+		})
+	}
+	for range runners {
+		site.Runners = append(site.Runners, take())
+	}
+	for range serviceReplicas {
+		site.Services = append(site.Services, take())
+	}
+	return site, nil
+}
+
+// EntrySettings returns the settings of one entry VM.
+func (s Site) EntrySettings(i int) map[string]any {
+	e := s.Entries[i]
+	settings := map[string]any{
+		"vm":             e.Name,
+		"failure-domain": domain(i),
+		"callers":        map[string]any{"address": e.Callers},
+		"operator":       map[string]any{"address": e.Operator, "token": OperatorToken},
+		"peers":          map[string]any{"address": e.Peers, "key": FleetKey},
+		"log":            map[string]any{"address": s.Log},
+		"vm-list":        map[string]any{"address": s.VMList},
+		"weight-store":   map[string]any{"address": s.WeightStore},
+		"runners":        map[string]any{"check-fence": !s.RunnersIgnoreFence},
+	}
+	for name, value := range s.Overrides {
+		settings[name] = value
+	}
+	return settings
+}
+
+// StandInSettings returns the settings of the stand-ins.
+func (s Site) StandInSettings() map[string]any {
+	var entries, runners, services []any
+	for i, e := range s.Entries {
+		entries = append(entries, map[string]any{"vm": e.Name, "address": e.Peers, "failure-domain": domain(i)})
+	}
+	for i, address := range s.Runners {
+		runners = append(runners, map[string]any{
+			"vm": fmt.Sprintf("runner-%d", i+1), "address": address, "failure-domain": domain(i),
+			"memory-mb": runnerMemoryMB, "slots": runnerSlots, "checks-fence": !s.RunnersIgnoreFence,
+		})
+	}
+	for i, address := range s.Services {
+		services = append(services, map[string]any{
+			"vm": fmt.Sprintf("%s-%d", s.ServiceName, i+1), "address": address, "failure-domain": domain(i),
+			"service": s.ServiceName,
+		})
+	}
+	return map[string]any{
+		"log":          map[string]any{"address": s.Log},
+		"vm-list":      map[string]any{"address": s.VMList},
+		"weight-store": map[string]any{"address": s.WeightStore},
+		"entry-vms":    entries,
+		"runners":      runners,
+		"services":     services,
+	}
+}
+
+// domain returns the failure domain of the i-th VM of its kind.
+func domain(i int) string {
+	return string(rune('a' + i%domains))
+}
