feat(placer): rendezvous placement, successors; planner proposes them

A model is permitted ahead of any request on as many runners as its maximum allows, spread over failure domains. Permissions move one at a time, and only after the better placement has lasted.

--- a/liveness.go
+++ b/liveness.go
@@ -14,6 +14,18 @@
 	// Suspects are the members that are thought to be dead or cut off, with the
 	// instant since which they are.
 	Suspects Table[VMID, Millis]
+	// VMs is the newest VM list, or empty if none was read yet.
+	VMs Table[VMID, VM]
+}
+
+// Listed reports whether the VM list holds vm, or is not known. A VM that is
+// leaving is not listed.
+func (l Liveness) Listed(vm VMID) bool {
+	if l.VMs.Len() == 0 {
+		return true
+	}
+	listed, ok := l.VMs.Get(vm)
+	return ok && !listed.Leaving
 }
 
 // Suspected reports whether vm is thought to be dead or cut off.
--- /dev/null
+++ b/placer/desired.go
@@ -0,0 +1,68 @@
+package placer
+
+import "github.com/buckthorndyke/buckthorndyke"
+
+// Runner is what the placement of models needs to know of a runner.
+type Runner struct {
+	Domain   buckthorndyke.DomainID
+	ID       buckthorndyke.RunnerID
+	MemoryMB int
+}
+
+// Desired returns the runners that should be permitted to hold the model of
+// rule, best first. Its replicas are spread over failure domains as evenly as
+// the runners that have the memory allow.
+func Desired(rule buckthorndyke.ModelRule, runners []Runner) []buckthorndyke.RunnerID {
+	candidates := fitting(rule, runners)
+	used := make(map[buckthorndyke.DomainID]int)
+	var desired []buckthorndyke.RunnerID
+	for len(desired) < rule.Replicas && len(candidates) > 0 {
+		best := 0
+		for i, c := range candidates {
+			if c.before(candidates[best], used) {
+				best = i
+			}
+		}
+		desired = append(desired, candidates[best].runner.ID)
+		used[candidates[best].runner.Domain]++
+		candidates[best] = candidates[len(candidates)-1]
+		candidates = candidates[:len(candidates)-1]
+	}
+	return desired
+}
+
+// Proposer returns the VM that proposes the placement of model, or "" if there
+// are no members.
+func Proposer(model buckthorndyke.ModelID, members []buckthorndyke.VMID) buckthorndyke.VMID {
+	return Top("model/"+string(model), members)
+}
+
+// candidate is a runner that could hold a model.
+type candidate struct {
+	runner Runner
+	score  uint64
+}
+
+// before reports whether c is chosen before other when the failure domains hold
+// so many replicas already.
+func (c candidate) before(other candidate, used map[buckthorndyke.DomainID]int) bool {
+	mine, others := used[c.runner.Domain], used[other.runner.Domain]
+	if mine != others {
+		return mine < others
+	}
+	if c.score != other.score {
+		return c.score > other.score
+	}
+	return c.runner.ID < other.runner.ID
+}
+
+// fitting returns the runners that have the memory for the model of rule.
+func fitting(rule buckthorndyke.ModelRule, runners []Runner) []candidate {
+	candidates := make([]candidate, 0, len(runners))
+	for _, r := range runners {
+		if r.MemoryMB >= rule.MemoryMB {
+			candidates = append(candidates, candidate{runner: r, score: Score(string(rule.ID), string(r.ID))})
+		}
+	}
+	return candidates
+}
--- a/supervisor/follower/checkpointer.go
+++ b/supervisor/follower/checkpointer.go
@@ -95,8 +95,9 @@
 	go func() {
 		appendCtx, cancel := context.WithTimeout(ctx, t.cfg.readTimeout.Duration())
 		defer cancel()
-		_, err := t.log.Append(appendCtx, buckthorndyke.ControlStream, data)
-		_ = t.appends.Send(ctx, err)
+		// A failed append is tried again once it is due again.
+		_, _ = t.log.Append(appendCtx, buckthorndyke.ControlStream, data)
+		_ = t.appends.Send(ctx, struct{}{})
 	}()
 }
 
--- a/supervisor/follower/tail.go
+++ b/supervisor/follower/tail.go
@@ -12,8 +12,8 @@
 // tail is the task that reads the control stream. It reads, asks peers and
 // appends in goroutines that send their results to its mailboxes.
 type tail struct {
-	// appends receives the errors of appends of checkpoints.
-	appends  *mailer.Mailbox[error]
+	// appends receives once an append of a checkpoint has ended.
+	appends  *mailer.Mailbox[struct{}]
 	arbiter  *arbiter.Arbiter
 	cfg      config
 	clock    buckthorndyke.Clock
@@ -47,7 +47,7 @@
 	clock buckthorndyke.Clock, feed *mailer.Feed[buckthorndyke.Progress],
 ) *tail {
 	return &tail{
-		appends: mailer.NewMailbox[error](),
+		appends: mailer.NewMailbox[struct{}](),
 		arbiter: a,
 		backoff: firstBackoff,
 		cfg:     cfg,
--- /dev/null
+++ b/supervisor/planner/planner.go
@@ -0,0 +1,139 @@
+// Package planner proposes the placements of the models that are this VM's to
+// propose.
+package planner
+
+import (
+	"context"
+
+	"golang.org/x/time/rate"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/placer"
+)
+
+// Defaults.
+const (
+	defaultInterval   = buckthorndyke.Second
+	defaultPerSecond  = 5
+	defaultSettleTime = 5 * buckthorndyke.Minute
+	firstBackoff      = buckthorndyke.Second
+	maxBackoff        = buckthorndyke.Minute
+	backoffFactor     = 2
+)
+
+// Planner is the task that proposes placements.
+type Planner struct {
+	clock      buckthorndyke.Clock
+	follower   buckthorndyke.Follower
+	interval   buckthorndyke.Millis
+	liveness   buckthorndyke.LivenessReporter
+	perSecond  float64
+	proposer   buckthorndyke.Proposer
+	results    *mailer.Mailbox[result]
+	self       buckthorndyke.Self
+	settleTime buckthorndyke.Millis
+}
+
+// Option configures a Planner.
+type Option func(*Planner)
+
+// WithInterval sets the time between two looks at the placements.
+func WithInterval(d buckthorndyke.Millis) Option {
+	return func(p *Planner) { p.interval = d }
+}
+
+// WithLiveness leaves suspected members and runners that are not in the VM list
+// out.
+func WithLiveness(r buckthorndyke.LivenessReporter) Option {
+	return func(p *Planner) { p.liveness = r }
+}
+
+// WithRate bounds the proposals a second.
+func WithRate(perSecond float64) Option {
+	return func(p *Planner) { p.perSecond = perSecond }
+}
+
+// WithSettleTime sets how long a better placement must have lasted before a
+// permission moves.
+func WithSettleTime(d buckthorndyke.Millis) Option {
+	return func(p *Planner) { p.settleTime = d }
+}
+
+// New returns a planner for self.
+func New(
+	follower buckthorndyke.Follower, proposer buckthorndyke.Proposer, self buckthorndyke.Self,
+	clock buckthorndyke.Clock, opts ...Option,
+) *Planner {
+	p := &Planner{
+		clock:      clock,
+		follower:   follower,
+		interval:   defaultInterval,
+		perSecond:  defaultPerSecond,
+		proposer:   proposer,
+		results:    mailer.NewMailbox[result](),
+		self:       self,
+		settleTime: defaultSettleTime,
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// Serve implements suture.Service.
+func (p *Planner) Serve(ctx context.Context) error {
+	plan := newPlan(p.settleTime)
+	limiter := rate.NewLimiter(rate.Limit(p.perSecond), 1)
+	progress := p.follower.Subscribe(ctx)
+	var liveness <-chan buckthorndyke.Liveness
+	if p.liveness != nil {
+		liveness = p.liveness.Subscribe(ctx)
+	}
+	tick := p.clock.After(p.jitter())
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case plan.progress = <-progress:
+		case plan.liveness = <-liveness:
+		case r := <-p.results.Receive():
+			plan.finish(r, p.clock.Now())
+		case <-tick:
+			tick = p.clock.After(p.interval)
+			p.propose(ctx, plan, limiter)
+		}
+	}
+}
+
+// String implements fmt.Stringer.
+func (p *Planner) String() string { return "planner" }
+
+// jitter spreads the members' looks over one interval.
+func (p *Planner) jitter() buckthorndyke.Millis {
+	return buckthorndyke.Millis(placer.Score("planner", string(p.self.VM)) % uint64(p.interval))
+}
+
+// propose starts the proposals that are due, as far as the limiter allows.
+func (p *Planner) propose(ctx context.Context, plan *plan, limiter *rate.Limiter) {
+	now := p.clock.Now()
+	if !plan.open(p.self) {
+		return
+	}
+	plan.refresh(p.self.VM)
+	for _, m := range plan.assignment.Models {
+		change, ok := plan.next(m, now)
+		if !ok {
+			continue
+		}
+		if !limiter.Allow() {
+			return
+		}
+		plan.start(m.Model)
+		go func() {
+			ruling, err := p.proposer.Propose(ctx, change)
+			accepted := err == nil && ruling.Accepted
+			_ = p.results.Send(ctx, result{accepted: accepted, model: m.Model, offset: ruling.Offset})
+		}()
+	}
+}
--- a/table.go
+++ b/table.go
@@ -59,6 +59,12 @@
 	return t.m.Len()
 }
 
+// Same reports whether t and other are the same version of a table. It compares
+// no entries: tables with equal entries may differ.
+func (t Table[K, V]) Same(other Table[K, V]) bool {
+	return t.m == other.m
+}
+
 // With returns a table in which k has the value v.
 func (t Table[K, V]) With(k K, v V) Table[K, V] {
 	m := t.m
