--- /dev/null
+++ b/evictor/arrivals.go
@@ -0,0 +1,112 @@
+// Package evictor decides how long idle models stay loaded and which of them
+// are evicted for another. It is pure.
+package evictor
+
+import (
+	"math"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+const (
+	// bucketCount is the number of buckets. Their upper bounds grow by the square
+	// root of two from one second to 18 hours.
+	bucketCount = 32
+	// bucketLimit is the count at which all buckets are halved, so that old
+	// arrivals lose their weight.
+	bucketLimit = math.MaxUint8
+	// firstBound is the upper bound of the first bucket.
+	firstBound = buckthorndyke.Second
+	// priorMass is the weight of the prior, in arrivals. It spreads over all
+	// buckets alike.
+	priorMass = 2.0
+)
+
+// arrivals is the histogram of the times between the requests of one model, in
+// logarithmic buckets of one byte.
+type arrivals struct {
+	buckets [bucketCount]uint8
+	last    buckthorndyke.Millis
+	seen    bool
+}
+
+// bound returns the upper bound of bucket i.
+func bound(i int) buckthorndyke.Millis {
+	return buckthorndyke.Millis(float64(firstBound) * math.Pow(2, float64(i)/2))
+}
+
+// bucketOf returns the bucket of a time between two requests.
+func bucketOf(gap buckthorndyke.Millis) int {
+	if gap <= firstBound {
+		return 0
+	}
+	i := int(math.Ceil(2 * math.Log2(float64(gap)/float64(firstBound))))
+	return min(i, bucketCount-1)
+}
+
+// cheapest returns the keep time that costs least in expectation: coldCost for
+// each request that comes later than that, and idleCost for each millisecond
+// that the model stays loaded until then.
+func (a arrivals) cheapest(coldCost, idleCost float64) buckthorndyke.Millis {
+	weights, total := a.weights()
+	best, bestCost := buckthorndyke.Millis(0), coldCost
+	idle, within := 0.0, 0.0
+	for i := range bucketCount {
+		keep := float64(bound(i))
+		within += weights[i] / total
+		idle += weights[i] / total * keep
+		cost := coldCost*(1-within) + idleCost*(idle+(1-within)*keep)
+		if cost < bestCost {
+			best, bestCost = bound(i), cost
+		}
+	}
+	return best
+}
+
+// rate returns the expected requests per millisecond from now on, given the
+// time since the last one.
+func (a arrivals) rate(now buckthorndyke.Millis) float64 {
+	weights, _ := a.weights()
+	since := buckthorndyke.Millis(0)
+	if a.seen {
+		since = now - a.last
+	}
+	mass, remaining := 0.0, 0.0
+	for i := range bucketCount {
+		if left := bound(i) - since; left > 0 {
+			mass += weights[i]
+			remaining += weights[i] * float64(left)
+		}
+	}
+	if mass == 0 {
+		return 0
+	}
+	return mass / remaining
+}
+
+// weights returns the weight of each bucket, prior included, and their sum.
+func (a arrivals) weights() ([bucketCount]float64, float64) {
+	var weights [bucketCount]float64
+	total := 0.0
+	for i, c := range a.buckets {
+		weights[i] = float64(c) + priorMass/bucketCount
+		total += weights[i]
+	}
+	return weights, total
+}
+
+// with returns a histogram that has also seen a request at now.
+func (a arrivals) with(now buckthorndyke.Millis) arrivals {
+	if a.seen {
+		i := bucketOf(now - a.last)
+		if a.buckets[i] == bucketLimit {
+			for j := range a.buckets {
+				a.buckets[j] /= 2
+			}
+		}
+		a.buckets[i]++
+	}
+	a.last = now
+	a.seen = true
+	return a
+}
--- /dev/null
+++ b/scheduler/fifo.go
@@ -0,0 +1,59 @@
+package scheduler
+
+import "github.com/buckthorndyke/buckthorndyke"
+
+// FIFO serves requests in the order of their arrival, whatever their rank. It
+// is the baseline that SharedScheduler is measured against.
+type FIFO struct {
+	book
+}
+
+// NewFIFO returns a FIFO without requests.
+func NewFIFO() FIFO {
+	return FIFO{}
+}
+
+// Decide implements buckthorndyke.AdmissionPolicy.
+func (f FIFO) Decide(view buckthorndyke.AdmissionView) (buckthorndyke.AdmissionPolicy, buckthorndyke.AdmissionDecision) {
+	var d buckthorndyke.AdmissionDecision
+	d.Expired = f.expired(view.Now)
+	for _, w := range d.Expired {
+		f.book = f.withoutWaiter(w)
+	}
+	for _, w := range f.waiting.All() {
+		busy := f.running.Len() + view.Foreign
+		if busy >= view.Slots || f.suspectRuns() {
+			break
+		}
+		if !view.Loaded(w.Model) || view.Held(w.Model) {
+			continue
+		}
+		if w.Suspect && busy > 0 {
+			break
+		}
+		f.book = f.withJob(w, view.Now)
+		d.Granted = append(d.Granted, w)
+	}
+	return f, d
+}
+
+// Offer implements buckthorndyke.AdmissionPolicy.
+func (f FIFO) Offer(view buckthorndyke.AdmissionView, w buckthorndyke.Waiter) (buckthorndyke.AdmissionPolicy, error) {
+	ahead := f.waiting.Len() + f.running.Len() + view.Foreign + 1 - view.Slots
+	queue := buckthorndyke.Millis(float64(max(ahead, 0)) * f.service / float64(max(view.Slots, 1)))
+	if err := f.check(view, w, max(queue, loadWait(view, w.Model))); err != nil {
+		return f, err
+	}
+	f.book = f.withWaiter(w)
+	return f, nil
+}
+
+// Without implements buckthorndyke.AdmissionPolicy.
+func (f FIFO) Without(id buckthorndyke.TicketID, now buckthorndyke.Millis) buckthorndyke.AdmissionPolicy {
+	if w, ok := f.waiting.Get(id); ok {
+		f.book = f.withoutWaiter(w)
+		return f
+	}
+	f.book = f.withEnded(id, now)
+	return f
+}
--- /dev/null
+++ b/scheduler/shared.go
@@ -0,0 +1,230 @@
+package scheduler
+
+import "github.com/buckthorndyke/buckthorndyke"
+
+// percent is the whole of a share.
+const percent = 100
+
+// SharedScheduler serves requests in the order of their ranks. Each paid rank
+// keeps its share of the slots while another floods; what a rank leaves unused
+// goes to the others. The free rank runs only in slots that paid work leaves
+// and makes room for it. Callers of one rank take turns.
+type SharedScheduler struct {
+	book
+	// credit counts the grants of each paid rank, in shares, while both compete.
+	credit [buckthorndyke.RankCount]float64
+	turns  [buckthorndyke.RankCount]turns
+}
+
+// NewSharedScheduler returns a SharedScheduler without requests.
+func NewSharedScheduler() SharedScheduler {
+	return SharedScheduler{}
+}
+
+// Decide implements buckthorndyke.AdmissionPolicy.
+func (s SharedScheduler) Decide(view buckthorndyke.AdmissionView) (buckthorndyke.AdmissionPolicy, buckthorndyke.AdmissionDecision) {
+	var d buckthorndyke.AdmissionDecision
+	d.Expired = s.expired(view.Now)
+	for _, w := range d.Expired {
+		s = s.withoutWaiting(w)
+	}
+	for {
+		w, ok := s.next(view)
+		if !ok || !s.fits(view, w) {
+			break
+		}
+		s = s.withGranted(view, w)
+		d.Granted = append(d.Granted, w)
+	}
+	return s.withRevocations(view, d)
+}
+
+// Offer implements buckthorndyke.AdmissionPolicy.
+func (s SharedScheduler) Offer(view buckthorndyke.AdmissionView, w buckthorndyke.Waiter) (buckthorndyke.AdmissionPolicy, error) {
+	wait := max(s.queueWait(view, w.Rank), loadWait(view, w.Model))
+	if err := s.check(view, w, wait); err != nil {
+		return s, err
+	}
+	s.book = s.withWaiter(w)
+	s.turns[w.Rank] = s.turns[w.Rank].with(w)
+	return s, nil
+}
+
+// Without implements buckthorndyke.AdmissionPolicy.
+func (s SharedScheduler) Without(id buckthorndyke.TicketID, now buckthorndyke.Millis) buckthorndyke.AdmissionPolicy {
+	if w, ok := s.waiting.Get(id); ok {
+		return s.withoutWaiting(w)
+	}
+	s.book = s.withEnded(id, now)
+	return s
+}
+
+// busy returns the number of running requests of rank.
+func (s SharedScheduler) busy(rank buckthorndyke.Rank) int {
+	n := 0
+	for _, j := range s.running.All() {
+		if j.waiter.Rank == rank {
+			n++
+		}
+	}
+	return n
+}
+
+// eligible returns the next waiter of rank whose model can start work.
+func (s SharedScheduler) eligible(view buckthorndyke.AdmissionView, rank buckthorndyke.Rank) (buckthorndyke.Waiter, bool) {
+	for _, id := range s.turns[rank].order.All() {
+		w, _ := s.waiting.Get(id)
+		if view.Loaded(w.Model) && !view.Held(w.Model) {
+			return w, true
+		}
+	}
+	return buckthorndyke.Waiter{}, false
+}
+
+// fits reports whether w can start now. A suspect starts only on an empty
+// runner, and nothing starts beside it.
+func (s SharedScheduler) fits(view buckthorndyke.AdmissionView, w buckthorndyke.Waiter) bool {
+	busy := s.running.Len() + view.Foreign
+	if w.Suspect && busy > 0 {
+		return false
+	}
+	return busy < view.Slots && !s.suspectRuns()
+}
+
+// next returns the waiter whose turn it is: of the paid ranks below their share
+// the one that lacks most, else the most urgent rank.
+func (s SharedScheduler) next(view buckthorndyke.AdmissionView) (buckthorndyke.Waiter, bool) {
+	var chosen buckthorndyke.Waiter
+	var chosenUse float64
+	found, below := false, false
+	for rank := buckthorndyke.RankUrgent; rank.Paid(); rank++ {
+		w, ok := s.eligible(view, rank)
+		if !ok {
+			continue
+		}
+		use, isBelow := s.use(view, rank)
+		switch {
+		case !found, isBelow && !below:
+		case isBelow && below && use < chosenUse:
+		case isBelow && below && use == chosenUse && s.credit[rank] < s.credit[chosen.Rank]:
+		default:
+			continue
+		}
+		chosen, chosenUse, found, below = w, use, true, isBelow
+	}
+	if found {
+		return chosen, true
+	}
+	return s.eligible(view, buckthorndyke.RankFree)
+}
+
+// queueWait predicts how long a new request of rank waits for a slot.
+func (s SharedScheduler) queueWait(view buckthorndyke.AdmissionView, rank buckthorndyke.Rank) buckthorndyke.Millis {
+	slots := float64(max(view.Slots, 1))
+	running, waiting := view.Foreign, s.counts[rank]
+	for r := buckthorndyke.RankUrgent; r < buckthorndyke.RankCount; r++ {
+		if rank.Paid() && !r.Paid() {
+			continue
+		}
+		running += s.busy(r)
+		if r < rank {
+			waiting += s.counts[r]
+		}
+	}
+	if running+waiting < view.Slots {
+		return 0
+	}
+	ahead := float64(waiting + 1)
+	wait := ahead * s.service / slots
+	if share := view.Rules.RankRuleOf(rank).SharePercent; share > 0 {
+		ownAhead := float64(s.counts[rank] + 1)
+		wait = min(wait, ownAhead*s.service*percent/(slots*float64(share)))
+	}
+	return buckthorndyke.Millis(wait)
+}
+
+// use returns the part of its share that a rank uses, and whether it uses less
+// than the whole.
+func (s SharedScheduler) use(view buckthorndyke.AdmissionView, rank buckthorndyke.Rank) (float64, bool) {
+	share := view.Rules.RankRuleOf(rank).SharePercent
+	if share <= 0 {
+		return 1, false
+	}
+	use := float64(s.busy(rank)*percent) / float64(view.Slots*share)
+	return use, use < 1
+}
+
+// withGranted returns a scheduler in which w runs.
+func (s SharedScheduler) withGranted(view buckthorndyke.AdmissionView, w buckthorndyke.Waiter) SharedScheduler {
+	if s.counts[buckthorndyke.RankUrgent] == 0 || s.counts[buckthorndyke.RankOrdinary] == 0 {
+		s.credit = [buckthorndyke.RankCount]float64{}
+	} else if share := view.Rules.RankRuleOf(w.Rank).SharePercent; share > 0 {
+		s.credit[w.Rank] += 1 / float64(share)
+	}
+	s.turns[w.Rank] = s.turns[w.Rank].withTaken(w)
+	s.book = s.withJob(w, view.Now)
+	return s
+}
+
+// withRevocations revokes running free requests for paid ones that could start
+// in their place, the newest first.
+func (s SharedScheduler) withRevocations(view buckthorndyke.AdmissionView, d buckthorndyke.AdmissionDecision) (buckthorndyke.AdmissionPolicy, buckthorndyke.AdmissionDecision) {
+	wanted := s.wantedSlots(view)
+	free := s.newestFree()
+	for _, j := range free {
+		if wanted <= 0 && !view.Cleared(j.waiter.Model) {
+			continue
+		}
+		if !j.revoked {
+			s.book = s.withRevoked(j.waiter.ID)
+			d.Revoked = append(d.Revoked, j.waiter)
+		}
+		wanted--
+	}
+	return s, d
+}
+
+// newestFree returns the running free requests: those already revoked first,
+// then from the newest to the oldest.
+func (s SharedScheduler) newestFree() []job {
+	var revoked, others []job
+	for _, j := range s.running.All() {
+		switch {
+		case j.waiter.Rank.Paid():
+		case j.revoked:
+			revoked = append(revoked, j)
+		default:
+			others = append([]job{j}, others...)
+		}
+	}
+	return append(revoked, others...)
+}
+
+// wantedSlots returns the number of free requests that have to make room for
+// paid ones.
+func (s SharedScheduler) wantedSlots(view buckthorndyke.AdmissionView) int {
+	wanted := 0
+	for rank := buckthorndyke.RankUrgent; rank.Paid(); rank++ {
+		for _, id := range s.turns[rank].order.All() {
+			w, _ := s.waiting.Get(id)
+			if !view.Loaded(w.Model) || view.Held(w.Model) {
+				continue
+			}
+			if w.Suspect {
+				return s.running.Len()
+			}
+			wanted++
+			if wanted >= view.Slots {
+				return wanted
+			}
+		}
+	}
+	return wanted
+}
+
+// withoutWaiting returns a scheduler in which w does not wait.
+func (s SharedScheduler) withoutWaiting(w buckthorndyke.Waiter) SharedScheduler {
+	s.book = s.withoutWaiter(w)
+	s.turns[w.Rank] = s.turns[w.Rank].without(w)
+	return s
+}
--- /dev/null
+++ b/supervisor/owner/steward/orders.go
@@ -0,0 +1,192 @@
+package steward
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+const (
+	// orderTimeout bounds the wait for an order's answer. After it the order's
+	// outcome is asked for.
+	orderTimeout = 15 * buckthorndyke.Second
+	// unknownLimit is the number of reports in a row that must not know a lost
+	// order before it is sent again under its old id.
+	unknownLimit = 2
+)
+
+// orderRun is the standing of the outstanding order.
+type orderRun struct {
+	cancel context.CancelFunc
+	// evicted are the models that were evicted, until they are loaded again.
+	evicted map[buckthorndyke.ModelID]bool
+	// lost is set once the answer cannot come any more, at lostAt.
+	lost   bool
+	lostAt buckthorndyke.Millis
+	permit heldPermit
+	sent   buckthorndyke.Millis
+	tier   buckthorndyke.Tier
+	// unknown counts the reports that did not know the lost order.
+	unknown int
+}
+
+// finish releases what the order holds.
+func (r *orderRun) finish() {
+	if r.cancel != nil {
+		r.cancel()
+		r.cancel = nil
+	}
+	r.permit.close()
+	r.permit = heldPermit{}
+}
+
+// answerOrder takes over an order's answer.
+func (t *task) answerOrder(m orderAnswered) {
+	if t.account.order == nil || t.account.order.ID != m.id {
+		return
+	}
+	now := t.clock.Now()
+	switch {
+	case m.err == nil && isFinal(m.state):
+		t.settleOrder(m.state, now)
+	default:
+		t.order.lost = true
+		t.order.lostAt = now
+		t.status.at = now
+	}
+}
+
+// giveLoad orders a load.
+func (t *task) giveLoad(l load, permit heldPermit, now buckthorndyke.Millis) {
+	t.giveOrder(buckthorndyke.Order{
+		Base: l.rule.Base, Kind: buckthorndyke.OrderLoad, MemoryMB: l.rule.MemoryMB, Model: l.rule.ID,
+	}, now)
+	t.order.permit = permit
+}
+
+// giveOrder sends an order with a new id.
+func (t *task) giveOrder(o buckthorndyke.Order, now buckthorndyke.Millis) {
+	o.Fence = t.view.Ownership.Epoch
+	o.ID = t.newOrder()
+	t.account = t.account.withOrder(o)
+	t.order = orderRun{evicted: t.order.evicted, sent: now, tier: tierOf(t.cached, o.Model)}
+	t.sendOrder(o)
+}
+
+// giveOrders gives the order that the plan asks for, if any.
+func (t *task) giveOrders(now buckthorndyke.Millis) {
+	if t.phase != phaseReady {
+		return
+	}
+	t.seekPermit(now)
+	if !t.canOrder(now) {
+		return
+	}
+	for _, l := range t.plan.loads {
+		if tierOf(t.cached, l.rule.ID) != buckthorndyke.TierRemote {
+			t.giveLoad(l, heldPermit{}, now)
+			return
+		}
+		if t.permit.held.permit != nil && t.permit.model == l.rule.ID {
+			t.giveLoad(l, t.takePermit(), now)
+			return
+		}
+	}
+	if victim := t.plan.evict; victim != "" && t.admission.InFlight(victim) == 0 {
+		r, _ := t.account.residents.Get(victim)
+		t.giveOrder(buckthorndyke.Order{
+			Base: r.base, Kind: buckthorndyke.OrderUnload, MemoryMB: r.memoryMB, Model: victim,
+		}, now)
+	}
+}
+
+// sendOrder sends o. The answer comes as a message.
+func (t *task) sendOrder(o buckthorndyke.Order) {
+	ctx, cancel := context.WithTimeout(t.life, orderTimeout.Duration())
+	t.order.cancel = cancel
+	go func() {
+		defer cancel()
+		state, err := t.engine.Order(ctx, o)
+		t.post(orderAnswered{err: err, id: o.ID, state: state})
+	}()
+}
+
+// settleByStatus settles the outstanding order by a report. An order that the
+// runner has not seen is sent again, under its old id, once that is certain.
+func (t *task) settleByStatus(m statusAnswered, crashed bool) {
+	o := t.account.order
+	if o == nil {
+		return
+	}
+	now := t.clock.Now()
+	state, known := m.status.Orders[o.ID]
+	switch {
+	case known && isFinal(state):
+		t.settleOrder(state, now)
+	case o.Kind == buckthorndyke.OrderFence && m.status.Fence >= o.Fence && t.order.lost:
+		t.settleOrder(buckthorndyke.OrderDone, now)
+	case !t.order.lost || m.asked < t.order.lostAt || state == buckthorndyke.OrderRunning:
+		t.order.unknown = 0
+	case crashed:
+		t.settleOrder(buckthorndyke.OrderFailed, now)
+	default:
+		t.order.unknown++
+		t.resendUnknown(*o, now)
+	}
+}
+
+// resendUnknown sends an order again that the runner has never seen.
+func (t *task) resendUnknown(o buckthorndyke.Order, now buckthorndyke.Millis) {
+	if t.order.unknown < unknownLimit || !t.view.mayOrder(now) || t.fenced {
+		return
+	}
+	t.order.lost = false
+	t.order.unknown = 0
+	t.sendOrder(o)
+}
+
+// settleOrder takes over the outcome of the outstanding order.
+func (t *task) settleOrder(state buckthorndyke.OrderState, now buckthorndyke.Millis) {
+	o := *t.account.order
+	done := state == buckthorndyke.OrderDone
+	t.account = t.account.withSettled(done, now)
+	t.order.finish()
+	if state == buckthorndyke.OrderFenced {
+		t.fenced = true
+		return
+	}
+	if o.Kind == buckthorndyke.OrderFence {
+		if done {
+			t.enter(phaseRead, now)
+		}
+		return
+	}
+	if !done {
+		t.retry = t.retry.withFailure(o.Model, now)
+		return
+	}
+	t.retry = t.retry.without(o.Model)
+	t.noteEvicted(o)
+	if o.Kind == buckthorndyke.OrderLoad {
+		t.times = t.times.with(t.order.tier, o.MemoryMB, now-t.order.sent)
+	}
+}
+
+// noteEvicted remembers evictions, which a late report may not show yet.
+func (t *task) noteEvicted(o buckthorndyke.Order) {
+	evicted := make(map[buckthorndyke.ModelID]bool)
+	for model := range t.order.evicted {
+		evicted[model] = true
+	}
+	if o.Kind == buckthorndyke.OrderUnload {
+		evicted[o.Model] = true
+	} else {
+		delete(evicted, o.Model)
+	}
+	t.order.evicted = evicted
+}
+
+// isFinal reports whether an order in this state has no more effect.
+func isFinal(s buckthorndyke.OrderState) bool {
+	return s == buckthorndyke.OrderDone || s == buckthorndyke.OrderFailed || s == buckthorndyke.OrderFenced
+}
--- /dev/null
+++ b/supervisor/owner/steward/permits.go
@@ -0,0 +1,114 @@
+package steward
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// permitRetry is the wait after the load gate has failed.
+const permitRetry = 500 * buckthorndyke.Millisecond
+
+// heldPermit is a load permit and the context that it ends with.
+type heldPermit struct {
+	cancel context.CancelFunc
+	permit buckthorndyke.LoadPermit
+}
+
+// close gives the permit back.
+func (h heldPermit) close() {
+	if h.permit != nil {
+		h.permit.Close()
+	}
+	if h.cancel != nil {
+		h.cancel()
+	}
+}
+
+// permitRun is the standing of the request to the load gate.
+type permitRun struct {
+	held  heldPermit
+	model buckthorndyke.ModelID
+	// number tells requests apart.
+	number  int
+	pending bool
+	rank    buckthorndyke.Rank
+	retryAt buckthorndyke.Millis
+}
+
+// answerPermit takes over the load gate's answer.
+func (t *task) answerPermit(m permitAnswered) {
+	if m.number != t.permit.number || !t.permit.pending {
+		if m.permit != nil {
+			m.permit.Close()
+		}
+		return
+	}
+	t.permit.pending = false
+	if m.err != nil {
+		t.dropPermit()
+		t.permit.retryAt = t.clock.Now() + permitRetry
+		return
+	}
+	t.permit.held.permit = m.permit
+}
+
+// dropPermit gives up the request or the permit.
+func (t *task) dropPermit() {
+	t.permit.held.close()
+	t.permit = permitRun{number: t.permit.number}
+}
+
+// remoteLoad returns the first planned load from the weight store.
+func (t *task) remoteLoad() (load, bool) {
+	for _, l := range t.plan.loads {
+		if tierOf(t.cached, l.rule.ID) == buckthorndyke.TierRemote {
+			return l, true
+		}
+	}
+	return load{}, false
+}
+
+// requestPermit asks the load gate for leave to load.
+func (t *task) requestPermit(l load) {
+	ctx, cancel := context.WithCancel(t.life)
+	number := t.permit.number + 1
+	t.permit = permitRun{
+		held: heldPermit{cancel: cancel}, model: l.rule.ID, number: number, pending: true, rank: l.rank,
+	}
+	r := buckthorndyke.LoadRequest{
+		Adapter: l.rule.IsAdapter(), Model: l.rule.ID, Rank: l.rank, Runner: t.view.Ownership.Runner,
+	}
+	go func() {
+		permit, err := t.gate.AcquireLoad(ctx, r)
+		m := permitAnswered{err: err, number: number, permit: permit}
+		if t.box.Send(t.life, m) != nil && permit != nil {
+			permit.Close()
+		}
+	}()
+}
+
+// seekPermit asks for a permit for the first planned load from the weight
+// store, and gives up one that is no longer wanted.
+func (t *task) seekPermit(now buckthorndyke.Millis) {
+	l, ok := t.remoteLoad()
+	wanted := ok && t.view.mayOrder(now) && !t.fenced && !t.loading()
+	if t.permit.held.cancel != nil && (!wanted || t.permit.model != l.rule.ID || t.permit.pending && t.permit.rank > l.rank) {
+		t.dropPermit()
+	}
+	if wanted && t.permit.held.cancel == nil && now >= t.permit.retryAt {
+		t.requestPermit(l)
+	}
+}
+
+// loading reports whether the outstanding order is a load.
+func (t *task) loading() bool {
+	return t.account.order != nil && t.account.order.Kind == buckthorndyke.OrderLoad
+}
+
+// takePermit moves the held permit to the order that uses it.
+func (t *task) takePermit() heldPermit {
+	held := t.permit.held
+	t.permit = permitRun{number: t.permit.number}
+	return held
+}
--- /dev/null
+++ b/supervisor/owner/steward/plan.go
@@ -0,0 +1,230 @@
+package steward
+
+import (
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/evictor"
+)
+
+// load is a load that the plan asks for.
+type load struct {
+	rank buckthorndyke.Rank
+	rule buckthorndyke.ModelRule
+}
+
+// plan is what should happen on the runner next. It is a value.
+type plan struct {
+	// cleared are models whose free work makes room for paid work.
+	cleared map[buckthorndyke.ModelID]bool
+	// evict is the model to evict, or empty.
+	evict buckthorndyke.ModelID
+	// held are models on which no more work starts.
+	held map[buckthorndyke.ModelID]bool
+	// loads are the loads that fit into memory together, in order.
+	loads []load
+	// wake is the instant at which an idle model may be evicted, or 0.
+	wake buckthorndyke.Millis
+}
+
+// planner makes plans. It is pure.
+type planner struct {
+	account   account
+	admission buckthorndyke.AdmissionPolicy
+	cached    map[buckthorndyke.ModelID]buckthorndyke.Tier
+	// evictable is set once no unknown work can be in flight.
+	evictable bool
+	keepWarm  buckthorndyke.KeepWarmPolicy
+	// makeRoom is set while orders can be given, so that room is made for loads.
+	makeRoom bool
+	now      buckthorndyke.Millis
+	// retryAt holds back models whose last load failed.
+	retryAt buckthorndyke.Table[buckthorndyke.ModelID, buckthorndyke.Millis]
+	times   loadTimes
+	view    View
+	// waiting are the waiting requests.
+	waiting []buckthorndyke.Waiter
+}
+
+// next returns the plan.
+func (p planner) next() plan {
+	next := plan{
+		cleared: make(map[buckthorndyke.ModelID]bool),
+		held:    make(map[buckthorndyke.ModelID]bool),
+	}
+	p.waiting = p.admission.Waiting()
+	p.planWithdrawn(&next)
+	p.planLoads(&next)
+	if next.evict == "" {
+		p.planIdle(&next)
+	}
+	if !p.evictable {
+		next.evict = ""
+	}
+	return next
+}
+
+// candidates returns the residents that may make room for d. A resident counts
+// as used while work is in flight on it, unless drain is set, and while work
+// waits that goes before d.
+func (p planner) candidates(d buckthorndyke.ModelDemand, drain bool) []evictor.Candidate {
+	var candidates []evictor.Candidate
+	for model, r := range p.account.residents.All() {
+		inFlight := p.admission.InFlight(model)
+		c := evictor.Candidate{
+			Base: r.base, MemoryMB: r.memoryMB, Model: model, Paid: r.paid,
+			Used:  r.loading || p.unavailable(model) || p.waitsBefore(model, d),
+			Worth: p.keepWarm.Worth(model, p.loadTime(model, r.memoryMB), p.now),
+		}
+		if drain {
+			c.Worth = float64(inFlight)
+		} else {
+			c.Used = c.Used || inFlight > 0
+		}
+		candidates = append(candidates, c)
+	}
+	return candidates
+}
+
+// loadTime predicts the load time of model from the tier that caches it.
+func (p planner) loadTime(model buckthorndyke.ModelID, memoryMB int) buckthorndyke.Millis {
+	return p.times.predict(tierOf(p.cached, model), memoryMB)
+}
+
+// planIdle plans the eviction of a model that was idle for its keep time.
+func (p planner) planIdle(next *plan) {
+	used := make(map[buckthorndyke.ModelID]bool)
+	for _, w := range p.waiting {
+		used[w.Model] = true
+		if rule, ok := p.view.State.Rules.Models.Get(w.Model); ok {
+			used[rule.Home()] = true
+		}
+	}
+	for model, r := range p.account.residents.All() {
+		if r.loading || used[model] || p.unavailable(model) || p.admission.InFlight(model) > 0 || p.account.hasAdapterOf(model) {
+			continue
+		}
+		until := r.lastUsed + p.keepWarm.KeepFor(model, p.loadTime(model, r.memoryMB))
+		if until <= p.now {
+			next.evict = model
+			return
+		}
+		if next.wake == 0 || until < next.wake {
+			next.wake = until
+		}
+	}
+}
+
+// planLoads plans the loads that requests wait for, in their order, and the
+// eviction that the first load without room needs. Loads behind that one wait,
+// except for adapters of loaded models.
+func (p planner) planLoads(next *plan) {
+	free := p.account.freeMB()
+	blocked := false
+	planned := make(map[buckthorndyke.ModelID]bool)
+	var keep []buckthorndyke.ModelID
+	for _, d := range p.admission.Demand() {
+		if rule, ok := p.view.State.Rules.Models.Get(d.Model); ok {
+			keep = append(keep, rule.Home())
+		}
+		l, ok := p.wanted(d)
+		if !ok || planned[l.rule.ID] {
+			continue
+		}
+		if blocked && (!l.rule.IsAdapter() || !l.rank.Paid()) {
+			continue
+		}
+		if l.rule.MemoryMB <= free {
+			planned[l.rule.ID] = true
+			free -= l.rule.MemoryMB
+			next.loads = append(next.loads, l)
+			continue
+		}
+		if !blocked && p.makeRoom {
+			p.planRoom(next, d, l.rule.MemoryMB-free, keep)
+		}
+		blocked = true
+	}
+}
+
+// planRoom plans an eviction for a load that does not fit. If every victim is
+// in use, paid work holds back younger work on some of them.
+func (p planner) planRoom(next *plan, d buckthorndyke.ModelDemand, needMB int, keep []buckthorndyke.ModelID) {
+	victims := evictor.ChooseVictims(p.candidates(d, false), needMB, d.Rank, keep...)
+	if len(victims) > 0 {
+		if next.evict == "" {
+			next.evict = victims[0]
+		}
+		return
+	}
+	if !d.Rank.Paid() {
+		return
+	}
+	for _, victim := range evictor.ChooseVictims(p.candidates(d, true), needMB, d.Rank, keep...) {
+		next.held[victim] = true
+		next.cleared[victim] = true
+	}
+}
+
+// planWithdrawn holds back work on models that are no longer permitted and
+// plans their eviction once their work has ended.
+func (p planner) planWithdrawn(next *plan) {
+	for model := range p.account.residents.All() {
+		if p.view.permits(model) {
+			continue
+		}
+		next.held[model] = true
+		r, _ := p.account.residents.Get(model)
+		if r.loading || p.unavailable(model) || p.admission.InFlight(model) > 0 || p.account.hasAdapterOf(model) {
+			continue
+		}
+		next.evict = model
+	}
+}
+
+// unavailable reports whether no order for model can be given: it is being
+// evicted or its last order failed.
+func (p planner) unavailable(model buckthorndyke.ModelID) bool {
+	at, held := p.retryAt.Get(model)
+	return p.account.unloading(model) || held && at > p.now
+}
+
+// waitsBefore reports whether work that waits for model, or for one of its
+// adapters, goes before d.
+func (p planner) waitsBefore(model buckthorndyke.ModelID, d buckthorndyke.ModelDemand) bool {
+	for _, w := range p.waiting {
+		if w.Model != model {
+			continue
+		}
+		if w.Rank < d.Rank || w.Rank == d.Rank && w.Arrived < d.Arrived {
+			return true
+		}
+	}
+	return false
+}
+
+// wanted returns the load that d needs first: that of the base, or its own.
+func (p planner) wanted(d buckthorndyke.ModelDemand) (load, bool) {
+	rule, ok := p.view.State.Rules.Models.Get(d.Model)
+	if !ok || !p.view.permits(d.Model) {
+		return load{}, false
+	}
+	if rule.IsAdapter() && !p.account.has(rule.Base) {
+		if rule, ok = p.view.State.Rules.Models.Get(rule.Base); !ok {
+			return load{}, false
+		}
+	}
+	if p.account.has(rule.ID) || rule.IsAdapter() && !p.account.loaded(rule.Base) {
+		return load{}, false
+	}
+	if at, held := p.retryAt.Get(rule.ID); held && at > p.now {
+		return load{}, false
+	}
+	return load{rank: d.Rank, rule: rule}, true
+}
+
+// tierOf returns the tier that caches model.
+func tierOf(cached map[buckthorndyke.ModelID]buckthorndyke.Tier, model buckthorndyke.ModelID) buckthorndyke.Tier {
+	if tier, ok := cached[model]; ok {
+		return tier
+	}
+	return buckthorndyke.TierRemote
+}
--- /dev/null
+++ b/supervisor/owner/steward/rebuild.go
@@ -0,0 +1,164 @@
+package steward
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+const (
+	// statusFast is the time between status calls while something is undecided.
+	statusFast = 250 * buckthorndyke.Millisecond
+	// statusLag bounds how far a runner's report lags behind the truth.
+	statusLag = 2 * buckthorndyke.Second
+	// statusSlow is the time between status calls otherwise.
+	statusSlow = 2 * buckthorndyke.Second
+	// statusTimeout bounds one status call.
+	statusTimeout = 2 * buckthorndyke.Second
+)
+
+// statusRun is the standing of the status calls.
+type statusRun struct {
+	// at is the instant of the next call.
+	at      buckthorndyke.Millis
+	pending bool
+}
+
+// answerStatus takes over a runner's report.
+func (t *task) answerStatus(m statusAnswered) {
+	now := t.clock.Now()
+	t.status.pending = false
+	if m.err != nil {
+		t.failures++
+		t.status.at = max(t.status.at, now+statusFast)
+		return
+	}
+	t.failures = 0
+	if t.gone {
+		t.gone = false
+		t.enter(phaseRead, now)
+	}
+	t.cached = m.status.Cached
+	t.slots = m.status.Slots
+	crashed := t.started != 0 && t.started != m.status.Started
+	t.started = m.status.Started
+	if crashed {
+		t.endRunning()
+	}
+	if crashed || t.phase != phaseReady {
+		t.account = newAccount(m.status, now).withReserve(t.account.reservedMB).withPending(t.account)
+	}
+	t.settleByStatus(m, crashed)
+	t.absorb(m.status, now)
+	t.watchForeign(m.status, crashed)
+	t.finishRead(m, now)
+}
+
+// absorb adds residents that the account does not know, which an order of a
+// previous owner has loaded.
+func (t *task) absorb(status buckthorndyke.EngineStatus, now buckthorndyke.Millis) {
+	for _, r := range status.Residents {
+		have, ok := t.account.residents.Get(r.Model)
+		switch {
+		case ok && have.loading && !r.Loading:
+			have.loading = false
+			t.account.residents = t.account.residents.With(r.Model, have)
+		case !ok && !t.account.has(r.Model) && t.account.reservedMB > 0 && !t.order.evicted[r.Model]:
+			t.account = t.account.withResident(r, now).withReserve(0)
+		}
+	}
+}
+
+// endRunning ends the tickets of running requests after a crash.
+func (t *task) endRunning() {
+	for _, w := range t.admission.Running() {
+		t.refuse(w.ID, errEngine)
+	}
+}
+
+// finishRead ends phaseRead once a report that was asked for in it shows no
+// order in progress.
+func (t *task) finishRead(m statusAnswered, now buckthorndyke.Millis) {
+	if t.phase != phaseRead || m.asked < t.phaseSince {
+		return
+	}
+	for id, state := range m.status.Orders {
+		if state == buckthorndyke.OrderRunning && (t.account.order == nil || t.account.order.ID != id) {
+			return
+		}
+	}
+	t.enter(phaseReady, now)
+	if t.mustReserve() {
+		t.account = t.account.withReserve(t.view.largestOrderMB(t.account))
+	}
+}
+
+// leaseEnd returns the instant at which the previous owner's lease has ended.
+func (t *task) leaseEnd() buckthorndyke.Millis {
+	if t.phase != phaseLease || !t.mustReserve() {
+		return t.phaseSince
+	}
+	return t.taken + t.lease*(percent+driftPercent)/percent
+}
+
+// mustReserve reports whether a previous owner may still have an order
+// outstanding that the runner would carry out.
+func (t *task) mustReserve() bool {
+	o := t.view.Ownership
+	return !o.ChecksFence && o.Previous != "" && !t.view.PreviousGone
+}
+
+// pollStatus asks for the runner's report when it is time.
+func (t *task) pollStatus(now buckthorndyke.Millis) {
+	if t.status.pending || now < t.status.at {
+		return
+	}
+	t.status.pending = true
+	t.status.at = now + t.statusInterval()
+	go func() {
+		ctx, cancel := context.WithTimeout(t.life, statusTimeout.Duration())
+		defer cancel()
+		status, err := t.engine.Status(ctx)
+		t.post(statusAnswered{asked: now, err: err, status: status})
+	}()
+}
+
+// rebuild goes on to the next phase when the current one has ended.
+func (t *task) rebuild(now buckthorndyke.Millis) {
+	if t.phase == phaseLease && now >= t.leaseEnd() {
+		if t.view.Ownership.ChecksFence {
+			t.enter(phaseFence, now)
+		} else {
+			t.enter(phaseRead, now)
+		}
+	}
+	if t.phase == phaseFence && t.canOrder(now) {
+		t.giveOrder(buckthorndyke.Order{Kind: buckthorndyke.OrderFence}, now)
+	}
+	if t.account.reservedMB > 0 && !t.mustReserve() {
+		t.account = t.account.withReserve(0)
+	}
+}
+
+// statusInterval returns the time until the next status call.
+func (t *task) statusInterval() buckthorndyke.Millis {
+	loading := false
+	for _, r := range t.account.residents.All() {
+		loading = loading || r.loading
+	}
+	if t.phase != phaseReady || t.account.order != nil || len(t.foreign) > 0 || loading || t.failures > 0 {
+		return statusFast
+	}
+	return statusSlow
+}
+
+// watchForeign follows the jobs of a previous owner's tickets until they end.
+func (t *task) watchForeign(status buckthorndyke.EngineStatus, crashed bool) {
+	jobs := make(map[buckthorndyke.JobID]bool)
+	for _, job := range status.Jobs {
+		if !crashed && (!t.granted || t.foreign[job]) {
+			jobs[job] = true
+		}
+	}
+	t.foreign = jobs
+}
--- /dev/null
+++ b/supervisor/owner/steward/steward.go
@@ -0,0 +1,138 @@
+// Package steward owns one runner: it alone keeps the runner's queue and memory
+// account, and it alone gives the runner orders.
+package steward
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/evictor"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/scheduler"
+)
+
+const (
+	// DefaultLease is how long an owner may give orders after it last knew that it
+	// is the owner.
+	DefaultLease = 10 * buckthorndyke.Second
+	// driftPercent bounds how much faster one machine's clock runs than another's.
+	driftPercent = 2
+	percent      = 100
+)
+
+// Steward is the task that owns one runner.
+type Steward struct {
+	admission buckthorndyke.AdmissionPolicy
+	box       *mailer.Mailbox[message]
+	clock     buckthorndyke.Clock
+	end       context.CancelFunc
+	engine    buckthorndyke.Engine
+	gate      buckthorndyke.LoadGate
+	keepWarm  buckthorndyke.KeepWarmPolicy
+	lease     buckthorndyke.Millis
+	// life ends with the steward. Messages to it are given up then.
+	life     context.Context
+	newOrder func() buckthorndyke.OrderID
+	proposer buckthorndyke.Proposer
+	quiesced chan struct{}
+	// taken is the instant at which the owner has learned that it is the owner.
+	taken buckthorndyke.Millis
+	view  View
+}
+
+// Option configures a Steward.
+type Option func(*Steward)
+
+// WithAdmission decides by p which requests start.
+func WithAdmission(p buckthorndyke.AdmissionPolicy) Option {
+	return func(s *Steward) { s.admission = p }
+}
+
+// WithKeepWarm decides by p how long idle models stay loaded.
+func WithKeepWarm(p buckthorndyke.KeepWarmPolicy) Option {
+	return func(s *Steward) { s.keepWarm = p }
+}
+
+// WithLease sets how long a previous owner may give orders.
+func WithLease(d buckthorndyke.Millis) Option {
+	return func(s *Steward) { s.lease = d }
+}
+
+// WithOrderIDs sets the source of order ids, which must never repeat.
+func WithOrderIDs(next func() buckthorndyke.OrderID) Option {
+	return func(s *Steward) { s.newOrder = next }
+}
+
+// New returns a steward of the runner that view describes.
+func New(
+	view View, engine buckthorndyke.Engine, gate buckthorndyke.LoadGate, proposer buckthorndyke.Proposer,
+	clock buckthorndyke.Clock, opts ...Option,
+) *Steward {
+	life, end := context.WithCancel(context.Background())
+	s := &Steward{
+		admission: scheduler.NewSharedScheduler(),
+		box:       mailer.NewMailbox[message](),
+		clock:     clock,
+		end:       end,
+		engine:    engine,
+		gate:      gate,
+		keepWarm:  evictor.NewAdaptiveKeepWarm(evictor.DefaultColdStartWeight),
+		lease:     DefaultLease,
+		life:      life,
+		newOrder:  newOrderID,
+		proposer:  proposer,
+		quiesced:  make(chan struct{}),
+		taken:     clock.Now(),
+		view:      view,
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// Quiesce makes the steward take no more requests and finish those that it has.
+// The channel that it returns is closed once that is done.
+func (s *Steward) Quiesce() <-chan struct{} {
+	go s.post(quiesce{})
+	return s.quiesced
+}
+
+// Serve implements suture.Service. When it ends, each waiting request is
+// refused as not run.
+func (s *Steward) Serve(ctx context.Context) error {
+	t := newTask(s)
+	defer t.end(ctx)
+	return t.run(ctx)
+}
+
+// Stop makes the steward refuse all requests. It is called once the runner has
+// another owner.
+func (s *Steward) Stop() {
+	s.end()
+}
+
+// Ticket implements buckthorndyke.Desk. The ticket ends with ctx.
+func (s *Steward) Ticket(ctx context.Context, r buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+	asking, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(s.life, func() { cancel(errNotOwner) })
+	defer stop()
+	answer, err := mailer.Ask(asking, s.box, func(reply mailer.Reply[ticketAnswer]) message {
+		return ticketAsked{ctx: ctx, reply: reply, request: r}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return answer.ticket, answer.err
+}
+
+// Update tells the steward what its owner knows now.
+func (s *Steward) Update(ctx context.Context, v View) error {
+	return s.box.Send(ctx, viewChanged{view: v})
+}
+
+// post sends m unless the steward ends.
+func (s *Steward) post(m message) {
+	_ = s.box.Send(s.life, m)
+}
--- /dev/null
+++ b/supervisor/owner/steward/ticket.go
@@ -0,0 +1,68 @@
+package steward
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// eventLimit is more than the events that one ticket can have.
+const eventLimit = 8
+
+// Refusals of tickets.
+var (
+	errDraining = buckthorndyke.NewRefusal(buckthorndyke.CodeDraining, buckthorndyke.NotRun, "the runner's owner is draining")
+	errEngine   = buckthorndyke.NewRefusal(buckthorndyke.CodeEngineFailed, buckthorndyke.MayHaveRun, "the runner's engine has crashed")
+	errExpired  = buckthorndyke.NewRefusal(buckthorndyke.CodeDeadline, buckthorndyke.NotRun, "the request waited until its deadline")
+	errLost     = buckthorndyke.NewRefusal(buckthorndyke.CodeNotOwner, buckthorndyke.MayHaveRun, "the runner has another owner")
+	errNotOwner = buckthorndyke.NewRefusal(buckthorndyke.CodeNotOwner, buckthorndyke.NotRun, "this VM does not own the runner")
+	errRunner   = buckthorndyke.NewRefusal(buckthorndyke.CodeRunnerUnavailable, buckthorndyke.NotRun, "the runner takes no work")
+	errUnplaced = buckthorndyke.NewRefusal(buckthorndyke.CodeRunnerUnavailable, buckthorndyke.NotRun, "the model is not permitted on the runner")
+)
+
+// occurrence is an event of a ticket, or the error that ends it.
+type occurrence struct {
+	err   error
+	event buckthorndyke.TicketEvent
+}
+
+// ticket is the holder's end of a ticket.
+type ticket struct {
+	events  chan occurrence
+	id      buckthorndyke.TicketID
+	steward *Steward
+}
+
+// Close implements buckthorndyke.Ticket.
+func (k *ticket) Close(outcome buckthorndyke.TicketOutcome) {
+	m := ticketClosed{id: k.id, outcome: outcome}
+	if !k.steward.box.TrySend(m) {
+		go k.steward.post(m)
+	}
+}
+
+// Next implements buckthorndyke.Ticket.
+func (k *ticket) Next(ctx context.Context) (buckthorndyke.TicketEvent, error) {
+	select {
+	case o := <-k.events:
+		return o.event, o.err
+	case <-ctx.Done():
+		return buckthorndyke.TicketEvent{}, context.Cause(ctx)
+	}
+}
+
+// holder is the steward's end of a ticket.
+type holder struct {
+	cold   bool
+	events chan<- occurrence
+	// stop ends the watch on the holder's context.
+	stop func() bool
+}
+
+// put queues o for the holder, who need not be waiting.
+func (h holder) put(o occurrence) {
+	select {
+	case h.events <- o:
+	default:
+	}
+}
