--- /dev/null
+++ b/metric.go
@@ -0,0 +1,46 @@
+package buckthorndyke
+
+// Metrics.
+const (
+	MetricColdStart       Metric = "cold-start-ms"
+	MetricControlOffset   Metric = "control-offset"
+	MetricEvictions       Metric = "evictions"
+	MetricFirstToken      Metric = "first-token-ms"
+	MetricLoads           Metric = "loads"
+	MetricLogDown         Metric = "log-down"
+	MetricMembers         Metric = "members"
+	MetricOrderFailures   Metric = "order-failures"
+	MetricRequestsRefused Metric = "requests-refused"
+	MetricRequestsServed  Metric = "requests-served"
+	MetricRetries         Metric = "retries"
+	MetricRulesVersion    Metric = "rules-version"
+	MetricRunnersOwned    Metric = "runners-owned"
+	MetricStreamsResumed  Metric = "streams-resumed"
+	MetricUnknownRecords  Metric = "unknown-records"
+)
+
+// Metric is the kebab-case name of a metric. A name that ends in -ms is a
+// distribution of times in milliseconds.
+type Metric string
+
+// Of returns the metric of one label, such as a rank.
+func (m Metric) Of(label string) Metric {
+	return m + "/" + Metric(label)
+}
+
+// Meter takes measurements.
+type Meter interface {
+	// Count adds n to a counter.
+	Count(m Metric, n int64)
+	// Observe adds d to a distribution.
+	Observe(m Metric, d Millis)
+	// Set replaces the value of a gauge.
+	Set(m Metric, value int64)
+}
+
+// MetricsReporter takes measurements and reports them.
+type MetricsReporter interface {
+	Meter
+	// MarshalJSON returns all metrics by their names, as JSON.
+	MarshalJSON() ([]byte, error)
+}
