feat(operator): serve operators over HTTP

Operations carry out what operators ask for and know no encoding; the handler decodes and encodes. Rules are checked before they are proposed. A rejected apply names the change that won.

--- /dev/null
+++ b/supervisor/operator/encoding.go
@@ -0,0 +1,113 @@
+package operator
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+func applyAnswer(r ApplyResult) ApplyAnswer {
+	answer := ApplyAnswer{Accepted: r.Accepted, InForce: r.InForce, Reason: r.Reason, Version: r.Version}
+	if r.Winner != nil {
+		winner := auditItem(*r.Winner)
+		answer.Winner = &winner
+	}
+	return answer
+}
+
+func auditAnswer(entries []buckthorndyke.AuditEntry) AuditAnswer {
+	answer := AuditAnswer{Entries: []AuditItem{}}
+	for _, e := range entries {
+		answer.Entries = append(answer.Entries, auditItem(e))
+	}
+	return answer
+}
+
+func auditItem(e buckthorndyke.AuditEntry) AuditItem {
+	return AuditItem{
+		Accepted:   e.Accepted,
+		At:         e.At,
+		Base:       e.Base,
+		By:         e.By,
+		Difference: append([]string{}, e.Difference...),
+		Offset:     e.Offset,
+		Reason:     e.Reason,
+	}
+}
+
+// errorAnswer returns the body that reports err, and the refusal it comes from.
+func errorAnswer(err error) (ErrorAnswer, *buckthorndyke.RefusalError) {
+	var faults *buckthorndyke.FaultsError
+	if !errors.As(err, &faults) {
+		r := buckthorndyke.RefusalOf(err)
+		return ErrorAnswer{Error: ErrorDetail{Code: r.Code(), Message: r.Message(), Verdict: r.Verdict().String()}}, r
+	}
+	r := buckthorndyke.NewRefusal(buckthorndyke.CodeBadRequest, faults.Verdict(), "the rules have faults; nothing was applied")
+	answer, _ := errorAnswer(r)
+	for _, f := range faults.Faults() {
+		answer.Faults = append(answer.Faults, FaultItem(f))
+	}
+	return answer, r
+}
+
+func placementItem(p buckthorndyke.Placement) PlacementItem {
+	item := PlacementItem{Model: p.Model, Runners: []buckthorndyke.RunnerID{}, Withdrawn: []buckthorndyke.RunnerID{}}
+	for _, s := range p.Slots() {
+		if s.Withdrawn {
+			item.Withdrawn = append(item.Withdrawn, s.Runner)
+			continue
+		}
+		item.Runners = append(item.Runners, s.Runner)
+	}
+	return item
+}
+
+func runnerItem(o buckthorndyke.Ownership) RunnerItem {
+	return RunnerItem{
+		Address:     o.Address,
+		ChecksFence: o.ChecksFence,
+		Domain:      o.Domain,
+		Epoch:       o.Epoch,
+		Owner:       o.Owner,
+		Runner:      o.Runner,
+	}
+}
+
+func statusAnswer(s Status) StatusAnswer {
+	state := s.Progress.State
+	answer := StatusAnswer{
+		AtTail:       s.Progress.AtTail,
+		LogDown:      s.Progress.LogDown,
+		Members:      []MemberItem{},
+		Offset:       state.Offset,
+		Placements:   []PlacementItem{},
+		RulesVersion: state.RulesVersion,
+		Runners:      []RunnerItem{},
+		Unknown:      state.Unknown,
+		VMs:          vmItems(s.VMs),
+	}
+	for _, m := range state.Members.All() {
+		answer.Members = append(answer.Members, MemberItem{
+			Domain: m.Domain, Incarnation: m.Incarnation, Leaving: m.Leaving, PeerAddress: m.PeerAddress, VM: m.VM,
+		})
+	}
+	for _, o := range state.Ownerships.All() {
+		answer.Runners = append(answer.Runners, runnerItem(o))
+	}
+	for _, p := range state.Placements.All() {
+		answer.Placements = append(answer.Placements, placementItem(p))
+	}
+	return answer
+}
+
+func vmItems(vms buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.VMRules]) []VMItem {
+	items := []VMItem{}
+	for _, v := range vms.All() {
+		item := VMItem{RulesVersion: v.Version, VM: v.VM}
+		if v.Err != nil {
+			item.Error = v.Err.Error()
+		}
+		items = append(items, item)
+	}
+	return items
+}
--- /dev/null
+++ b/supervisor/operator/handler.go
@@ -0,0 +1,160 @@
+package operator
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/kataras/iris/v12"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/translator"
+)
+
+// headerVerdict names the header that says whether the request may have run.
+const headerVerdict = "X-Buckthorndyke-Verdict"
+
+// Bounds of the entries of an audit answer.
+const (
+	defaultAuditEntries = 50
+	maxAuditEntries     = 10_000
+)
+
+// handler decodes operators' requests and encodes the answers.
+type handler struct {
+	bodyLimit  int64
+	operations Operations
+	token      [sha256.Size]byte
+}
+
+func newHandler(operations Operations, token string, bodyLimit int64) *handler {
+	return &handler{bodyLimit: bodyLimit, operations: operations, token: sha256.Sum256([]byte(token))}
+}
+
+func (h *handler) apply(ctx iris.Context) {
+	m, err := h.decode(ctx)
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	result, err := h.operations.Apply(ctx.Request().Context(), ApplyRequest(m))
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	status, verdict := http.StatusOK, buckthorndyke.Ran
+	if !result.Accepted {
+		status, verdict = http.StatusConflict, buckthorndyke.NotRun
+	}
+	ctx.Header(headerVerdict, verdict.String())
+	ctx.StatusCode(status)
+	_ = ctx.JSON(applyAnswer(result))
+}
+
+func (h *handler) audit(ctx iris.Context) {
+	limit := defaultAuditEntries
+	if text := ctx.URLParam(ParameterLimit); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxAuditEntries {
+			writeError(ctx, refuse(buckthorndyke.CodeBadRequest,
+				"the limit must be a whole number from 1 to "+strconv.Itoa(maxAuditEntries)))
+			return
+		}
+		limit = n
+	}
+	entries, err := h.operations.Audit(ctx.Request().Context(), limit)
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	_ = ctx.JSON(auditAnswer(entries))
+}
+
+// authenticate lets in requests that carry the token. The digests are compared,
+// so that the time taken does not tell the token's length either.
+func (h *handler) authenticate(ctx iris.Context) {
+	token, ok := strings.CutPrefix(ctx.GetHeader("Authorization"), "Bearer ")
+	digest := sha256.Sum256([]byte(token))
+	if subtle.ConstantTimeCompare(digest[:], h.token[:]) != 1 || !ok {
+		writeError(ctx, refuse(buckthorndyke.CodeUnauthenticated, "the operator's token is missing or wrong"))
+		return
+	}
+	ctx.Next()
+}
+
+// decode reads the body of POST /rules.
+func (h *handler) decode(ctx iris.Context) (ApplyMessage, error) {
+	var m ApplyMessage
+	decoder := json.NewDecoder(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, h.bodyLimit))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&m)
+	if err == nil {
+		if _, err = decoder.Token(); err == io.EOF {
+			return m, nil
+		}
+		err = errors.New("the body goes on after its end")
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return m, refuse(buckthorndyke.CodeTooLarge, "the body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+	}
+	return m, refuse(buckthorndyke.CodeBadRequest, "the body cannot be read: "+err.Error())
+}
+
+func (h *handler) drain(ctx iris.Context) {
+	if err := h.operations.Drain(); err != nil {
+		writeError(ctx, err)
+		return
+	}
+	ctx.StatusCode(http.StatusAccepted)
+	_ = ctx.JSON(DrainAnswer{Draining: true})
+}
+
+func (h *handler) metrics(ctx iris.Context) {
+	m, err := h.operations.Metrics(ctx.Request().Context())
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	_ = ctx.JSON(m)
+}
+
+func (h *handler) rules(ctx iris.Context) {
+	r, err := h.operations.Rules(ctx.Request().Context())
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	_ = ctx.JSON(RulesAnswer(r))
+}
+
+func (h *handler) status(ctx iris.Context) {
+	s, err := h.operations.Status(ctx.Request().Context())
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	_ = ctx.JSON(statusAnswer(s))
+}
+
+func (h *handler) versions(ctx iris.Context) {
+	_ = ctx.JSON(VersionsAnswer{VMs: vmItems(h.operations.Versions(ctx.Request().Context()))})
+}
+
+// refuse returns the error of a request that was not carried out.
+func refuse(code buckthorndyke.Code, message string) error {
+	return buckthorndyke.NewRefusal(code, buckthorndyke.NotRun, message)
+}
+
+// writeError answers with err.
+func writeError(ctx iris.Context, err error) {
+	answer, r := errorAnswer(err)
+	ctx.Header(headerVerdict, r.Verdict().String())
+	ctx.StatusCode(translator.HTTPStatus(r))
+	_ = ctx.JSON(answer)
+}
