--- /dev/null
+++ b/supervisor/owner/owner.go
@@ -0,0 +1,140 @@
+// Package owner decides which runners this VM owns, and starts a steward for
+// each.
+package owner
+
+import (
+	"context"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/owner/steward"
+)
+
+var errNotOwner = buckthorndyke.NewRefusal(
+	buckthorndyke.CodeNotOwner, buckthorndyke.NotRun, "this VM does not own the runner",
+)
+
+// Owner is the task that owns runners. It implements buckthorndyke.Desk and
+// buckthorndyke.Successor.
+type Owner struct {
+	box         *mailer.Mailbox[message]
+	checksFence func(buckthorndyke.RunnerID) bool
+	clock       buckthorndyke.Clock
+	end         context.CancelFunc
+	engines     buckthorndyke.Engines
+	follower    buckthorndyke.Follower
+	gate        buckthorndyke.LoadGate
+	lease       buckthorndyke.Millis
+	// life ends with the owner. Messages to it are given up then.
+	life     context.Context
+	liveness buckthorndyke.LivenessReporter
+	peers    buckthorndyke.Peers
+	proposer buckthorndyke.Proposer
+	self     buckthorndyke.Self
+	stewards *suture.Supervisor
+	// stewardOptions are given to each steward.
+	stewardOptions []steward.Option
+	vmlist         buckthorndyke.VMList
+}
+
+// Option configures an Owner.
+type Option func(*Owner)
+
+// WithFenceChecks tells which runners refuse orders with an old fencing number.
+// By default none does.
+func WithFenceChecks(checks func(buckthorndyke.RunnerID) bool) Option {
+	return func(o *Owner) { o.checksFence = checks }
+}
+
+// WithLease sets how long the owner may give orders after it last knew that it
+// is the owner. It must be the same on all VMs.
+func WithLease(d buckthorndyke.Millis) Option {
+	return func(o *Owner) { o.lease = d }
+}
+
+// WithStewardOptions gives opts to each steward.
+func WithStewardOptions(opts ...steward.Option) Option {
+	return func(o *Owner) { o.stewardOptions = append(o.stewardOptions, opts...) }
+}
+
+// New returns an owner of no runners.
+func New(
+	self buckthorndyke.Self, follower buckthorndyke.Follower, proposer buckthorndyke.Proposer,
+	liveness buckthorndyke.LivenessReporter, vmlist buckthorndyke.VMList, engines buckthorndyke.Engines,
+	peers buckthorndyke.Peers, gate buckthorndyke.LoadGate, clock buckthorndyke.Clock, opts ...Option,
+) *Owner {
+	life, end := context.WithCancel(context.Background())
+	o := &Owner{
+		box:         mailer.NewMailbox[message](),
+		checksFence: func(buckthorndyke.RunnerID) bool { return false },
+		clock:       clock,
+		end:         end,
+		engines:     engines,
+		follower:    follower,
+		gate:        gate,
+		lease:       steward.DefaultLease,
+		life:        life,
+		liveness:    liveness,
+		peers:       peers,
+		proposer:    proposer,
+		self:        self,
+		vmlist:      vmlist,
+	}
+	for _, opt := range opts {
+		opt(o)
+	}
+	o.stewards = suture.New("stewards", suture.Spec{EventHook: func(suture.Event) {}})
+	return o
+}
+
+// Drain takes no more runners, lets the stewards finish their requests and
+// hands their runners over. It returns once this VM owns none.
+func (o *Owner) Drain(ctx context.Context) error {
+	_, err := ask(ctx, o, func(reply mailer.Reply[struct{}]) message { return drain{reply: reply} })
+	return err
+}
+
+// Promise implements buckthorndyke.Successor.
+func (o *Owner) Promise(ctx context.Context, r buckthorndyke.PromiseRequest) (bool, error) {
+	return ask(ctx, o, func(reply mailer.Reply[bool]) message { return promiseAsked{reply: reply, request: r} })
+}
+
+// Serve implements suture.Service.
+func (o *Owner) Serve(ctx context.Context) error {
+	defer func() {
+		if ctx.Err() != nil {
+			o.end()
+		}
+	}()
+	return newTask(o).run(ctx)
+}
+
+// Ticket implements buckthorndyke.Desk.
+func (o *Owner) Ticket(ctx context.Context, r buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+	s, err := ask(ctx, o, func(reply mailer.Reply[*steward.Steward]) message {
+		return stewardAsked{reply: reply, runner: r.Runner}
+	})
+	if err != nil {
+		return nil, err
+	}
+	if s == nil {
+		return nil, errNotOwner
+	}
+	return s.Ticket(ctx, r)
+}
+
+// post sends m unless the owner ends.
+func (o *Owner) post(m message) {
+	_ = o.box.Send(o.life, m)
+}
+
+// ask sends a message and waits for the answer, until the owner ends.
+func ask[R any](ctx context.Context, o *Owner, message func(mailer.Reply[R]) message) (R, error) {
+	asking, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(o.life, func() { cancel(errNotOwner) })
+	defer stop()
+	return mailer.Ask(asking, o.box, message)
+}
--- a/supervisor/owner/steward/messages.go
+++ b/supervisor/owner/steward/messages.go
@@ -57,11 +57,6 @@
 		id      buckthorndyke.TicketID
 		outcome buckthorndyke.TicketOutcome
 	}
-
-	// viewChanged carries what the owner knows now.
-	viewChanged struct {
-		view View
-	}
 )
 
 // ticketAnswer is the answer to ticketAsked.
@@ -77,4 +72,3 @@
 func (m statusAnswered) apply(t *task) { t.answerStatus(m) }
 func (m ticketAsked) apply(t *task)    { t.askTicket(m) }
 func (m ticketClosed) apply(t *task)   { t.closeTicket(m) }
-func (m viewChanged) apply(t *task)    { t.changeView(m.view) }
--- a/supervisor/owner/steward/steward.go
+++ b/supervisor/owner/steward/steward.go
@@ -38,6 +38,8 @@
 	// taken is the instant at which the owner has learned that it is the owner.
 	taken buckthorndyke.Millis
 	view  View
+	// views holds the newest view that the task has not received yet.
+	views chan View
 }
 
 // Option configures a Steward.
@@ -84,6 +86,7 @@
 		quiesced:  make(chan struct{}),
 		taken:     clock.Now(),
 		view:      view,
+		views:     make(chan View, 1),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -127,9 +130,13 @@
 	return answer.ticket, answer.err
 }
 
-// Update tells the steward what its owner knows now.
-func (s *Steward) Update(ctx context.Context, v View) error {
-	return s.box.Send(ctx, viewChanged{view: v})
+// Update tells the steward what its owner knows now. Only one task calls it.
+func (s *Steward) Update(v View) {
+	select {
+	case <-s.views:
+	default:
+	}
+	s.views <- v
 }
 
 // post sends m unless the steward ends.
--- a/supervisor/owner/steward/task.go
+++ b/supervisor/owner/steward/task.go
@@ -100,6 +100,8 @@
 		case m := <-t.box.Receive():
 			m.apply(t)
 			t.takeBatch()
+		case v := <-t.views:
+			t.changeView(v)
 		case <-t.clock.After(max(t.wake(now)-now, minWait)):
 		}
 	}
