--- a/supervisor/operator/handler.go
+++ b/supervisor/operator/handler.go
@@ -94,7 +94,7 @@
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(&m)
 	if err == nil {
-		if _, err = decoder.Token(); err == io.EOF {
+		if _, err = decoder.Token(); errors.Is(err, io.EOF) {
 			return m, nil
 		}
 		err = errors.New("the body goes on after its end")
--- /dev/null
+++ b/supervisor/operator/operator_test.go
@@ -0,0 +1,299 @@
+package operator_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/parser"
+	"github.com/buckthorndyke/buckthorndyke/reporter"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/operator"
+)
+
+const (
+	testToken = "operator-token-of-a-test"
+	oldText   = "service bookings # asked for by A"
+	newText   = "service ledger # asked for by A"
+	applyBody = `{"base":7,"by":"M. Okafor","text":"` + newText + `"}`
+)
+
+func TestApply(t *testing.T) {
+	accept := func(buckthorndyke.Change) (buckthorndyke.Ruling, error) {
+		return buckthorndyke.Ruling{Accepted: true, Offset: 9}, nil
+	}
+	reject := func(buckthorndyke.Change) (buckthorndyke.Ruling, error) {
+		return buckthorndyke.Ruling{Offset: 9, Reason: "stale base"}, nil
+	}
+	t.Run("accepted", func(t *testing.T) {
+		var proposed buckthorndyke.Change
+		c := client{proposer: func(change buckthorndyke.Change) (buckthorndyke.Ruling, error) {
+			proposed = change
+			return accept(change)
+		}}
+		status, body := c.post(t, operator.PathRules, applyBody)
+		asserter.Equal(t, status, http.StatusOK)
+		asserter.Equal(t, body, `{"accepted":true,"version":9}`)
+		asserter.Equal(t, proposed, buckthorndyke.Change(buckthorndyke.RulesChange{Base: 7, By: "M. Okafor", Text: newText}))
+	})
+	t.Run("rejected, with the change that won", func(t *testing.T) {
+		status, body := client{proposer: reject}.post(t, operator.PathRules, applyBody)
+		asserter.Equal(t, status, http.StatusConflict)
+		asserter.Contains(t, body, `"reason":"stale base","version":8,"winner":{"accepted":true,"at-ms":5,"base":7,"by":"T. Lindqvist"`)
+	})
+	t.Run("rejected, but an earlier attempt has put the text in force", func(t *testing.T) {
+		before, after := progress(), progress()
+		after.State = after.State.WithRules(buckthorndyke.Rules{}, newText, 8)
+		status, body := client{follower: states(before, after), proposer: reject}.post(t, operator.PathRules, applyBody)
+		asserter.Equal(t, status, http.StatusOK)
+		asserter.Equal(t, body, `{"accepted":true,"already-in-force":true,"version":8}`)
+	})
+	t.Run("a text in force is not proposed again", func(t *testing.T) {
+		p := progress()
+		p.State = p.State.WithRules(buckthorndyke.Rules{}, newText, 8)
+		status, body := client{follower: states(p), proposer: refuseAll}.post(t, operator.PathRules, applyBody)
+		asserter.Equal(t, status, http.StatusOK)
+		asserter.Contains(t, body, `"already-in-force":true`)
+	})
+	t.Run("while the log is down nothing is claimed to be in force", func(t *testing.T) {
+		p := progress()
+		p.LogDown = true
+		p.State = p.State.WithRules(buckthorndyke.Rules{}, newText, 8)
+		status, body := client{follower: states(p), proposer: refuseAll}.post(t, operator.PathRules, applyBody)
+		asserter.Equal(t, status, http.StatusServiceUnavailable)
+		assertError(t, body, buckthorndyke.CodeLogUnavailable, buckthorndyke.NotRun)
+	})
+	t.Run("an unknown outcome is said to be unknown", func(t *testing.T) {
+		_, body := client{proposer: func(buckthorndyke.Change) (buckthorndyke.Ruling, error) {
+			return buckthorndyke.Ruling{}, errors.New("no ruling in time")
+		}}.post(t, operator.PathRules, applyBody)
+		assertError(t, body, buckthorndyke.CodeInternal, buckthorndyke.MayHaveRun)
+	})
+	t.Run("rules with faults are not proposed", func(t *testing.T) {
+		status, body := client{proposer: refuseAll}.post(t, operator.PathRules, `{"base":7,"by":"A","text":"service x\nrank gold"}`)
+		asserter.Equal(t, status, http.StatusBadRequest)
+		asserter.Contains(t, body, `"line":1`)
+		asserter.Contains(t, body, `"kind":"bad-value","line":2`)
+		assertError(t, body, buckthorndyke.CodeBadRequest, buckthorndyke.NotRun)
+	})
+	for name, body := range map[string]string{
+		"no name":              `{"base":7,"by":" ","text":""}`,
+		"a name with a break":  `{"base":7,"by":"A\nB","text":""}`,
+		"a long name":          `{"base":7,"by":"` + strings.Repeat("A", 200) + `","text":""}`,
+		"malformed JSON":       `{"base":`,
+		"an unknown field":     `{"base":7,"by":"A","text":"","force":true}`,
+		"text after the end":   applyBody + applyBody,
+		"a negative version":   `{"base":-7,"by":"A","text":""}`,
+		"no state of the text": `[]`,
+	} {
+		t.Run("bad request: "+name, func(t *testing.T) {
+			status, answer := client{proposer: refuseAll}.post(t, operator.PathRules, body)
+			asserter.Equal(t, status, http.StatusBadRequest)
+			assertError(t, answer, buckthorndyke.CodeBadRequest, buckthorndyke.NotRun)
+		})
+	}
+	t.Run("oversize body", func(t *testing.T) {
+		status, body := client{proposer: refuseAll}.post(t, operator.PathRules, `{"text":"`+strings.Repeat("x", 4096)+`"}`)
+		asserter.Equal(t, status, http.StatusRequestEntityTooLarge)
+		assertError(t, body, buckthorndyke.CodeTooLarge, buckthorndyke.NotRun)
+	})
+}
+
+func TestAccess(t *testing.T) {
+	for name, token := range map[string]string{"no token": "", "wrong token": "x", "longer token": testToken + "x"} {
+		for _, path := range []string{
+			operator.PathAudit, operator.PathMetrics, operator.PathRules, operator.PathStatus, operator.PathVersions,
+		} {
+			t.Run(name+" for "+path, func(t *testing.T) {
+				status, body := client{token: &token}.get(t, path)
+				asserter.Equal(t, status, http.StatusUnauthorized)
+				assertError(t, body, buckthorndyke.CodeUnauthenticated, buckthorndyke.NotRun)
+			})
+		}
+		t.Run(name+" drains nothing", func(t *testing.T) {
+			status, _ := client{token: &token, drain: func() { t.Error("drained") }}.post(t, operator.PathDrain, "")
+			asserter.Equal(t, status, http.StatusUnauthorized)
+		})
+	}
+	t.Run("liveness needs no token", func(t *testing.T) {
+		none := ""
+		status, _ := client{token: &none}.get(t, operator.PathLive)
+		asserter.Equal(t, status, http.StatusOK)
+	})
+	t.Run("a task without a token does not serve", func(t *testing.T) {
+		asserter.Error(t, operator.New(states(progress()), proposerFunc(refuseAll)).Serve(t.Context()))
+	})
+}
+
+func TestViews(t *testing.T) {
+	t.Run("rules", func(t *testing.T) {
+		_, body := client{}.get(t, operator.PathRules)
+		asserter.Equal(t, body, `{"text":"`+oldText+`","version":8}`)
+	})
+	t.Run("audit", func(t *testing.T) {
+		_, body := client{}.get(t, operator.PathAudit+"?limit=1")
+		asserter.Contains(t, body, `"difference":["+x"],"offset":8}]}`)
+		status, _ := client{}.get(t, operator.PathAudit+"?limit=0")
+		asserter.Equal(t, status, http.StatusBadRequest)
+	})
+	t.Run("status", func(t *testing.T) {
+		_, body := client{}.get(t, operator.PathStatus)
+		asserter.Contains(t, body, `"runners":["runner-1"],"withdrawn":["runner-2"]`)
+		asserter.Contains(t, body, `"epoch":4,"owner":"entry-1","runner":"runner-1"`)
+		asserter.Contains(t, body, `"vms":[{"rules-version":8,"vm":"entry-1"},{"error":"cut off","rules-version":0,"vm":"entry-2"}]`)
+	})
+	t.Run("metrics", func(t *testing.T) {
+		_, body := client{}.get(t, operator.PathMetrics)
+		asserter.Contains(t, body, `"rules-version":{"value":8}`)
+	})
+	t.Run("drain", func(t *testing.T) {
+		drained := false
+		status, body := client{drain: func() { drained = true }}.post(t, operator.PathDrain, "")
+		asserter.Equal(t, status, http.StatusAccepted)
+		asserter.Equal(t, body, `{"draining":true}`)
+		asserter.Equal(t, drained, true)
+	})
+	t.Run("unknown path", func(t *testing.T) {
+		_, body := client{}.get(t, "/rule")
+		assertError(t, body, buckthorndyke.CodeBadRequest, buckthorndyke.NotRun)
+	})
+	t.Run("no state yet", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			_, err := operator.New(states(), proposerFunc(refuseAll)).Operations().Rules(t.Context())
+			asserter.Refused(t, err, buckthorndyke.CodeNotReady, buckthorndyke.NotRun)
+		})
+	})
+}
+
+func TestServe(t *testing.T) {
+	t.Run("a request in progress is finished at the stop", func(t *testing.T) {
+		socket, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		asserter.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		o := operator.New(states(progress()), proposerFunc(refuseAll),
+			operator.WithToken(testToken), operator.WithListener(socket), operator.WithDrain(cancel))
+		stopped := make(chan error, 1)
+		go func() { stopped <- o.Serve(ctx) }()
+		status, _ := send(t, http.MethodPost, "http://"+socket.Addr().String()+operator.PathDrain, testToken, "")
+		asserter.Equal(t, status, http.StatusAccepted)
+		asserter.Equal(t, errors.Is(<-stopped, context.Canceled), true)
+	})
+}
+
+// client sends one request to a task made of its fields.
+type client struct {
+	drain    func()
+	follower buckthorndyke.Follower
+	proposer proposerFunc
+	// token replaces the right one.
+	token *string
+}
+
+func (c client) get(t *testing.T, path string) (int, string) {
+	t.Helper()
+	return c.send(t, http.MethodGet, path, "")
+}
+
+func (c client) post(t *testing.T, path, body string) (int, string) {
+	t.Helper()
+	return c.send(t, http.MethodPost, path, body)
+}
+
+func (c client) send(t *testing.T, method, path, body string) (int, string) {
+	t.Helper()
+	if c.follower == nil {
+		c.follower = states(progress(), progress())
+	}
+	limits := operator.DefaultLimits()
+	limits.Body = 2048
+	handler, err := operator.New(c.follower, c.proposer, operator.WithToken(testToken), operator.WithDrain(c.drain),
+		operator.WithFleet(fakeFleet{}), operator.WithMetrics(reporter.NewMetrics()), operator.WithLimits(limits),
+		operator.WithParser(parser.NewRules())).Handler()
+	asserter.NoError(t, err)
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	token := testToken
+	if c.token != nil {
+		token = *c.token
+	}
+	return send(t, method, server.URL+path, token, body)
+}
+
+// fakeFleet has one VM that answers and one that does not.
+type fakeFleet struct{}
+
+func (fakeFleet) RulesVersions(context.Context) buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.VMRules] {
+	return buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.VMRules]{}.
+		With("entry-1", buckthorndyke.VMRules{VM: "entry-1", Version: 8}).
+		With("entry-2", buckthorndyke.VMRules{VM: "entry-2", Err: errors.New("cut off")})
+}
+
+// fakeFollower has one state for each subscription, and then none.
+type fakeFollower struct {
+	states chan buckthorndyke.Progress
+}
+
+func states(all ...buckthorndyke.Progress) fakeFollower {
+	f := fakeFollower{states: make(chan buckthorndyke.Progress, len(all))}
+	for _, p := range all {
+		f.states <- p
+	}
+	return f
+}
+
+func (f fakeFollower) Subscribe(context.Context) <-chan buckthorndyke.Progress {
+	return f.states
+}
+
+type proposerFunc func(buckthorndyke.Change) (buckthorndyke.Ruling, error)
+
+func (f proposerFunc) Propose(_ context.Context, c buckthorndyke.Change) (buckthorndyke.Ruling, error) {
+	return f(c)
+}
+
+func refuseAll(buckthorndyke.Change) (buckthorndyke.Ruling, error) {
+	return buckthorndyke.Ruling{}, buckthorndyke.NewRefusal(buckthorndyke.CodeLogUnavailable, buckthorndyke.NotRun, "log down")
+}
+
+func progress() buckthorndyke.Progress {
+	s := buckthorndyke.State{}.WithRules(buckthorndyke.Rules{}, oldText, 8).WithOffset(9).
+		WithMember(buckthorndyke.Member{VM: "entry-1"}).
+		WithOwnership(buckthorndyke.Ownership{Epoch: 4, Owner: "entry-1", Runner: "runner-1"}).
+		WithPlacement(buckthorndyke.Placement{Model: "hall"}.
+			WithSlot(buckthorndyke.Slot{Runner: "runner-1"}).WithSlot(buckthorndyke.Slot{Runner: "runner-2", Withdrawn: true})).
+		WithAudit(buckthorndyke.AuditEntry{By: "M. Okafor", Offset: 7}, 10).
+		WithAudit(buckthorndyke.AuditEntry{Accepted: true, At: 5, Base: 7, By: "T. Lindqvist", Difference: []string{"+x"}, Offset: 8}, 10)
+	return buckthorndyke.Progress{AtTail: true, State: s}
+}
+
+func send(t *testing.T, method, url, token, body string) (int, string) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	asserter.NoError(t, err)
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	response, err := http.DefaultClient.Do(r)
+	asserter.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	asserter.NoError(t, err)
+	return response.StatusCode, strings.TrimSpace(string(data))
+}
+
+func assertError(t *testing.T, body string, code buckthorndyke.Code, verdict buckthorndyke.Verdict) {
+	t.Helper()
+	var answer operator.ErrorAnswer
+	asserter.NoError(t, json.Unmarshal([]byte(body), &answer))
+	asserter.Equal(t, answer.Error.Code, code)
+	asserter.Equal(t, answer.Error.Verdict, verdict.String())
+}
