--- /dev/null
+++ b/commander/commander.go
@@ -0,0 +1,94 @@
+// Package commander is the command line: one file a sub-command.
+package commander
+
+import (
+	"context"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/configurer"
+	"github.com/buckthorndyke/buckthorndyke/timekeeper"
+)
+
+// Commander runs sub-commands.
+type Commander struct {
+	clock   buckthorndyke.Clock
+	serve   func(ctx context.Context, settings configurer.Serve) error
+	standIn func(ctx context.Context, settings configurer.StandIn) error
+}
+
+// Option configures a Commander.
+type Option func(*Commander)
+
+// WithClock sets the clock.
+func WithClock(clock buckthorndyke.Clock) Option {
+	return func(c *Commander) { c.clock = clock }
+}
+
+// WithServe makes the sub-command serve call serve. When ctx ends, serve must
+// drain and return.
+func WithServe(serve func(ctx context.Context, settings configurer.Serve) error) Option {
+	return func(c *Commander) { c.serve = serve }
+}
+
+// WithStandIn makes the sub-command stand-in call standIn, which must return
+// when ctx ends.
+func WithStandIn(standIn func(ctx context.Context, settings configurer.StandIn) error) Option {
+	return func(c *Commander) { c.standIn = standIn }
+}
+
+// New returns a commander.
+func New(opts ...Option) *Commander {
+	c := &Commander{clock: timekeeper.NewRealClock()}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Run runs the sub-command in args, which do not hold the program's name, and
+// returns the exit code of the process. SIGINT and SIGTERM stop the sub-command.
+func (c *Commander) Run(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	out := printer{stderr: stderr, stdout: stdout}
+	err := c.run(ctx, args, out)
+	if err != nil {
+		out.error(err)
+	}
+	return exitCode(err)
+}
+
+// run runs the sub-command in args.
+func (c *Commander) run(ctx context.Context, args []string, out printer) error {
+	if len(args) > 0 && args[0] == "--version" {
+		args = append([]string{"version"}, args[1:]...)
+	}
+	line, err := parseArgs(c.commands(), args)
+	switch {
+	case err != nil:
+		return err
+	case line.help != "":
+		out.printf("%s\n", line.help)
+		return nil
+	default:
+		return line.command.run(ctx, out)
+	}
+}
+
+// commands returns the tree of sub-commands.
+func (c *Commander) commands() []*command {
+	return []*command{
+		c.auditCommand(),
+		c.drainCommand(),
+		group("rules", "Check, apply or show the rules.",
+			c.rulesApplyCommand(), c.rulesCheckCommand(), c.rulesShowCommand()),
+		c.serveCommand(),
+		group("settings", "Check settings files.", c.settingsCheckCommand()),
+		c.standInCommand(),
+		c.statusCommand(),
+		c.versionCommand(),
+	}
+}
--- /dev/null
+++ b/commander/settingscheck.go
@@ -0,0 +1,30 @@
+package commander
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke/configurer"
+)
+
+func (c *Commander) settingsCheckCommand() *command {
+	cmd := newCommand("check", "Check a settings file and report all its faults. Files of secrets are not read.",
+		"settings check entry.jsonc")
+	var path string
+	var asJSON, standIn bool
+	cmd.flags.AddPositionalValue(&path, "FILE", 1, true, "The settings file.")
+	cmd.flags.Bool(&asJSON, "j", "json", "Print JSON.")
+	cmd.flags.Bool(&standIn, "", "stand-in", "The file holds the settings of the stand-ins.")
+	cmd.run = func(_ context.Context, out printer) error {
+		data, err := readFile(path)
+		if err != nil {
+			return err
+		}
+		if standIn {
+			_, err = configurer.ParseStandIn(data)
+		} else {
+			_, err = configurer.ParseServe(data)
+		}
+		return out.checked(path, err, asJSON)
+	}
+	return cmd
+}
--- a/configurer/document.go
+++ b/configurer/document.go
@@ -29,7 +29,7 @@
 		d.reportSyntax(err)
 		return object{d: d, absent: true}
 	}
-	return d.object("the settings", value)
+	return d.object("the file", value)
 }
 
 // syntax returns the syntax tree of the file.
