--- /dev/null
+++ b/connector/httpstream.go
@@ -0,0 +1,99 @@
+package connector
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// drainTimeout bounds the wait for the end of an answer after its end mark, so
+// that its connection can be used again.
+const drainTimeout = 1 * buckthorndyke.Second
+
+// streamItem is the next token of a stream or the error that broke it.
+type streamItem struct {
+	err   error
+	token buckthorndyke.Token
+}
+
+// httpStream is the answer to one job as server-sent events. It has one reader.
+type httpStream struct {
+	cancel context.CancelFunc
+	// ended is the error of all further reads.
+	ended error
+	items chan streamItem
+}
+
+// newHTTPStream reads body until it ends or ctx does.
+func newHTTPStream(
+	ctx context.Context, cancel context.CancelFunc, body io.ReadCloser, job buckthorndyke.Job,
+) *httpStream {
+	s := &httpStream{cancel: cancel, items: make(chan streamItem)}
+	go func() {
+		defer cancel()
+		defer func() { _ = body.Close() }()
+		if s.receive(ctx, newTokenReader(bufio.NewReader(body), job)) {
+			drain(body, cancel)
+		}
+	}()
+	return s
+}
+
+// Close implements buckthorndyke.TokenStream.
+func (s *httpStream) Close() error {
+	if !errors.Is(s.ended, io.EOF) {
+		s.cancel()
+	}
+	return nil
+}
+
+// Next implements buckthorndyke.TokenStream. After the end mark it returns
+// io.EOF.
+func (s *httpStream) Next(ctx context.Context) (buckthorndyke.Token, error) {
+	if s.ended != nil {
+		return buckthorndyke.Token{}, s.ended
+	}
+	select {
+	case item, ok := <-s.items:
+		if !ok {
+			item.err = buckthorndyke.NewRefusal(
+				buckthorndyke.CodeCallerGone, buckthorndyke.MayHaveRun, "the stream was closed")
+		}
+		s.ended = item.err
+		if item.token.Last {
+			s.ended = io.EOF
+		}
+		return item.token, item.err
+	case <-ctx.Done():
+		return buckthorndyke.Token{}, refuse(
+			ctx, buckthorndyke.CodeDeadline, buckthorndyke.MayHaveRun, context.Cause(ctx))
+	}
+}
+
+// receive passes tokens on until the end mark or an error, and reports whether
+// it met the end mark.
+func (s *httpStream) receive(ctx context.Context, r *tokenReader) bool {
+	defer close(s.items)
+	for {
+		token, err := r.next()
+		select {
+		case s.items <- streamItem{err: err, token: token}:
+		case <-ctx.Done():
+			return false
+		}
+		if err != nil || token.Last {
+			return err == nil
+		}
+	}
+}
+
+// drain reads the end of an answer, within drainTimeout.
+func drain(body io.Reader, cancel context.CancelFunc) {
+	timer := time.AfterFunc(drainTimeout.Duration(), cancel)
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxEventBytes))
+}
--- a/standin/memoryvmlist.go
+++ b/standin/memoryvmlist.go
@@ -54,7 +54,8 @@
 	return r.value, r.err
 }
 
-// Set replaces the VMs. The change shows after the list's lag.
+// Set replaces the VMs. The change shows after the list's lag, unless the list
+// has had no VMs so far.
 func (l *MemoryVMList) Set(ctx context.Context, vms []buckthorndyke.VM) error {
 	vms = slices.Clone(vms)
 	return tell(ctx, &l.task, func(r mailer.Reply[acknowledged]) message[*vmListState] {
@@ -114,7 +115,11 @@
 }
 
 func (m setVMsMessage) handle(_ context.Context, s *vmListState) {
-	s.changes = append(s.changes, vmListChange{at: s.clock.Now(), vms: m.vms})
+	if s.shown == nil {
+		s.shown = m.vms
+	} else {
+		s.changes = append(s.changes, vmListChange{at: s.clock.Now(), vms: m.vms})
+	}
 	s.advance()
 	m.reply.Answer(acknowledged{})
 }
