--- /dev/null
+++ b/connector/stream_test.go
@@ -0,0 +1,91 @@
+package connector_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/connector"
+	"github.com/buckthorndyke/buckthorndyke/standin"
+)
+
+func TestStream(t *testing.T) {
+	const (
+		first = `data: {"job":"j","index":0,"text":"a"}` + "\n\n"
+		end   = `data: {"job":"j","index":1,"last":true}` + "\n\n"
+	)
+	for name, body := range map[string]string{
+		"cut before its end mark":           first,
+		"cut within its end mark":           first + `data: {"job":"j","index":1,"la`,
+		"end mark without an empty line":    first + strings.TrimSuffix(end, "\n"),
+		"doubled token":                     first + first + end,
+		"late token of another job":         first + `data: {"job":"i","index":1,"text":"b"}` + "\n\n" + end,
+		"token without a job":               first + `data: {"index":1,"text":"b"}` + "\n\n" + end,
+		"missing token":                     first + `data: {"job":"j","index":2,"last":true}` + "\n\n",
+		"event that is no token":            first + "data: hello\n\n" + end,
+		"event without an end":              first + "data: " + strings.Repeat("x", 2<<20),
+		"event of many lines, without end":  first + strings.Repeat("data: x\n", 1<<20),
+		"answer of HTML in place of events": first + "<html></html>",
+	} {
+		t.Run(name, func(t *testing.T) {
+			texts, err := collect(t.Context(), open(t, body))
+			assertVerdict(t, err, buckthorndyke.MayHaveRun)
+			assertCode(t, err, buckthorndyke.CodeEngineFailed)
+			assertEqual(t, texts, []string{"a"})
+		})
+	}
+	t.Run("whole with comments, other fields and CRLF", func(t *testing.T) {
+		texts, err := collect(t.Context(), open(t, ": hi\r\n\r\nevent: token\r\n"+first+"id: 7\n\n"+end))
+		assertNoError(t, err)
+		assertEqual(t, texts, []string{"a"})
+	})
+	t.Run("nothing is passed on after the end mark", func(t *testing.T) {
+		s := open(t, first+end+end)
+		_, err := collect(t.Context(), s)
+		assertNoError(t, err)
+		_, err = s.Next(t.Context())
+		assertEqual(t, err != nil, true)
+	})
+	t.Run("close reaches the engine", func(t *testing.T) {
+		gone := make(chan struct{})
+		engine := connector.NewHTTPEngine(serve(t, func(w http.ResponseWriter, r *http.Request) {
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+			close(gone)
+		}))
+		s, err := engine.Generate(t.Context(), job("j"))
+		assertNoError(t, err)
+		assertNoError(t, s.Close())
+		<-gone
+		_, err = s.Next(t.Context())
+		assertVerdict(t, err, buckthorndyke.MayHaveRun)
+	})
+	for name, faults := range map[string]standin.EngineFaults{
+		"crossed token of the stand-in": {CrossToken: true},
+		"doubled token of the stand-in": {DoubleToken: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			m := startMemory(ctx)
+			assertNoError(t, m.engine.SetFaults(ctx, faults))
+			server := standin.NewEngineServer(loopback, m.engine)
+			standin.Start(ctx, server)
+			engine := connector.NewHTTPEngine(addressOf(ctx, t, server))
+			texts, err := collect(ctx, generate(ctx, t, engine, job("j")))
+			assertCode(t, err, buckthorndyke.CodeEngineFailed)
+			assertEqual(t, texts, standin.AnswerTokens(model, prompt, 1))
+		})
+	}
+}
+
+// open returns the stream of a job whose answer is body.
+func open(t *testing.T, body string) buckthorndyke.TokenStream {
+	t.Helper()
+	engine := connector.NewHTTPEngine(serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(body))
+	}))
+	return generate(t.Context(), t, engine, job("j"))
+}
--- /dev/null
+++ b/connector/verdict_test.go
@@ -0,0 +1,260 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/connector"
+)
+
+// send is a call through a connector to the server at address.
+type send func(ctx context.Context, address string, opts ...connector.Option) error
+
+// sends are calls that change something, one for each kind of connector.
+var sends = map[string]send{
+	"log": func(ctx context.Context, address string, opts ...connector.Option) error {
+		_, err := connector.NewHTTPLog(address, opts...).Append(ctx, stream, []byte("a"))
+		return err
+	},
+	"engine order": func(ctx context.Context, address string, opts ...connector.Option) error {
+		_, err := connector.NewHTTPEngine(address, opts...).Order(ctx, loadOrder(1))
+		return err
+	},
+	"engine job": func(ctx context.Context, address string, opts ...connector.Option) error {
+		s, err := connector.NewHTTPEngine(address, opts...).Generate(ctx, job("j"))
+		if err == nil {
+			_, err = collect(ctx, s)
+		}
+		return err
+	},
+	"service": func(ctx context.Context, address string, opts ...connector.Option) error {
+		_, err := connector.NewHTTPService(opts...).Call(ctx, address, booking())
+		return err
+	},
+}
+
+// onEach runs test with each of sends.
+func onEach(t *testing.T, test func(t *testing.T, send send)) {
+	t.Helper()
+	for name, send := range sends {
+		t.Run(name, func(t *testing.T) { test(t, send) })
+	}
+}
+
+func TestVerdicts(t *testing.T) {
+	t.Run("no server", func(t *testing.T) {
+		onEach(t, func(t *testing.T, send send) {
+			listener := listen(t)
+			address := listener.Addr().String()
+			assertNoError(t, listener.Close())
+			assertVerdict(t, send(t.Context(), address), buckthorndyke.NotRun)
+		})
+	})
+	t.Run("the server closes before it reads", func(t *testing.T) {
+		onEach(t, func(t *testing.T, send send) {
+			address, requests := serveRaw(t, func(net.Conn) bool { return false })
+			assertVerdict(t, send(t.Context(), address), buckthorndyke.MayHaveRun)
+			assertEqual(t, len(requests), 0)
+		})
+	})
+	t.Run("the server closes after it has read", func(t *testing.T) {
+		onEach(t, func(t *testing.T, send send) {
+			address, requests := serveRaw(t, readRequest)
+			assertVerdict(t, send(t.Context(), address), buckthorndyke.MayHaveRun)
+			assertEqual(t, len(requests), 1)
+		})
+	})
+	t.Run("the answer is cut", func(t *testing.T) {
+		onEach(t, func(t *testing.T, send send) {
+			assertVerdict(t, send(t.Context(), serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Length", "100")
+				_, _ = w.Write([]byte(`{"offset":`))
+			})), buckthorndyke.MayHaveRun)
+		})
+	})
+	t.Run("the answer has another form", func(t *testing.T) {
+		for _, name := range []string{"log", "engine order", "engine job"} {
+			t.Run(name, func(t *testing.T) {
+				assertVerdict(t, sends[name](t.Context(), serve(t, func(w http.ResponseWriter, _ *http.Request) {
+					_, _ = w.Write([]byte("data: hello\n\n"))
+				})), buckthorndyke.MayHaveRun)
+			})
+		}
+	})
+	t.Run("the server fails without a verdict", func(t *testing.T) {
+		for _, name := range []string{"log", "engine order", "engine job"} {
+			t.Run(name, func(t *testing.T) {
+				assertVerdict(t, sends[name](t.Context(), serve(t, func(w http.ResponseWriter, _ *http.Request) {
+					http.Error(w, "busy", http.StatusServiceUnavailable)
+				})), buckthorndyke.MayHaveRun)
+			})
+		}
+	})
+	t.Run("the answer is too large", func(t *testing.T) {
+		onEach(t, func(t *testing.T, send send) {
+			address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte("data: " + strings.Repeat("x", 2<<20)))
+			})
+			assertVerdict(t, send(t.Context(), address, connector.WithBodyLimit(1000)), buckthorndyke.MayHaveRun)
+		})
+	})
+	t.Run("the header of the answer is too large", func(t *testing.T) {
+		onEach(t, func(t *testing.T, send send) {
+			address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Large", strings.Repeat("x", 10_000))
+			})
+			assertVerdict(t, send(t.Context(), address, connector.WithHeaderLimit(1000)), buckthorndyke.MayHaveRun)
+		})
+	})
+	t.Run("the request is too large", func(t *testing.T) {
+		onEach(t, func(t *testing.T, send send) {
+			address, requests := serveRaw(t, readRequest)
+			err := send(t.Context(), address, connector.WithBodyLimit(-1))
+			assertVerdict(t, err, buckthorndyke.NotRun)
+			assertCode(t, err, buckthorndyke.CodeTooLarge)
+			assertEqual(t, len(requests), 0)
+		})
+	})
+	t.Run("a redirect is not followed", func(t *testing.T) {
+		onEach(t, func(t *testing.T, send send) {
+			elsewhere, requests := serveRaw(t, readRequest)
+			_ = send(t.Context(), serve(t, func(w http.ResponseWriter, r *http.Request) {
+				http.Redirect(w, r, "http://"+elsewhere, http.StatusTemporaryRedirect)
+			}))
+			assertEqual(t, len(requests), 0)
+		})
+	})
+}
+
+func TestConnections(t *testing.T) {
+	t.Run("one that saw a cancelled call is not used again", func(t *testing.T) {
+		started := make(chan struct{}, 1)
+		log := connector.NewHTTPLog(serve(t, func(_ http.ResponseWriter, r *http.Request) {
+			started <- struct{}{}
+			<-r.Context().Done()
+		}))
+		for range 2 {
+			ctx, cancel := context.WithCancel(t.Context())
+			reused := traceReuse(&ctx)
+			go func() {
+				<-started
+				cancel()
+			}()
+			_, err := log.Read(ctx, stream, 1, buckthorndyke.Hour)
+			assertCode(t, err, buckthorndyke.CodeDeadline)
+			assertEqual(t, *reused, false)
+		}
+	})
+	t.Run("one that is idle is used again", func(t *testing.T) {
+		log := connector.NewHTTPLog(serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte("{}"))
+		}))
+		for _, want := range []bool{false, true} {
+			ctx := t.Context()
+			reused := traceReuse(&ctx)
+			_, err := log.Append(ctx, stream, nil)
+			assertNoError(t, err)
+			assertEqual(t, *reused, want)
+		}
+	})
+	t.Run("one of a service is never used again", func(t *testing.T) {
+		address := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+		service := connector.NewHTTPService()
+		for range 2 {
+			ctx := t.Context()
+			reused := traceReuse(&ctx)
+			answer, err := service.Call(ctx, address, booking())
+			assertNoError(t, err)
+			assertEqual(t, answer.Status, http.StatusNoContent)
+			assertEqual(t, *reused, false)
+		}
+	})
+}
+
+func TestServiceAnswers(t *testing.T) {
+	t.Run("a failure of the service is an answer", func(t *testing.T) {
+		address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, "the hall is closed", http.StatusInternalServerError)
+		})
+		answer, err := connector.NewHTTPService().Call(t.Context(), address, booking())
+		assertNoError(t, err)
+		assertEqual(t, answer.Status, http.StatusInternalServerError)
+		assertEqual(t, string(answer.Body), "the hall is closed\n")
+	})
+	t.Run("headers of a connection are not passed on", func(t *testing.T) {
+		address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Keep-Alive", "timeout=5")
+			w.Header().Set("X-Upgrade", r.Header.Get("Upgrade"))
+			w.Header().Set("X-Url", r.URL.String())
+		})
+		call := booking()
+		call.Header.Set("Upgrade", "websocket")
+		call.Path = "@elsewhere/?a#b"
+		answer, err := connector.NewHTTPService().Call(t.Context(), address, call)
+		assertNoError(t, err)
+		assertEqual(t, answer.Header.Get("Keep-Alive"), "")
+		assertEqual(t, answer.Header.Get("X-Upgrade"), "")
+		assertEqual(t, answer.Header.Get("X-Url"), "/@elsewhere/%3Fa%23b?seats=1")
+	})
+}
+
+// listen returns a listener on loopback.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	var config net.ListenConfig
+	listener, err := config.Listen(t.Context(), "tcp", loopback)
+	assertNoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+// readRequest reads one request and reports whether there was one.
+func readRequest(conn net.Conn) bool {
+	_, err := http.ReadRequest(bufio.NewReader(conn))
+	return err == nil
+}
+
+// serve serves handler and returns its address.
+func serve(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// serveRaw closes each connection after handle. Each request that handle has
+// read is in the channel once its connection is closed.
+func serveRaw(t *testing.T, handle func(net.Conn) bool) (address string, requests chan struct{}) {
+	t.Helper()
+	listener := listen(t)
+	requests = make(chan struct{}, 100)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if handle(conn) {
+				requests <- struct{}{}
+			}
+			_ = conn.Close()
+		}
+	}()
+	return listener.Addr().String(), requests
+}
+
+// traceReuse makes ctx report whether its request was given a used connection.
+func traceReuse(ctx *context.Context) *bool {
+	reused := new(bool)
+	*ctx = httptrace.WithClientTrace(*ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { *reused = info.Reused },
+	})
+	return reused
+}
