feat(prober): join, probe watched members, publish suspects

Each member is probed by a few watchers that all members can name, half of them in other failure domains. A watcher tells only what it has seen itself, to the other watchers and to the successors of the suspect's runners, so that no report outlives its reporters. Two reporters make a suspect.

--- a/placer/rendezvous.go
+++ b/placer/rendezvous.go
@@ -10,6 +10,19 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// Best returns the n best of ids for key, best first.
+func Best[ID ~string](key string, ids []ID, n int) []ID {
+	best := make([]scoredID[ID], 0, n+1)
+	for _, id := range ids {
+		s := scoredID[ID]{id: id, score: Score(key, string(id))}
+		at, _ := slices.BinarySearchFunc(best, s, compareScored)
+		if at < n {
+			best = slices.Insert(best, at, s)[:min(len(best)+1, n)]
+		}
+	}
+	return idsOf(best)
+}
+
 // Rank returns ids in the order of their scores for key, best first.
 func Rank[ID ~string](key string, ids []ID) []ID {
 	scored := make([]scoredID[ID], len(ids))
@@ -17,11 +30,7 @@
 		scored[i] = scoredID[ID]{id: id, score: Score(key, string(id))}
 	}
 	slices.SortFunc(scored, compareScored)
-	ranked := make([]ID, len(ids))
-	for i, s := range scored {
-		ranked[i] = s.id
-	}
-	return ranked
+	return idsOf(scored)
 }
 
 // Score returns the rendezvous score of id for key. The highest one wins.
@@ -58,3 +67,11 @@
 func compareScored[ID ~string](a, b scoredID[ID]) int {
 	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
 }
+
+func idsOf[ID ~string](scored []scoredID[ID]) []ID {
+	ids := make([]ID, len(scored))
+	for i, s := range scored {
+		ids[i] = s.id
+	}
+	return ids
+}
--- /dev/null
+++ b/supervisor/prober/prober.go
@@ -0,0 +1,150 @@
+// Package prober keeps this VM a member, probes other members, and publishes
+// which of them are suspected.
+package prober
+
+import (
+	"context"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/detector"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+// Defaults.
+const (
+	defaultInterval     = buckthorndyke.Second
+	defaultListInterval = 5 * buckthorndyke.Second
+	defaultStaleness    = 30 * buckthorndyke.Second
+	defaultTimeout      = 800 * buckthorndyke.Millisecond
+)
+
+// Prober implements buckthorndyke.LivenessReporter, buckthorndyke.Readiness and
+// buckthorndyke.Responder. It supervises the task that probes and the feed that
+// its subscribers hang on.
+type Prober struct {
+	feed *mailer.Feed[buckthorndyke.Liveness]
+	task *task
+}
+
+// Option configures a Prober.
+type Option func(*config)
+
+type config struct {
+	evidence     []detector.Option
+	fanOut       int
+	interval     buckthorndyke.Millis
+	listInterval buckthorndyke.Millis
+	staleness    buckthorndyke.Millis
+	timeout      buckthorndyke.Millis
+}
+
+// WithEvidence configures when a member is suspected.
+func WithEvidence(opts ...detector.Option) Option {
+	return func(c *config) { c.evidence = opts }
+}
+
+// WithFanOut sets how many members probe each member.
+func WithFanOut(n int) Option {
+	return func(c *config) { c.fanOut = n }
+}
+
+// WithInterval sets the time between two probes of a member, and bounds its
+// answer.
+func WithInterval(interval, timeout buckthorndyke.Millis) Option {
+	return func(c *config) { c.interval, c.timeout = interval, timeout }
+}
+
+// WithListInterval sets the time between two reads of the VM list.
+func WithListInterval(d buckthorndyke.Millis) Option {
+	return func(c *config) { c.listInterval = d }
+}
+
+// WithStaleness sets how long the VM may be out of contact with both the log and
+// all peers before it is no longer ready.
+func WithStaleness(d buckthorndyke.Millis) Option {
+	return func(c *config) { c.staleness = d }
+}
+
+// New returns a prober for self.
+func New(
+	peers buckthorndyke.Peers, list buckthorndyke.VMList, proposer buckthorndyke.Proposer,
+	follower buckthorndyke.Follower, self buckthorndyke.Self, clock buckthorndyke.Clock, opts ...Option,
+) *Prober {
+	cfg := config{
+		fanOut:       detector.DefaultFanOut,
+		interval:     defaultInterval,
+		listInterval: defaultListInterval,
+		staleness:    defaultStaleness,
+		timeout:      defaultTimeout,
+	}
+	for _, opt := range opts {
+		opt(&cfg)
+	}
+	feed := mailer.NewFeed[buckthorndyke.Liveness]()
+	t := newTask(cfg, clock, feed, follower, list, peers, proposer, self)
+	return &Prober{feed: feed, task: t}
+}
+
+// Drain marks this VM as leaving, so that it takes nothing on, and returns once
+// that is decided or ctx ends. The VM does not join again.
+func (p *Prober) Drain(ctx context.Context) error {
+	return p.task.leave(ctx, true)
+}
+
+// Leave removes this VM from the members and returns once that is decided or
+// ctx ends. The VM does not join again.
+func (p *Prober) Leave(ctx context.Context) error {
+	return p.task.leave(ctx, false)
+}
+
+// Probe implements buckthorndyke.Responder.
+func (p *Prober) Probe(ctx context.Context, r buckthorndyke.ProbeRequest) (buckthorndyke.ProbeReply, error) {
+	return mailer.Ask(ctx, p.task.calls, func(reply mailer.Reply[buckthorndyke.ProbeReply]) probeCall {
+		return probeCall{reply: reply, request: r}
+	})
+}
+
+// Ready implements buckthorndyke.Readiness.
+func (p *Prober) Ready(ctx context.Context) error {
+	v, err := p.task.view(ctx)
+	if err != nil {
+		return buckthorndyke.NewRefusal(buckthorndyke.CodeNotReady, buckthorndyke.NotRun, "the prober does not answer")
+	}
+	return v.ready
+}
+
+// RulesVersions returns the version of the rules in force at each member. A
+// member that does not answer has NoOffset.
+func (p *Prober) RulesVersions(
+	ctx context.Context,
+) (buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.Offset], error) {
+	v, err := p.task.view(ctx)
+	if err != nil {
+		return buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.Offset]{}, err
+	}
+	return p.task.askVersions(ctx, v.state), nil
+}
+
+// Serve implements suture.Service.
+func (p *Prober) Serve(ctx context.Context) error {
+	s := suture.NewSimple("prober")
+	s.Add(p.feed)
+	s.Add(p.task)
+	return s.Serve(ctx)
+}
+
+// Snapshot implements buckthorndyke.Responder.
+func (p *Prober) Snapshot(ctx context.Context) (buckthorndyke.State, error) {
+	v, err := p.task.view(ctx)
+	return v.state, err
+}
+
+// String implements fmt.Stringer.
+func (p *Prober) String() string { return "prober" }
+
+// Subscribe implements buckthorndyke.LivenessReporter.
+func (p *Prober) Subscribe(ctx context.Context) <-chan buckthorndyke.Liveness {
+	return p.feed.Subscribe(ctx)
+}
