--- a/supervisor/owner/steward/rebuild.go
+++ b/supervisor/owner/steward/rebuild.go
@@ -9,8 +9,8 @@
 const (
 	// statusFast is the time between status calls while something is undecided.
 	statusFast = 250 * buckthorndyke.Millisecond
-	// statusLag bounds how far a runner's report lags behind the truth.
-	statusLag = 2 * buckthorndyke.Second
+	// defaultStatusLag bounds how far a runner's report lags behind the truth.
+	defaultStatusLag = buckthorndyke.Second
 	// statusSlow is the time between status calls otherwise.
 	statusSlow = 2 * buckthorndyke.Second
 	// statusTimeout bounds one status call.
@@ -79,7 +79,7 @@
 // finishRead ends phaseRead once a report that was asked for in it shows no
 // order in progress.
 func (t *task) finishRead(m statusAnswered, now buckthorndyke.Millis) {
-	if t.phase != phaseRead || m.asked < t.phaseSince {
+	if t.phase != phaseRead || m.asked < t.phaseSince+t.statusLag {
 		return
 	}
 	for id, state := range m.status.Orders {
--- a/supervisor/owner/steward/steward.go
+++ b/supervisor/owner/steward/steward.go
@@ -31,10 +31,11 @@
 	keepWarm  buckthorndyke.KeepWarmPolicy
 	lease     buckthorndyke.Millis
 	// life ends with the steward. Messages to it are given up then.
-	life     context.Context
-	newOrder func() buckthorndyke.OrderID
-	proposer buckthorndyke.Proposer
-	quiesced chan struct{}
+	life      context.Context
+	newOrder  func() buckthorndyke.OrderID
+	proposer  buckthorndyke.Proposer
+	quiesced  chan struct{}
+	statusLag buckthorndyke.Millis
 	// taken is the instant at which the owner has learned that it is the owner.
 	taken buckthorndyke.Millis
 	view  View
@@ -65,6 +66,11 @@
 	return func(s *Steward) { s.newOrder = next }
 }
 
+// WithStatusLag bounds how far a runner's report lags behind the truth.
+func WithStatusLag(d buckthorndyke.Millis) Option {
+	return func(s *Steward) { s.statusLag = d }
+}
+
 // New returns a steward of the runner that view describes.
 func New(
 	view View, engine buckthorndyke.Engine, gate buckthorndyke.LoadGate, proposer buckthorndyke.Proposer,
@@ -84,6 +90,7 @@
 		newOrder:  newOrderID,
 		proposer:  proposer,
 		quiesced:  make(chan struct{}),
+		statusLag: defaultStatusLag,
 		taken:     clock.Now(),
 		view:      view,
 		views:     make(chan View, 1),
--- a/supervisor/owner/steward/task.go
+++ b/supervisor/owner/steward/task.go
@@ -227,7 +227,7 @@
 	if t.view.Ownership.Previous == "" {
 		return t.phaseSince
 	}
-	return t.phaseSince + statusLag
+	return t.phaseSince + t.statusLag
 }
 
 // takeBatch applies messages that already wait.
