--- /dev/null
+++ b/supervisor/gatekeeper/client.go
@@ -0,0 +1,174 @@
+package gatekeeper
+
+import (
+	"context"
+	"slices"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/placer"
+)
+
+const (
+	// gateKey is the rendezvous key of the load gate.
+	gateKey = "load-gate"
+	// defaultPatience is how long a request waits at the gate before it falls back
+	// to this VM's part of the limits.
+	defaultPatience = 8 * buckthorndyke.Second
+)
+
+// Client asks the member that keeps the load gate for permits. While that does
+// not answer it falls back to this VM's part of the limits. It implements
+// buckthorndyke.LoadGate.
+type Client struct {
+	box      *mailer.Mailbox[mailer.Reply[keeper]]
+	clock    buckthorndyke.Clock
+	follower buckthorndyke.Follower
+	// local is the gate of this VM.
+	local    *Gatekeeper
+	liveness buckthorndyke.LivenessReporter
+	// fallback permits loads while the gate is out of reach.
+	fallback *Gatekeeper
+	patience buckthorndyke.Millis
+	peers    buckthorndyke.Peers
+	self     buckthorndyke.Self
+}
+
+// ClientOption configures a Client.
+type ClientOption func(*Client)
+
+// WithPatience sets how long a request waits at the gate.
+func WithPatience(d buckthorndyke.Millis) ClientOption {
+	return func(c *Client) { c.patience = d }
+}
+
+// NewClient returns a client whose VM's own gate is local.
+func NewClient(
+	self buckthorndyke.Self, follower buckthorndyke.Follower, liveness buckthorndyke.LivenessReporter,
+	peers buckthorndyke.Peers, local *Gatekeeper, clock buckthorndyke.Clock, opts ...ClientOption,
+) *Client {
+	c := &Client{
+		box:      mailer.NewMailbox[mailer.Reply[keeper]](),
+		clock:    clock,
+		fallback: New(clock),
+		follower: follower,
+		liveness: liveness,
+		local:    local,
+		patience: defaultPatience,
+		peers:    peers,
+		self:     self,
+	}
+	c.fallback.adapters, c.fallback.models = local.adapters, local.models
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// AcquireLoad implements buckthorndyke.LoadGate.
+func (c *Client) AcquireLoad(ctx context.Context, r buckthorndyke.LoadRequest) (buckthorndyke.LoadPermit, error) {
+	k, err := mailer.Ask(ctx, c.box, func(reply mailer.Reply[keeper]) mailer.Reply[keeper] { return reply })
+	if err != nil {
+		return nil, err
+	}
+	if k.member.VM == c.self.VM {
+		return c.local.AcquireLoad(ctx, r)
+	}
+	if k.member.VM != "" {
+		if p, err := c.acquireRemote(ctx, k.member, r); err == nil {
+			return p, nil
+		}
+	}
+	return c.fallback.acquire(ctx, r, k.live)
+}
+
+// Serve implements suture.Service.
+func (c *Client) Serve(ctx context.Context) error {
+	go func() { _ = c.fallback.Serve(ctx) }()
+	progress, liveness := c.follower.Subscribe(ctx), c.liveness.Subscribe(ctx)
+	var state buckthorndyke.State
+	var alive buckthorndyke.Liveness
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case p := <-progress:
+			state = p.State
+		case alive = <-liveness:
+		case reply := <-c.box.Receive():
+			reply.Answer(keeperOf(state, alive))
+		}
+	}
+}
+
+// acquireRemote asks the member that keeps the gate. The permit ends with ctx.
+func (c *Client) acquireRemote(
+	ctx context.Context, m buckthorndyke.Member, r buckthorndyke.LoadRequest,
+) (buckthorndyke.LoadPermit, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	type answer struct {
+		err    error
+		permit buckthorndyke.LoadPermit
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		p, err := c.peers.At(m.PeerAddress).AcquireLoad(ctx, r)
+		answers <- answer{err: err, permit: p}
+	}()
+	select {
+	case a := <-answers:
+		if a.err != nil {
+			cancel()
+			return nil, a.err
+		}
+		return remotePermit{LoadPermit: a.permit, cancel: cancel}, nil
+	case <-c.clock.After(c.patience):
+		cancel()
+		go closeLate(func() buckthorndyke.LoadPermit { return (<-answers).permit })
+		return nil, errEnded
+	case <-ctx.Done():
+		cancel()
+		go closeLate(func() buckthorndyke.LoadPermit { return (<-answers).permit })
+		return nil, context.Cause(ctx)
+	}
+}
+
+// closeLate gives back a permit that comes after its request was given up.
+func closeLate(wait func() buckthorndyke.LoadPermit) {
+	if p := wait(); p != nil {
+		p.Close()
+	}
+}
+
+// remotePermit is a permit of another member's gate.
+type remotePermit struct {
+	buckthorndyke.LoadPermit
+	cancel context.CancelFunc
+}
+
+// Close implements buckthorndyke.LoadPermit.
+func (p remotePermit) Close() {
+	p.LoadPermit.Close()
+	p.cancel()
+}
+
+// keeper is the member that keeps the load gate, and the number of members that
+// share the limits without it.
+type keeper struct {
+	live   int
+	member buckthorndyke.Member
+}
+
+// keeperOf returns the keeper by rendezvous hashing over the live members.
+func keeperOf(state buckthorndyke.State, alive buckthorndyke.Liveness) keeper {
+	var live []buckthorndyke.VMID
+	for vm, m := range state.Members.All() {
+		if !m.Leaving {
+			live = append(live, vm)
+		}
+	}
+	members := len(live)
+	live = slices.DeleteFunc(live, alive.Suspected)
+	member, _ := state.Members.Get(placer.Top(gateKey, live))
+	return keeper{live: max(members, 1), member: member}
+}
