feat(router): serve a request through a steward and a runner

The whole path needs a Gateway. This is the thin version: tickets, jobs, resumed answers, calls of plain services and claims are wired, but only the happy path of Generate is tested so far.

Claims are decided by the log's order and the log's own times only, so that no two machines' clocks are compared. A keeper that appends the outcome NotRun on an asker's behalf was ruled out: it cannot know that the asker has given up.

--- /dev/null
+++ b/adjudicator/entry.go
@@ -0,0 +1,80 @@
+package adjudicator
+
+import (
+	"slices"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// abandonedLimit bounds the claims of one key that may be abandoned. After that
+// the key is not granted again.
+const abandonedLimit = 16
+
+// entry is what is known of one key. It is immutable.
+type entry struct {
+	// abandoned lists claims whose asker has said that it will never send.
+	abandoned []buckthorndyke.RequestID
+	answer    *buckthorndyke.ServiceAnswer
+	// fingerprint is that of the claim that holds the key.
+	fingerprint buckthorndyke.Fingerprint
+	// id is the claim that holds the key, or empty if none does.
+	id      buckthorndyke.RequestID
+	settled bool
+	verdict buckthorndyke.Verdict
+}
+
+// reply returns the answer to r, whose record has been folded.
+func (e entry) reply(r buckthorndyke.ClaimRequest) buckthorndyke.ClaimReply {
+	switch {
+	case e.id == "":
+		return buckthorndyke.ClaimReply{Verdict: buckthorndyke.NotRun}
+	case e.id == r.ID && !e.settled:
+		return buckthorndyke.ClaimReply{Granted: true}
+	default:
+		return buckthorndyke.ClaimReply{
+			Answer:   e.answer,
+			Mismatch: e.fingerprint != r.Fingerprint,
+			Verdict:  e.verdict,
+		}
+	}
+}
+
+// withAbandoned returns a copy in which the claim id can no longer hold the key.
+func (e entry) withAbandoned(id buckthorndyke.RequestID) entry {
+	if e.id == id {
+		e.id = ""
+		e.fingerprint = ""
+	}
+	if !slices.Contains(e.abandoned, id) && len(e.abandoned) < abandonedLimit {
+		e.abandoned = append(slices.Clip(e.abandoned), id)
+	}
+	return e
+}
+
+// withClaim returns a copy in which r holds the key if it is free.
+func (e entry) withClaim(r buckthorndyke.ClaimRequest) entry {
+	if e.id != "" || len(e.abandoned) >= abandonedLimit || slices.Contains(e.abandoned, r.ID) {
+		return e
+	}
+	e.id = r.ID
+	e.fingerprint = r.Fingerprint
+	return e
+}
+
+// withOutcome returns a copy that is settled by o, if o comes from the holder.
+// The first outcome counts. The outcome NotRun comes from an asker that will
+// never send: it frees the key for another claim.
+func (e entry) withOutcome(o buckthorndyke.ClaimOutcome) entry {
+	switch {
+	case e.settled:
+		return e
+	case o.Verdict == buckthorndyke.NotRun:
+		return e.withAbandoned(o.ID)
+	case e.id != o.ID:
+		return e
+	}
+	e.answer = o.Answer
+	e.settled = true
+	e.verdict = o.Verdict
+	return e
+}
--- /dev/null
+++ b/chooser/affinity.go
@@ -0,0 +1,62 @@
+package chooser
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// Bounds of the prefix hints.
+const (
+	// affinityEntries bounds the prefixes that are remembered.
+	affinityEntries = 4096
+	// prefixBytes is how much of a prompt identifies its prefix.
+	prefixBytes = 256
+)
+
+// Affinity remembers which runner last served a prefix. It is a hint: it is
+// bounded, and engines drop prefixes without notice. It is immutable.
+type Affinity struct {
+	ages    buckthorndyke.Table[uint64, uint64]
+	next    uint64
+	runners buckthorndyke.Table[uint64, affine]
+}
+
+// affine is the runner that served a prefix.
+type affine struct {
+	age    uint64
+	runner buckthorndyke.RunnerID
+}
+
+// PrefixOf returns the identity of a prompt's prefix, and whether the prompt is
+// long enough for a cached prefix to matter.
+func PrefixOf(model buckthorndyke.ModelID, prompt string) (uint64, bool) {
+	if len(prompt) < prefixBytes {
+		return 0, false
+	}
+	return xxhash.Sum64String(string(model) + "\x00" + prompt[:prefixBytes]), true
+}
+
+// RunnerOf returns the runner that last served prefix.
+func (a Affinity) RunnerOf(prefix uint64) (buckthorndyke.RunnerID, bool) {
+	found, ok := a.runners.Get(prefix)
+	return found.runner, ok
+}
+
+// WithRunner returns a copy that remembers that runner served prefix.
+func (a Affinity) WithRunner(prefix uint64, runner buckthorndyke.RunnerID) Affinity {
+	if old, ok := a.runners.Get(prefix); ok {
+		a.ages = a.ages.Without(old.age)
+	}
+	a.runners = a.runners.With(prefix, affine{age: a.next, runner: runner})
+	a.ages = a.ages.With(a.next, prefix)
+	a.next++
+	for age, oldest := range a.ages.All() {
+		if a.ages.Len() <= affinityEntries {
+			break
+		}
+		a.ages = a.ages.Without(age)
+		a.runners = a.runners.Without(oldest)
+	}
+	return a
+}
--- /dev/null
+++ b/chooser/budget.go
@@ -0,0 +1,43 @@
+package chooser
+
+// Bounds of the retry budget.
+const (
+	// budgetBurst is the number of retries that a full budget allows at once.
+	budgetBurst = 64
+	// retriesPerThousand is the number of retries that a thousand requests earn.
+	retriesPerThousand = 100
+	// retryPrice is the price of one retry in the budget's unit.
+	retryPrice = 1000
+)
+
+// Budget bounds retries to a fraction of requests, so that retries do not
+// multiply a flood. It is immutable.
+type Budget struct {
+	// left is what is left, in thousandths of a retry.
+	left int
+}
+
+// NewBudget returns a full budget.
+func NewBudget() Budget {
+	return Budget{left: budgetBurst * retryPrice}
+}
+
+// Allows reports whether the budget has a retry left.
+func (b Budget) Allows() bool {
+	return b.left >= retryPrice
+}
+
+// WithRequest returns a budget that has earned the share of one more request.
+func (b Budget) WithRequest() Budget {
+	b.left = min(b.left+retriesPerThousand, budgetBurst*retryPrice)
+	return b
+}
+
+// WithRetry returns a budget with one retry less. It is unchanged if there is
+// none left.
+func (b Budget) WithRetry() Budget {
+	if b.Allows() {
+		b.left -= retryPrice
+	}
+	return b
+}
--- /dev/null
+++ b/chooser/order.go
@@ -0,0 +1,96 @@
+package chooser
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// affinityLimit is the load above which a cached prefix no longer makes up for
+// the wait.
+const affinityLimit = loadUnit
+
+// Order returns the candidates in the order in which a request for model asks
+// them. Runners that have loaded the model come first: the one that probably
+// caches the prompt's prefix unless its batch is full, then the less loaded of
+// two random ones, then the others by load. Cold runners follow, the cheapest
+// copy of the checkpoint first and among equals in rendezvous order, so that all
+// entry VMs send the requests for one cold model to the same runner. Runners
+// without a live owner come last. Equal seeds give equal choices.
+func Order(model buckthorndyke.ModelID, candidates []Candidate, seed uint64) []buckthorndyke.RunnerID {
+	sorted := slices.Clone(candidates)
+	slices.SortFunc(sorted, func(a, b Candidate) int {
+		return cmp.Or(
+			cmp.Compare(class(a), class(b)),
+			compareWithin(model, a, b),
+			cmp.Compare(a.Runner, b.Runner),
+		)
+	})
+	first, _ := slices.BinarySearchFunc(sorted, classLoaded, compareClass)
+	end, _ := slices.BinarySearchFunc(sorted, classCold, compareClass)
+	promoteOneOfTwo(sorted[first:end], seed)
+	order := make([]buckthorndyke.RunnerID, len(sorted))
+	for i, c := range sorted {
+		order[i] = c.Runner
+	}
+	return order
+}
+
+// Classes of candidates, best first.
+const (
+	classAffine = iota
+	classLoaded
+	classCold
+	classOrphan
+)
+
+// class returns the class of c.
+func class(c Candidate) int {
+	switch {
+	case !c.Live:
+		return classOrphan
+	case !c.Loaded:
+		return classCold
+	case c.Affine && c.Load < affinityLimit:
+		return classAffine
+	default:
+		return classLoaded
+	}
+}
+
+// compareClass compares the class of c with want.
+func compareClass(c Candidate, want int) int {
+	return cmp.Compare(class(c), want)
+}
+
+// compareWithin compares two candidates of one class.
+func compareWithin(model buckthorndyke.ModelID, a, b Candidate) int {
+	if a.Loaded && b.Loaded {
+		return cmp.Compare(a.Load, b.Load)
+	}
+	return cmp.Or(
+		cmp.Compare(a.Tier, b.Tier),
+		cmp.Compare(weight(string(model), string(b.Runner)), weight(string(model), string(a.Runner))),
+	)
+}
+
+// promoteOneOfTwo moves the less loaded of two random candidates to the front.
+// The candidates are sorted by load, so that of two the one further to the front
+// is the better.
+func promoteOneOfTwo(loaded []Candidate, seed uint64) {
+	if len(loaded) < 3 {
+		return
+	}
+	random := rand.New(rand.NewPCG(seed, seed))
+	first := random.IntN(len(loaded))
+	second := random.IntN(len(loaded) - 1)
+	if second >= first {
+		second++
+	}
+	best := min(first, second)
+	chosen := loaded[best]
+	copy(loaded[1:best+1], loaded[:best])
+	loaded[0] = chosen
+}
--- /dev/null
+++ b/supervisor/claimer/claimer.go
@@ -0,0 +1,206 @@
+package claimer
+
+import (
+	"context"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/adjudicator"
+	"github.com/buckthorndyke/buckthorndyke/chooser"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+const (
+	// keeperTries bounds the keepers that are asked for one claim.
+	keeperTries = 3
+	// sweepInterval is how often streams that are no longer kept are let go.
+	sweepInterval = 1 * buckthorndyke.Minute
+)
+
+// Claimer implements buckthorndyke.ClaimKeeper.
+type Claimer struct {
+	box      *mailer.Mailbox[message]
+	clock    buckthorndyke.Clock
+	follower buckthorndyke.Follower
+	log      buckthorndyke.Log
+	options  options
+	peers    buckthorndyke.Peers
+	self     buckthorndyke.Self
+	settler  *settler
+}
+
+// New returns a claimer for the VM that self describes. It answers while Serve
+// runs.
+func New(
+	self buckthorndyke.Self,
+	follower buckthorndyke.Follower,
+	log buckthorndyke.Log,
+	peers buckthorndyke.Peers,
+	clock buckthorndyke.Clock,
+	opts ...Option,
+) *Claimer {
+	o := newOptions(opts)
+	return &Claimer{
+		box:      mailer.NewMailbox[message](),
+		clock:    clock,
+		follower: follower,
+		log:      log,
+		options:  o,
+		peers:    peers,
+		self:     self,
+		settler:  newSettler(log, clock, o),
+	}
+}
+
+// Claim implements buckthorndyke.ClaimKeeper. A claim of this VM is asked of the
+// stream's keeper, and of the next in rendezvous order if that does not answer. A
+// claim of another VM is answered here, whoever the keeper is by now. An error is
+// a *buckthorndyke.RefusalError; after it the claim must not be asked again.
+func (c *Claimer) Claim(ctx context.Context, r buckthorndyke.ClaimRequest) (buckthorndyke.ClaimReply, error) {
+	stream, err := adjudicator.StreamOf(r.Key, c.options.shards)
+	if err != nil {
+		return buckthorndyke.ClaimReply{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.options.claimTimeout.Duration())
+	defer cancel()
+	if r.VM != c.self.VM {
+		return c.keep(ctx, stream, r)
+	}
+	reply, err := c.askKeepers(ctx, stream, r)
+	if err != nil && abandons(err) {
+		c.abandon(stream, r)
+	}
+	return reply, err
+}
+
+// Serve implements suture.Service.
+func (c *Claimer) Serve(ctx context.Context) error {
+	supervisor := suture.NewSimple("claimer")
+	supervisor.Add(c.settler)
+	stopped := supervisor.ServeBackground(ctx)
+	progress := c.follower.Subscribe(ctx)
+	s := newShards(c, supervisor)
+	for {
+		select {
+		case err := <-stopped:
+			return err
+		case p, ok := <-progress:
+			if !ok {
+				progress = nil
+				continue
+			}
+			s.update(p.State.Members)
+		case m := <-c.box.Receive():
+			m.handle(s)
+		case <-c.clock.After(sweepInterval):
+			s.sweep()
+		}
+	}
+}
+
+// Settle implements buckthorndyke.ClaimKeeper. It waits for a short time only;
+// after an error the outcome is still tried in the background.
+func (c *Claimer) Settle(ctx context.Context, o buckthorndyke.ClaimOutcome) error {
+	stream, err := adjudicator.StreamOf(o.Key, c.options.shards)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.options.settleTimeout.Duration())
+	defer cancel()
+	return c.settler.settle(ctx, stream, o)
+}
+
+// abandon frees the key of a claim under which nothing will be sent.
+func (c *Claimer) abandon(stream buckthorndyke.Stream, r buckthorndyke.ClaimRequest) {
+	c.settler.abandon(stream, buckthorndyke.ClaimOutcome{ID: r.ID, Key: r.Key, Verdict: buckthorndyke.NotRun})
+}
+
+// abandons reports whether err leaves open whether the claim's record holds its
+// key.
+func abandons(err error) bool {
+	switch buckthorndyke.RefusalOf(err).Code() {
+	case buckthorndyke.CodeKeyExpired, buckthorndyke.CodeKeyInvalid:
+		return false
+	default:
+		return true
+	}
+}
+
+// askKeepers asks the keepers of a stream one after the other.
+func (c *Claimer) askKeepers(
+	ctx context.Context, stream buckthorndyke.Stream, r buckthorndyke.ClaimRequest,
+) (buckthorndyke.ClaimReply, error) {
+	members, err := mailer.Ask(ctx, c.box, func(reply mailer.Reply[[]buckthorndyke.Member]) message {
+		return keepersMessage{reply: reply, stream: stream}
+	})
+	failure := unavailable(buckthorndyke.CodeClaimUnavailable, "no keeper of the claims answers")
+	if err != nil {
+		return buckthorndyke.ClaimReply{}, failure
+	}
+	for _, member := range members[:min(len(members), keeperTries)] {
+		reply, err := c.askKeeper(ctx, member, stream, r)
+		if err == nil {
+			return reply, nil
+		}
+		refusal := buckthorndyke.RefusalOf(err)
+		switch refusal.Code() {
+		case buckthorndyke.CodeKeyExpired, buckthorndyke.CodeKeyInvalid:
+			return reply, refusal
+		case buckthorndyke.CodeLogUnavailable:
+			failure = refusal.WithVerdict(buckthorndyke.NotRun)
+		default:
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return buckthorndyke.ClaimReply{}, failure
+}
+
+// askKeeper asks one keeper.
+func (c *Claimer) askKeeper(
+	ctx context.Context, member buckthorndyke.Member, stream buckthorndyke.Stream, r buckthorndyke.ClaimRequest,
+) (buckthorndyke.ClaimReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.keeperTimeout.Duration())
+	defer cancel()
+	if member.VM == c.self.VM {
+		return c.keep(ctx, stream, r)
+	}
+	return c.peers.At(member.PeerAddress).Claim(ctx, r)
+}
+
+// keep answers r from the stream itself.
+func (c *Claimer) keep(
+	ctx context.Context, stream buckthorndyke.Stream, r buckthorndyke.ClaimRequest,
+) (buckthorndyke.ClaimReply, error) {
+	shard, err := mailer.Ask(ctx, c.box, func(reply mailer.Reply[*shard]) message {
+		return shardMessage{reply: reply, stream: stream}
+	})
+	if err != nil {
+		return buckthorndyke.ClaimReply{}, unavailable(buckthorndyke.CodeClaimUnavailable, "the claimer is stopped")
+	}
+	return shard.claim(ctx, r)
+}
+
+// unavailable returns the refusal of a claim that is not answered.
+func unavailable(code buckthorndyke.Code, message string) *buckthorndyke.RefusalError {
+	return buckthorndyke.NewRefusal(code, buckthorndyke.NotRun, message)
+}
+
+// keepersOf returns the members that keep stream, best first.
+func keepersOf(
+	stream buckthorndyke.Stream, members buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.Member],
+) []buckthorndyke.Member {
+	var ids []buckthorndyke.VMID
+	for id, member := range members.All() {
+		if !member.Leaving {
+			ids = append(ids, id)
+		}
+	}
+	keepers := make([]buckthorndyke.Member, len(ids))
+	for i, id := range chooser.Rendezvous(string(stream), ids) {
+		keepers[i], _ = members.Get(id)
+	}
+	return keepers
+}
--- /dev/null
+++ b/supervisor/claimer/options.go
@@ -0,0 +1,74 @@
+package claimer
+
+import (
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/adjudicator"
+)
+
+// Defaults.
+const (
+	defaultClaimTimeout  = 5 * buckthorndyke.Second
+	defaultKeeperTimeout = 2 * buckthorndyke.Second
+	defaultSettleLimit   = 10 * buckthorndyke.Minute
+	defaultSettleTimeout = 1 * buckthorndyke.Second
+	defaultShards        = 4
+)
+
+// Option configures a Claimer.
+type Option func(*options)
+
+type options struct {
+	claimTimeout  buckthorndyke.Millis
+	keeperTimeout buckthorndyke.Millis
+	keyLifetime   buckthorndyke.Millis
+	settleLimit   buckthorndyke.Millis
+	settleTimeout buckthorndyke.Millis
+	shards        int
+}
+
+// WithClaimTimeout bounds the time until a claim is answered or refused.
+func WithClaimTimeout(d buckthorndyke.Millis) Option {
+	return func(o *options) { o.claimTimeout = d }
+}
+
+// WithKeeperTimeout bounds the time that one keeper is given to answer.
+func WithKeeperTimeout(d buckthorndyke.Millis) Option {
+	return func(o *options) { o.keeperTimeout = d }
+}
+
+// WithKeyLifetime sets the age at which keys are refused. The log must keep
+// records for longer than that plus adjudicator.KeyTolerance.
+func WithKeyLifetime(d buckthorndyke.Millis) Option {
+	return func(o *options) { o.keyLifetime = d }
+}
+
+// WithSettleLimit bounds the time for which the record of an outcome is tried.
+func WithSettleLimit(d buckthorndyke.Millis) Option {
+	return func(o *options) { o.settleLimit = d }
+}
+
+// WithSettleTimeout bounds the time for which Settle waits for the record.
+func WithSettleTimeout(d buckthorndyke.Millis) Option {
+	return func(o *options) { o.settleTimeout = d }
+}
+
+// WithShards sets the number of claims streams. It is equal on all VMs.
+func WithShards(n int) Option {
+	return func(o *options) { o.shards = n }
+}
+
+// newOptions returns the defaults changed by opts.
+func newOptions(opts []Option) options {
+	o := options{
+		claimTimeout:  defaultClaimTimeout,
+		keeperTimeout: defaultKeeperTimeout,
+		keyLifetime:   adjudicator.DefaultKeyLifetime,
+		settleLimit:   defaultSettleLimit,
+		settleTimeout: defaultSettleTimeout,
+		shards:        defaultShards,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
--- /dev/null
+++ b/supervisor/claimer/shardstate.go
@@ -0,0 +1,102 @@
+package claimer
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/adjudicator"
+	"github.com/buckthorndyke/buckthorndyke/encoder"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+// shardState is the state of a shard's task.
+type shardState struct {
+	ledger adjudicator.Ledger
+	shard  *shard
+	// waiting holds the claims whose records were appended and not read yet.
+	waiting []appendedEvent
+}
+
+type (
+	// appendedEvent reports the offset of a claim's record.
+	appendedEvent struct {
+		claimEvent
+		err    error
+		offset buckthorndyke.Offset
+	}
+
+	// batchEvent brings records.
+	batchEvent struct {
+		entries []buckthorndyke.Entry
+	}
+
+	// claimAnswer is the answer to a claim.
+	claimAnswer struct {
+		err   error
+		reply buckthorndyke.ClaimReply
+	}
+
+	// claimEvent asks for a claim.
+	claimEvent struct {
+		// asker ends when the asker no longer waits.
+		asker   context.Context
+		reply   mailer.Reply[claimAnswer]
+		request buckthorndyke.ClaimRequest
+	}
+)
+
+func (e appendedEvent) handle(_ context.Context, s *shardState) {
+	switch {
+	case e.err != nil:
+		e.reply.Answer(claimAnswer{err: unavailable(
+			buckthorndyke.CodeLogUnavailable, "the log did not take the claim: "+e.err.Error())})
+	case e.offset <= s.ledger.Offset():
+		s.answer(e.claimEvent)
+	default:
+		s.waiting = append(s.waiting, e)
+	}
+}
+
+func (e batchEvent) handle(_ context.Context, s *shardState) {
+	for _, entry := range e.entries {
+		record, err := encoder.DecodeClaim(entry.Data)
+		if err != nil {
+			s.ledger = s.ledger.WithSkipped(entry.Offset, entry.At)
+			continue
+		}
+		s.ledger = s.ledger.WithRecord(record, entry.Offset, entry.At)
+	}
+	s.answerWaiting()
+}
+
+func (e claimEvent) handle(ctx context.Context, s *shardState) {
+	if reply, final, err := s.ledger.Final(e.request); final {
+		e.reply.Answer(claimAnswer{err: err, reply: reply})
+		return
+	}
+	go func() {
+		offset, err := s.shard.append(e.asker, e.request)
+		_ = s.shard.box.Send(ctx, appendedEvent{claimEvent: e, err: err, offset: offset})
+	}()
+}
+
+// answer answers a claim whose record was folded.
+func (s *shardState) answer(e claimEvent) {
+	reply, err := s.ledger.Answer(e.request)
+	e.reply.Answer(claimAnswer{err: err, reply: reply})
+}
+
+// answerWaiting answers the claims whose records were folded and forgets those
+// whose askers have left.
+func (s *shardState) answerWaiting() {
+	var waiting []appendedEvent
+	for _, e := range s.waiting {
+		switch {
+		case e.offset <= s.ledger.Offset():
+			s.answer(e.claimEvent)
+		case e.asker.Err() == nil:
+			waiting = append(waiting, e)
+		}
+	}
+	s.waiting = waiting
+}
--- /dev/null
+++ b/supervisor/router/access.go
@@ -0,0 +1,44 @@
+package router
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// Authenticate implements buckthorndyke.Gateway.
+func (r *Router) Authenticate(ctx context.Context, token string) (buckthorndyke.CallerRule, error) {
+	k, err := r.ready(ctx)
+	if err != nil {
+		return buckthorndyke.CallerRule{}, err
+	}
+	digest := sha256.Sum256([]byte(token))
+	caller, ok := k.progress.State.Rules.CallerByToken(hex.EncodeToString(digest[:]))
+	if !ok {
+		return caller, refuse(buckthorndyke.CodeUnauthenticated, "no caller holds this token")
+	}
+	return caller, nil
+}
+
+// Models implements buckthorndyke.Gateway.
+func (r *Router) Models(ctx context.Context, caller buckthorndyke.CallerRule) ([]buckthorndyke.ModelRule, error) {
+	k, err := r.ready(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var models []buckthorndyke.ModelRule
+	for id, model := range k.progress.State.Rules.Models.All() {
+		if permitted(caller.Models, id) {
+			models = append(models, model)
+		}
+	}
+	return models, nil
+}
+
+// permitted reports whether list permits id. An empty list permits all.
+func permitted[T comparable](list []T, id T) bool {
+	return len(list) == 0 || slices.Contains(list, id)
+}
--- /dev/null
+++ b/supervisor/router/attempt.go
@@ -0,0 +1,289 @@
+package router
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/google/uuid"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/chooser"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+const (
+	// cancelTimeout bounds the cancellation of a job that is no longer wanted.
+	cancelTimeout = 5 * buckthorndyke.Second
+	// statusTimeout bounds the question in which life a runner's engine is.
+	statusTimeout = 2 * buckthorndyke.Second
+)
+
+// attempt is one job of a request on one runner.
+type attempt struct {
+	*generation
+	engine buckthorndyke.Engine
+	job    buckthorndyke.JobID
+	// life is the engine's life before the job, or 0 if it is not known.
+	life    buckthorndyke.Incarnation
+	runner  buckthorndyke.RunnerID
+	suspect bool
+	ticket  buckthorndyke.Ticket
+}
+
+// attempt asks the owner of runner for a ticket and runs the job under it. It
+// returns nil once the answer is whole.
+func (g *generation) attempt(ctx context.Context, k knowledge, runner buckthorndyke.RunnerID) *setback {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	_, member, _ := k.owner(runner)
+	suspect := k.suspects.Suspected(g.fingerprint)
+	ticket, err := g.peer(member).Ticket(ctx, buckthorndyke.TicketRequest{
+		Caller:      g.ask.Caller.ID,
+		Deadline:    g.deadline.left(),
+		Fingerprint: g.fingerprint,
+		MaxTokens:   g.ask.MaxTokens,
+		Model:       g.ask.Model,
+		Rank:        g.ask.Caller.Rank,
+		Request:     g.ask.ID,
+		Resumed:     len(g.delivered) > 0,
+		Runner:      runner,
+		Suspect:     suspect,
+	})
+	if err != nil {
+		return setbackOfTicket(runner, err)
+	}
+	a := &attempt{
+		generation: g,
+		job:        buckthorndyke.JobID(uuid.NewString()),
+		runner:     runner,
+		suspect:    suspect,
+		ticket:     ticket,
+	}
+	a.life, _ = k.lives.Get(runner)
+	outcome := buckthorndyke.TicketDone
+	defer func() { ticket.Close(outcome) }()
+	if s := a.wait(ctx); s != nil {
+		return s
+	}
+	s := a.stream(ctx)
+	switch {
+	case s == nil:
+		a.served(ctx)
+	case s.kind == setbackBroken && ctx.Err() == nil && a.crashed(ctx):
+		outcome = buckthorndyke.TicketCrashed
+		return a.suspected(ctx, s)
+	}
+	return s
+}
+
+// broken returns the setback of a job that the runner broke off.
+func (a *attempt) broken(message string) *setback {
+	return &setback{
+		kind: setbackBroken,
+		refusal: buckthorndyke.NewRefusal(
+			buckthorndyke.CodeEngineFailed, buckthorndyke.MayHaveRun, message),
+		runner: a.runner,
+	}
+}
+
+// cancelJob stops the job at the engine, also if the request has ended. It does
+// not wait for the engine.
+func (a *attempt) cancelJob(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout.Duration())
+	go func() {
+		defer cancel()
+		// A job that cannot be cancelled ends with its connection.
+		_ = a.engine.Cancel(ctx, a.job)
+	}()
+}
+
+// forward hands a token to the caller. It returns whether the answer is whole,
+// and the setback of a token that does not belong at this place.
+func (a *attempt) forward(ctx context.Context, token buckthorndyke.Token) (bool, *setback) {
+	switch {
+	case token.Index < len(a.delivered) && !token.Last:
+		// The caller has this token from an earlier attempt.
+		return false, nil
+	case token.Index != len(a.delivered):
+		return false, a.broken("the runner left a gap before token " + strconv.Itoa(token.Index))
+	}
+	a.deadline.stop()
+	select {
+	case a.items <- item{token: token}:
+	case <-ctx.Done():
+		return false, a.broken("the caller left")
+	}
+	if !token.Last {
+		a.delivered = append(a.delivered, token.Text)
+	}
+	return token.Last, nil
+}
+
+// stream starts the job and hands its tokens to the caller.
+func (a *attempt) stream(ctx context.Context) *setback {
+	stream, err := a.start(ctx)
+	if err != nil {
+		if buckthorndyke.VerdictOf(err) == buckthorndyke.NotRun {
+			return &setback{kind: setbackRefused, refusal: buckthorndyke.RefusalOf(err), runner: a.runner}
+		}
+		a.mayHaveRun = true
+		a.cancelJob(ctx)
+		return a.broken(err.Error())
+	}
+	a.mayHaveRun = true
+	s := a.receive(ctx, stream)
+	if s != nil {
+		a.cancelJob(ctx)
+	}
+	// The answer is whole or the job is being cancelled.
+	_ = stream.Close()
+	return s
+}
+
+// receive hands tokens to the caller until the end mark, a failure or the
+// ticket's revocation. Events are pumped from the ticket and tokens from the
+// stream by goroutines that end with ctx.
+func (a *attempt) receive(ctx context.Context, stream buckthorndyke.TokenStream) *setback {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	tokens := pump(ctx, stream.Next)
+	events := pump(ctx, a.ticket.Next)
+	for {
+		select {
+		case <-ctx.Done():
+			return a.broken("the request ended")
+		case <-a.clock.After(a.options.stallTimeout):
+			return a.broken("the runner went silent")
+		case e := <-events:
+			if e.err != nil {
+				// The owner is gone. The job goes on: a new owner finds it in the
+				// engine's status.
+				events = nil
+				continue
+			}
+			a.report(ctx, e.value.Report)
+			if e.value.Kind == buckthorndyke.TicketRevoked {
+				return a.preempted()
+			}
+		case t := <-tokens:
+			if t.err != nil {
+				return a.broken(t.err.Error())
+			}
+			if whole, s := a.forward(ctx, t.value); whole || s != nil {
+				return s
+			}
+		}
+	}
+}
+
+// preempted returns the setback of a ticket that was taken back.
+func (a *attempt) preempted() *setback {
+	return &setback{
+		kind:    setbackPreempted,
+		refusal: refuse(buckthorndyke.CodePreempted, "paying work took the runner's place"),
+		runner:  a.runner,
+	}
+}
+
+// report passes a runner's report on to the router.
+func (a *attempt) report(ctx context.Context, report buckthorndyke.RunnerReport) {
+	// A lost report is only a lost hint.
+	_ = a.box.Send(ctx, reportMessage{report: report})
+}
+
+// served tells the router that the runner has answered the whole request.
+func (a *attempt) served(ctx context.Context) {
+	if prefix, ok := chooser.PrefixOf(a.ask.Model, a.ask.Prompt); ok {
+		_ = a.box.Send(ctx, servedMessage{prefix: prefix, runner: a.runner})
+	}
+	if a.suspect {
+		_ = a.box.Send(ctx, clearedMessage{fingerprint: a.fingerprint})
+	}
+}
+
+// start starts the job.
+func (a *attempt) start(ctx context.Context) (buckthorndyke.TokenStream, error) {
+	return a.engine.Generate(ctx, buckthorndyke.Job{
+		ID:        a.job,
+		MaxTokens: a.ask.MaxTokens - len(a.delivered),
+		Model:     a.ask.Model,
+		Prompt:    a.ask.Prompt,
+		Rank:      a.ask.Caller.Rank,
+		Request:   a.ask.ID,
+		Resume:    a.delivered,
+	})
+}
+
+// wait waits until the ticket is granted.
+func (a *attempt) wait(ctx context.Context) *setback {
+	for {
+		event, err := a.ticket.Next(ctx)
+		if err != nil {
+			return setbackOfTicket(a.runner, err)
+		}
+		a.report(ctx, event.Report)
+		switch event.Kind {
+		case buckthorndyke.TicketGranted:
+			a.engine = a.engines.At(event.Address)
+			return nil
+		case buckthorndyke.TicketRevoked:
+			return a.preempted()
+		default:
+		}
+	}
+}
+
+// crashed reports whether the runner's engine has crashed: whether it is out of
+// reach, or in another life than before the job. While the earlier life is not
+// known it counts as crashed, which costs no more than that the request runs
+// alone once.
+func (a *attempt) crashed(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout.Duration())
+	defer cancel()
+	status, err := a.engine.Status(ctx)
+	if err != nil {
+		return true
+	}
+	_ = a.box.Send(ctx, lifeMessage{runner: a.runner, started: status.Started})
+	return status.Started != a.life
+}
+
+// suspected counts a crash and returns the setback that it is. At the crash limit
+// the request is stopped for good.
+func (a *attempt) suspected(ctx context.Context, s *setback) *setback {
+	crashes, err := mailer.Ask(ctx, a.box, func(reply mailer.Reply[int]) message {
+		return crashMessage{alone: a.suspect, fingerprint: a.fingerprint, reply: reply}
+	})
+	if err != nil || crashes < 2 {
+		return s
+	}
+	s.kind = setbackFinal
+	s.refusal = buckthorndyke.NewRefusal(buckthorndyke.CodeCrashSuspect, buckthorndyke.MayHaveRun,
+		"the request crashed the runner that ran it alone")
+	return s
+}
+
+// result is what a stream yielded.
+type result[V any] struct {
+	err   error
+	value V
+}
+
+// pump sends what next yields until it fails or ctx ends.
+func pump[V any](ctx context.Context, next func(context.Context) (V, error)) <-chan result[V] {
+	results := make(chan result[V])
+	go func() {
+		for {
+			value, err := next(ctx)
+			select {
+			case results <- result[V]{err: err, value: value}:
+			case <-ctx.Done():
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return results
+}
--- /dev/null
+++ b/supervisor/router/deadline.go
@@ -0,0 +1,55 @@
+package router
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// deadline cancels a request whose next token is late. Its owner is the one
+// task that serves the request.
+type deadline struct {
+	cancel context.CancelCauseFunc
+	clock  buckthorndyke.Clock
+	disarm context.CancelFunc
+	due    buckthorndyke.Millis
+	span   buckthorndyke.Millis
+}
+
+// newDeadline returns a deadline that is armed for span from now.
+func newDeadline(clock buckthorndyke.Clock, span buckthorndyke.Millis, cancel context.CancelCauseFunc) *deadline {
+	d := &deadline{cancel: cancel, clock: clock, span: span}
+	d.arm()
+	return d
+}
+
+// arm starts the wait for a token unless it is already under way.
+func (d *deadline) arm() {
+	if d.disarm != nil {
+		return
+	}
+	d.due = d.clock.Now() + d.span
+	late := d.clock.After(d.span)
+	armed, disarm := context.WithCancel(context.Background())
+	d.disarm = disarm
+	go func() {
+		select {
+		case <-late:
+			d.cancel(errDeadline)
+		case <-armed.Done():
+		}
+	}()
+}
+
+// left returns the time that is left until the next token is due.
+func (d *deadline) left() buckthorndyke.Millis {
+	return max(d.due-d.clock.Now(), 0)
+}
+
+// stop ends the wait, since a token has arrived or the request has ended.
+func (d *deadline) stop() {
+	if d.disarm != nil {
+		d.disarm()
+		d.disarm = nil
+	}
+}
--- /dev/null
+++ b/supervisor/router/knowledge.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"slices"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/chooser"
+)
+
+// knowledge is what an entry VM knows when it chooses. It is immutable.
+type knowledge struct {
+	affinity chooser.Affinity
+	budget   chooser.Budget
+	// lives holds the life in which a runner's engine was last seen.
+	lives buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Incarnation]
+	// outstanding counts the calls that are under way to each backend server.
+	outstanding buckthorndyke.Table[buckthorndyke.VMID, int]
+	progress    buckthorndyke.Progress
+	reports     buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.RunnerReport]
+	suspects    chooser.Suspects
+	// turn rotates among equally loaded backend servers.
+	turn int
+	vms  []buckthorndyke.VM
+}
+
+// newKnowledge returns the knowledge of a new process.
+func newKnowledge() knowledge {
+	return knowledge{budget: chooser.NewBudget()}
+}
+
+// candidate describes one permitted runner.
+func (k knowledge) candidate(
+	runner buckthorndyke.RunnerID, r buckthorndyke.GenerateRequest,
+) chooser.Candidate {
+	c := chooser.Candidate{Runner: runner, Tier: buckthorndyke.TierRemote}
+	_, _, c.Live = k.owner(runner)
+	report, _ := k.reports.Get(runner)
+	c.Load = chooser.LoadOf(report, r.Caller.Rank)
+	c.Loaded = slices.Contains(report.Residents, r.Model)
+	if prefix, ok := chooser.PrefixOf(r.Model, r.Prompt); ok {
+		affine, known := k.affinity.RunnerOf(prefix)
+		c.Affine = known && affine == runner
+	}
+	return c
+}
+
+// order returns the permitted runners in the order in which r asks them.
+func (k knowledge) order(r buckthorndyke.GenerateRequest, seed uint64) []buckthorndyke.RunnerID {
+	placement, ok := k.progress.State.PlacementOf(r.Model)
+	if !ok {
+		return nil
+	}
+	permitted := placement.Permitted()
+	candidates := make([]chooser.Candidate, len(permitted))
+	for i, runner := range permitted {
+		candidates[i] = k.candidate(runner, r)
+	}
+	return chooser.Order(r.Model, candidates, seed)
+}
+
+// owner returns the ownership of runner and the live member that owns it.
+func (k knowledge) owner(runner buckthorndyke.RunnerID) (buckthorndyke.Ownership, buckthorndyke.Member, bool) {
+	ownership, ok := k.progress.State.Owner(runner)
+	if !ok {
+		return ownership, buckthorndyke.Member{}, false
+	}
+	member, ok := k.progress.State.Members.Get(ownership.Owner)
+	return ownership, member, ok && member.Incarnation == ownership.Incarnation
+}
+
+// withProgress returns knowledge of a newer state.
+func (k knowledge) withProgress(p buckthorndyke.Progress) knowledge {
+	k.progress = p
+	return k
+}
+
+// withReport returns knowledge that holds report unless it comes from an owner
+// that has been succeeded.
+func (k knowledge) withReport(report buckthorndyke.RunnerReport) knowledge {
+	if report.Runner == "" {
+		return k
+	}
+	if old, ok := k.reports.Get(report.Runner); ok && old.Epoch > report.Epoch {
+		return k
+	}
+	k.reports = k.reports.With(report.Runner, report)
+	return k
+}
--- /dev/null
+++ b/supervisor/router/options.go
@@ -0,0 +1,41 @@
+package router
+
+import "github.com/buckthorndyke/buckthorndyke"
+
+// Defaults.
+const (
+	defaultCallTimeout  = 30 * buckthorndyke.Second
+	defaultStallTimeout = 15 * buckthorndyke.Second
+	defaultVMInterval   = 1 * buckthorndyke.Second
+)
+
+// Option configures a Router.
+type Option func(*options)
+
+type options struct {
+	callTimeout  buckthorndyke.Millis
+	local        map[buckthorndyke.VMID]buckthorndyke.Peer
+	stallTimeout buckthorndyke.Millis
+	vmInterval   buckthorndyke.Millis
+}
+
+// WithCallTimeout bounds a call of a plain service, retries included.
+func WithCallTimeout(d buckthorndyke.Millis) Option {
+	return func(o *options) { o.callTimeout = d }
+}
+
+// WithLocal reaches vm through peer in place of the network.
+func WithLocal(vm buckthorndyke.VMID, peer buckthorndyke.Peer) Option {
+	return func(o *options) { o.local[vm] = peer }
+}
+
+// WithStallTimeout bounds the time between two tokens. A runner that is silent
+// for longer counts as failed.
+func WithStallTimeout(d buckthorndyke.Millis) Option {
+	return func(o *options) { o.stallTimeout = d }
+}
+
+// WithVMInterval sets how often the VM list is read.
+func WithVMInterval(d buckthorndyke.Millis) Option {
+	return func(o *options) { o.vmInterval = d }
+}
