--- a/adjudicator/ledger.go
+++ b/adjudicator/ledger.go
@@ -6,8 +6,9 @@
 const (
 	// DefaultKeyLifetime is the age at which keys are refused.
 	DefaultKeyLifetime = 12 * buckthorndyke.Hour
-	// KeyTolerance is how far a key's time may be ahead of the log's. It makes up
-	// for the callers' clocks.
+	// KeyTolerance is how far a key's time may be ahead of the log's, which makes
+	// up for the callers' clocks, and how long after its record a claim may be
+	// answered.
 	KeyTolerance = 5 * buckthorndyke.Minute
 
 	// bucketSpan is the span of key times that are dropped together.
@@ -24,9 +25,10 @@
 //
 // A key is refused once the log's time is later than the key's by more than the
 // lifetime, and its entry is dropped only after that. A record of a key is never
-// older than the key's time less KeyTolerance. A reader that starts later
-// therefore finds all records of a key that is not refused if the log keeps
-// records for longer than the lifetime plus KeyTolerance.
+// older than the key's time less KeyTolerance, and a claim is answered within
+// KeyTolerance after its record. A reader that starts later therefore finds all
+// records of a key that is not refused if the log keeps records for longer than
+// the lifetime plus twice KeyTolerance.
 type Ledger struct {
 	// buckets holds the entries by key time, so that old ones can be dropped.
 	buckets  buckthorndyke.Table[buckthorndyke.Millis, buckthorndyke.Table[string, entry]]
--- a/supervisor/claimer/options.go
+++ b/supervisor/claimer/options.go
@@ -37,7 +37,7 @@
 }
 
 // WithKeyLifetime sets the age at which keys are refused. The log must keep
-// records for longer than that plus adjudicator.KeyTolerance.
+// records for longer than that plus twice adjudicator.KeyTolerance.
 func WithKeyLifetime(d buckthorndyke.Millis) Option {
 	return func(o *options) { o.keyLifetime = d }
 }
--- a/supervisor/claimer/shardstate.go
+++ b/supervisor/claimer/shardstate.go
@@ -21,6 +21,8 @@
 	// appendedEvent reports the offset of a claim's record.
 	appendedEvent struct {
 		claimEvent
+		// asked is the instant before the record was appended.
+		asked  buckthorndyke.Millis
 		err    error
 		offset buckthorndyke.Offset
 	}
@@ -51,7 +53,7 @@
 		e.reply.Answer(claimAnswer{err: unavailable(
 			buckthorndyke.CodeLogUnavailable, "the log did not take the claim: "+e.err.Error())})
 	case e.offset <= s.ledger.Offset():
-		s.answer(e.claimEvent)
+		s.answer(e)
 	default:
 		s.waiting = append(s.waiting, e)
 	}
@@ -74,14 +76,20 @@
 		e.reply.Answer(claimAnswer{err: err, reply: reply})
 		return
 	}
+	asked := s.shard.clock.Now()
 	go func() {
 		offset, err := s.shard.append(e.asker, e.request)
-		_ = s.shard.box.Send(ctx, appendedEvent{claimEvent: e, err: err, offset: offset})
+		_ = s.shard.box.Send(ctx, appendedEvent{asked: asked, claimEvent: e, err: err, offset: offset})
 	}()
 }
 
-// answer answers a claim whose record was folded.
-func (s *shardState) answer(e claimEvent) {
+// answer answers a claim whose record was folded. A claim that took too long, for
+// example in a process that was paused, is not answered: the log may have dropped
+// older records of the key in the meantime.
+func (s *shardState) answer(e appendedEvent) {
+	if s.shard.clock.Now()-e.asked > adjudicator.KeyTolerance {
+		return
+	}
 	reply, err := s.ledger.Answer(e.request)
 	e.reply.Answer(claimAnswer{err: err, reply: reply})
 }
@@ -93,7 +101,7 @@
 	for _, e := range s.waiting {
 		switch {
 		case e.offset <= s.ledger.Offset():
-			s.answer(e.claimEvent)
+			s.answer(e)
 		case e.asker.Err() == nil:
 			waiting = append(waiting, e)
 		}
