--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -16,6 +16,7 @@
 const (
 	EventDrainBegun     Event = "drain-begun"
 	EventDrainEnded     Event = "drain-ended"
+	EventDrainStep      Event = "drain-step"
 	EventProcessStarted Event = "process-started"
 	EventProcessStopped Event = "process-stopped"
 	EventRulesAccepted  Event = "rules-accepted"
--- a/supervisor/prober/prober.go
+++ b/supervisor/prober/prober.go
@@ -115,16 +115,15 @@
 	return v.ready
 }
 
-// RulesVersions returns the version of the rules in force at each member. A
-// member that does not answer has NoOffset.
-func (p *Prober) RulesVersions(
-	ctx context.Context,
-) (buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.Offset], error) {
+// RulesVersions implements buckthorndyke.FleetReporter.
+func (p *Prober) RulesVersions(ctx context.Context) buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.VMRules] {
 	v, err := p.task.view(ctx)
 	if err != nil {
-		return buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.Offset]{}, err
+		self := p.task.self.VM
+		none := buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.VMRules]{}
+		return none.With(self, buckthorndyke.VMRules{Err: err, VM: self})
 	}
-	return p.task.askVersions(ctx, v.state), nil
+	return p.task.askVersions(ctx, v.state)
 }
 
 // Serve implements suture.Service.
--- a/supervisor/prober/round.go
+++ b/supervisor/prober/round.go
@@ -35,35 +35,36 @@
 // askVersions asks all members for the version of their rules.
 func (t *task) askVersions(
 	ctx context.Context, s buckthorndyke.State,
-) buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.Offset] {
-	versions := make([]buckthorndyke.Offset, s.Members.Len())
+) buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.VMRules] {
+	answers := make([]buckthorndyke.VMRules, s.Members.Len())
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.SetLimit(versionsLimit)
 	i := 0
 	for _, m := range s.Members.All() {
 		at := i
 		group.Go(func() error {
-			probeCtx, cancel := context.WithTimeout(groupCtx, t.cfg.timeout.Duration())
-			defer cancel()
-			// Without a sender the request carries no news.
-			request := buckthorndyke.ProbeRequest{}
-			if reply, err := t.peers.At(m.PeerAddress).Probe(probeCtx, request); err == nil {
-				versions[at] = reply.RulesVersion
-			}
+			answers[at] = t.askVersion(groupCtx, m)
 			return nil
 		})
 		i++
 	}
 	_ = group.Wait()
-	var table buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.Offset]
-	i = 0
-	for vm := range s.Members.All() {
-		table = table.With(vm, versions[i])
-		i++
+	var table buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.VMRules]
+	for _, a := range answers {
+		table = table.With(a.VM, a)
 	}
 	return table
 }
 
+// askVersion asks one member for the version of its rules.
+func (t *task) askVersion(ctx context.Context, m buckthorndyke.Member) buckthorndyke.VMRules {
+	ctx, cancel := context.WithTimeout(ctx, t.cfg.timeout.Duration())
+	defer cancel()
+	// Without a sender the request carries no news.
+	reply, err := t.peers.At(m.PeerAddress).Probe(ctx, buckthorndyke.ProbeRequest{})
+	return buckthorndyke.VMRules{Err: err, VM: m.VM, Version: reply.RulesVersion}
+}
+
 // extras returns the members to probe beyond the usual targets: those that are
 // in doubt, and those to tell about the members that this VM cannot reach.
 func (t *task) extras() []buckthorndyke.VMID {
