--- a/evictor/arrivals.go
+++ b/evictor/arrivals.go
@@ -30,10 +30,8 @@
 	seen    bool
 }
 
-// bound returns the upper bound of bucket i.
-func bound(i int) buckthorndyke.Millis {
-	return buckthorndyke.Millis(float64(firstBound) * math.Pow(2, float64(i)/2))
-}
+// bounds are the upper bounds of the buckets.
+var bounds = makeBounds()
 
 // bucketOf returns the bucket of a time between two requests.
 func bucketOf(gap buckthorndyke.Millis) int {
@@ -52,12 +50,12 @@
 	best, bestCost := buckthorndyke.Millis(0), coldCost
 	idle, within := 0.0, 0.0
 	for i := range bucketCount {
-		keep := float64(bound(i))
+		keep := float64(bounds[i])
 		within += weights[i] / total
 		idle += weights[i] / total * keep
 		cost := coldCost*(1-within) + idleCost*(idle+(1-within)*keep)
 		if cost < bestCost {
-			best, bestCost = bound(i), cost
+			best, bestCost = bounds[i], cost
 		}
 	}
 	return best
@@ -73,7 +71,7 @@
 	}
 	mass, remaining := 0.0, 0.0
 	for i := range bucketCount {
-		if left := bound(i) - since; left > 0 {
+		if left := bounds[i] - since; left > 0 {
 			mass += weights[i]
 			remaining += weights[i] * float64(left)
 		}
@@ -110,3 +108,12 @@
 	a.seen = true
 	return a
 }
+
+// makeBounds returns bounds that grow by the square root of two.
+func makeBounds() [bucketCount]buckthorndyke.Millis {
+	var b [bucketCount]buckthorndyke.Millis
+	for i := range b {
+		b[i] = buckthorndyke.Millis(float64(firstBound) * math.Pow(2, float64(i)/2))
+	}
+	return b
+}
--- /dev/null
+++ b/evictor/keepwarm_test.go
@@ -0,0 +1,122 @@
+package evictor_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/evictor"
+)
+
+const (
+	loadTime = 5 * buckthorndyke.Second
+	model    = buckthorndyke.ModelID("hall")
+)
+
+func TestAdaptiveKeepWarm(t *testing.T) {
+	t.Run("a model that is wanted every few minutes is kept until then", func(t *testing.T) {
+		p := arrive(evictor.NewAdaptiveKeepWarm(0.5), 20, 100*buckthorndyke.Second)
+		keep := p.KeepFor(model, loadTime)
+		asserter.True(t, keep >= 100*buckthorndyke.Second && keep <= 4*buckthorndyke.Minute, fmt.Sprintf("kept for %d ms", keep))
+	})
+	t.Run("a model that is wanted once a day is not kept for it", func(t *testing.T) {
+		p := arrive(evictor.NewAdaptiveKeepWarm(0.5), 20, buckthorndyke.Day)
+		asserter.True(t, p.KeepFor(model, loadTime) < 10*buckthorndyke.Minute, "kept for long")
+	})
+	t.Run("a higher weight of cold starts keeps longer", func(t *testing.T) {
+		low := arriveAtRandom(evictor.NewAdaptiveKeepWarm(0.2)).KeepFor(model, loadTime)
+		high := arriveAtRandom(evictor.NewAdaptiveKeepWarm(0.9)).KeepFor(model, loadTime)
+		asserter.True(t, low < high, fmt.Sprintf("kept for %d ms and %d ms", low, high))
+	})
+	t.Run("the extremes keep nothing and keep on", func(t *testing.T) {
+		asserter.Equal(t, arriveAtRandom(evictor.NewAdaptiveKeepWarm(0)).KeepFor(model, loadTime), 0)
+		asserter.True(t, arriveAtRandom(evictor.NewAdaptiveKeepWarm(1)).KeepFor(model, loadTime) >= buckthorndyke.Hour, "not kept")
+	})
+	t.Run("a longer load keeps longer", func(t *testing.T) {
+		p := arriveAtRandom(evictor.NewAdaptiveKeepWarm(0.5))
+		asserter.True(t, p.KeepFor(model, loadTime/50) < p.KeepFor(model, 4*loadTime), "the load time changes nothing")
+	})
+	t.Run("the rarer model is worth less", func(t *testing.T) {
+		rare := arrive(evictor.NewAdaptiveKeepWarm(0.5), 20, buckthorndyke.Hour)
+		often := arrive(evictor.NewAdaptiveKeepWarm(0.5), 20, buckthorndyke.Minute)
+		asserter.True(t, rare.Worth(model, loadTime, 20*buckthorndyke.Hour) < often.Worth(model, loadTime, 20*buckthorndyke.Minute), "worth more")
+	})
+	t.Run("a value that was made earlier does not change", func(t *testing.T) {
+		p := arrive(evictor.NewAdaptiveKeepWarm(0.5), 20, buckthorndyke.Minute)
+		before := p.KeepFor(model, loadTime)
+		p.WithArrival(model, buckthorndyke.Day)
+		asserter.Equal(t, p.KeepFor(model, loadTime), before)
+	})
+}
+
+func TestBaselines(t *testing.T) {
+	t.Run("a fixed time-out is the same for all", func(t *testing.T) {
+		asserter.Equal(t, evictor.NewFixedKeepWarm(buckthorndyke.Minute).KeepFor(model, loadTime), buckthorndyke.Minute)
+	})
+	t.Run("the least recently used is worth least", func(t *testing.T) {
+		p := evictor.NewLRUKeepWarm().WithArrival("old", 1).WithArrival("new", 2)
+		asserter.True(t, p.Worth("old", loadTime, 3) < p.Worth("new", loadTime, 3), "the newer one is worth less")
+	})
+}
+
+// BenchmarkMemoryPerModel reports the memory that the histograms of n models
+// take.
+func BenchmarkMemoryPerModel(b *testing.B) {
+	for _, n := range []int{1000, 31000} {
+		b.Run(fmt.Sprintf("models=%d", n), func(b *testing.B) {
+			models := make([]buckthorndyke.ModelID, n)
+			for i := range models {
+				models[i] = buckthorndyke.ModelID(fmt.Sprintf("adapter-%05d", i))
+			}
+			var p buckthorndyke.KeepWarmPolicy
+			for b.Loop() {
+				before := heap()
+				p = evictor.NewAdaptiveKeepWarm(0.5)
+				for round := range buckthorndyke.Millis(2) {
+					for _, m := range models {
+						p = p.WithArrival(m, round*buckthorndyke.Minute)
+					}
+				}
+				b.ReportMetric(float64(heap()-before)/float64(n), "bytes/model")
+			}
+			runtime.KeepAlive(p)
+		})
+	}
+}
+
+// BenchmarkKeepFor measures one choice of a keep time.
+func BenchmarkKeepFor(b *testing.B) {
+	p := arriveAtRandom(evictor.NewAdaptiveKeepWarm(0.5))
+	for b.Loop() {
+		p.KeepFor(model, loadTime)
+	}
+}
+
+// arrive returns p after n requests at equal intervals.
+func arrive(p buckthorndyke.KeepWarmPolicy, n int, interval buckthorndyke.Millis) buckthorndyke.KeepWarmPolicy {
+	for i := range n {
+		p = p.WithArrival(model, buckthorndyke.Millis(i)*interval)
+	}
+	return p
+}
+
+// arriveAtRandom returns p after requests at exponential intervals.
+func arriveAtRandom(p buckthorndyke.KeepWarmPolicy) buckthorndyke.KeepWarmPolicy {
+	random := rand.New(rand.NewPCG(1, 2))
+	now := buckthorndyke.Millis(0)
+	for range 500 {
+		now += buckthorndyke.Millis(random.ExpFloat64() * float64(2*buckthorndyke.Minute))
+		p = p.WithArrival(model, now)
+	}
+	return p
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/supervisor/owner/owner.go
+++ b/supervisor/owner/owner.go
@@ -29,9 +29,10 @@
 	lease       buckthorndyke.Millis
 	// life ends with the owner. Messages to it are given up then.
 	life     context.Context
-	liveness buckthorndyke.LivenessReporter
 	peers    buckthorndyke.Peers
 	proposer buckthorndyke.Proposer
+	// reports tells which members are suspected.
+	reports  buckthorndyke.LivenessReporter
 	self     buckthorndyke.Self
 	stewards *suture.Supervisor
 	// stewardOptions are given to each steward.
@@ -76,9 +77,9 @@
 		gate:        gate,
 		lease:       steward.DefaultLease,
 		life:        life,
-		liveness:    liveness,
 		peers:       peers,
 		proposer:    proposer,
+		reports:     liveness,
 		self:        self,
 		vmlist:      vmlist,
 	}
--- a/supervisor/owner/task.go
+++ b/supervisor/owner/task.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/owner/steward"
@@ -59,13 +61,12 @@
 	t.ctx = ctx
 	defer t.stopAll()
 	done := t.stewards.ServeBackground(ctx)
-	progress, liveness := t.follower.Subscribe(ctx), t.Owner.liveness.Subscribe(ctx)
+	progress, liveness := t.follower.Subscribe(ctx), t.reports.Subscribe(ctx)
 	timer := t.clock.After(0)
 	for {
 		select {
 		case <-ctx.Done():
-			<-done
-			return ctx.Err()
+			return errors.CombineErrors(ctx.Err(), <-done)
 		case p := <-progress:
 			t.outlook.progress = p
 			t.reconcile()
