test(steward): lost orders, takeovers, crashes, withdrawals, drains

Red before: after a crash that a holder reported, waiting requests were granted on models that the engine had lost (grants now wait for a report asked for since); an idle model whose load had not been measured in its tier had no keep time and was evicted at once, also for free work (an assumed rate now stands in).

--- a/evictor/adaptive.go
+++ b/evictor/adaptive.go
@@ -7,7 +7,7 @@
 	DefaultColdStartWeight = 0.5
 	// coldStartFactor is the idle time that is worth one unit of load time that a
 	// caller waits, at equal weights.
-	coldStartFactor = 30
+	coldStartFactor = 120
 )
 
 // AdaptiveKeepWarm keeps a model for the time that costs least, by the
--- a/supervisor/owner/steward/loadtimes.go
+++ b/supervisor/owner/steward/loadtimes.go
@@ -11,6 +11,19 @@
 	perMB [buckthorndyke.TierRemote + 1]float64
 }
 
+// assumedPerMB are the times for one megabyte in milliseconds that are assumed
+// until one was measured.
+var assumedPerMB = [buckthorndyke.TierRemote + 1]float64{0.0625, 0.25, 0.5}
+
+// cost returns the time that a load takes, measured or assumed.
+func (l loadTimes) cost(tier buckthorndyke.Tier, memoryMB int) buckthorndyke.Millis {
+	tier = min(tier, buckthorndyke.TierRemote)
+	if l.perMB[tier] == 0 {
+		return buckthorndyke.Millis(assumedPerMB[tier] * float64(memoryMB))
+	}
+	return l.predict(tier, memoryMB)
+}
+
 // predict returns the time that a load takes, or 0 if none was measured yet.
 func (l loadTimes) predict(tier buckthorndyke.Tier, memoryMB int) buckthorndyke.Millis {
 	return buckthorndyke.Millis(l.perMB[min(tier, buckthorndyke.TierRemote)] * float64(memoryMB))
--- a/supervisor/owner/steward/plan.go
+++ b/supervisor/owner/steward/plan.go
@@ -84,9 +84,10 @@
 	return candidates
 }
 
-// loadTime predicts the load time of model from the tier that caches it.
+// loadTime returns what it takes to load model again, from the tier that caches
+// it.
 func (p planner) loadTime(model buckthorndyke.ModelID, memoryMB int) buckthorndyke.Millis {
-	return p.times.predict(tierOf(p.cached, model), memoryMB)
+	return p.times.cost(tierOf(p.cached, model), memoryMB)
 }
 
 // planIdle plans the eviction of a model that was idle for its keep time.
--- a/supervisor/owner/steward/rebuild.go
+++ b/supervisor/owner/steward/rebuild.go
@@ -20,8 +20,12 @@
 // statusRun is the standing of the status calls.
 type statusRun struct {
 	// at is the instant of the next call.
-	at      buckthorndyke.Millis
-	pending bool
+	at buckthorndyke.Millis
+	// doubtful is the instant at which a job was broken off, until a report that
+	// was asked for since then has come. Nothing starts before that. It is 0
+	// otherwise.
+	doubtful buckthorndyke.Millis
+	pending  bool
 }
 
 // answerStatus takes over a runner's report.
@@ -34,6 +38,9 @@
 		return
 	}
 	t.failures = 0
+	if m.asked >= t.status.doubtful {
+		t.status.doubtful = 0
+	}
 	if t.gone {
 		t.gone = false
 		t.enter(phaseRead, now)
--- a/supervisor/owner/steward/bench_env_test.go
+++ b/supervisor/owner/steward/site_test.go
@@ -32,8 +32,10 @@
 	gate     *openGate
 	proposer *recorder
 	steward  *steward.Steward
-	t        *testing.T
-	view     steward.View
+	// start0 is the instant at which the steward started.
+	start0 buckthorndyke.Millis
+	t      *testing.T
+	view   steward.View
 }
 
 // inSite runs test with a steward that has read its runner's status.
@@ -55,7 +57,7 @@
 	store := standin.NewMemoryWeightStore(clock)
 	s := &site{
 		cancel: cancel, clock: clock, ctx: ctx, engine: standin.NewMemoryEngine(clock, store, cfg),
-		gate: &openGate{}, proposer: &recorder{changes: make(chan buckthorndyke.Change, 16)}, t: t,
+		gate: &openGate{asked: make(chan buckthorndyke.LoadRequest, 64)}, proposer: &recorder{changes: make(chan buckthorndyke.Change, 16)}, t: t,
 	}
 	standin.Start(ctx, store, s.engine)
 	var rules buckthorndyke.Rules
@@ -149,6 +151,22 @@
 	return j
 }
 
+// generate runs a job under no ticket of the steward, as one of a previous
+// owner's.
+func (s *site) generate(model buckthorndyke.ModelID) buckthorndyke.TokenStream {
+	s.t.Helper()
+	stream, err := s.engine.Generate(s.ctx, buckthorndyke.Job{ID: "old", MaxTokens: 2000, Model: model, Request: "old"})
+	asserter.NoError(s.t, err)
+	return stream
+}
+
+// order gives the engine an order as another owner does.
+func (s *site) order(o buckthorndyke.Order) {
+	s.t.Helper()
+	_, err := s.engine.Order(s.ctx, o)
+	asserter.NoError(s.t, err)
+}
+
 // residents returns what the engine holds.
 func (s *site) residents() []buckthorndyke.ModelID {
 	status, err := s.engine.Status(s.ctx)
@@ -184,11 +202,24 @@
 	synctest.Wait()
 }
 
-// openGate permits all loads at once.
-type openGate struct{}
+// openGate permits all loads at once and remembers what was asked for. While
+// shut it permits none.
+type openGate struct {
+	asked chan buckthorndyke.LoadRequest
+	shut  chan struct{}
+}
 
-func (*openGate) AcquireLoad(context.Context, buckthorndyke.LoadRequest) (buckthorndyke.LoadPermit, error) {
-	return openPermit{}, nil
+func (g *openGate) AcquireLoad(ctx context.Context, r buckthorndyke.LoadRequest) (buckthorndyke.LoadPermit, error) {
+	g.asked <- r
+	if g.shut == nil {
+		return openPermit{}, nil
+	}
+	select {
+	case <-g.shut:
+		return openPermit{}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 }
 
 type openPermit struct{}
--- a/supervisor/owner/steward/tickets.go
+++ b/supervisor/owner/steward/tickets.go
@@ -8,6 +8,10 @@
 
 // admissionView returns what admission needs to know at now.
 func (t *task) admissionView(now buckthorndyke.Millis) buckthorndyke.AdmissionView {
+	slots := t.slots
+	if t.status.doubtful > 0 {
+		slots = 0
+	}
 	return buckthorndyke.AdmissionView{
 		Cleared:  func(m buckthorndyke.ModelID) bool { return t.plan.cleared[m] },
 		Foreign:  len(t.foreign),
@@ -16,7 +20,7 @@
 		LoadWait: func(m buckthorndyke.ModelID) buckthorndyke.Millis { return t.loadWait(m, now) },
 		Now:      now,
 		Rules:    t.view.State.Rules,
-		Slots:    t.slots,
+		Slots:    slots,
 	}
 }
 
@@ -79,6 +83,7 @@
 	t.admission = t.admission.Without(m.id, now)
 	if m.outcome == buckthorndyke.TicketCrashed {
 		t.status.at = now
+		t.status.doubtful = now
 	}
 }
 
