--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/arbiter"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 )
 
 func TestFoldOwnership(t *testing.T) {
@@ -15,9 +16,9 @@
 		f.assertRejected(take("c", 1, "r", 4, "a"))
 		f.assertAccepted(take("b", 1, "r", 4, "c"))
 		o, _ := f.state.Owner("r")
-		assertEqual(t, o.Owner, "b")
-		assertEqual(t, o.Previous, "a")
-		assertEqual(t, o.Epoch, f.state.Offset)
+		asserter.Equal(t, o.Owner, "b")
+		asserter.Equal(t, o.Previous, "a")
+		asserter.Equal(t, o.Epoch, f.state.Offset)
 	})
 	t.Run("a take that is based on an old epoch is rejected", func(t *testing.T) {
 		f := newFold(t, join("a", 1), join("b", 1), take("a", 1, "r", 0, "b"), take("b", 1, "r", 3, "a"))
@@ -32,19 +33,19 @@
 	})
 	t.Run("a released runner has no previous owner", func(t *testing.T) {
 		f := newFold(t, join("a", 1), join("b", 1), take("a", 1, "r", 0))
-		f.assertAccepted(release("a", 1, "r", 3, ""))
-		f.assertRejected(release("a", 1, "r", 3, ""))
+		f.assertAccepted(release(""))
+		f.assertRejected(release(""))
 		f.assertAccepted(take("b", 1, "r", 3))
 		o, _ := f.state.Owner("r")
-		assertEqual(t, o.Previous, "")
+		asserter.Equal(t, o.Previous, "")
 	})
 	t.Run("a handover raises the epoch", func(t *testing.T) {
 		f := newFold(t, join("a", 1), join("b", 7), take("a", 1, "r", 0, "b"))
-		f.assertRejected(release("a", 1, "r", 3, "nobody"))
-		f.assertAccepted(release("a", 1, "r", 3, "b"))
+		f.assertRejected(release("nobody"))
+		f.assertAccepted(release("b"))
 		o, _ := f.state.Owner("r")
-		assertEqual(t, o.OwnedBy("b", 7), true)
-		assertEqual(t, o.Epoch, f.state.Offset)
+		asserter.Equal(t, o.OwnedBy("b", 7), true)
+		asserter.Equal(t, o.Epoch, f.state.Offset)
 		f.assertRejected(take("b", 7, "r", 3))
 	})
 	t.Run("a draining member takes nothing", func(t *testing.T) {
@@ -61,7 +62,7 @@
 		f.assertRejected(join("a", 1))
 		f.assertRejected(leave("a", 1, false))
 		f.assertAccepted(leave("a", 2, false))
-		assertEqual(t, f.state.Members.Has("a"), false)
+		asserter.Equal(t, f.state.Members.Has("a"), false)
 	})
 	t.Run("only the VM itself joins", func(t *testing.T) {
 		f := newFold(t)
@@ -79,35 +80,35 @@
 	}
 	t.Run("a permission that moves counts until the eviction is confirmed", func(t *testing.T) {
 		f := setUp(t)
-		f.assertAccepted(permit("m", 0, "r", "q"))
+		f.assertAccepted(permit(0, "r", "q"))
 		v := f.state.Offset
-		f.assertRejected(permit("m", v, "p"))
-		f.assertAccepted(withdraw("m", v, "r"))
+		f.assertRejected(permit(v, "p"))
+		f.assertAccepted(withdraw(v, "r"))
 		v = f.state.Offset
-		f.assertRejected(permit("m", v, "p"))
-		f.assertRejected(freeSlot("a", 1, 4, "m", "r"))
-		f.assertAccepted(freeSlot("a", 1, 3, "m", "r"))
-		f.assertAccepted(permit("m", f.state.Offset, "p"))
+		f.assertRejected(permit(v, "p"))
+		f.assertRejected(freeSlot(4))
+		f.assertAccepted(freeSlot(3))
+		f.assertAccepted(permit(f.state.Offset, "p"))
 	})
 	t.Run("an old base is rejected", func(t *testing.T) {
 		f := setUp(t)
-		f.assertAccepted(permit("m", 0, "r"))
-		f.assertRejected(permit("m", 0, "q"))
-		f.assertRejected(withdraw("m", 0, "r"))
+		f.assertAccepted(permit(0, "r"))
+		f.assertRejected(permit(0, "q"))
+		f.assertRejected(withdraw(0, "r"))
 	})
 	t.Run("a slot that is not withdrawn is not freed", func(t *testing.T) {
 		f := setUp(t)
-		f.assertAccepted(permit("m", 0, "r"))
-		f.assertRejected(freeSlot("a", 1, 3, "m", "r"))
+		f.assertAccepted(permit(0, "r"))
+		f.assertRejected(freeSlot(3))
 	})
 	t.Run("a model that is gone from the rules gets no permit and its placement ends", func(t *testing.T) {
 		f := setUp(t)
-		f.assertAccepted(permit("m", 0, "r"))
+		f.assertAccepted(permit(0, "r"))
 		f.assertAccepted(rules(1, "n 1"))
-		f.assertRejected(permit("m", f.state.Offset-1, "q"))
-		f.assertAccepted(withdraw("m", f.state.Offset-2, "r"))
-		f.assertAccepted(freeSlot("a", 1, 3, "m", "r"))
-		assertEqual(t, f.state.Placements.Has("m"), false)
+		f.assertRejected(permit(f.state.Offset-1, "q"))
+		f.assertAccepted(withdraw(f.state.Offset-2, "r"))
+		f.assertAccepted(freeSlot(3))
+		asserter.Equal(t, f.state.Placements.Has("m"), false)
 	})
 }
 
@@ -116,25 +117,25 @@
 		f := newFold(t, rules(0, "m 1"))
 		f.assertAccepted(rules(1, "m 2"))
 		f.assertRejected(rules(1, "m 3"))
-		assertEqual(t, f.state.RulesText, "m 2")
-		assertEqual(t, f.state.RulesVersion, 2)
-		assertEqual(t, f.state.Audit.Len(), 3)
+		asserter.Equal(t, f.state.RulesText, "m 2")
+		asserter.Equal(t, f.state.RulesVersion, 2)
+		asserter.Equal(t, f.state.Audit.Len(), 3)
 		lost, _ := f.state.Audit.Get(3)
-		assertEqual(t, lost.Accepted, false)
-		assertEqual(t, strings.Join(lost.Difference, " "), "-m 2 +m 3")
+		asserter.Equal(t, lost.Accepted, false)
+		asserter.Equal(t, strings.Join(lost.Difference, " "), "-m 2 +m 3")
 	})
 	t.Run("a text with faults changes nothing", func(t *testing.T) {
 		f := newFold(t, rules(0, "m 1"))
 		f.assertRejected(rules(1, "bad"))
-		assertEqual(t, f.state.RulesVersion, 1)
+		asserter.Equal(t, f.state.RulesVersion, 1)
 	})
 	t.Run("a proposal that was appended twice is ruled on once", func(t *testing.T) {
 		f := newFold(t)
 		p := rules(0, "m 1")
 		f.assertAccepted(p)
 		f.assertAccepted(p)
-		assertEqual(t, f.state.RulesVersion, 1)
-		assertEqual(t, f.state.Audit.Len(), 1)
+		asserter.Equal(t, f.state.RulesVersion, 1)
+		asserter.Equal(t, f.state.Audit.Len(), 1)
 	})
 }
 
@@ -142,16 +143,15 @@
 	t.Run("an unknown change is counted and changes nothing else", func(t *testing.T) {
 		f := newFold(t, join("a", 1))
 		f.assertRejected(propose("", 0, buckthorndyke.UnknownChange{Data: []byte{1}}))
-		assertEqual(t, f.state.Unknown, 1)
-		assertEqual(t, f.state.Offset, 2)
-		assertEqual(t, f.state.Members.Len(), 1)
+		asserter.Equal(t, f.state.Unknown, 1)
+		asserter.Equal(t, f.state.Offset, 2)
+		asserter.Equal(t, f.state.Members.Len(), 1)
 	})
 }
 
 // fold applies proposals one after the other.
 type fold struct {
 	arbiter *arbiter.Arbiter
-	next    int
 	state   buckthorndyke.State
 	t       *testing.T
 }
@@ -186,13 +186,6 @@
 	}
 }
 
-func assertEqual[V comparable](t *testing.T, got, want V) {
-	t.Helper()
-	if got != want {
-		t.Errorf("got %v, want %v", got, want)
-	}
-}
-
 // lineParser reads one "model replicas" pair a line.
 type lineParser struct{}
 
--- /dev/null
+++ b/arbiter/broken_test.go
@@ -0,0 +1,91 @@
+package arbiter_test
+
+import (
+	"fmt"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// foldWithoutIDs does not recognize a record that was appended again.
+func foldWithoutIDs() foldFunc {
+	f := plainFold()
+	return func(
+		s buckthorndyke.State, offset buckthorndyke.Offset, p buckthorndyke.Proposal,
+	) (buckthorndyke.State, buckthorndyke.Ruling) {
+		p.ID = buckthorndyke.ProposalID(fmt.Sprint(p.ID, "@", offset))
+		return f(s, offset, p)
+	}
+}
+
+// foldWithMemory rules by something that is not in the state.
+func foldWithMemory() foldFunc {
+	f := plainFold()
+	calls := 0
+	return func(
+		s buckthorndyke.State, offset buckthorndyke.Offset, p buckthorndyke.Proposal,
+	) (buckthorndyke.State, buckthorndyke.Ruling) {
+		calls++
+		if _, ok := p.Change.(buckthorndyke.RulesChange); ok && calls%2 == 0 {
+			p.Change = buckthorndyke.UnknownChange{}
+		}
+		return f(s, offset, p)
+	}
+}
+
+// foldWithRulesBase accepts rules whatever they are based on.
+func foldWithRulesBase() foldFunc {
+	f := plainFold()
+	return func(
+		s buckthorndyke.State, offset buckthorndyke.Offset, p buckthorndyke.Proposal,
+	) (buckthorndyke.State, buckthorndyke.Ruling) {
+		if c, ok := p.Change.(buckthorndyke.RulesChange); ok {
+			c.Base = s.RulesVersion
+			p.Change = c
+		}
+		return f(s, offset, p)
+	}
+}
+
+// foldThatFreesAtOnce frees a slot when its permission is withdrawn.
+func foldThatFreesAtOnce() foldFunc {
+	f := plainFold()
+	return func(
+		s buckthorndyke.State, offset buckthorndyke.Offset, p buckthorndyke.Proposal,
+	) (buckthorndyke.State, buckthorndyke.Ruling) {
+		s, r := f(s, offset, p)
+		if c, ok := p.Change.(buckthorndyke.WithdrawChange); ok && r.Accepted {
+			placement, _ := s.Placements.Get(c.Model)
+			s = s.WithPlacement(placement.WithoutSlot(c.Runner))
+		}
+		return s, r
+	}
+}
+
+// foldThatKeepsEpoch does not raise the epoch in a takeover.
+func foldThatKeepsEpoch() foldFunc {
+	f := plainFold()
+	return func(
+		s buckthorndyke.State, offset buckthorndyke.Offset, p buckthorndyke.Proposal,
+	) (buckthorndyke.State, buckthorndyke.Ruling) {
+		s, r := f(s, offset, p)
+		if c, ok := p.Change.(buckthorndyke.TakeChange); ok && r.Accepted && c.Base > 0 {
+			o, _ := s.Ownerships.Get(c.Ownership.Runner)
+			s = s.WithOwnership(o.WithEpoch(c.Base))
+		}
+		return s, r
+	}
+}
+
+// foldThatForgetsOwner lets any member take a runner over.
+func foldThatForgetsOwner() foldFunc {
+	f := plainFold()
+	return func(
+		s buckthorndyke.State, offset buckthorndyke.Offset, p buckthorndyke.Proposal,
+	) (buckthorndyke.State, buckthorndyke.Ruling) {
+		if c, ok := p.Change.(buckthorndyke.TakeChange); ok && s.Ownerships.Has(c.Ownership.Runner) {
+			o, _ := s.Ownerships.Get(c.Ownership.Runner)
+			s = s.WithOwnership(o.WithOwner("", 0))
+		}
+		return f(s, offset, p)
+	}
+}
--- /dev/null
+++ b/arbiter/properties_test.go
@@ -0,0 +1,216 @@
+package arbiter_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/encoder"
+)
+
+const (
+	propertySeed = 20261204
+	// streamLength is the number of records of a generated stream.
+	streamLength = 120
+)
+
+// foldFunc is the fold, or a variant of it that is broken on purpose.
+type foldFunc func(buckthorndyke.State, buckthorndyke.Offset, buckthorndyke.Proposal) (buckthorndyke.State, buckthorndyke.Ruling)
+
+// property says whether something holds for the stream that a seed makes.
+type property func(f foldFunc, seed int64) bool
+
+func TestProperties(t *testing.T) {
+	t.Run("a stream with records appended again makes the same state", func(t *testing.T) {
+		assertHolds(t, sameStateWithDuplicates)
+		assertCatches(t, sameStateWithDuplicates, foldWithoutIDs())
+	})
+	t.Run("followers that start from a checkpoint reach the same state", func(t *testing.T) {
+		assertHolds(t, sameStateFromCheckpoint)
+		assertCatches(t, sameStateFromCheckpoint, foldWithMemory())
+	})
+	t.Run("accepted rules are never replaced by ones based on older rules", func(t *testing.T) {
+		assertHolds(t, rulesNeverRevert)
+		assertCatches(t, rulesNeverRevert, foldWithRulesBase())
+	})
+	t.Run("replicas that may be loaded never exceed the maximum", func(t *testing.T) {
+		assertHolds(t, replicasStayWithinMaximum)
+		assertCatches(t, replicasStayWithinMaximum, foldThatFreesAtOnce())
+	})
+	t.Run("epochs of a runner only rise and have one owner", func(t *testing.T) {
+		assertHolds(t, epochsRise)
+		assertCatches(t, epochsRise, foldThatKeepsEpoch())
+	})
+	t.Run("an owner that is a member is replaced only by a successor or with its consent", func(t *testing.T) {
+		assertHolds(t, ownersAreRespected)
+		assertCatches(t, ownersAreRespected, foldThatForgetsOwner())
+	})
+}
+
+func assertHolds(t *testing.T, p property) {
+	t.Helper()
+	parameters := gopter.DefaultTestParametersWithSeed(propertySeed)
+	properties := gopter.NewProperties(parameters)
+	properties.Property(t.Name(), prop.ForAll(func(seed int64) bool { return p(plainFold(), seed) }, gen.Int64()))
+	properties.TestingRun(t)
+}
+
+// assertCatches checks that p fails for a fold that is broken.
+func assertCatches(t *testing.T, p property, broken foldFunc) {
+	t.Helper()
+	for seed := range int64(50) {
+		if !p(broken, seed) {
+			return
+		}
+	}
+	t.Error("the property holds for a fold that is broken")
+}
+
+func plainFold() foldFunc {
+	a := newArbiter()
+	return func(
+		s buckthorndyke.State, offset buckthorndyke.Offset, p buckthorndyke.Proposal,
+	) (buckthorndyke.State, buckthorndyke.Ruling) {
+		return a.Fold(s, offset, 0, p)
+	}
+}
+
+func sameStateWithDuplicates(f foldFunc, seed int64) bool {
+	records := newStream(f, seed).records
+	var once, twice buckthorndyke.State
+	for i, p := range records {
+		offset := buckthorndyke.Offset(2*i + 1)
+		once, _ = f(once, offset, p)
+		twice, _ = f(twice, offset, p)
+		again := records[(int(seed&0xff)*i)%(i+1)]
+		twice, _ = f(twice, offset+1, again)
+	}
+	return equalStates(once.WithOffset(0), twice.WithOffset(0))
+}
+
+func sameStateFromCheckpoint(f foldFunc, seed int64) bool {
+	records := newStream(f, seed).records
+	cut := int(uint64(seed) % streamLength)
+	var straight, restored buckthorndyke.State
+	for i, p := range records {
+		straight, _ = f(straight, buckthorndyke.Offset(i+1), p)
+		if i == cut {
+			restored = throughWire(straight)
+		}
+		if i > cut {
+			restored, _ = f(restored, buckthorndyke.Offset(i+1), p)
+		}
+	}
+	return equalStates(straight, restored)
+}
+
+func rulesNeverRevert(f foldFunc, seed int64) bool {
+	var s buckthorndyke.State
+	for i, p := range newStream(f, seed).records {
+		before := s.RulesVersion
+		var r buckthorndyke.Ruling
+		s, r = f(s, buckthorndyke.Offset(i+1), p)
+		c, ok := p.Change.(buckthorndyke.RulesChange)
+		fresh := r.Offset == s.Offset
+		if s.RulesVersion < before || ok && fresh && r.Accepted && c.Base != before {
+			return false
+		}
+	}
+	return true
+}
+
+func replicasStayWithinMaximum(f foldFunc, seed int64) bool {
+	var s buckthorndyke.State
+	loadable := make(map[string]int)
+	counted := make(map[buckthorndyke.ModelID]int)
+	for i, p := range newStream(f, seed).records {
+		var r buckthorndyke.Ruling
+		s, r = f(s, buckthorndyke.Offset(i+1), p)
+		if !r.Accepted || r.Offset != s.Offset {
+			continue
+		}
+		switch c := p.Change.(type) {
+		case buckthorndyke.PermitChange:
+			for _, runner := range c.Runners {
+				key := fmt.Sprint(c.Model, " ", runner)
+				counted[c.Model] += 1 - loadable[key]
+				loadable[key] = 1
+			}
+			rule, _ := s.Rules.Models.Get(c.Model)
+			if counted[c.Model] > rule.Replicas {
+				return false
+			}
+		case buckthorndyke.FreeSlotChange:
+			key := fmt.Sprint(c.Model, " ", c.Runner)
+			counted[c.Model] -= loadable[key]
+			loadable[key] = 0
+		}
+	}
+	return true
+}
+
+func epochsRise(f foldFunc, seed int64) bool {
+	var s buckthorndyke.State
+	owners := make(map[string]string)
+	for i, p := range newStream(f, seed).records {
+		before := s
+		s, _ = f(s, buckthorndyke.Offset(i+1), p)
+		for runner, o := range s.Ownerships.All() {
+			old, _ := before.Ownerships.Get(runner)
+			if o.Epoch < old.Epoch {
+				return false
+			}
+			key, owner := fmt.Sprint(runner, " ", o.Epoch), fmt.Sprint(o.Owner, " ", o.Incarnation)
+			if have, ok := owners[key]; ok && o.Owner != "" && have != owner {
+				return false
+			}
+			owners[key] = owner
+		}
+	}
+	return true
+}
+
+func ownersAreRespected(f foldFunc, seed int64) bool {
+	var s buckthorndyke.State
+	for i, p := range newStream(f, seed).records {
+		before := s
+		s, _ = f(s, buckthorndyke.Offset(i+1), p)
+		for runner, o := range s.Ownerships.All() {
+			old, _ := before.Ownerships.Get(runner)
+			m, member := before.Members.Get(old.Owner)
+			if !member || m.Incarnation != old.Incarnation || o.Owner == old.Owner {
+				continue
+			}
+			if !old.HasSuccessor(o.Owner) && p.Proposer != old.Owner {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func equalStates(a, b buckthorndyke.State) bool {
+	return string(encoded(a)) == string(encoded(b))
+}
+
+func encoded(s buckthorndyke.State) []byte {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(encoder.State(s))
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// throughWire returns s as a follower gets it from a checkpoint.
+func throughWire(s buckthorndyke.State) buckthorndyke.State {
+	decoded, err := encoder.NewProto(lineParser{}).DecodeState(encoder.State(s))
+	if err != nil {
+		panic(err)
+	}
+	return decoded
+}
--- a/arbiter/proposals_test.go
+++ b/arbiter/proposals_test.go
@@ -35,32 +35,22 @@
 	return propose(vm, incarnation, buckthorndyke.TakeChange{Base: base, Ownership: o})
 }
 
-func release(
-	vm buckthorndyke.VMID, incarnation buckthorndyke.Incarnation, runner buckthorndyke.RunnerID,
-	epoch buckthorndyke.Offset, heir buckthorndyke.VMID,
-) buckthorndyke.Proposal {
-	c := buckthorndyke.ReleaseChange{Epoch: epoch, Heir: heir, Runner: runner}
-	return propose(vm, incarnation, c)
+// release has "a" release the runner "r" that it took by the third record.
+func release(heir buckthorndyke.VMID) buckthorndyke.Proposal {
+	return propose("a", 1, buckthorndyke.ReleaseChange{Epoch: 3, Heir: heir, Runner: "r"})
 }
 
-func permit(
-	model buckthorndyke.ModelID, base buckthorndyke.Offset, runners ...buckthorndyke.RunnerID,
-) buckthorndyke.Proposal {
-	return propose("", 0, buckthorndyke.PermitChange{Base: base, Model: model, Runners: runners})
+func permit(base buckthorndyke.Offset, runners ...buckthorndyke.RunnerID) buckthorndyke.Proposal {
+	return propose("", 0, buckthorndyke.PermitChange{Base: base, Model: "m", Runners: runners})
 }
 
-func withdraw(
-	model buckthorndyke.ModelID, base buckthorndyke.Offset, runner buckthorndyke.RunnerID,
-) buckthorndyke.Proposal {
-	return propose("", 0, buckthorndyke.WithdrawChange{Base: base, Model: model, Runner: runner})
+func withdraw(base buckthorndyke.Offset, runner buckthorndyke.RunnerID) buckthorndyke.Proposal {
+	return propose("", 0, buckthorndyke.WithdrawChange{Base: base, Model: "m", Runner: runner})
 }
 
-func freeSlot(
-	vm buckthorndyke.VMID, incarnation buckthorndyke.Incarnation, epoch buckthorndyke.Offset,
-	model buckthorndyke.ModelID, runner buckthorndyke.RunnerID,
-) buckthorndyke.Proposal {
-	c := buckthorndyke.FreeSlotChange{Epoch: epoch, Model: model, Runner: runner}
-	return propose(vm, incarnation, c)
+// freeSlot has "a" confirm the eviction from "r".
+func freeSlot(epoch buckthorndyke.Offset) buckthorndyke.Proposal {
+	return propose("a", 1, buckthorndyke.FreeSlotChange{Epoch: epoch, Model: "m", Runner: "r"})
 }
 
 func rules(base buckthorndyke.Offset, text string) buckthorndyke.Proposal {
--- /dev/null
+++ b/encoder/encoder_test.go
@@ -0,0 +1,205 @@
+package encoder_test
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/encoder"
+	"github.com/buckthorndyke/buckthorndyke/parser"
+	"github.com/buckthorndyke/buckthorndyke/wire"
+)
+
+const (
+	propertySeed = 20261204
+	rulesText    = "model m memory-mb=10 replicas=2 # asked for by A\n"
+)
+
+func TestRoundTrip(t *testing.T) {
+	e := encoder.NewProto(parser.NewRules())
+	parameters := gopter.DefaultTestParametersWithSeed(propertySeed)
+	properties := gopter.NewProperties(parameters)
+	properties.Property("a proposal survives", prop.ForAll(func(seed int64) bool {
+		p := randomProposal(seed)
+		data, err := e.EncodeProposal(p)
+		if err != nil {
+			return false
+		}
+		got, err := e.DecodeProposal(data)
+		return err == nil && cmp.Equal(got, p)
+	}, gen.Int64()))
+	properties.Property("a state survives", prop.ForAll(func(seed int64) bool {
+		s := randomState(seed)
+		got, err := e.DecodeState(encoder.State(s))
+		return err == nil && proto.Equal(encoder.State(got), encoder.State(s)) && got.Rules.Models.Has("m")
+	}, gen.Int64()))
+	properties.TestingRun(t)
+}
+
+func TestDecodeProposal(t *testing.T) {
+	e := encoder.NewProto(parser.NewRules())
+	t.Run("an unknown kind of change is kept", func(t *testing.T) {
+		assertUnknown(t, e, protowire.AppendBytes(protowire.AppendTag(nil, 99, protowire.BytesType), []byte("x")))
+	})
+	t.Run("a known change with an unknown field is not guessed at", func(t *testing.T) {
+		change := protowire.AppendVarint(protowire.AppendTag(nil, 77, protowire.VarintType), 1)
+		assertUnknown(t, e, protowire.AppendBytes(protowire.AppendTag(nil, 13, protowire.BytesType), change))
+	})
+	t.Run("a checkpoint whose rules cannot be read is an error", func(t *testing.T) {
+		_, err := e.DecodeState(&wire.State{RulesText: "nonsense", RulesVersion: 1})
+		asserter.Error(t, err)
+	})
+	t.Run("bytes that are no message are an error", func(t *testing.T) {
+		_, err := e.DecodeProposal([]byte{0xff})
+		asserter.Error(t, err)
+	})
+	t.Run("a ruling keeps its place among the newest", func(t *testing.T) {
+		s := buckthorndyke.State{}
+		for i, id := range []buckthorndyke.ProposalID{"z", "a", "k"} {
+			s = s.WithRuling(buckthorndyke.Ruling{ID: id, Offset: buckthorndyke.Offset(i + 1)}, 3)
+		}
+		got, err := e.DecodeState(encoder.State(s))
+		asserter.NoError(t, err)
+		got = got.WithRuling(buckthorndyke.Ruling{ID: "new", Offset: 9}, 3)
+		asserter.Equal(t, got.Proposals.Has("z"), false)
+		asserter.Equal(t, got.Proposals.Has("a"), true)
+	})
+}
+
+func FuzzDecodeProposal(f *testing.F) {
+	e := encoder.NewProto(parser.NewRules())
+	for seed := range int64(20) {
+		data, err := e.EncodeProposal(randomProposal(seed))
+		asserter.NoError(f, err)
+		f.Add(data)
+		f.Add(data[:len(data)/2])
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p, err := e.DecodeProposal(data)
+		if err != nil {
+			return
+		}
+		again, err := e.EncodeProposal(p)
+		asserter.NoError(t, err)
+		if _, err := e.DecodeProposal(again); err != nil {
+			t.Errorf("a decoded proposal cannot be decoded again: %v", err)
+		}
+	})
+}
+
+func assertUnknown(t *testing.T, e *encoder.Proto, data []byte) {
+	t.Helper()
+	p, err := e.DecodeProposal(data)
+	asserter.NoError(t, err)
+	c, ok := p.Change.(buckthorndyke.UnknownChange)
+	asserter.True(t, ok && bytes.Equal(c.Data, data), "the change is not kept as unknown")
+	again, err := e.EncodeProposal(p)
+	asserter.NoError(t, err)
+	asserter.True(t, bytes.Equal(again, data), "the record changes when it is encoded again")
+}
+
+func randomProposal(seed int64) buckthorndyke.Proposal {
+	r := rand.New(rand.NewPCG(uint64(seed), propertySeed))
+	return buckthorndyke.Proposal{
+		Change:      randomChange(r),
+		ID:          buckthorndyke.ProposalID(text(r)),
+		Incarnation: buckthorndyke.Incarnation(r.Uint64()),
+		Proposer:    buckthorndyke.VMID(text(r)),
+	}
+}
+
+func randomChange(r *rand.Rand) buckthorndyke.Change {
+	offset := buckthorndyke.Offset(r.Uint64())
+	model, runner := buckthorndyke.ModelID(text(r)), buckthorndyke.RunnerID(text(r))
+	switch r.IntN(9) {
+	case 0:
+		return buckthorndyke.FreeSlotChange{Epoch: offset, Model: model, Runner: runner}
+	case 1:
+		return buckthorndyke.JoinChange{Member: randomMember(r)}
+	case 2:
+		return buckthorndyke.LeaveChange{Draining: true, Incarnation: 3, VM: buckthorndyke.VMID(text(r))}
+	case 3:
+		return buckthorndyke.PermitChange{Base: offset, Model: model, Runners: []buckthorndyke.RunnerID{runner}}
+	case 4:
+		return buckthorndyke.QuarantineChange{
+			Crashes: r.IntN(9), Fingerprint: buckthorndyke.Fingerprint(text(r)), Model: model,
+		}
+	case 5:
+		return buckthorndyke.ReleaseChange{Epoch: offset, Heir: buckthorndyke.VMID(text(r)), Runner: runner}
+	case 6:
+		return buckthorndyke.RulesChange{Base: offset, By: text(r), Text: text(r)}
+	case 7:
+		return buckthorndyke.TakeChange{Base: offset, Ownership: randomOwnership(r)}
+	default:
+		return buckthorndyke.WithdrawChange{Base: offset, Model: model, Runner: runner}
+	}
+}
+
+func randomMember(r *rand.Rand) buckthorndyke.Member {
+	return buckthorndyke.Member{
+		Domain:      buckthorndyke.DomainID(text(r)),
+		Incarnation: buckthorndyke.Incarnation(r.Uint64()),
+		Leaving:     r.IntN(2) == 0,
+		PeerAddress: text(r),
+		Version:     buckthorndyke.Offset(r.Uint64()),
+		VM:          buckthorndyke.VMID(text(r)),
+	}
+}
+
+func randomOwnership(r *rand.Rand) buckthorndyke.Ownership {
+	return buckthorndyke.Ownership{
+		Address:     text(r),
+		ChecksFence: r.IntN(2) == 0,
+		Domain:      buckthorndyke.DomainID(text(r)),
+		Epoch:       buckthorndyke.Offset(r.Uint64()),
+		Incarnation: buckthorndyke.Incarnation(r.Uint64()),
+		MemoryMB:    r.IntN(1 << 20),
+		Owner:       buckthorndyke.VMID(text(r)),
+		Previous:    buckthorndyke.VMID(text(r)),
+		Runner:      buckthorndyke.RunnerID(text(r)),
+		Slots:       r.IntN(64),
+		Successors:  []buckthorndyke.VMID{buckthorndyke.VMID(text(r))},
+	}
+}
+
+func randomState(seed int64) buckthorndyke.State {
+	r := rand.New(rand.NewPCG(uint64(seed), propertySeed))
+	rules, err := parser.NewRules().Parse(rulesText)
+	if err != nil {
+		panic(err)
+	}
+	s := buckthorndyke.State{}.WithOffset(buckthorndyke.Offset(r.Uint64())).WithRules(rules, rulesText, 1).WithUnknown()
+	for i := range 1 + r.IntN(5) {
+		offset := buckthorndyke.Offset(i + 1)
+		model := buckthorndyke.ModelID(text(r))
+		slot := buckthorndyke.Slot{Runner: buckthorndyke.RunnerID(text(r)), Withdrawn: r.IntN(2) == 0}
+		s = s.WithMember(randomMember(r)).WithOwnership(randomOwnership(r)).
+			WithPlacement(buckthorndyke.Placement{Model: model, Version: offset}.WithSlot(slot)).
+			WithAudit(buckthorndyke.AuditEntry{
+				At: 7, Base: offset, By: text(r), Difference: []string{"+" + text(r)}, Offset: offset, Reason: text(r),
+			}, 9).
+			WithQuarantine(buckthorndyke.Quarantine{
+				Crashes: 2, Fingerprint: buckthorndyke.Fingerprint(text(r)), Model: model, Offset: offset,
+			}).
+			WithRuling(buckthorndyke.Ruling{Accepted: true, ID: buckthorndyke.ProposalID(text(r)), Offset: offset}, 9)
+	}
+	return s
+}
+
+func text(r *rand.Rand) string {
+	letters := []rune("abcxyzäö-/ ")
+	word := make([]rune, 1+r.IntN(12))
+	for i := range word {
+		word[i] = letters[r.IntN(len(letters))]
+	}
+	return string(word)
+}
