--- a/supervisor/follower/tail.go
+++ b/supervisor/follower/tail.go
@@ -141,15 +141,16 @@
 		t.ask(ctx)
 		return false
 	}
-	before := t.next()
-	if t.scan == nil {
+	next, scanned, atTail := t.next(), t.scan != nil, t.progress.AtTail
+	if !scanned {
 		t.follow(ctx, r)
 	} else if !t.search(ctx, r) {
 		return false
 	}
 	t.backoff = firstBackoff
 	// A read that brought nothing and did not wait must not be sent again at once.
-	return t.next() != before || t.clock.Now()-r.sent >= firstBackoff
+	moved := t.next() != next || scanned != (t.scan != nil) || atTail != t.progress.AtTail
+	return moved || t.clock.Now()-r.sent >= firstBackoff
 }
 
 // next returns the offset to read from.
@@ -164,7 +165,7 @@
 func (t *tail) read(ctx context.Context) {
 	from, life, sent := t.next(), t.life, t.clock.Now()
 	wait := t.cfg.readWait
-	if t.scan != nil {
+	if !t.progress.AtTail {
 		wait = 0
 	}
 	go func() {
