--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -13,6 +13,7 @@
 	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/commander"
 	"github.com/buckthorndyke/buckthorndyke/configurer"
+	"github.com/buckthorndyke/buckthorndyke/standin"
 )
 
 const settings = `{
@@ -146,10 +147,28 @@
 	t.Run("a missing secret is a failure", func(t *testing.T) {
 		assertResult(t, run("serve", "--settings", file(t, settings)), commander.ExitFailed, "make the file readable")
 	})
-	t.Run("stand-ins leave with 0", func(t *testing.T) {
-		site := file(t, `{"log": {"address": "127.0.0.1:0"}, "vm-list": {"address": "127.0.0.1:0"}, "weight-store": {"address": "127.0.0.1:0"}}`)
-		c := commander.New(commander.WithStandIn(func(context.Context, configurer.StandIn) error { return nil }))
-		assertResult(t, runWith(c, "stand-in", "--settings", site), commander.ExitDone, "")
+	t.Run("stand-ins get their settings", func(t *testing.T) {
+		c := commander.New(commander.WithStandIn(func(_ context.Context, s configurer.StandIn) error {
+			cfg := commander.SiteConfig(s)
+			asserter.Equal(t, len(cfg.Runners), 12)
+			asserter.Equal(t, cfg.Runners[11].VMConfig, standin.VMConfig{
+				Address: "127.0.0.1:19021", Domain: "lakes-east-c", ID: "runner-12",
+			})
+			asserter.Equal(t, cfg.Runners[11].Engine.ChecksFence, false)
+			asserter.Equal(t, cfg.ServiceVMs[2].Service, "bookings")
+			asserter.Equal(t, cfg.EntryVMs[5].ID, "entry-6")
+			asserter.Equal(t, cfg.VMList.Lag, 1000)
+			return nil
+		}))
+		assertResult(t, runWith(c, "stand-in", "--settings", "../examples/stand-in.jsonc"), commander.ExitDone, "")
+	})
+	t.Run("stand-ins leave with 0 after SIGTERM", func(t *testing.T) {
+		path := file(t, `{"log": {"address": "127.0.0.1:0"}, "vm-list": {"address": "127.0.0.1:0"}, "weight-store": {"address": "127.0.0.1:0"}}`)
+		c := commander.New(commander.WithStandIn(func(ctx context.Context, s configurer.StandIn) error {
+			asserter.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+			return standin.NewSite(commander.SiteConfig(s)).Serve(ctx)
+		}))
+		assertResult(t, runWith(c, "stand-in", "--settings", path), commander.ExitDone, "")
 	})
 }
 
--- a/configurer/standin.go
+++ b/configurer/standin.go
@@ -54,6 +54,9 @@
 	ChecksFence    bool
 	Domain         buckthorndyke.DomainID
 	MemoryMB       int
+	// RemoteMBPerSecond is the speed of loads from the weight store, or 0 for the
+	// default.
+	RemoteMBPerSecond int
 	// Slots is the number of requests that the runner batches.
 	Slots int
 	// TokenInterval is the time between two tokens, or 0 for the default.
@@ -78,7 +81,9 @@
 
 // StandInWeightStore holds the settings of the weight store.
 type StandInWeightStore struct {
-	Address             string
+	Address string
+	// DefaultSizeMB is the size of a checkpoint, or 0 for the default.
+	DefaultSizeMB       int
 	ModelLoadsPerSecond int
 }
 
@@ -130,15 +135,16 @@
 func (o object) standInRunner(vms map[string]bool) StandInRunner {
 	defer o.close()
 	return StandInRunner{
-		Address:        o.address(addressListen),
-		CachedInMemory: o.models("cached-in-memory"),
-		CachedOnDisk:   o.models("cached-on-disk"),
-		ChecksFence:    o.boolean("checks-fence", true),
-		Domain:         buckthorndyke.DomainID(o.name("failure-domain")),
-		MemoryMB:       o.integer("memory-mb", defaultRunnerMemoryMB, 1, maxRunnerMemoryMB),
-		Slots:          o.integer("slots", defaultRunnerSlots, 1, maxRunnerSlots),
-		TokenInterval:  o.millis("token-interval-ms", 0, 0, maxTokenInterval),
-		VM:             o.uniqueVM(vms),
+		Address:           o.address(addressListen),
+		CachedInMemory:    o.models("cached-in-memory"),
+		CachedOnDisk:      o.models("cached-on-disk"),
+		ChecksFence:       o.boolean("checks-fence", true),
+		Domain:            buckthorndyke.DomainID(o.name("failure-domain")),
+		MemoryMB:          o.integer("memory-mb", defaultRunnerMemoryMB, 1, maxRunnerMemoryMB),
+		RemoteMBPerSecond: o.integer("remote-mb-per-second", 0, 0, maxRunnerMemoryMB),
+		Slots:             o.integer("slots", defaultRunnerSlots, 1, maxRunnerSlots),
+		TokenInterval:     o.millis("token-interval-ms", 0, 0, maxTokenInterval),
+		VM:                o.uniqueVM(vms),
 	}
 }
 
@@ -166,6 +172,7 @@
 	defer section.close()
 	return StandInWeightStore{
 		Address:             section.address(addressListen),
+		DefaultSizeMB:       section.integer("default-size-mb", 0, 0, maxRunnerMemoryMB),
 		ModelLoadsPerSecond: section.integer("model-loads-per-second", defaultModelLoadsASecond, 1, maxLoads),
 	}
 }
