feat(tester): several entry VMs over in-memory stand-ins in one bubble; keep a new model for its break-even time

Cause: the whole path across VMs had no test. Conclusion: below three inter-arrival times the break-even time applies.

--- a/connector/connectpeer.go
+++ b/connector/connectpeer.go
@@ -21,11 +21,9 @@
 
 // AcquireLoad implements buckthorndyke.LoadGate.
 func (p *ConnectPeer) AcquireLoad(ctx context.Context, r buckthorndyke.LoadRequest) (buckthorndyke.LoadPermit, error) {
-	held, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	stop := context.AfterFunc(ctx, cancel)
+	held, cancel := context.WithCancel(ctx)
 	stream, err := p.client.AcquireLoad(held, translator.LoadRequestToWire(r))
 	if err == nil && stream.Receive() {
-		stop()
 		return &connectPermit{cancel: cancel, done: func() { _ = stream.Close() }}, nil
 	}
 	cancel()
@@ -103,10 +101,7 @@
 		cancel()
 		return nil, translator.FromConnectError(err, buckthorndyke.CodeRunnerUnavailable, buckthorndyke.NotRun)
 	}
-	if !stop() {
-		return nil, buckthorndyke.NewRefusal(buckthorndyke.CodeCallerGone, buckthorndyke.NotRun, context.Cause(ctx).Error())
-	}
-	return newConnectTicket(held, cancel, stream), nil
+	return newConnectTicket(held, cancel, stop, stream), nil
 }
 
 // connectPermit is a load permit that lasts as long as its stream.
--- a/connector/connectticket.go
+++ b/connector/connectticket.go
@@ -22,6 +22,9 @@
 	cancel context.CancelFunc
 	events chan ticketMessage
 	held   context.Context
+	// leave makes the ticket outlive the context that it was asked for with, for
+	// as long as its outcome takes to arrive. It returns false if that has ended.
+	leave  func() bool
 	stream *ticketStream
 }
 
@@ -31,14 +34,19 @@
 	event buckthorndyke.TicketEvent
 }
 
-func newConnectTicket(held context.Context, cancel context.CancelFunc, stream *ticketStream) *connectTicket {
-	t := &connectTicket{cancel: cancel, events: make(chan ticketMessage), held: held, stream: stream}
+func newConnectTicket(
+	held context.Context, cancel context.CancelFunc, leave func() bool, stream *ticketStream,
+) *connectTicket {
+	t := &connectTicket{cancel: cancel, events: make(chan ticketMessage), held: held, leave: leave, stream: stream}
 	go t.receive()
 	return t
 }
 
 // Close implements buckthorndyke.Ticket.
 func (t *connectTicket) Close(outcome buckthorndyke.TicketOutcome) {
+	if !t.leave() {
+		return
+	}
 	closing := &wire.TicketClose{Crashed: outcome == buckthorndyke.TicketCrashed}
 	if t.stream.Send(&wire.TicketRequest{Message: &wire.TicketRequest_Close{Close: closing}}) != nil {
 		t.cancel()
--- a/evictor/adaptive.go
+++ b/evictor/adaptive.go
@@ -8,10 +8,16 @@
 	// coldStartFactor is the idle time that is worth one unit of load time that a
 	// caller waits, at equal weights.
 	coldStartFactor = 120
+	// fewGaps is the number of inter-arrival times below which the histogram says
+	// too little.
+	fewGaps = 3
 )
 
 // AdaptiveKeepWarm keeps a model for the time that costs least, by the
-// histogram of its own inter-arrival times and the time that its load takes.
+// histogram of its own inter-arrival times and the time that its load takes. A
+// model with too few arrivals is kept until its idle time has cost as much as a
+// cold start, which is never more than twice the cost of the best choice in
+// hindsight (the ski rental problem).
 // The weight of cold starts against idle time is one setting.
 type AdaptiveKeepWarm struct {
 	arrivals buckthorndyke.Table[buckthorndyke.ModelID, arrivals]
@@ -27,7 +33,11 @@
 // KeepFor implements buckthorndyke.KeepWarmPolicy.
 func (p AdaptiveKeepWarm) KeepFor(model buckthorndyke.ModelID, loadTime buckthorndyke.Millis) buckthorndyke.Millis {
 	a, _ := p.arrivals.Get(model)
-	return a.cheapest(p.weight*coldStartFactor*float64(loadTime), 1-p.weight)
+	coldCost, idleCost := p.weight*coldStartFactor*float64(loadTime), 1-p.weight
+	if a.count() < fewGaps {
+		return breakEven(coldCost, idleCost)
+	}
+	return a.cheapest(coldCost, idleCost)
 }
 
 // WithArrival implements buckthorndyke.KeepWarmPolicy.
@@ -43,3 +53,12 @@
 	a, _ := p.arrivals.Get(model)
 	return float64(loadTime) * a.rate(now)
 }
+
+// breakEven returns the idle time that costs as much as a cold start.
+func breakEven(coldCost, idleCost float64) buckthorndyke.Millis {
+	longest := bounds[bucketCount-1]
+	if coldCost >= idleCost*float64(longest) {
+		return longest
+	}
+	return buckthorndyke.Millis(coldCost / idleCost)
+}
--- a/evictor/arrivals.go
+++ b/evictor/arrivals.go
@@ -61,6 +61,15 @@
 	return best
 }
 
+// count returns the number of inter-arrival times in the histogram.
+func (a arrivals) count() int {
+	n := 0
+	for _, c := range a.buckets {
+		n += int(c)
+	}
+	return n
+}
+
 // rate returns the expected requests per millisecond from now on, given the
 // time since the last one.
 func (a arrivals) rate(now buckthorndyke.Millis) float64 {
--- a/loadgate.go
+++ b/loadgate.go
@@ -10,7 +10,8 @@
 	Runner  RunnerID
 }
 
-// LoadPermit is leave to load from the weight store.
+// LoadPermit is leave to load from the weight store. It ends with Close or with
+// the context that it was asked for with.
 type LoadPermit interface {
 	// Close gives the permit back.
 	Close()
--- /dev/null
+++ b/tester/linkpeer.go
@@ -0,0 +1,169 @@
+package tester
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// linkPeers are the other entry VMs as one process reaches them.
+type linkPeers struct {
+	fleet *Fleet
+	from  *Node
+}
+
+// At implements buckthorndyke.Peers.
+func (p *linkPeers) At(address string) buckthorndyke.Peer {
+	return &linkPeer{address: address, fleet: p.fleet, from: p.from}
+}
+
+// linkPeer is one entry VM as another reaches it.
+type linkPeer struct {
+	address string
+	fleet   *Fleet
+	from    *Node
+}
+
+// AcquireLoad implements buckthorndyke.LoadGate.
+func (p *linkPeer) AcquireLoad(ctx context.Context, r buckthorndyke.LoadRequest) (buckthorndyke.LoadPermit, error) {
+	ctx, cancel := p.hold(ctx)
+	permit, err := callPeer(ctx, p, func(ctx context.Context, peer buckthorndyke.Peer) (buckthorndyke.LoadPermit, error) {
+		return peer.AcquireLoad(ctx, r)
+	})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return &linkPermit{LoadPermit: permit, cancel: cancel}, nil
+}
+
+// Claim implements buckthorndyke.ClaimKeeper.
+func (p *linkPeer) Claim(ctx context.Context, r buckthorndyke.ClaimRequest) (buckthorndyke.ClaimReply, error) {
+	return callPeer(ctx, p, func(ctx context.Context, peer buckthorndyke.Peer) (buckthorndyke.ClaimReply, error) {
+		return peer.Claim(ctx, r)
+	})
+}
+
+// Probe implements buckthorndyke.Responder.
+func (p *linkPeer) Probe(ctx context.Context, r buckthorndyke.ProbeRequest) (buckthorndyke.ProbeReply, error) {
+	return callPeer(ctx, p, func(ctx context.Context, peer buckthorndyke.Peer) (buckthorndyke.ProbeReply, error) {
+		return peer.Probe(ctx, r)
+	})
+}
+
+// Promise implements buckthorndyke.Successor.
+func (p *linkPeer) Promise(ctx context.Context, r buckthorndyke.PromiseRequest) (bool, error) {
+	return callPeer(ctx, p, func(ctx context.Context, peer buckthorndyke.Peer) (bool, error) {
+		return peer.Promise(ctx, r)
+	})
+}
+
+// Settle implements buckthorndyke.ClaimKeeper.
+func (p *linkPeer) Settle(ctx context.Context, o buckthorndyke.ClaimOutcome) error {
+	_, err := callPeer(ctx, p, func(ctx context.Context, peer buckthorndyke.Peer) (struct{}, error) {
+		return struct{}{}, peer.Settle(ctx, o)
+	})
+	return err
+}
+
+// Snapshot implements buckthorndyke.Responder.
+func (p *linkPeer) Snapshot(ctx context.Context) (buckthorndyke.State, error) {
+	return callPeer(ctx, p, func(ctx context.Context, peer buckthorndyke.Peer) (buckthorndyke.State, error) {
+		return peer.Snapshot(ctx)
+	})
+}
+
+// Ticket implements buckthorndyke.Desk.
+func (p *linkPeer) Ticket(ctx context.Context, r buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+	ctx, cancel := p.hold(ctx)
+	ticket, err := callPeer(ctx, p, func(_ context.Context, peer buckthorndyke.Peer) (buckthorndyke.Ticket, error) {
+		return peer.Ticket(ctx, r)
+	})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return &linkTicket{cancel: cancel, held: ctx, links: p.links(), ticket: ticket}, nil
+}
+
+// hold returns a context that ends once either process is killed.
+func (p *linkPeer) hold(ctx context.Context) (context.Context, context.CancelFunc) {
+	cancels := make([]context.CancelFunc, 0, 2)
+	for _, l := range p.links() {
+		var cancel context.CancelFunc
+		ctx, cancel = l.bind(ctx)
+		cancels = append(cancels, cancel)
+	}
+	return ctx, func() {
+		for _, cancel := range cancels {
+			cancel()
+		}
+	}
+}
+
+// links returns the links that a call passes, or that of the caller alone if
+// nobody serves at the address.
+func (p *linkPeer) links() []*Link {
+	links := []*Link{p.from.Link}
+	if target := p.fleet.nodeAt(p.address); target != nil {
+		links = append(links, target.Link)
+	}
+	return links
+}
+
+// callPeer makes a call that passes both processes' links and the network
+// between them.
+func callPeer[R any](
+	ctx context.Context, p *linkPeer, call func(ctx context.Context, peer buckthorndyke.Peer) (R, error),
+) (R, error) {
+	target := p.fleet.nodeAt(p.address)
+	return through(ctx, p.links(), func(ctx context.Context) (R, error) {
+		var none R
+		if target == nil {
+			return none, cut(buckthorndyke.NotRun, errUnreachable)
+		}
+		fault := p.fleet.network.fault(ctx, p.from.Self, target.Self)
+		if err := fault.before(ctx, p.fleet.Clock); err != nil {
+			return none, err
+		}
+		if fault.Double {
+			_, _ = call(ctx, target.Tree.Peer())
+		}
+		r, err := call(ctx, target.Tree.Peer())
+		if lost := fault.after(ctx); lost != nil {
+			return none, lost
+		}
+		return r, err
+	})
+}
+
+// linkPermit is a load permit that ends with either process.
+type linkPermit struct {
+	buckthorndyke.LoadPermit
+	cancel context.CancelFunc
+}
+
+// Close implements buckthorndyke.LoadPermit.
+func (p *linkPermit) Close() {
+	p.LoadPermit.Close()
+	p.cancel()
+}
+
+// linkTicket is a ticket that ends with either process.
+type linkTicket struct {
+	cancel context.CancelFunc
+	held   context.Context
+	links  []*Link
+	ticket buckthorndyke.Ticket
+}
+
+// Close implements buckthorndyke.Ticket.
+func (t *linkTicket) Close(outcome buckthorndyke.TicketOutcome) {
+	t.ticket.Close(outcome)
+	t.cancel()
+}
+
+// Next implements buckthorndyke.Ticket.
+func (t *linkTicket) Next(ctx context.Context) (buckthorndyke.TicketEvent, error) {
+	return through(ctx, t.links, t.ticket.Next)
+}
--- /dev/null
+++ b/tester/linkplatform.go
@@ -0,0 +1,57 @@
+package tester
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// linkLog is the log service as one process reaches it.
+type linkLog struct {
+	link *Link
+	log  buckthorndyke.Log
+}
+
+// Append implements buckthorndyke.Log.
+func (l *linkLog) Append(
+	ctx context.Context, stream buckthorndyke.Stream, data []byte,
+) (buckthorndyke.Offset, error) {
+	return through(ctx, []*Link{l.link}, func(ctx context.Context) (buckthorndyke.Offset, error) {
+		return l.log.Append(ctx, stream, data)
+	})
+}
+
+// Read implements buckthorndyke.Log.
+func (l *linkLog) Read(
+	ctx context.Context, stream buckthorndyke.Stream, from buckthorndyke.Offset, wait buckthorndyke.Millis,
+) (buckthorndyke.Batch, error) {
+	return through(ctx, []*Link{l.link}, func(ctx context.Context) (buckthorndyke.Batch, error) {
+		return l.log.Read(ctx, stream, from, wait)
+	})
+}
+
+// linkService is the plain services as one process reaches them.
+type linkService struct {
+	link    *Link
+	service buckthorndyke.Service
+}
+
+// Call implements buckthorndyke.Service.
+func (s *linkService) Call(
+	ctx context.Context, address string, call buckthorndyke.ServiceCall,
+) (buckthorndyke.ServiceAnswer, error) {
+	return through(ctx, []*Link{s.link}, func(ctx context.Context) (buckthorndyke.ServiceAnswer, error) {
+		return s.service.Call(ctx, address, call)
+	})
+}
+
+// linkVMList is the VM list as one process reaches it.
+type linkVMList struct {
+	link *Link
+	list buckthorndyke.VMList
+}
+
+// List implements buckthorndyke.VMList.
+func (l *linkVMList) List(ctx context.Context) ([]buckthorndyke.VM, error) {
+	return through(ctx, []*Link{l.link}, l.list.List)
+}
--- a/ticket.go
+++ b/ticket.go
@@ -66,7 +66,8 @@
 // TicketOutcome says how the work under a ticket ended.
 type TicketOutcome uint8
 
-// Ticket is a place in a runner's queue and later in its batch.
+// Ticket is a place in a runner's queue and later in its batch. It ends with
+// Close, with the context that it was asked for with, or with a refusal.
 type Ticket interface {
 	// Close gives the place back.
 	Close(outcome TicketOutcome)
