feat(router): carry answers on, wait, retry and stop crash requests

A waiting request is served or refused in its time also when the owner dies, pauses or is succeeded; a broken, silent, doubled or gapped stream is carried on from the tokens that the caller has; a revoked job is cancelled and queued again; a request that crashes its runner alone is stopped and quarantined, others in flight are not blamed.

A crash is told from a broken connection by the engine's life: without it two cut connections would quarantine an innocent request. Cold requests for one model share a survey of the permitted runners' checkpoints, since stewards' reports carry none.

--- a/chooser/order.go
+++ b/chooser/order.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/placer"
 )
 
 // affinityLimit is the load above which a cached prefix no longer makes up for
@@ -72,7 +73,7 @@
 	}
 	return cmp.Or(
 		cmp.Compare(a.Tier, b.Tier),
-		cmp.Compare(weight(string(model), string(b.Runner)), weight(string(model), string(a.Runner))),
+		cmp.Compare(placer.Score(string(model), string(b.Runner)), placer.Score(string(model), string(a.Runner))),
 	)
 }
 
--- a/supervisor/claimer/claimer.go
+++ b/supervisor/claimer/claimer.go
@@ -7,8 +7,8 @@
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/adjudicator"
-	"github.com/buckthorndyke/buckthorndyke/chooser"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/placer"
 )
 
 const (
@@ -199,7 +199,7 @@
 		}
 	}
 	keepers := make([]buckthorndyke.Member, len(ids))
-	for i, id := range chooser.Rendezvous(string(stream), ids) {
+	for i, id := range placer.Rank(string(stream), ids) {
 		keepers[i], _ = members.Get(id)
 	}
 	return keepers
--- a/supervisor/router/attempt.go
+++ b/supervisor/router/attempt.go
@@ -8,20 +8,26 @@
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/chooser"
-	"github.com/buckthorndyke/buckthorndyke/mailer"
 )
 
 const (
 	// cancelTimeout bounds the cancellation of a job that is no longer wanted.
 	cancelTimeout = 5 * buckthorndyke.Second
+	// silenceTimeout bounds the time until the owner's first sign.
+	silenceTimeout = 600 * buckthorndyke.Millisecond
 	// statusTimeout bounds the question in which life a runner's engine is.
 	statusTimeout = 2 * buckthorndyke.Second
+	// watchInterval is how often a waiting request looks for a new owner.
+	watchInterval = 200 * buckthorndyke.Millisecond
 )
 
 // attempt is one job of a request on one runner.
 type attempt struct {
 	*generation
 	engine buckthorndyke.Engine
+	// epoch is that of the owner that was asked.
+	epoch  buckthorndyke.Offset
+	events <-chan result[buckthorndyke.TicketEvent]
 	job    buckthorndyke.JobID
 	// life is the engine's life before the job, or 0 if it is not known.
 	life    buckthorndyke.Incarnation
@@ -35,7 +41,7 @@
 func (g *generation) attempt(ctx context.Context, k knowledge, runner buckthorndyke.RunnerID) *setback {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	_, member, _ := k.owner(runner)
+	ownership, member, _ := k.owner(runner)
 	suspect := k.suspects.Suspected(g.fingerprint)
 	ticket, err := g.peer(member).Ticket(ctx, buckthorndyke.TicketRequest{
 		Caller:      g.ask.Caller.ID,
@@ -53,6 +59,7 @@
 		return setbackOfTicket(runner, err)
 	}
 	a := &attempt{
+		epoch:      ownership.Epoch,
 		generation: g,
 		job:        buckthorndyke.JobID(uuid.NewString()),
 		runner:     runner,
@@ -124,7 +131,7 @@
 	stream, err := a.start(ctx)
 	if err != nil {
 		if buckthorndyke.VerdictOf(err) == buckthorndyke.NotRun {
-			return &setback{kind: setbackRefused, refusal: buckthorndyke.RefusalOf(err), runner: a.runner}
+			return &setback{kind: setbackUnstarted, refusal: buckthorndyke.RefusalOf(err), runner: a.runner}
 		}
 		a.mayHaveRun = true
 		a.cancelJob(ctx)
@@ -141,13 +148,12 @@
 }
 
 // receive hands tokens to the caller until the end mark, a failure or the
-// ticket's revocation. Events are pumped from the ticket and tokens from the
-// stream by goroutines that end with ctx.
+// ticket's revocation.
 func (a *attempt) receive(ctx context.Context, stream buckthorndyke.TokenStream) *setback {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	tokens := pump(ctx, stream.Next)
-	events := pump(ctx, a.ticket.Next)
+	events := a.events
 	for {
 		select {
 		case <-ctx.Done():
@@ -156,6 +162,9 @@
 			return a.broken("the runner went silent")
 		case e := <-events:
 			if e.err != nil {
+				if buckthorndyke.RefusalOf(e.err).Code() == buckthorndyke.CodeEngineFailed {
+					return a.broken(e.err.Error())
+				}
 				// The owner is gone. The job goes on: a new owner finds it in the
 				// engine's status.
 				events = nil
@@ -176,6 +185,15 @@
 	}
 }
 
+// moved returns the setback of a ticket whose owner is out of reach.
+func (a *attempt) moved(message string) *setback {
+	return &setback{
+		kind:    setbackMoved,
+		refusal: refuse(buckthorndyke.CodeRunnerUnavailable, message),
+		runner:  a.runner,
+	}
+}
+
 // preempted returns the setback of a ticket that was taken back.
 func (a *attempt) preempted() *setback {
 	return &setback{
@@ -201,8 +219,18 @@
 	}
 }
 
-// start starts the job.
+// start starts the job. The job of a suspect starts only once the engine's life
+// is known, so that a crash of the engine can be told from a broken connection.
 func (a *attempt) start(ctx context.Context) (buckthorndyke.TokenStream, error) {
+	if a.suspect {
+		ctx, cancel := context.WithTimeout(ctx, statusTimeout.Duration())
+		defer cancel()
+		status, err := a.engine.Status(ctx)
+		if err != nil {
+			return nil, refuse(buckthorndyke.CodeRunnerUnavailable, err.Error())
+		}
+		a.life = status.Started
+	}
 	return a.engine.Generate(ctx, buckthorndyke.Job{
 		ID:        a.job,
 		MaxTokens: a.ask.MaxTokens - len(a.delivered),
@@ -213,77 +241,3 @@
 		Resume:    a.delivered,
 	})
 }
-
-// wait waits until the ticket is granted.
-func (a *attempt) wait(ctx context.Context) *setback {
-	for {
-		event, err := a.ticket.Next(ctx)
-		if err != nil {
-			return setbackOfTicket(a.runner, err)
-		}
-		a.report(ctx, event.Report)
-		switch event.Kind {
-		case buckthorndyke.TicketGranted:
-			a.engine = a.engines.At(event.Address)
-			return nil
-		case buckthorndyke.TicketRevoked:
-			return a.preempted()
-		default:
-		}
-	}
-}
-
-// crashed reports whether the runner's engine has crashed: whether it is out of
-// reach, or in another life than before the job. While the earlier life is not
-// known it counts as crashed, which costs no more than that the request runs
-// alone once.
-func (a *attempt) crashed(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout.Duration())
-	defer cancel()
-	status, err := a.engine.Status(ctx)
-	if err != nil {
-		return true
-	}
-	_ = a.box.Send(ctx, lifeMessage{runner: a.runner, started: status.Started})
-	return status.Started != a.life
-}
-
-// suspected counts a crash and returns the setback that it is. At the crash limit
-// the request is stopped for good.
-func (a *attempt) suspected(ctx context.Context, s *setback) *setback {
-	crashes, err := mailer.Ask(ctx, a.box, func(reply mailer.Reply[int]) message {
-		return crashMessage{alone: a.suspect, fingerprint: a.fingerprint, reply: reply}
-	})
-	if err != nil || crashes < 2 {
-		return s
-	}
-	s.kind = setbackFinal
-	s.refusal = buckthorndyke.NewRefusal(buckthorndyke.CodeCrashSuspect, buckthorndyke.MayHaveRun,
-		"the request crashed the runner that ran it alone")
-	return s
-}
-
-// result is what a stream yielded.
-type result[V any] struct {
-	err   error
-	value V
-}
-
-// pump sends what next yields until it fails or ctx ends.
-func pump[V any](ctx context.Context, next func(context.Context) (V, error)) <-chan result[V] {
-	results := make(chan result[V])
-	go func() {
-		for {
-			value, err := next(ctx)
-			select {
-			case results <- result[V]{err: err, value: value}:
-			case <-ctx.Done():
-				return
-			}
-			if err != nil {
-				return
-			}
-		}
-	}()
-	return results
-}
--- a/supervisor/router/fakes_test.go
+++ b/supervisor/router/fakes_test.go
@@ -35,6 +35,7 @@
 	jobs      map[string]jobFunc
 	life      buckthorndyke.Incarnation
 	logDown   bool
+	logUp     chan struct{}
 	progress  chan buckthorndyke.Progress
 	sent      chan string
 	servers   map[string]serverFunc
@@ -54,6 +55,7 @@
 		desks:     make(map[string]deskFunc),
 		jobs:      make(map[string]jobFunc),
 		life:      1,
+		logUp:     make(chan struct{}, 1),
 		progress:  make(chan buckthorndyke.Progress, 1),
 		sent:      make(chan string, recordCapacity),
 		servers:   make(map[string]serverFunc),
@@ -77,6 +79,36 @@
 	return f
 }
 
+// deskAll makes both owners answer by desk.
+func (f *fixture) deskAll(desk deskFunc) {
+	f.desks["a"], f.desks["b"] = desk, desk
+}
+
+// deskFirst makes the owner that is asked first answer by desk. The other one
+// grants at once.
+func (f *fixture) deskFirst(desk deskFunc) {
+	f.deskAll(func(_ context.Context, r buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+		return f.grant(r), nil
+	})
+	f.deskFirstThen(desk)
+}
+
+// deskFirstThen makes the owner that is asked first answer by desk, and the later
+// ones as before.
+func (f *fixture) deskFirstThen(desk deskFunc) {
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	then := f.desks["a"]
+	f.deskAll(func(ctx context.Context, r buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+		select {
+		case <-first:
+			return desk(ctx, r)
+		default:
+			return then(ctx, r)
+		}
+	})
+}
+
 // own makes vm the owner of runner.
 func (f *fixture) own(runner buckthorndyke.RunnerID, vm buckthorndyke.VMID, epoch buckthorndyke.Offset) {
 	f.state = f.state.
@@ -122,6 +154,13 @@
 
 // Propose implements buckthorndyke.Proposer.
 func (f *fixture) Propose(_ context.Context, c buckthorndyke.Change) (buckthorndyke.Ruling, error) {
+	if f.logDown {
+		select {
+		case <-f.logUp:
+		default:
+			return buckthorndyke.Ruling{}, errFake
+		}
+	}
 	f.changes <- c
 	return buckthorndyke.Ruling{Accepted: true}, nil
 }
--- a/supervisor/router/generate_test.go
+++ b/supervisor/router/generate_test.go
@@ -5,10 +5,12 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/router"
 )
 
@@ -29,16 +31,126 @@
 	})
 }
 
-func TestGenerate(t *testing.T) {
-	run(t, "an answer is whole", func(t *testing.T, f *fixture) {
-		assertAnswer(t, f.start(t), request, "abcd")
-		assertCount(t, f.closed, 1)
+func TestAccess(t *testing.T) {
+	run(t, "a token finds its caller", func(t *testing.T, f *fixture) {
+		caller, err := f.start(t).Authenticate(t.Context(), "token")
+		asserter.NoError(t, err)
+		asserter.Equal(t, caller.ID, "caller")
+	})
+	run(t, "another token is refused", func(t *testing.T, f *fixture) {
+		_, err := f.start(t).Authenticate(t.Context(), "other")
+		asserter.Refused(t, err, buckthorndyke.CodeUnauthenticated, buckthorndyke.NotRun)
+	})
+	run(t, "nothing is served before the newest state is known", func(t *testing.T, f *fixture) {
+		r := f.start(t)
+		f.progress <- buckthorndyke.Progress{State: f.state}
+		synctest.Wait()
+		_, err := r.Authenticate(t.Context(), "token")
+		asserter.Refused(t, err, buckthorndyke.CodeNotReady, buckthorndyke.NotRun)
+		_, err = read(t.Context(), r, request)
+		asserter.Refused(t, err, buckthorndyke.CodeNotReady, buckthorndyke.NotRun)
 	})
 	run(t, "a model without a rule is refused", func(t *testing.T, f *fixture) {
 		ask := request
 		ask.Model = "other"
-		_, err := f.start(t).Generate(t.Context(), ask)
-		assertRefusal(t, err, buckthorndyke.CodeModelUnknown, buckthorndyke.NotRun)
+		assertRefused(t, f.start(t), ask, buckthorndyke.CodeModelUnknown, buckthorndyke.NotRun)
+	})
+	run(t, "a model of others is refused", func(t *testing.T, f *fixture) {
+		ask := request
+		ask.Caller.Models = []buckthorndyke.ModelID{"other"}
+		assertRefused(t, f.start(t), ask, buckthorndyke.CodeForbidden, buckthorndyke.NotRun)
+	})
+}
+
+func TestWait(t *testing.T) {
+	queued := buckthorndyke.TicketEvent{Kind: buckthorndyke.TicketQueued}
+	run(t, "a request that is not granted is refused when its time is over", func(t *testing.T, f *fixture) {
+		f.deskAll(func(context.Context, buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+			return f.ticket(queued), nil
+		})
+		r, asked := f.start(t), f.clock.Now()
+		assertRefused(t, r, request, buckthorndyke.CodeDeadline, buckthorndyke.NotRun)
+		asserter.Equal(t, f.clock.Now()-asked, 2*buckthorndyke.Second)
+		assertCount(t, f.closed, 1)
+	})
+	run(t, "a request without any permitted runner is refused in time", func(t *testing.T, f *fixture) {
+		f.state.Placements = buckthorndyke.Table[buckthorndyke.ModelID, buckthorndyke.Placement]{}
+		r, asked := f.start(t), f.clock.Now()
+		assertRefused(t, r, request, buckthorndyke.CodeDeadline, buckthorndyke.NotRun)
+		asserter.Equal(t, f.clock.Now()-asked, 2*buckthorndyke.Second)
+	})
+	run(t, "another runner is asked when the owner dies while the request waits", func(t *testing.T, f *fixture) {
+		f.deskFirst(func(context.Context, buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+			ticket := f.ticket(queued)
+			time.AfterFunc(time.Second, func() { close(ticket.events) })
+			return ticket, nil
+		})
+		assertAnswer(t, f.start(t), request, "abcd")
+		first, second := <-f.asked, <-f.asked
+		asserter.True(t, first.Runner != second.Runner, "the same runner was asked again")
+		asserter.Equal(t, second.Deadline, 1*buckthorndyke.Second)
+	})
+	run(t, "the new owner is asked when the only owner dies", func(t *testing.T, f *fixture) {
+		f.state = f.state.WithPlacement(
+			buckthorndyke.Placement{Model: "m"}.WithSlot(buckthorndyke.Slot{Runner: "r1"}))
+		f.desks["a"] = func(context.Context, buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+			return nil, errFake
+		}
+		r := f.start(t)
+		time.AfterFunc(time.Second, func() {
+			f.own("r1", "c", 20)
+			f.progress <- buckthorndyke.Progress{AtTail: true, State: f.state}
+		})
+		assertAnswer(t, r, request, "abcd")
+	})
+	run(t, "another runner is asked when the owner is silent", func(t *testing.T, f *fixture) {
+		f.deskFirst(func(context.Context, buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+			return f.ticket(), nil
+		})
+		assertAnswer(t, f.start(t), request, "abcd")
+		assertCount(t, f.closed, 2)
+	})
+	run(t, "the new owner is asked when a paused owner is succeeded", func(t *testing.T, f *fixture) {
+		f.deskAll(func(context.Context, buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+			return f.ticket(queued), nil
+		})
+		r := f.start(t)
+		time.AfterFunc(time.Second, func() {
+			f.own("r1", "c", 20)
+			f.own("r2", "c", 21)
+			f.progress <- buckthorndyke.Progress{AtTail: true, State: f.state}
+		})
+		assertAnswer(t, r, request, "abcd")
+	})
+}
+
+func TestRetry(t *testing.T) {
+	overloaded := func(context.Context, buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+		return nil, buckthorndyke.NewRefusal(buckthorndyke.CodeOverloaded, buckthorndyke.NotRun, "full").
+			WithRetryAfter(7 * buckthorndyke.Second)
+	}
+	run(t, "another runner is asked when one is overloaded", func(t *testing.T, f *fixture) {
+		f.deskFirst(overloaded)
+		assertAnswer(t, f.start(t), request, "abcd")
+	})
+	run(t, "a request that all runners refuse is refused at once", func(t *testing.T, f *fixture) {
+		f.deskAll(overloaded)
+		r, asked := f.start(t), f.clock.Now()
+		_, err := read(t.Context(), r, request)
+		asserter.Refused(t, err, buckthorndyke.CodeOverloaded, buckthorndyke.NotRun)
+		asserter.Equal(t, buckthorndyke.RefusalOf(err).RetryAfter(), 7*buckthorndyke.Second)
+		asserter.Equal(t, f.clock.Now(), asked)
+	})
+	run(t, "retries do not multiply a flood", func(t *testing.T, f *fixture) {
+		f.deskAll(overloaded)
+		f.asked = make(chan buckthorndyke.TicketRequest, 4096)
+		r := f.start(t)
+		for range 1000 {
+			_, err := read(t.Context(), r, request)
+			asserter.Refused(t, err, buckthorndyke.CodeOverloaded, buckthorndyke.NotRun)
+		}
+		asserter.True(t, len(f.asked) <= 1000+100+64, "retries went beyond the budget")
+		asserter.True(t, len(f.asked) > 1000+100, "retries did not use the budget")
 	})
 }
 
@@ -76,14 +188,12 @@
 	}
 }
 
-// assertRefusal checks the code and the verdict of an error.
-func assertRefusal(t *testing.T, err error, code buckthorndyke.Code, verdict buckthorndyke.Verdict) {
+// assertRefused checks the code and the verdict with which ask is refused.
+func assertRefused(
+	t *testing.T, r *router.Router, ask buckthorndyke.GenerateRequest, code buckthorndyke.Code, v buckthorndyke.Verdict,
+) {
 	t.Helper()
-	if err == nil {
-		t.Fatalf("got no error, want %s (%s)", code, verdict)
-	}
-	refusal := buckthorndyke.RefusalOf(err)
-	if refusal.Code() != code || refusal.Verdict() != verdict {
-		t.Errorf("got %v, want %s (%s)", err, code, verdict)
-	}
+	_, err := read(t.Context(), r, ask)
+	asserter.Refused(t, err, code, v)
+	synctest.Wait()
 }
--- a/supervisor/router/generation.go
+++ b/supervisor/router/generation.go
@@ -68,7 +68,7 @@
 			return nil
 		}
 		if ctx.Err() != nil {
-			return g.ended(ctx, s)
+			return g.ended(ctx, last)
 		}
 		if len(g.delivered) >= g.ask.MaxTokens {
 			return g.finish(ctx, s)
@@ -99,6 +99,9 @@
 		if refusal := checkGenerate(k, g.ask); refusal != nil {
 			return "", k, g.refusal(refusal)
 		}
+		if k, err = g.surveyed(ctx, k); err != nil {
+			return "", k, g.ended(ctx, last)
+		}
 		runner, wait := g.pick(k)
 		switch {
 		case runner != "":
@@ -114,23 +117,24 @@
 	}
 }
 
-// ended returns the refusal of a request whose context has ended.
+// ended returns the refusal of a request whose context has ended. The last
+// setback says what it waited for.
 func (g *generation) ended(ctx context.Context, last *setback) *buckthorndyke.RefusalError {
 	if !errors.Is(context.Cause(ctx), errDeadline) {
 		return g.refusal(refuse(buckthorndyke.CodeCallerGone, "the caller left"))
 	}
-	message := "no runner served the request in time"
-	if last != nil && last.refusal != nil && last.refusal.Code() != buckthorndyke.CodeDeadline {
-		message += "; last: " + last.refusal.Message()
-	}
-	refusal := refuse(buckthorndyke.CodeDeadline, message)
-	if last == nil || last.refusal == nil {
-		return g.refusal(refusal)
-	}
-	if last.kind == setbackPreempted {
-		refusal = refuse(buckthorndyke.CodePreempted, "paying work took the runner's place and the time is over")
+	late := refuse(buckthorndyke.CodeDeadline, "no runner served the request in time")
+	switch {
+	case last == nil:
+	case last.kind == setbackPreempted:
+		late = refuse(buckthorndyke.CodePreempted, "paying work took the runner's place and the time is over")
+	case last.kind == setbackBroken:
+		late = last.refusal
+	default:
+		late = refuse(buckthorndyke.CodeDeadline, late.Message()+"; last: "+last.refusal.Message()).
+			WithRetryAfter(last.refusal.RetryAfter())
 	}
-	return g.refusal(refusal.WithRetryAfter(last.refusal.RetryAfter()))
+	return g.refusal(late)
 }
 
 // finish sends the end mark of an answer of which only that was lost.
@@ -181,10 +185,14 @@
 			return g.refusal(s.refusal)
 		}
 	case setbackRefused:
+		until = math.MaxInt64
+		if !g.retry(ctx) {
+			return g.refusal(s.refusal)
+		}
+	case setbackUnstarted:
 		if !g.retry(ctx) {
 			return g.refusal(s.refusal)
 		}
-		until = math.MaxInt64
 	default:
 	}
 	g.avoid(k, s, until)
--- a/supervisor/router/knowledge.go
+++ b/supervisor/router/knowledge.go
@@ -18,6 +18,10 @@
 	progress    buckthorndyke.Progress
 	reports     buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.RunnerReport]
 	suspects    chooser.Suspects
+	// surveyed holds when the runners of a model were last surveyed.
+	surveyed buckthorndyke.Table[buckthorndyke.ModelID, buckthorndyke.Millis]
+	// tiers holds the checkpoints that a runner has close at hand.
+	tiers buckthorndyke.Table[buckthorndyke.RunnerID, map[buckthorndyke.ModelID]buckthorndyke.Tier]
 	// turn rotates among equally loaded backend servers.
 	turn int
 	vms  []buckthorndyke.VM
@@ -28,6 +32,20 @@
 	return knowledge{budget: chooser.NewBudget()}
 }
 
+// candidates describes the permitted runners of a model.
+func (k knowledge) candidates(r buckthorndyke.GenerateRequest) []chooser.Candidate {
+	placement, ok := k.progress.State.PlacementOf(r.Model)
+	if !ok {
+		return nil
+	}
+	permitted := placement.Permitted()
+	candidates := make([]chooser.Candidate, len(permitted))
+	for i, runner := range permitted {
+		candidates[i] = k.candidate(runner, r)
+	}
+	return candidates
+}
+
 // candidate describes one permitted runner.
 func (k knowledge) candidate(
 	runner buckthorndyke.RunnerID, r buckthorndyke.GenerateRequest,
@@ -37,6 +55,11 @@
 	report, _ := k.reports.Get(runner)
 	c.Load = chooser.LoadOf(report, r.Caller.Rank)
 	c.Loaded = slices.Contains(report.Residents, r.Model)
+	if tiers, ok := k.tiers.Get(runner); ok {
+		if tier, near := tiers[r.Model]; near {
+			c.Tier = tier
+		}
+	}
 	if prefix, ok := chooser.PrefixOf(r.Model, r.Prompt); ok {
 		affine, known := k.affinity.RunnerOf(prefix)
 		c.Affine = known && affine == runner
@@ -46,16 +69,7 @@
 
 // order returns the permitted runners in the order in which r asks them.
 func (k knowledge) order(r buckthorndyke.GenerateRequest, seed uint64) []buckthorndyke.RunnerID {
-	placement, ok := k.progress.State.PlacementOf(r.Model)
-	if !ok {
-		return nil
-	}
-	permitted := placement.Permitted()
-	candidates := make([]chooser.Candidate, len(permitted))
-	for i, runner := range permitted {
-		candidates[i] = k.candidate(runner, r)
-	}
-	return chooser.Order(r.Model, candidates, seed)
+	return chooser.Order(r.Model, k.candidates(r), seed)
 }
 
 // owner returns the ownership of runner and the live member that owns it.
@@ -68,6 +82,13 @@
 	return ownership, member, ok && member.Incarnation == ownership.Incarnation
 }
 
+// owns reports whether the owner with the given epoch still owns runner and is
+// alive.
+func (k knowledge) owns(runner buckthorndyke.RunnerID, epoch buckthorndyke.Offset) bool {
+	ownership, _, live := k.owner(runner)
+	return live && ownership.Epoch == epoch
+}
+
 // withProgress returns knowledge of a newer state.
 func (k knowledge) withProgress(p buckthorndyke.Progress) knowledge {
 	k.progress = p
--- a/supervisor/router/messages.go
+++ b/supervisor/router/messages.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"context"
+
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
 )
@@ -10,6 +12,12 @@
 	apply(knowledge) knowledge
 }
 
+// action is a message that also starts work for the task that runs Serve. The
+// work goes on beside it and ends with ctx.
+type action interface {
+	act(ctx context.Context, r *Router)
+}
+
 type (
 	// clearedMessage reports that a request ran to its end.
 	clearedMessage struct {
--- /dev/null
+++ b/supervisor/router/pump.go
@@ -0,0 +1,28 @@
+package router
+
+import "context"
+
+// result is what a stream yielded.
+type result[V any] struct {
+	err   error
+	value V
+}
+
+// pump sends what next yields until it fails or ctx ends.
+func pump[V any](ctx context.Context, next func(context.Context) (V, error)) <-chan result[V] {
+	results := make(chan result[V])
+	go func() {
+		for {
+			value, err := next(ctx)
+			select {
+			case results <- result[V]{err: err, value: value}:
+			case <-ctx.Done():
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return results
+}
--- a/supervisor/router/router.go
+++ b/supervisor/router/router.go
@@ -21,7 +21,10 @@
 	proposer  buckthorndyke.Proposer
 	self      buckthorndyke.Self
 	service   buckthorndyke.Service
-	vmlist    buckthorndyke.VMList
+	// surveys holds the requests that wait for the survey of a model. It belongs
+	// to the task that runs Serve.
+	surveys map[buckthorndyke.ModelID][]mailer.Reply[knowledge]
+	vmlist  buckthorndyke.VMList
 }
 
 // New returns a router for the VM that self describes. It answers while Serve
@@ -59,6 +62,7 @@
 		proposer:  proposer,
 		self:      self,
 		service:   service,
+		surveys:   make(map[buckthorndyke.ModelID][]mailer.Reply[knowledge]),
 		vmlist:    vmlist,
 	}
 }
@@ -66,6 +70,8 @@
 // Serve implements suture.Service.
 func (r *Router) Serve(ctx context.Context) error {
 	progress := r.follower.Subscribe(ctx)
+	// Surveys of an earlier run of this task have ended with it.
+	clear(r.surveys)
 	go r.watchVMs(ctx)
 	for {
 		select {
@@ -79,6 +85,9 @@
 			r.knowledge = r.knowledge.withProgress(p)
 		case m := <-r.box.Receive():
 			r.knowledge = m.apply(r.knowledge)
+			if a, ok := m.(action); ok {
+				a.act(ctx, r)
+			}
 		}
 	}
 }
--- a/supervisor/router/setback.go
+++ b/supervisor/router/setback.go
@@ -19,9 +19,10 @@
 	setbackMoved
 	// setbackPreempted means that other work took the runner's place.
 	setbackPreempted
-	// setbackRefused means that the runner's steward or engine did not accept the
-	// request.
+	// setbackRefused means that the runner's steward cannot serve the request.
 	setbackRefused
+	// setbackUnstarted means that the runner did not start the job.
+	setbackUnstarted
 )
 
 // setbackKind says how an attempt failed.
--- /dev/null
+++ b/supervisor/router/survey.go
@@ -0,0 +1,125 @@
+package router
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+const (
+	// surveyAge is how long a survey of a model's runners holds.
+	surveyAge = 2 * buckthorndyke.Second
+	// surveyTimeout bounds a survey. It is short beside a load.
+	surveyTimeout = 100 * buckthorndyke.Millisecond
+)
+
+type (
+	// surveyedMessage brings what a survey has found.
+	surveyedMessage struct {
+		at       buckthorndyke.Millis
+		model    buckthorndyke.ModelID
+		statuses []runnerStatus
+	}
+
+	// surveyMessage asks for the knowledge after a survey of a model's runners.
+	// Requests that ask at the same time share one survey.
+	surveyMessage struct {
+		model   buckthorndyke.ModelID
+		reply   mailer.Reply[knowledge]
+		runners []buckthorndyke.Ownership
+	}
+
+	// runnerStatus is the status of one runner's engine.
+	runnerStatus struct {
+		runner buckthorndyke.RunnerID
+		status buckthorndyke.EngineStatus
+	}
+)
+
+func (m surveyedMessage) act(_ context.Context, r *Router) {
+	for _, reply := range r.surveys[m.model] {
+		reply.Answer(r.knowledge)
+	}
+	delete(r.surveys, m.model)
+}
+
+func (m surveyedMessage) apply(k knowledge) knowledge {
+	k.surveyed = k.surveyed.With(m.model, m.at)
+	for _, s := range m.statuses {
+		k.lives = k.lives.With(s.runner, s.status.Started)
+		k.tiers = k.tiers.With(s.runner, s.status.Cached)
+	}
+	return k
+}
+
+func (m surveyMessage) act(ctx context.Context, r *Router) {
+	waiting, running := r.surveys[m.model]
+	r.surveys[m.model] = append(waiting, m.reply)
+	if running {
+		return
+	}
+	go func() {
+		// The task has ended if it does not take the message.
+		_ = r.box.Send(ctx, surveyedMessage{
+			at: r.clock.Now(), model: m.model, statuses: r.survey(ctx, m.runners),
+		})
+	}()
+}
+
+func (m surveyMessage) apply(k knowledge) knowledge {
+	return k
+}
+
+// survey asks the engines of runners for their status, all at once.
+func (r *Router) survey(ctx context.Context, runners []buckthorndyke.Ownership) []runnerStatus {
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout.Duration())
+	defer cancel()
+	found := make(chan *runnerStatus, len(runners))
+	for _, o := range runners {
+		go func() {
+			status, err := r.engines.At(o.Address).Status(ctx)
+			if err != nil {
+				found <- nil
+				return
+			}
+			found <- &runnerStatus{runner: o.Runner, status: status}
+		}()
+	}
+	var statuses []runnerStatus
+	for range runners {
+		select {
+		case s := <-found:
+			if s != nil {
+				statuses = append(statuses, *s)
+			}
+		case <-ctx.Done():
+			return statuses
+		}
+	}
+	return statuses
+}
+
+// surveyed returns knowledge that tells which of several cold runners has the
+// cheapest copy of the checkpoint. It is k itself if there is no such choice.
+func (g *generation) surveyed(ctx context.Context, k knowledge) (knowledge, error) {
+	if at, ok := k.surveyed.Get(g.ask.Model); ok && g.clock.Now()-at < surveyAge {
+		return k, nil
+	}
+	var cold []buckthorndyke.Ownership
+	for _, c := range k.candidates(g.ask) {
+		if c.Live && c.Loaded {
+			return k, nil
+		}
+		if c.Live {
+			ownership, _ := k.progress.State.Owner(c.Runner)
+			cold = append(cold, ownership)
+		}
+	}
+	if len(cold) < 2 {
+		return k, nil
+	}
+	return mailer.Ask(ctx, g.box, func(reply mailer.Reply[knowledge]) message {
+		return surveyMessage{model: g.ask.Model, reply: reply, runners: cold}
+	})
+}
