--- a/supervisor/owner/steward/rebuild.go
+++ b/supervisor/owner/steward/rebuild.go
@@ -9,8 +9,8 @@
 const (
 	// statusFast is the time between status calls while something is undecided.
 	statusFast = 250 * buckthorndyke.Millisecond
-	// statusLag bounds how far a runner's report lags behind the truth.
-	statusLag = 2 * buckthorndyke.Second
+	// defaultStatusLag bounds how far a runner's report lags behind the truth.
+	defaultStatusLag = buckthorndyke.Second
 	// statusSlow is the time between status calls otherwise.
 	statusSlow = 2 * buckthorndyke.Second
 	// statusTimeout bounds one status call.
@@ -20,8 +20,12 @@
 // statusRun is the standing of the status calls.
 type statusRun struct {
 	// at is the instant of the next call.
-	at      buckthorndyke.Millis
-	pending bool
+	at buckthorndyke.Millis
+	// doubtful is the instant at which a job was broken off, until a report that
+	// was asked for since then has come. Nothing starts before that. It is 0
+	// otherwise.
+	doubtful buckthorndyke.Millis
+	pending  bool
 }
 
 // answerStatus takes over a runner's report.
@@ -34,6 +38,9 @@
 		return
 	}
 	t.failures = 0
+	if m.asked >= t.status.doubtful {
+		t.status.doubtful = 0
+	}
 	if t.gone {
 		t.gone = false
 		t.enter(phaseRead, now)
@@ -79,7 +86,7 @@
 // finishRead ends phaseRead once a report that was asked for in it shows no
 // order in progress.
 func (t *task) finishRead(m statusAnswered, now buckthorndyke.Millis) {
-	if t.phase != phaseRead || m.asked < t.phaseSince {
+	if t.phase != phaseRead || m.asked < t.phaseSince+t.statusLag {
 		return
 	}
 	for id, state := range m.status.Orders {
