--- /dev/null
+++ b/assembler/assembler.go
@@ -0,0 +1,142 @@
+// Package assembler makes an entry VM of its settings: the tree, the sockets and
+// the connections to the platform.
+package assembler
+
+import (
+	"context"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/arbiter"
+	"github.com/buckthorndyke/buckthorndyke/configurer"
+	"github.com/buckthorndyke/buckthorndyke/connector"
+	"github.com/buckthorndyke/buckthorndyke/encoder"
+	"github.com/buckthorndyke/buckthorndyke/evictor"
+	"github.com/buckthorndyke/buckthorndyke/parser"
+	"github.com/buckthorndyke/buckthorndyke/reporter"
+	"github.com/buckthorndyke/buckthorndyke/supervisor"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/follower"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/gatekeeper"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/listener"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/operator"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/owner"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/owner/steward"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/prober"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/recorder"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/responder"
+	"github.com/buckthorndyke/buckthorndyke/timekeeper"
+)
+
+// Parts of the settings' times.
+const (
+	// checkpointAge bounds the age of the newest checkpoint.
+	checkpointAge = buckthorndyke.Hour
+	// drainParts is the part of the drain limit that requests may take: one less
+	// than all of these, the rest being left for the hand-over.
+	drainParts = 4
+	// leaseReads is the number of reads of the log's tail in a lease.
+	leaseReads = 3
+)
+
+// Assembler makes entry VMs.
+type Assembler struct {
+	output io.Writer
+}
+
+// New returns an assembler whose entry VMs log to output.
+func New(output io.Writer) *Assembler {
+	return &Assembler{output: output}
+}
+
+// Serve runs an entry VM until ctx ends or an operator drains it.
+func (a *Assembler) Serve(ctx context.Context, s configurer.Serve) error {
+	logger, err := reporter.NewLogger(a.output, s.LogLevel, s.VM)
+	if err != nil {
+		return err
+	}
+	clock := timekeeper.NewRealClock()
+	rules := parser.NewRules()
+	records := encoder.NewProto(rules)
+	self := buckthorndyke.Self{
+		Domain:      s.Domain,
+		Incarnation: buckthorndyke.Incarnation(clock.Now()),
+		PeerAddress: s.Peers.Address,
+		VM:          s.VM,
+	}
+	platform := supervisor.Platform{
+		Engines: connector.NewHTTPEngines(),
+		Log:     connector.NewHTTPLog(s.LogAddress),
+		Peers:   connector.NewConnectPeers(s.Peers.Key.Text, records),
+		Service: connector.NewHTTPService(),
+		VMList:  connector.NewHTTPVMList(s.VMListAddress),
+	}
+	judge := arbiter.New(rules, arbiter.WithDifference(parser.Difference))
+	options := append(treeOptions(s), supervisor.WithLogger(logger))
+	tree := supervisor.New(self, platform, judge, records, clock, options...)
+	metrics := reporter.NewMetrics()
+	tree.AddWork(
+		responder.New(s.Peers.Address, s.Peers.Key.Text, tree.Peer(), records),
+		recorder.New(self, tree.Follower(), metrics),
+		operator.New(tree.Follower(), tree.Proposer(),
+			operator.WithAddress(s.Operator.Address), operator.WithDrain(tree.Drain), operator.WithFleet(tree.Prober()),
+			operator.WithMetrics(metrics), operator.WithParser(rules), operator.WithToken(s.Operator.Token.Text)),
+	)
+	tree.AddFront(listener.New(s.Callers.Address, recorder.NewGateway(tree.Gateway(), metrics, clock), clock,
+		listener.WithLimits(limitsOf(s)), listener.WithReadiness(tree.Prober())))
+	logger.Info().EmbedObject(reporter.EventProcessStarted).Uint64("incarnation", uint64(self.Incarnation)).Send()
+	err = tree.Serve(ctx)
+	logger.Info().EmbedObject(reporter.EventProcessStopped).Send()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// keepWarmOf returns the policy that the settings name.
+func keepWarmOf(s configurer.KeepWarm) buckthorndyke.KeepWarmPolicy {
+	switch s.Policy {
+	case configurer.PolicyFixed:
+		return evictor.NewFixedKeepWarm(s.Fixed)
+	case configurer.PolicyLRU:
+		return evictor.NewLRUKeepWarm()
+	default:
+		return evictor.NewAdaptiveKeepWarm(s.ColdStartWeight)
+	}
+}
+
+// limitsOf returns the limits of the interface to callers.
+func limitsOf(s configurer.Serve) listener.Limits {
+	limits := listener.DefaultLimits()
+	limits.Body = int64(s.Callers.BodyLimitBytes)
+	limits.Connections = s.Callers.ConnectionLimit
+	limits.Drain = s.DrainLimit / drainParts * (drainParts - 1)
+	limits.Header = s.Callers.HeaderLimitBytes
+	limits.Request = s.Callers.RequestTimeout
+	return limits
+}
+
+// treeOptions returns the options of the tree that follow from the settings.
+func treeOptions(s configurer.Serve) []supervisor.Option {
+	return []supervisor.Option{
+		supervisor.WithDrainLimit(s.DrainLimit),
+		supervisor.WithFollower(
+			follower.WithCheckpoints(s.CheckpointEvery, checkpointAge),
+			follower.WithReadWait(s.Lease/leaseReads),
+		),
+		supervisor.WithGatekeeper(
+			gatekeeper.WithAdapterLimit(s.WeightStore.AdapterLoadsAtOnce),
+			gatekeeper.WithModelLimits(s.WeightStore.ModelLoadsAtOnce, s.WeightStore.ModelLoadsPerSecond),
+		),
+		supervisor.WithOwner(
+			owner.WithFenceChecks(s.Runners.ChecksFence),
+			owner.WithLease(s.Lease),
+			owner.WithStewardOptions(steward.WithKeepWarm(keepWarmOf(s.KeepWarm))),
+		),
+		supervisor.WithProber(
+			prober.WithInterval(s.ProbeInterval, s.ProbeInterval),
+			prober.WithStaleness(s.StalenessLimit),
+		),
+	}
+}
--- a/demonstrator/demonstration.go
+++ b/demonstrator/demonstration.go
@@ -104,7 +104,7 @@
 
 // start starts the stand-ins and the entry VMs.
 func (d *demonstration) start(ctx context.Context, l *launcher.Launcher, site launcher.Site) error {
-	p, err := l.Start(ctx, "stand-in", "stand-in", site.StandInSettings(), "http://"+site.VMList+"/livez")
+	p, err := l.Start(ctx, "stand-in", "stand-in", site.StandInSettings(), "http://"+site.VMList+"/v1/vms")
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/standin/settings.go
@@ -0,0 +1,39 @@
+package standin
+
+import "github.com/buckthorndyke/buckthorndyke/configurer"
+
+// SiteConfigOf returns the config of the site that the settings describe.
+func SiteConfigOf(s configurer.StandIn) SiteConfig {
+	cfg := SiteConfig{
+		Log:         LogConfig{Address: s.Log.Address, RetainRecords: s.Log.RetentionRecords},
+		VMList:      VMListConfig{Address: s.VMList.Address, Lag: s.VMList.Lag},
+		WeightStore: WeightStoreConfig{Address: s.WeightStore.Address, ModelsPerSecond: s.WeightStore.ModelLoadsPerSecond},
+	}
+	for _, vm := range s.EntryVMs {
+		cfg.EntryVMs = append(cfg.EntryVMs, VMConfig{Address: vm.Address, Domain: vm.Domain, ID: vm.VM})
+	}
+	for _, r := range s.Runners {
+		cfg.Runners = append(cfg.Runners, runnerConfigOf(r))
+	}
+	for _, service := range s.Services {
+		cfg.ServiceVMs = append(cfg.ServiceVMs, ServiceConfig{
+			Service:  service.Service,
+			VMConfig: VMConfig{Address: service.Address, Domain: service.Domain, ID: service.VM},
+		})
+	}
+	return cfg
+}
+
+func runnerConfigOf(r configurer.StandInRunner) RunnerConfig {
+	return RunnerConfig{
+		Engine: EngineConfig{
+			CachedInMemory: r.CachedInMemory,
+			CachedOnDisk:   r.CachedOnDisk,
+			ChecksFence:    r.ChecksFence,
+			MemoryMB:       r.MemoryMB,
+			Slots:          r.Slots,
+			TokenInterval:  r.TokenInterval,
+		},
+		VMConfig: VMConfig{Address: r.Address, Domain: r.Domain, ID: r.VM},
+	}
+}
