--- a/supervisor/prober/membership.go
+++ b/supervisor/prober/membership.go
@@ -14,6 +14,14 @@
 // from before it is removed. The list lags.
 const absentReads = 3
 
+// Bounds of the time from one try to join to the next. A VM that others remove
+// again and again must not fill the log.
+const (
+	firstJoinBackoff = 2 * buckthorndyke.Second
+	maxJoinBackoff   = 2 * buckthorndyke.Minute
+	backoffFactor    = 2
+)
+
 // departure asks the task not to join again. The answer is its state.
 type departure struct {
 	reply mailer.Reply[buckthorndyke.State]
@@ -46,6 +54,12 @@
 	if ok && m.Incarnation >= t.self.Incarnation || t.departed || !t.progress.AtTail || t.progress.LogDown {
 		return
 	}
+	now := t.clock.Now()
+	if t.proposing[t.self.VM] || now < t.joinAfter {
+		return
+	}
+	t.joinAfter = now + t.joinBackoff
+	t.joinBackoff = min(t.joinBackoff*backoffFactor, maxJoinBackoff)
 	t.propose(ctx, t.self.VM, buckthorndyke.JoinChange{Member: buckthorndyke.Member{
 		Domain:      t.self.Domain,
 		Incarnation: t.self.Incarnation,
--- a/supervisor/prober/prober.go
+++ b/supervisor/prober/prober.go
@@ -18,6 +18,8 @@
 	defaultListInterval = 5 * buckthorndyke.Second
 	defaultStaleness    = 30 * buckthorndyke.Second
 	defaultTimeout      = 800 * buckthorndyke.Millisecond
+	// newsRounds is the number of intervals for which a peer's report counts.
+	newsRounds = 5
 )
 
 // Prober implements buckthorndyke.LivenessReporter, buckthorndyke.Readiness and
@@ -82,6 +84,7 @@
 	for _, opt := range opts {
 		opt(&cfg)
 	}
+	cfg.evidence = append([]detector.Option{detector.WithNewsAge(newsRounds * cfg.interval)}, cfg.evidence...)
 	feed := mailer.NewFeed[buckthorndyke.Liveness]()
 	t := newTask(cfg, clock, feed, follower, list, peers, proposer, self)
 	return &Prober{feed: feed, task: t}
--- a/supervisor/prober/task.go
+++ b/supervisor/prober/task.go
@@ -30,9 +30,12 @@
 	absent   map[buckthorndyke.VMID]int
 	departed bool
 	evidence detector.Evidence
-	members  []buckthorndyke.Member
-	pending  map[buckthorndyke.VMID]bool
-	progress buckthorndyke.Progress
+	// joinAfter is the instant of the next try to join.
+	joinAfter   buckthorndyke.Millis
+	joinBackoff buckthorndyke.Millis
+	members     []buckthorndyke.Member
+	pending     map[buckthorndyke.VMID]bool
+	progress    buckthorndyke.Progress
 	// proposing holds the members that a proposal under way is about.
 	proposing map[buckthorndyke.VMID]bool
 	started   buckthorndyke.Millis
@@ -65,21 +68,22 @@
 	proposer buckthorndyke.Proposer, self buckthorndyke.Self,
 ) *task {
 	return &task{
-		calls:     mailer.NewMailbox[probeCall](),
-		cfg:       cfg,
-		clock:     clock,
-		departure: mailer.NewMailbox[departure](),
-		evidence:  detector.NewEvidence(self.VM, cfg.evidence...),
-		feed:      feed,
-		follower:  follower,
-		list:      list,
-		lists:     mailer.NewMailbox[[]buckthorndyke.VM](),
-		peers:     peers,
-		probes:    mailer.NewMailbox[probeResult](),
-		proposals: mailer.NewMailbox[proposal](),
-		proposer:  proposer,
-		self:      self,
-		views:     mailer.NewMailbox[mailer.Reply[view]](),
+		calls:       mailer.NewMailbox[probeCall](),
+		cfg:         cfg,
+		clock:       clock,
+		departure:   mailer.NewMailbox[departure](),
+		evidence:    detector.NewEvidence(self.VM, cfg.evidence...),
+		feed:        feed,
+		follower:    follower,
+		joinBackoff: firstJoinBackoff,
+		list:        list,
+		lists:       mailer.NewMailbox[[]buckthorndyke.VM](),
+		peers:       peers,
+		probes:      mailer.NewMailbox[probeResult](),
+		proposals:   mailer.NewMailbox[proposal](),
+		proposer:    proposer,
+		self:        self,
+		views:       mailer.NewMailbox[mailer.Reply[view]](),
 	}
 }
 
