test(owner): takeovers, promises, drains and gone runners against the stand-ins

Nodes are stopped at their edges by a valve, so that a paused owner's order arrives after its lease. Both kinds of runner hold. The stewards' supervisor is now made for each run, since a restarted owner would otherwise find the old stewards in it.

--- a/supervisor/owner/owner.go
+++ b/supervisor/owner/owner.go
@@ -24,6 +24,7 @@
 	clock       buckthorndyke.Clock
 	end         context.CancelFunc
 	engines     buckthorndyke.Engines
+	eventHook   suture.EventHook
 	follower    buckthorndyke.Follower
 	gate        buckthorndyke.LoadGate
 	lease       buckthorndyke.Millis
@@ -32,9 +33,8 @@
 	peers    buckthorndyke.Peers
 	proposer buckthorndyke.Proposer
 	// reports tells which members are suspected.
-	reports  buckthorndyke.LivenessReporter
-	self     buckthorndyke.Self
-	stewards *suture.Supervisor
+	reports buckthorndyke.LivenessReporter
+	self    buckthorndyke.Self
 	// stewardOptions are given to each steward.
 	stewardOptions []steward.Option
 	vmlist         buckthorndyke.VMList
@@ -43,6 +43,11 @@
 // Option configures an Owner.
 type Option func(*Owner)
 
+// WithEventHook reports the events of the stewards' supervisor to hook.
+func WithEventHook(hook suture.EventHook) Option {
+	return func(o *Owner) { o.eventHook = hook }
+}
+
 // WithFenceChecks tells which runners refuse orders with an old fencing number.
 // By default none does.
 func WithFenceChecks(checks func(buckthorndyke.RunnerID) bool) Option {
@@ -73,6 +78,7 @@
 		clock:       clock,
 		end:         end,
 		engines:     engines,
+		eventHook:   func(suture.Event) {},
 		follower:    follower,
 		gate:        gate,
 		lease:       steward.DefaultLease,
@@ -86,7 +92,6 @@
 	for _, opt := range opts {
 		opt(o)
 	}
-	o.stewards = suture.New("stewards", suture.Spec{EventHook: func(suture.Event) {}})
 	return o
 }
 
--- /dev/null
+++ b/supervisor/owner/owner_test.go
@@ -0,0 +1,214 @@
+package owner_test
+
+import (
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/standin"
+)
+
+func TestClaims(t *testing.T) {
+	t.Run("runners are spread over the members", func(t *testing.T) {
+		inCluster(t, 3, 6, standin.EngineConfig{}, func(c *cluster) {
+			owned := make(map[buckthorndyke.VMID]int)
+			c.owned(c.nodes["vm0"])
+			for _, o := range c.nodes["vm0"].state.Ownerships.All() {
+				owned[o.Owner]++
+				asserter.Equal(t, len(o.Successors), 2)
+				asserter.Equal(t, o.MemoryMB, memoryMB)
+			}
+			asserter.Equal(t, owned, map[buckthorndyke.VMID]int{"vm0": 2, "vm1": 2, "vm2": 2})
+		})
+	})
+	t.Run("only the owner hands out tickets", func(t *testing.T) {
+		inCluster(t, 3, 1, standin.EngineConfig{}, func(c *cluster) {
+			n := c.ownerOf()
+			c.grant(n, hall)
+			_, err := c.ask(c.other(n), hall)
+			asserter.Refused(t, err, buckthorndyke.CodeNotOwner, buckthorndyke.NotRun)
+		})
+	})
+	t.Run("a take whose answer is lost makes one owner", func(t *testing.T) {
+		inCluster(t, 2, 1, standin.EngineConfig{}, func(c *cluster) {
+			n := c.ownerOf()
+			asserter.NoError(t, c.log.SetFaults(c.ctx, standin.LogFaults{LoseAnswers: 2}))
+			n.cancel()
+			c.suspect(n)
+			c.wait(20 * buckthorndyke.Second)
+			heir := c.other(n)
+			asserter.Equal(t, c.owned(heir).Owner, heir.self.VM)
+			c.grant(heir, hall)
+		})
+	})
+}
+
+func TestTakeovers(t *testing.T) {
+	kinds := map[string]standin.EngineConfig{"checks": {ChecksFence: true}, "ignores": {}}
+	for name, cfg := range kinds {
+		t.Run("after a death, of a runner that "+name+" fencing numbers", func(t *testing.T) {
+			inCluster(t, 3, 1, cfg, func(c *cluster) {
+				n := c.ownerOf()
+				c.grant(n, hall)
+				waiting, err := c.ask(n, gym)
+				asserter.NoError(t, err)
+				n.cancel()
+				_, err = waiting.Next(c.ctx)
+				for err == nil {
+					_, err = waiting.Next(c.ctx)
+				}
+				asserter.Refused(t, err, buckthorndyke.CodeNotOwner, buckthorndyke.NotRun)
+				heir := c.takeOver(n)
+				c.grant(heir, choir)
+				c.assertSafe()
+			})
+		})
+		t.Run("after a pause past the lease, of a runner that "+name+" fencing numbers", func(t *testing.T) {
+			inCluster(t, 3, 1, cfg, func(c *cluster) {
+				n := c.ownerOf()
+				c.grant(n, hall).Close(buckthorndyke.TicketDone)
+				n.valve.stop()
+				_, err := c.ask(n, gym)
+				asserter.NoError(t, err)
+				c.wait(100)
+				heir := c.takeOver(n)
+				_, err = c.ask(heir, choir)
+				asserter.NoError(t, err)
+				c.wait(30 * buckthorndyke.Second)
+				n.valve.resume()
+				c.wait(30 * buckthorndyke.Second)
+				_, err = c.ask(n, gym)
+				asserter.Refused(t, err, buckthorndyke.CodeNotOwner, buckthorndyke.NotRun)
+				c.assertLate(gym, cfg.ChecksFence)
+				c.assertSafe()
+			})
+		})
+	}
+	t.Run("a drain hands over without waiting for the lease", func(t *testing.T) {
+		inCluster(t, 3, 1, standin.EngineConfig{}, func(c *cluster) {
+			n := c.ownerOf()
+			running := c.grant(n, hall)
+			drained := make(chan error, 1)
+			go func() { drained <- n.owner.Drain(c.ctx) }()
+			c.wait(buckthorndyke.Second)
+			_, err := c.ask(n, hall)
+			asserter.Refused(t, err, buckthorndyke.CodeDraining, buckthorndyke.NotRun)
+			running.Close(buckthorndyke.TicketDone)
+			asserter.NoError(t, <-drained)
+			before := c.clock.Now()
+			c.wait(500)
+			heir := c.nodes[c.owned(n).Owner]
+			asserter.True(t, heir != nil && heir != n, "nobody has inherited the runner")
+			c.grant(heir, gym)
+			asserter.True(t, c.clock.Now()-before < 9*buckthorndyke.Second, "the heir has waited for the lease")
+			c.assertSafe()
+		})
+	})
+	t.Run("a second life of a VM gets its runner back", func(t *testing.T) {
+		inCluster(t, 1, 1, standin.EngineConfig{ChecksFence: true}, func(c *cluster) {
+			c.grant(c.ownerOf(), hall)
+			c.nodes["vm0"].cancel()
+			c.wait(100)
+			n := c.addNode("vm0", 2, true)
+			c.wait(5 * buckthorndyke.Second)
+			c.grant(n, gym)
+			c.assertSafe()
+		})
+	})
+}
+
+func TestLogDown(t *testing.T) {
+	t.Run("with promises of all successors orders go on", func(t *testing.T) {
+		inCluster(t, 3, 1, standin.EngineConfig{}, func(c *cluster) {
+			n := c.ownerOf()
+			asserter.NoError(t, c.log.SetFaults(c.ctx, standin.LogFaults{Down: true}))
+			c.wait(buckthorndyke.Minute)
+			c.grant(n, hall)
+			c.assertSafe()
+		})
+	})
+	t.Run("without them they stop at the end of the lease", func(t *testing.T) {
+		inCluster(t, 3, 1, standin.EngineConfig{}, func(c *cluster) {
+			n := c.ownerOf()
+			asserter.NoError(t, c.log.SetFaults(c.ctx, standin.LogFaults{Down: true}))
+			c.other(n).valve.stop()
+			c.wait(buckthorndyke.Minute)
+			orders := len(c.orders())
+			_, err := c.ask(n, hall)
+			asserter.NoError(t, err)
+			c.wait(30 * buckthorndyke.Second)
+			asserter.Equal(t, len(c.orders()), orders)
+		})
+	})
+	t.Run("a successor that has promised does not take over", func(t *testing.T) {
+		inCluster(t, 2, 1, standin.EngineConfig{}, func(c *cluster) {
+			n := c.ownerOf()
+			heir, o := c.other(n), c.owned(n)
+			c.wait(11 * buckthorndyke.Second)
+			given, err := heir.owner.Promise(c.ctx, buckthorndyke.PromiseRequest{
+				Epoch: o.Epoch, For: 8 * buckthorndyke.Second, Owner: o.Owner, Runner: "r0",
+			})
+			asserter.NoError(t, err)
+			asserter.True(t, given, "no promise was given")
+			c.suspect(n)
+			c.wait(7 * buckthorndyke.Second)
+			asserter.Equal(t, c.owned(heir).Owner, n.self.VM)
+			c.wait(3 * buckthorndyke.Second)
+			asserter.Equal(t, c.owned(heir).Owner, heir.self.VM)
+			given, err = heir.owner.Promise(c.ctx, buckthorndyke.PromiseRequest{
+				Epoch: o.Epoch, For: buckthorndyke.Second, Owner: o.Owner, Runner: "r0",
+			})
+			asserter.NoError(t, err)
+			asserter.True(t, !given, "a promise was given for an old epoch")
+		})
+	})
+}
+
+func TestGoneRunner(t *testing.T) {
+	t.Run("its slots are freed and its ownership is released", func(t *testing.T) {
+		inCluster(t, 2, 1, standin.EngineConfig{}, func(c *cluster) {
+			n := c.ownerOf()
+			c.grant(n, hall)
+			asserter.NoError(t, c.runners["r0"].SetFaults(c.ctx, standin.EngineFaults{Down: true}))
+			c.setVMs(c.vms[1:])
+			c.wait(5 * buckthorndyke.Second)
+			c.owned(n)
+			for _, model := range []buckthorndyke.ModelID{hall, gym, choir} {
+				p, _ := n.state.Placements.Get(model)
+				c.propose(n, buckthorndyke.WithdrawChange{Base: p.Version, Model: model, Runner: "r0"})
+			}
+			c.wait(10 * buckthorndyke.Second)
+			asserter.Equal(t, c.owned(n).Owner, "")
+			p, _ := n.state.Placements.Get(hall)
+			asserter.Equal(t, p.Counted(), 0)
+		})
+	})
+}
+
+// assertLate checks that the late load of model was refused by its fencing
+// number if the runner checks that, and else carried out once.
+func (c *cluster) assertLate(model buckthorndyke.ModelID, checksFence bool) {
+	c.t.Helper()
+	want := buckthorndyke.OrderRunning
+	if checksFence {
+		want = buckthorndyke.OrderFenced
+	}
+	for _, r := range c.orders() {
+		if r.Order.Model == model {
+			asserter.Equal(c.t, r.State, want)
+			return
+		}
+	}
+	c.t.Errorf("the late order has not arrived")
+}
+
+// takeOver has n suspected and returns the node that takes r0 over.
+func (c *cluster) takeOver(n *node) *node {
+	c.t.Helper()
+	c.wait(11 * buckthorndyke.Second)
+	c.suspect(n)
+	c.wait(3 * buckthorndyke.Second)
+	o := c.owned(c.other(n))
+	asserter.True(c.t, o.Owner != n.self.VM && o.Owner != "", "nobody has taken over")
+	return c.nodes[o.Owner]
+}
--- a/supervisor/owner/task.go
+++ b/supervisor/owner/task.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/cockroachdb/errors"
+	"github.com/thejerf/suture/v4"
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
@@ -38,8 +39,9 @@
 	promised map[buckthorndyke.RunnerID]buckthorndyke.Millis
 	// started is the instant at which the run began. Promises of earlier runs
 	// may hold for a lease after it.
-	started buckthorndyke.Millis
-	takes   map[buckthorndyke.RunnerID]take
+	started  buckthorndyke.Millis
+	stewards *suture.Supervisor
+	takes    map[buckthorndyke.RunnerID]take
 }
 
 // newTask returns the state at the start of a run.
@@ -60,6 +62,7 @@
 	defer cancel()
 	t.ctx = ctx
 	defer t.stopAll()
+	t.stewards = suture.New("stewards", suture.Spec{EventHook: t.eventHook})
 	done := t.stewards.ServeBackground(ctx)
 	progress, liveness := t.follower.Subscribe(ctx), t.reports.Subscribe(ctx)
 	timer := t.clock.After(0)
