feat(steward): begin loads that take longer than a request can wait

Red before: once a load time was known to exceed a rank's first-token time, each request for the cold model was refused at once and the model was never loaded. Refused paid requests now leave a wish behind that loads the model for their return. A runner that checks fencing numbers can be taken over without the wait for promises of an earlier life.

--- a/supervisor/owner/owner_test.go
+++ b/supervisor/owner/owner_test.go
@@ -185,6 +185,33 @@
 	})
 }
 
+func TestTakeoverTime(t *testing.T) {
+	for name, limit := range map[string]struct {
+		checksFence bool
+		within      buckthorndyke.Millis
+	}{"checks": {true, 3 * buckthorndyke.Second}, "ignores": {false, 13 * buckthorndyke.Second}} {
+		t.Run("the successor's first load on a runner that "+name+" fencing numbers", func(t *testing.T) {
+			inCluster(t, 3, 1, standin.EngineConfig{ChecksFence: limit.checksFence}, func(c *cluster) {
+				c.wait(11 * buckthorndyke.Second)
+				n, died := c.ownerOf(), c.clock.Now()
+				n.cancel()
+				c.suspect(n)
+				for c.owned(c.other(n)).Owner == n.self.VM {
+					c.wait(50)
+				}
+				taken := c.clock.Now()
+				_, err := c.ask(c.nodes[c.owned(c.other(n)).Owner], hall)
+				asserter.NoError(t, err)
+				c.wait(15 * buckthorndyke.Second)
+				orders := c.orders()
+				first := orders[len(orders)-1].At
+				t.Logf("taken %d ms and first load ordered %d ms after the suspicion", taken-died, first-died)
+				asserter.True(t, first-died < limit.within, "the first load came too late")
+			})
+		})
+	}
+}
+
 // assertLate checks that the late load of model was refused by its fencing
 // number if the runner checks that, and else carried out once.
 func (c *cluster) assertLate(model buckthorndyke.ModelID, checksFence bool) {
--- a/supervisor/owner/steward/orders_test.go
+++ b/supervisor/owner/steward/orders_test.go
@@ -185,6 +185,18 @@
 			asserter.Equal(t, s.residents(), []buckthorndyke.ModelID{hall})
 		})
 	})
+	t.Run("a load that takes longer than a request can wait is begun all the same", func(t *testing.T) {
+		inSite(t, standin.EngineConfig{RemoteMBPerSecond: 1000}, func(s *site) {
+			s.grant(hall, ordinary).Close(buckthorndyke.TicketDone)
+			_, err := s.tryAsk(s.ctx, gym, ordinary, 2*buckthorndyke.Second)
+			asserter.Refused(t, err, buckthorndyke.CodeOverloaded, buckthorndyke.NotRun)
+			s.wait(buckthorndyke.RefusalOf(err).RetryAfter() + 3*buckthorndyke.Second)
+			again, err := s.tryAsk(s.ctx, gym, ordinary, 2*buckthorndyke.Second)
+			asserter.NoError(t, err)
+			s.assertEvent(again, buckthorndyke.TicketGranted)
+			asserter.Equal(t, s.assertSafe().Loads[gym], 1)
+		})
+	})
 	t.Run("a steady flow to a loaded model does not starve a load", func(t *testing.T) {
 		inSite(t, standin.EngineConfig{MemoryMB: fit}, func(s *site) {
 			flow := s.grant(hall, ordinary)
--- a/supervisor/owner/steward/plan.go
+++ b/supervisor/owner/steward/plan.go
@@ -42,6 +42,7 @@
 	view    View
 	// waiting are the waiting requests.
 	waiting []buckthorndyke.Waiter
+	wishes  wishes
 }
 
 // next returns the plan.
@@ -100,7 +101,7 @@
 		}
 	}
 	for model, r := range p.account.residents.All() {
-		if r.loading || used[model] || p.unavailable(model) || p.admission.InFlight(model) > 0 || p.account.hasAdapterOf(model) {
+		if r.loading || used[model] || p.wishes.has(model) || p.unavailable(model) || p.admission.InFlight(model) > 0 || p.account.hasAdapterOf(model) {
 			continue
 		}
 		until := r.lastUsed + p.keepWarm.KeepFor(model, p.loadTime(model, r.memoryMB))
@@ -122,7 +123,7 @@
 	blocked := false
 	planned := make(map[buckthorndyke.ModelID]bool)
 	var keep []buckthorndyke.ModelID
-	for _, d := range p.admission.Demand() {
+	for _, d := range p.wishes.demands(p.admission.Demand()) {
 		if rule, ok := p.view.State.Rules.Models.Get(d.Model); ok {
 			keep = append(keep, rule.Home())
 		}
@@ -156,7 +157,7 @@
 		}
 		return
 	}
-	if !d.Rank.Paid() {
+	if !d.Rank.Paid() || d.Waiting == 0 {
 		return
 	}
 	for _, victim := range evictor.ChooseVictims(p.candidates(d, true), needMB, d.Rank, keep...) {
--- a/supervisor/owner/steward/task.go
+++ b/supervisor/owner/steward/task.go
@@ -71,6 +71,7 @@
 	status  statusRun
 	times   loadTimes
 	view    View
+	wishes  wishes
 }
 
 // newTask returns the state at the start of a run.
@@ -174,6 +175,7 @@
 // step does everything that the state calls for at now.
 func (t *task) step(now buckthorndyke.Millis) {
 	t.checkGone()
+	t.wishes = t.wishes.withoutEnded(now)
 	t.rebuild(now)
 	t.refuseUnservable()
 	t.plan = t.makePlan(now)
@@ -200,6 +202,7 @@
 	p := planner{
 		account: t.account, admission: t.admission, cached: t.cached, evictable: t.settled(now),
 		keepWarm: t.keepWarm, makeRoom: t.mayPlan(now), now: now, retryAt: t.retry.at, times: t.times, view: t.view,
+		wishes: t.wishes,
 	}.next()
 	if !t.mayPlan(now) || t.account.order != nil || t.quiescing && len(t.holders) == 0 {
 		p.evict = ""
@@ -255,6 +258,7 @@
 	}
 	consider(t.plan.wake)
 	consider(t.retry.next(now))
+	consider(t.wishes.next())
 	consider(t.permit.retryAt)
 	consider(t.freeing.retryAt)
 	consider(t.leaseEnd())
--- a/supervisor/owner/steward/tickets.go
+++ b/supervisor/owner/steward/tickets.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/scheduler"
 )
 
 // admissionView returns what admission needs to know at now.
@@ -55,6 +56,7 @@
 	}
 	next, err := t.admission.Offer(t.admissionView(now), w)
 	if err != nil {
+		t.wish(w, now)
 		m.reply.Answer(ticketAnswer{err: err})
 		return
 	}
@@ -187,3 +189,13 @@
 		Waiting:   t.admission.WaitingByRank(),
 	}
 }
+
+// wish remembers the load that a refused paid request would have needed, if it
+// takes longer than the request could wait.
+func (t *task) wish(w buckthorndyke.Waiter, now buckthorndyke.Millis) {
+	wait := t.loadWait(w.Model, now)
+	if w.Rank.Paid() && !t.account.loaded(w.Model) && wait > w.Due-now-scheduler.RefusalMargin {
+		t.wishes = t.wishes.with(w, wait)
+		t.observe(w, now)
+	}
+}
--- a/supervisor/owner/takes.go
+++ b/supervisor/owner/takes.go
@@ -31,7 +31,8 @@
 	if ok && (k.pending || now < k.retryAt) {
 		return false
 	}
-	if t.outlook.isOwned(c.have) && !c.have.OwnedBy(t.self.VM, t.self.Incarnation) {
+	if t.outlook.isOwned(c.have) && !c.have.ChecksFence && !c.have.OwnedBy(t.self.VM, t.self.Incarnation) {
+		// An earlier life of this VM may have promised to leave the runner alone.
 		earlier := t.started + t.lease*(percent+driftPercent)/percent
 		return now >= t.promised[c.runner] && now >= earlier
 	}
