--- a/supervisor/gatekeeper/client.go
+++ b/supervisor/gatekeeper/client.go
@@ -15,13 +15,15 @@
 	// defaultPatience is how long a request waits at the gate before it falls back
 	// to this VM's part of the limits.
 	defaultPatience = 8 * buckthorndyke.Second
+	// silentTime is how long a gate that did not answer is not asked again.
+	silentTime = 10 * buckthorndyke.Second
 )
 
 // Client asks the member that keeps the load gate for permits. While that does
 // not answer it falls back to this VM's part of the limits. It implements
 // buckthorndyke.LoadGate.
 type Client struct {
-	box      *mailer.Mailbox[mailer.Reply[keeper]]
+	box      *mailer.Mailbox[clientMessage]
 	clock    buckthorndyke.Clock
 	follower buckthorndyke.Follower
 	// local is the gate of this VM.
@@ -34,6 +36,13 @@
 	self     buckthorndyke.Self
 }
 
+// clientMessage asks a client's task for the keeper, or tells it that one did
+// not answer.
+type clientMessage struct {
+	reply  mailer.Reply[keeper]
+	silent buckthorndyke.VMID
+}
+
 // ClientOption configures a Client.
 type ClientOption func(*Client)
 
@@ -48,7 +57,7 @@
 	peers buckthorndyke.Peers, local *Gatekeeper, clock buckthorndyke.Clock, opts ...ClientOption,
 ) *Client {
 	c := &Client{
-		box:      mailer.NewMailbox[mailer.Reply[keeper]](),
+		box:      mailer.NewMailbox[clientMessage](),
 		clock:    clock,
 		fallback: New(clock),
 		follower: follower,
@@ -67,7 +76,7 @@
 
 // AcquireLoad implements buckthorndyke.LoadGate.
 func (c *Client) AcquireLoad(ctx context.Context, r buckthorndyke.LoadRequest) (buckthorndyke.LoadPermit, error) {
-	k, err := mailer.Ask(ctx, c.box, func(reply mailer.Reply[keeper]) mailer.Reply[keeper] { return reply })
+	k, err := mailer.Ask(ctx, c.box, func(reply mailer.Reply[keeper]) clientMessage { return clientMessage{reply: reply} })
 	if err != nil {
 		return nil, err
 	}
@@ -75,9 +84,14 @@
 		return c.local.AcquireLoad(ctx, r)
 	}
 	if k.member.VM != "" {
-		if p, err := c.acquireRemote(ctx, k.member, r); err == nil {
+		p, err := c.acquireRemote(ctx, k.member, r)
+		if err == nil {
 			return p, nil
 		}
+		if ctx.Err() != nil {
+			return nil, context.Cause(ctx)
+		}
+		c.box.TrySend(clientMessage{silent: k.member.VM})
 	}
 	return c.fallback.acquire(ctx, r, k.live)
 }
@@ -88,6 +102,8 @@
 	progress, liveness := c.follower.Subscribe(ctx), c.liveness.Subscribe(ctx)
 	var state buckthorndyke.State
 	var alive buckthorndyke.Liveness
+	var silent buckthorndyke.VMID
+	var silentUntil buckthorndyke.Millis
 	for {
 		select {
 		case <-ctx.Done():
@@ -95,8 +111,17 @@
 		case p := <-progress:
 			state = p.State
 		case alive = <-liveness:
-		case reply := <-c.box.Receive():
-			reply.Answer(keeperOf(state, alive))
+		case m := <-c.box.Receive():
+			now := c.clock.Now()
+			if m.silent != "" {
+				silent, silentUntil = m.silent, now+silentTime
+				continue
+			}
+			k := keeperOf(state, alive)
+			if k.member.VM == silent && now < silentUntil {
+				k.member = buckthorndyke.Member{}
+			}
+			m.reply.Answer(k)
 		}
 	}
 }
