test(claimer,router): calls that must not run twice, under failure

That each can fail was checked by trials on a scratch copy for the router's decisions: one survived (the limit of resumes, hidden by the deadline), and its test now counts the attempts.

--- /dev/null
+++ b/supervisor/router/call_test.go
@@ -0,0 +1,217 @@
+package router_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/router"
+)
+
+// fakeClaims is a keeper whose answers are scripted.
+type fakeClaims struct {
+	claimErr  error
+	reply     buckthorndyke.ClaimReply
+	settled   chan buckthorndyke.ClaimOutcome
+	settleErr error
+}
+
+func (c fakeClaims) Claim(context.Context, buckthorndyke.ClaimRequest) (buckthorndyke.ClaimReply, error) {
+	return c.reply, c.claimErr
+}
+
+func (c fakeClaims) Settle(_ context.Context, o buckthorndyke.ClaimOutcome) error {
+	c.settled <- o
+	return c.settleErr
+}
+
+// serve adds backend servers that answer by serve.
+func (f *fixture) serve(serve serverFunc, names ...string) {
+	for _, name := range names {
+		f.servers[name] = serve
+		f.vms = append(f.vms, buckthorndyke.VM{
+			Address: name, ID: buckthorndyke.VMID(name), Role: buckthorndyke.RoleService, Service: "bookings",
+		})
+	}
+}
+
+// keep makes the keeper answer claims by reply and err.
+func (f *fixture) keep(reply buckthorndyke.ClaimReply, err error) chan buckthorndyke.ClaimOutcome {
+	settled := make(chan buckthorndyke.ClaimOutcome, recordCapacity)
+	f.claims = fakeClaims{claimErr: err, reply: reply, settled: settled}
+	return settled
+}
+
+// call returns a call of the bookings service.
+func call(method, key string) buckthorndyke.CallRequest {
+	return buckthorndyke.CallRequest{
+		Call:   buckthorndyke.ServiceCall{Method: method, Path: "/halls", Service: "bookings"},
+		Caller: request.Caller,
+		Key:    key,
+	}
+}
+
+func succeed(context.Context, buckthorndyke.ServiceCall) (buckthorndyke.ServiceAnswer, error) {
+	return buckthorndyke.ServiceAnswer{Status: 201}, nil
+}
+
+// fail returns a server whose calls fail with a verdict.
+func fail(v buckthorndyke.Verdict) serverFunc {
+	return func(context.Context, buckthorndyke.ServiceCall) (buckthorndyke.ServiceAnswer, error) {
+		return buckthorndyke.ServiceAnswer{}, buckthorndyke.NewRefusal(buckthorndyke.CodeServiceUnavailable, v, "broken")
+	}
+}
+
+func TestCall(t *testing.T) {
+	run(t, "an idempotent call is repeated on another server", func(t *testing.T, f *fixture) {
+		f.serve(fail(buckthorndyke.MayHaveRun), "s1", "s2")
+		f.serve(succeed, "s3")
+		assertCalled(t, f.start(t), call("GET", ""))
+	})
+	run(t, "another call is sent once", func(t *testing.T, f *fixture) {
+		f.serve(fail(buckthorndyke.MayHaveRun), "s1", "s2")
+		assertCallRefused(t, f.start(t), call("POST", ""), buckthorndyke.CodeServiceUnavailable, buckthorndyke.MayHaveRun)
+		assertCount(t, f.sent, 1)
+	})
+	run(t, "another call is repeated if no byte left", func(t *testing.T, f *fixture) {
+		f.serve(fail(buckthorndyke.NotRun), "s1", "s2")
+		f.serve(succeed, "s3")
+		assertCalled(t, f.start(t), call("POST", ""))
+	})
+	run(t, "a call that reached no server has not run", func(t *testing.T, f *fixture) {
+		f.serve(fail(buckthorndyke.NotRun), "s1", "s2")
+		assertCallRefused(t, f.start(t), call("POST", ""), buckthorndyke.CodeServiceUnavailable, buckthorndyke.NotRun)
+		assertCount(t, f.sent, 2)
+	})
+	run(t, "a call that may have run is never reported as not run", func(t *testing.T, f *fixture) {
+		f.serve(fail(buckthorndyke.MayHaveRun), "s1")
+		assertCallRefused(t, f.start(t), call("GET", ""), buckthorndyke.CodeServiceUnavailable, buckthorndyke.MayHaveRun)
+	})
+	run(t, "a leaving server gets no call", func(t *testing.T, f *fixture) {
+		f.serve(succeed, "s1", "s2")
+		f.vms[0].Leaving = true
+		r := f.start(t)
+		for range 4 {
+			assertCalled(t, r, call("POST", ""))
+			asserter.Equal(t, <-f.sent, "s2")
+		}
+	})
+	run(t, "the server with the fewest calls is chosen", func(t *testing.T, f *fixture) {
+		release := make(chan struct{})
+		f.serve(func(ctx context.Context, c buckthorndyke.ServiceCall) (buckthorndyke.ServiceAnswer, error) {
+			<-release
+			return succeed(ctx, c)
+		}, "s1", "s2", "s3")
+		r := f.start(t)
+		for range 6 {
+			go func() { _, _ = r.Call(t.Context(), call("POST", "")) }()
+		}
+		synctest.Wait()
+		counts := make(map[string]int)
+		for range 6 {
+			counts[<-f.sent]++
+		}
+		close(release)
+		asserter.Equal(t, counts, map[string]int{"s1": 2, "s2": 2, "s3": 2})
+	})
+	run(t, "a service without a rule is refused", func(t *testing.T, f *fixture) {
+		ask := call("GET", "")
+		ask.Call.Service = "other"
+		assertCallRefused(t, f.start(t), ask, buckthorndyke.CodeServiceUnknown, buckthorndyke.NotRun)
+	})
+	run(t, "a service of others is refused", func(t *testing.T, f *fixture) {
+		ask := call("GET", "")
+		ask.Caller.Services = []buckthorndyke.ServiceID{"other"}
+		assertCallRefused(t, f.start(t), ask, buckthorndyke.CodeForbidden, buckthorndyke.NotRun)
+	})
+}
+
+func TestClaimedCall(t *testing.T) {
+	granted := buckthorndyke.ClaimReply{Granted: true}
+	run(t, "a granted call is sent and its answer recorded", func(t *testing.T, f *fixture) {
+		settled := f.keep(granted, nil)
+		f.serve(succeed, "s1")
+		assertCalled(t, f.start(t), call("POST", "key"))
+		assertCount(t, f.sent, 1)
+		outcome := <-settled
+		asserter.Equal(t, outcome.Verdict, buckthorndyke.Ran)
+		asserter.Equal(t, outcome.Answer, &buckthorndyke.ServiceAnswer{Status: 201})
+	})
+	run(t, "an answer does not wait for a record that cannot be made", func(t *testing.T, f *fixture) {
+		f.claims = fakeClaims{
+			reply: granted, settled: make(chan buckthorndyke.ClaimOutcome, recordCapacity), settleErr: errFake,
+		}
+		f.serve(succeed, "s1")
+		assertCalled(t, f.start(t), call("POST", "key"))
+	})
+	run(t, "a call that may have run is recorded as such", func(t *testing.T, f *fixture) {
+		settled := f.keep(granted, nil)
+		f.serve(fail(buckthorndyke.MayHaveRun), "s1", "s2")
+		assertCallRefused(t, f.start(t), call("POST", "key"), buckthorndyke.CodeServiceUnavailable, buckthorndyke.MayHaveRun)
+		assertCount(t, f.sent, 1)
+		asserter.Equal(t, (<-settled).Verdict, buckthorndyke.MayHaveRun)
+	})
+	run(t, "a call that reached no server frees its key", func(t *testing.T, f *fixture) {
+		settled := f.keep(granted, nil)
+		assertCallRefused(t, f.start(t), call("POST", "key"), buckthorndyke.CodeServiceUnavailable, buckthorndyke.NotRun)
+		asserter.Equal(t, (<-settled).Verdict, buckthorndyke.NotRun)
+	})
+
+	answer := &buckthorndyke.ServiceAnswer{Status: 201}
+	run(t, "a recorded answer is replayed", func(t *testing.T, f *fixture) {
+		f.keep(buckthorndyke.ClaimReply{Answer: answer, Verdict: buckthorndyke.Ran}, nil)
+		assertCalled(t, f.start(t), call("POST", "key"))
+		assertCount(t, f.sent, 0)
+	})
+	unavailable := buckthorndyke.NewRefusal(buckthorndyke.CodeLogUnavailable, buckthorndyke.NotRun, "down")
+	expired := buckthorndyke.NewRefusal(buckthorndyke.CodeKeyExpired, buckthorndyke.MayHaveRun, "old")
+	for name, refused := range map[string]struct {
+		reply   buckthorndyke.ClaimReply
+		err     error
+		code    buckthorndyke.Code
+		verdict buckthorndyke.Verdict
+	}{
+		"the log is down":          {err: unavailable, code: buckthorndyke.CodeLogUnavailable, verdict: buckthorndyke.NotRun},
+		"the key is old":           {err: expired, code: buckthorndyke.CodeKeyExpired, verdict: buckthorndyke.MayHaveRun},
+		"the keeper fails":         {err: errFake, code: buckthorndyke.CodeClaimUnavailable, verdict: buckthorndyke.NotRun},
+		"the first is not settled": {code: buckthorndyke.CodeDuplicate, verdict: buckthorndyke.MayHaveRun},
+		"the answer was too long": {
+			reply: buckthorndyke.ClaimReply{Verdict: buckthorndyke.Ran},
+			code:  buckthorndyke.CodeDuplicate, verdict: buckthorndyke.Ran,
+		},
+		"the key was abandoned too often": {
+			reply: buckthorndyke.ClaimReply{Verdict: buckthorndyke.NotRun},
+			code:  buckthorndyke.CodeClaimUnavailable, verdict: buckthorndyke.NotRun,
+		},
+		"the key was used for another call": {
+			reply: buckthorndyke.ClaimReply{Answer: answer, Mismatch: true, Verdict: buckthorndyke.Ran},
+			code:  buckthorndyke.CodeKeyReused, verdict: buckthorndyke.NotRun,
+		},
+	} {
+		run(t, "nothing is sent if "+name, func(t *testing.T, f *fixture) {
+			f.keep(refused.reply, refused.err)
+			f.serve(succeed, "s1")
+			assertCallRefused(t, f.start(t), call("POST", "key"), refused.code, refused.verdict)
+			assertCount(t, f.sent, 0)
+		})
+	}
+}
+
+// assertCalled checks that a call is answered.
+func assertCalled(t *testing.T, r *router.Router, ask buckthorndyke.CallRequest) {
+	t.Helper()
+	answer, err := r.Call(t.Context(), ask)
+	asserter.NoError(t, err)
+	asserter.Equal(t, answer.Status, 201)
+}
+
+// assertCallRefused checks the code and the verdict with which a call is refused.
+func assertCallRefused(
+	t *testing.T, r *router.Router, ask buckthorndyke.CallRequest, code buckthorndyke.Code, v buckthorndyke.Verdict,
+) {
+	t.Helper()
+	_, err := r.Call(t.Context(), ask)
+	asserter.Refused(t, err, code, v)
+}
--- a/supervisor/router/stream_test.go
+++ b/supervisor/router/stream_test.go
@@ -92,7 +92,8 @@
 	})
 	run(t, "an answer that no runner carries on ends with an error", func(t *testing.T, f *fixture) {
 		f.runJobs(yield(part(0, 2)...), yield())
-		stream, err := f.start(t).Generate(t.Context(), request)
+		r, asked := f.start(t), f.clock.Now()
+		stream, err := r.Generate(t.Context(), request)
 		asserter.NoError(t, err)
 		for range 2 {
 			_, err = stream.Next(t.Context())
@@ -102,6 +103,8 @@
 		asserter.Refused(t, err, buckthorndyke.CodeEngineFailed, buckthorndyke.MayHaveRun)
 		_, again := stream.Next(t.Context())
 		asserter.Equal(t, again.Error(), err.Error())
+		assertCount(t, f.started, 6)
+		asserter.True(t, f.clock.Now()-asked < 2*buckthorndyke.Second, "the runners were tried until the deadline")
 	})
 	run(t, "a silent runner is left", func(t *testing.T, f *fixture) {
 		f.firstJob(hang(part(0, 2)...))
