--- a/supervisor/branch.go
+++ b/supervisor/branch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
@@ -35,10 +36,14 @@
 	b.suture.Add(task)
 }
 
-// end stops the tasks and waits until they have ended.
-func (b *branch) end() {
+// end stops the tasks and waits until they have ended. It returns nil if all
+// have stopped as asked.
+func (b *branch) end() error {
 	b.stop()
-	<-b.done
+	if err := <-b.done; !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
 }
 
 // start starts the tasks. They do not end with ctx but with end.
--- a/supervisor/tree.go
+++ b/supervisor/tree.go
@@ -210,11 +210,11 @@
 	defer cancel()
 	t.logger.Info().EmbedObject(reporter.EventDrainBegun).Send()
 	t.logStep("mark-leaving", t.prober.Drain(ctx))
-	t.front.end()
+	t.logStep("close-front", t.front.end())
 	t.logStep("hand-over", t.owner.Drain(ctx))
-	t.work.end()
+	t.logStep("end-work", t.work.end())
 	t.logStep("leave", t.prober.Leave(ctx))
-	t.base.end()
+	t.logStep("end-base", t.base.end())
 	t.logger.Info().EmbedObject(reporter.EventDrainEnded).Send()
 }
 
--- a/tester/fleet.go
+++ b/tester/fleet.go
@@ -58,7 +58,7 @@
 	Self buckthorndyke.Self
 	Tree *supervisor.Tree
 
-	done chan error
+	done chan struct{}
 	stop context.CancelFunc
 }
 
@@ -230,7 +230,7 @@
 	n := &Node{
 		Link: newLink(f.ctx),
 		Self: buckthorndyke.Self{Domain: domain(i), Incarnation: f.starts, PeerAddress: address(vm), VM: vm},
-		done: make(chan error, 1),
+		done: make(chan struct{}),
 	}
 	rules := parser.NewRules()
 	checks := func(buckthorndyke.RunnerID) bool { return f.cfg.Engine.ChecksFence }
@@ -246,7 +246,10 @@
 	}, arbiter.New(rules, arbiter.WithDifference(parser.Difference)), encoder.NewProto(rules), f.Clock, options...)
 	ctx, stop := context.WithCancel(context.WithoutCancel(f.ctx))
 	n.stop = stop
-	go func() { n.done <- n.Tree.Serve(ctx) }()
+	go func() {
+		defer close(n.done)
+		_ = n.Tree.Serve(ctx)
+	}()
 	return n
 }
 
