--- /dev/null
+++ b/endtoend/main_test.go
@@ -0,0 +1,34 @@
+// Package endtoend tests separate processes with real sockets.
+package endtoend
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// binary is the path of the program under test.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+// run builds the program and runs the tests.
+func run(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "buckthorndyke-endtoend-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	binary = filepath.Join(folder, "buckthorndyke")
+	build := exec.Command("go", "build", "-o", binary, "../cmd/buckthorndyke")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v: %s\n", err, out)
+		return 1
+	}
+	return m.Run()
+}
