--- a/asserter/asserter.go
+++ b/asserter/asserter.go
@@ -10,6 +10,15 @@
 	"github.com/buckthorndyke/buckthorndyke"
 )
 
+// Code reports an error unless err is a refusal with the given code.
+func Code(t testing.TB, err error, want buckthorndyke.Code) {
+	t.Helper()
+	Error(t, err)
+	if got := buckthorndyke.RefusalOf(err).Code(); got != want {
+		t.Errorf("got code %s, want %s: %v", got, want, err)
+	}
+}
+
 // Contains reports an error if got lacks part.
 func Contains(t testing.TB, got, part string) {
 	t.Helper()
@@ -68,3 +77,12 @@
 		t.Error(description)
 	}
 }
+
+// Verdict reports an error unless err carries the given verdict.
+func Verdict(t testing.TB, err error, want buckthorndyke.Verdict) {
+	t.Helper()
+	Error(t, err)
+	if got := buckthorndyke.VerdictOf(err); got != want {
+		t.Errorf("got verdict %s, want %s: %v", got, want, err)
+	}
+}
--- a/connector/assert_test.go
+++ b/connector/assert_test.go
@@ -5,9 +5,8 @@
 	"testing"
 	"testing/synctest"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/connector"
 	"github.com/buckthorndyke/buckthorndyke/standin"
 	"github.com/buckthorndyke/buckthorndyke/timekeeper"
@@ -87,7 +86,7 @@
 ) string {
 	t.Helper()
 	address, err := s.Address(ctx)
-	assertNoError(t, err)
+	asserter.NoError(t, err)
 	return address
 }
 
@@ -108,46 +107,12 @@
 	return m
 }
 
-func assertCode(t *testing.T, err error, want buckthorndyke.Code) {
-	t.Helper()
-	if err == nil {
-		t.Fatalf("got no error, want code %s", want)
-	}
-	if got := buckthorndyke.RefusalOf(err).Code(); got != want {
-		t.Errorf("got code %s, want %s: %v", got, want, err)
-	}
-}
-
-func assertEqual[V any](t *testing.T, got, want V) {
-	t.Helper()
-	if d := cmp.Diff(want, got); d != "" {
-		t.Errorf("difference (-want +got):\n%s", d)
-	}
-}
-
-func assertNoError(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatalf("unexpected error: %v", err)
-	}
-}
-
-func assertVerdict(t *testing.T, err error, want buckthorndyke.Verdict) {
-	t.Helper()
-	if err == nil {
-		t.Fatalf("got no error, want verdict %s", want)
-	}
-	if got := buckthorndyke.VerdictOf(err); got != want {
-		t.Errorf("got verdict %s, want %s: %v", got, want, err)
-	}
-}
-
 // assertWhole reads the rest of an answer, which follows the tokens in part.
 func assertWhole(ctx context.Context, t *testing.T, s buckthorndyke.TokenStream, part []string) {
 	t.Helper()
 	rest, err := collect(ctx, s)
-	assertNoError(t, err)
-	assertEqual(t, append(part, rest...), standin.AnswerTokens(model, prompt, answerTokens))
+	asserter.NoError(t, err)
+	asserter.Equal(t, append(part, rest...), standin.AnswerTokens(model, prompt, answerTokens))
 }
 
 // collect returns the texts of a stream up to its end mark or error.
--- a/connector/engine_test.go
+++ b/connector/engine_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/standin"
 )
 
@@ -17,17 +18,17 @@
 func TestEngineJobs(t *testing.T) {
 	t.Run("down", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
-			assertNoError(t, b.memory.engine.SetFaults(ctx, standin.EngineFaults{Down: true}))
+			asserter.NoError(t, b.memory.engine.SetFaults(ctx, standin.EngineFaults{Down: true}))
 			_, err := b.engine.Generate(ctx, job("j"))
-			assertVerdict(t, err, buckthorndyke.NotRun)
-			assertVerdict(t, b.engine.Cancel(ctx, "j"), buckthorndyke.NotRun)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
+			asserter.Verdict(t, b.engine.Cancel(ctx, "j"), buckthorndyke.NotRun)
 		})
 	})
 	t.Run("model that is not loaded", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
 			_, err := b.engine.Generate(ctx, buckthorndyke.Job{ID: "j", Model: "spare"})
-			assertVerdict(t, err, buckthorndyke.NotRun)
-			assertCode(t, err, buckthorndyke.CodeRunnerUnavailable)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
+			asserter.Code(t, err, buckthorndyke.CodeRunnerUnavailable)
 		})
 	})
 	t.Run("crash", func(t *testing.T) {
@@ -35,19 +36,19 @@
 			crash := job("j")
 			crash.Prompt = standin.CrashPrompt
 			_, err := collect(ctx, generate(ctx, t, b.engine, crash))
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
-			assertCode(t, err, buckthorndyke.CodeEngineFailed)
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Code(t, err, buckthorndyke.CodeEngineFailed)
 		})
 	})
 	t.Run("a cut stream is resumed", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
-			assertNoError(t, b.memory.engine.SetFaults(ctx, standin.EngineFaults{CutStreamAfter: 2}))
+			asserter.NoError(t, b.memory.engine.SetFaults(ctx, standin.EngineFaults{CutStreamAfter: 2}))
 			s := generate(ctx, t, b.engine, job("j"))
 			part, err := collect(ctx, s)
-			assertCode(t, err, buckthorndyke.CodeEngineFailed)
-			assertEqual(t, len(part), 2)
+			asserter.Code(t, err, buckthorndyke.CodeEngineFailed)
+			asserter.Equal(t, len(part), 2)
 			_, again := s.Next(ctx)
-			assertEqual(t, errors.Is(again, err), true)
+			asserter.Equal(t, errors.Is(again, err), true)
 			rest := job("k")
 			rest.Resume = part
 			assertWhole(ctx, t, generate(ctx, t, b.engine, rest), part)
@@ -58,8 +59,8 @@
 			s := generate(ctx, t, b.engine, job("j"))
 			assertWhole(ctx, t, s, nil)
 			_, err := s.Next(ctx)
-			assertEqual(t, errors.Is(err, io.EOF), true)
-			assertNoError(t, s.Close())
+			asserter.Equal(t, errors.Is(err, io.EOF), true)
+			asserter.NoError(t, s.Close())
 		})
 	})
 	t.Run("bounded answer", func(t *testing.T) {
@@ -67,8 +68,8 @@
 			short := job("j")
 			short.MaxTokens = 2
 			got, err := collect(ctx, generate(ctx, t, b.engine, short))
-			assertNoError(t, err)
-			assertEqual(t, got, standin.AnswerTokens(model, prompt, 2))
+			asserter.NoError(t, err)
+			asserter.Equal(t, got, standin.AnswerTokens(model, prompt, 2))
 		})
 	})
 	t.Run("the stream outlives the context of its start", func(t *testing.T) {
@@ -94,10 +95,10 @@
 	t.Run("cancel", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
 			s := generate(ctx, t, b.engine, job("j"))
-			assertNoError(t, b.engine.Cancel(ctx, "j"))
-			assertNoError(t, b.engine.Cancel(ctx, "unknown"))
+			asserter.NoError(t, b.engine.Cancel(ctx, "j"))
+			asserter.NoError(t, b.engine.Cancel(ctx, "unknown"))
 			_, err := collect(ctx, s)
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
 		})
 	})
 }
@@ -105,11 +106,11 @@
 func TestEngineOrders(t *testing.T) {
 	t.Run("down", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
-			assertNoError(t, b.memory.engine.SetFaults(ctx, standin.EngineFaults{Down: true}))
+			asserter.NoError(t, b.memory.engine.SetFaults(ctx, standin.EngineFaults{Down: true}))
 			_, err := b.engine.Order(ctx, loadOrder(1))
-			assertVerdict(t, err, buckthorndyke.NotRun)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
 			_, err = b.engine.Status(ctx)
-			assertVerdict(t, err, buckthorndyke.NotRun)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
 		})
 	})
 	t.Run("old fencing number", func(t *testing.T) {
@@ -121,13 +122,13 @@
 	})
 	t.Run("lost answer", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
-			assertNoError(t, b.memory.engine.SetFaults(ctx, standin.EngineFaults{LoseOrderAnswers: 1}))
+			asserter.NoError(t, b.memory.engine.SetFaults(ctx, standin.EngineFaults{LoseOrderAnswers: 1}))
 			_, err := b.engine.Order(ctx, loadOrder(1))
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
 			assertOrder(ctx, t, b.engine, loadOrder(1), buckthorndyke.OrderDone)
 			journal, err := b.memory.engine.Journal(ctx)
-			assertNoError(t, err)
-			assertEqual(t, journal.Loads["spare"], 1)
+			asserter.NoError(t, err)
+			asserter.Equal(t, journal.Loads["spare"], 1)
 		})
 	})
 	t.Run("weights that the store lacks", func(t *testing.T) {
@@ -141,14 +142,14 @@
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
 			assertOrder(ctx, t, b.engine, loadOrder(3), buckthorndyke.OrderDone)
 			got, err := b.engine.Status(ctx)
-			assertNoError(t, err)
+			asserter.NoError(t, err)
 			want, err := b.memory.engine.Status(ctx)
-			assertNoError(t, err)
-			assertEqual(t, got, want)
-			assertEqual(t, got.Fence, 3)
-			assertEqual(t, got.Orders["o"], buckthorndyke.OrderDone)
-			assertEqual(t, got.Cached["spare"], buckthorndyke.TierDisk)
-			assertEqual(t, len(got.Residents), 2)
+			asserter.NoError(t, err)
+			asserter.Equal(t, got, want)
+			asserter.Equal(t, got.Fence, 3)
+			asserter.Equal(t, got.Orders["o"], buckthorndyke.OrderDone)
+			asserter.Equal(t, got.Cached["spare"], buckthorndyke.TierDisk)
+			asserter.Equal(t, len(got.Residents), 2)
 		})
 	})
 }
@@ -158,8 +159,8 @@
 ) {
 	t.Helper()
 	got, err := engine.Order(ctx, order)
-	assertNoError(t, err)
-	assertEqual(t, got, want)
+	asserter.NoError(t, err)
+	asserter.Equal(t, got, want)
 }
 
 func generate(
@@ -167,7 +168,7 @@
 ) buckthorndyke.TokenStream {
 	t.Helper()
 	s, err := engine.Generate(ctx, job)
-	assertNoError(t, err)
+	asserter.NoError(t, err)
 	t.Cleanup(func() { _ = s.Close() })
 	return s
 }
--- a/connector/platform_test.go
+++ b/connector/platform_test.go
@@ -6,24 +6,25 @@
 	"testing"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/standin"
 )
 
 func TestLog(t *testing.T) {
 	t.Run("down", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
-			assertNoError(t, b.memory.log.SetFaults(ctx, standin.LogFaults{Down: true}))
+			asserter.NoError(t, b.memory.log.SetFaults(ctx, standin.LogFaults{Down: true}))
 			_, err := b.log.Append(ctx, stream, []byte("a"))
-			assertVerdict(t, err, buckthorndyke.NotRun)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
 			_, err = b.log.Read(ctx, stream, 1, 0)
-			assertCode(t, err, buckthorndyke.CodeLogUnavailable)
+			asserter.Code(t, err, buckthorndyke.CodeLogUnavailable)
 		})
 	})
 	t.Run("lost answer", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
-			assertNoError(t, b.memory.log.SetFaults(ctx, standin.LogFaults{LoseAnswers: 1}))
+			asserter.NoError(t, b.memory.log.SetFaults(ctx, standin.LogFaults{LoseAnswers: 1}))
 			_, err := b.log.Append(ctx, stream, []byte("a"))
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
 			assertRecords(ctx, t, b.log, 1, "a")
 		})
 	})
@@ -32,26 +33,26 @@
 			gone, cancel := context.WithCancel(ctx)
 			cancel()
 			_, err := b.log.Append(gone, stream, []byte("a"))
-			assertVerdict(t, err, buckthorndyke.NotRun)
-			assertEqual(t, errors.Is(err, context.Canceled), true)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
+			asserter.Equal(t, errors.Is(err, context.Canceled), true)
 		})
 	})
 	t.Run("given up while it waits", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
-			assertNoError(t, b.memory.log.SetFaults(ctx, standin.LogFaults{Delay: buckthorndyke.Hour}))
+			asserter.NoError(t, b.memory.log.SetFaults(ctx, standin.LogFaults{Delay: buckthorndyke.Hour}))
 			short, cancel := context.WithTimeout(ctx, shortTimeout)
 			defer cancel()
 			_, err := b.log.Append(short, stream, []byte("a"))
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
-			assertCode(t, err, buckthorndyke.CodeDeadline)
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Code(t, err, buckthorndyke.CodeDeadline)
 		})
 	})
 	t.Run("appends get consecutive offsets", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
 			for want := buckthorndyke.Offset(1); want <= 2; want++ {
 				got, err := b.log.Append(ctx, stream, []byte("a"))
-				assertNoError(t, err)
-				assertEqual(t, got, want)
+				asserter.NoError(t, err)
+				asserter.Equal(t, got, want)
 			}
 			assertRecords(ctx, t, b.log, 1, "a", "a")
 			assertRecords(ctx, t, b.log, 3)
@@ -61,11 +62,11 @@
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
 			for _, data := range []string{"a", "b", "c", "d"} {
 				_, err := b.log.Append(ctx, stream, []byte(data))
-				assertNoError(t, err)
+				asserter.NoError(t, err)
 			}
 			batch, err := b.log.Read(ctx, stream, 1, buckthorndyke.Hour)
-			assertNoError(t, err)
-			assertEqual(t, batch, buckthorndyke.Batch{First: 2, Tail: 4})
+			asserter.NoError(t, err)
+			asserter.Equal(t, batch, buckthorndyke.Batch{First: 2, Tail: 4})
 			assertRecords(ctx, t, b.log, 2, "b", "c", "d")
 		})
 	})
@@ -81,15 +82,15 @@
 				read <- string(batch.Entries[0].Data)
 			}()
 			_, err := b.log.Append(ctx, stream, []byte("a"))
-			assertNoError(t, err)
-			assertEqual(t, <-read, "a")
+			asserter.NoError(t, err)
+			asserter.Equal(t, <-read, "a")
 		})
 	})
 	t.Run("a read of a stream without records ends after its wait", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
 			batch, err := b.log.Read(ctx, "claims/1", 1, buckthorndyke.Millisecond)
-			assertNoError(t, err)
-			assertEqual(t, batch, buckthorndyke.Batch{First: 1})
+			asserter.NoError(t, err)
+			asserter.Equal(t, batch, buckthorndyke.Batch{First: 1})
 		})
 	})
 }
@@ -97,9 +98,9 @@
 func TestVMList(t *testing.T) {
 	t.Run("down", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
-			assertNoError(t, b.memory.list.SetFaults(ctx, standin.VMListFaults{Down: true}))
+			asserter.NoError(t, b.memory.list.SetFaults(ctx, standin.VMListFaults{Down: true}))
 			_, err := b.list.List(ctx)
-			assertVerdict(t, err, buckthorndyke.NotRun)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
 		})
 	})
 	t.Run("list", func(t *testing.T) {
@@ -108,10 +109,10 @@
 				{Address: "127.0.0.1:1", Domain: "a", ID: "entry-1", Role: buckthorndyke.RoleEntry},
 				{Domain: "b", ID: "bookings-1", Leaving: true, Role: buckthorndyke.RoleService, Service: "bookings"},
 			}
-			assertNoError(t, b.memory.list.Set(ctx, want))
+			asserter.NoError(t, b.memory.list.Set(ctx, want))
 			got, err := b.list.List(ctx)
-			assertNoError(t, err)
-			assertEqual(t, got, want)
+			asserter.NoError(t, err)
+			asserter.Equal(t, got, want)
 		})
 	})
 }
@@ -119,22 +120,22 @@
 func TestWeightStore(t *testing.T) {
 	t.Run("down", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
-			assertNoError(t, b.memory.weights.SetFaults(ctx, standin.StoreFaults{Down: true}))
+			asserter.NoError(t, b.memory.weights.SetFaults(ctx, standin.StoreFaults{Down: true}))
 			_, err := b.weights.Describe(ctx, "spare")
-			assertVerdict(t, err, buckthorndyke.NotRun)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
 		})
 	})
 	t.Run("unknown model", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
 			_, err := b.weights.Describe(ctx, "a/b")
-			assertCode(t, err, buckthorndyke.CodeModelUnknown)
+			asserter.Code(t, err, buckthorndyke.CodeModelUnknown)
 		})
 	})
 	t.Run("describe", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
 			got, err := b.weights.Describe(ctx, "spare")
-			assertNoError(t, err)
-			assertEqual(t, got, buckthorndyke.Checkpoint{Model: "spare", SizeMB: 100})
+			asserter.NoError(t, err)
+			asserter.Equal(t, got, buckthorndyke.Checkpoint{Model: "spare", SizeMB: 100})
 		})
 	})
 }
@@ -144,11 +145,11 @@
 ) {
 	t.Helper()
 	batch, err := log.Read(ctx, stream, from, 0)
-	assertNoError(t, err)
+	asserter.NoError(t, err)
 	var got []string
 	for i, e := range batch.Entries {
-		assertEqual(t, e.Offset, from+buckthorndyke.Offset(i))
+		asserter.Equal(t, e.Offset, from+buckthorndyke.Offset(i))
 		got = append(got, string(e.Data))
 	}
-	assertEqual(t, got, want)
+	asserter.Equal(t, got, want)
 }
--- a/connector/service_test.go
+++ b/connector/service_test.go
@@ -6,49 +6,50 @@
 	"testing"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/standin"
 )
 
 func TestService(t *testing.T) {
 	t.Run("down", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
-			assertNoError(t, b.memory.service.SetFaults(ctx, standin.ServiceFaults{Down: true}))
+			asserter.NoError(t, b.memory.service.SetFaults(ctx, standin.ServiceFaults{Down: true}))
 			_, err := b.service.Call(ctx, b.serviceAddress, booking())
-			assertVerdict(t, err, buckthorndyke.NotRun)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
 			assertBookings(ctx, t, b, 0)
 		})
 	})
 	t.Run("lost answer", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
-			assertNoError(t, b.memory.service.SetFaults(ctx, standin.ServiceFaults{LoseAnswers: 1}))
+			asserter.NoError(t, b.memory.service.SetFaults(ctx, standin.ServiceFaults{LoseAnswers: 1}))
 			_, err := b.service.Call(ctx, b.serviceAddress, booking())
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
 			assertBookings(ctx, t, b, 1)
 		})
 	})
 	t.Run("slow", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
-			assertNoError(t, b.memory.service.SetFaults(ctx, standin.ServiceFaults{Delay: buckthorndyke.Hour}))
+			asserter.NoError(t, b.memory.service.SetFaults(ctx, standin.ServiceFaults{Delay: buckthorndyke.Hour}))
 			short, cancel := context.WithTimeout(ctx, shortTimeout)
 			defer cancel()
 			_, err := b.service.Call(short, b.serviceAddress, booking())
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
-			assertCode(t, err, buckthorndyke.CodeDeadline)
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Code(t, err, buckthorndyke.CodeDeadline)
 		})
 	})
 	t.Run("answer", func(t *testing.T) {
 		onBoth(t, func(ctx context.Context, t *testing.T, b bench) {
 			answer, err := b.service.Call(ctx, b.serviceAddress, booking())
-			assertNoError(t, err)
-			assertEqual(t, answer.Status, http.StatusOK)
-			assertEqual(t, string(answer.Body), `{"call":1,"request":"r1"}`)
-			assertEqual(t, answer.Header.Get("Content-Type"), "application/json")
+			asserter.NoError(t, err)
+			asserter.Equal(t, answer.Status, http.StatusOK)
+			asserter.Equal(t, string(answer.Body), `{"call":1,"request":"r1"}`)
+			asserter.Equal(t, answer.Header.Get("Content-Type"), "application/json")
 			journal, err := b.memory.service.Journal(ctx)
-			assertNoError(t, err)
+			asserter.NoError(t, err)
 			record := journal.Calls[0]
-			assertEqual(t, record.Path, "/halls/great hall")
-			assertEqual(t, record.Key, "k1")
-			assertEqual(t, record.Method, http.MethodPost)
+			asserter.Equal(t, record.Path, "/halls/great hall")
+			asserter.Equal(t, record.Key, "k1")
+			asserter.Equal(t, record.Method, http.MethodPost)
 		})
 	})
 }
@@ -56,9 +57,9 @@
 func assertBookings(ctx context.Context, t *testing.T, b bench, want int) {
 	t.Helper()
 	journal, err := b.memory.service.Journal(ctx)
-	assertNoError(t, err)
-	assertEqual(t, journal.Keys["k1"], want)
-	assertEqual(t, len(journal.Calls), want)
+	asserter.NoError(t, err)
+	asserter.Equal(t, journal.Keys["k1"], want)
+	asserter.Equal(t, len(journal.Calls), want)
 }
 
 // booking returns a call that must not run twice. It has no body, as the
--- a/connector/stream_test.go
+++ b/connector/stream_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/connector"
 	"github.com/buckthorndyke/buckthorndyke/standin"
 )
@@ -31,22 +32,22 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			texts, err := collect(t.Context(), open(t, body))
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
-			assertCode(t, err, buckthorndyke.CodeEngineFailed)
-			assertEqual(t, texts, []string{"a"})
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Code(t, err, buckthorndyke.CodeEngineFailed)
+			asserter.Equal(t, texts, []string{"a"})
 		})
 	}
 	t.Run("whole with comments, other fields and CRLF", func(t *testing.T) {
 		texts, err := collect(t.Context(), open(t, ": hi\r\n\r\nevent: token\r\n"+first+"id: 7\n\n"+end))
-		assertNoError(t, err)
-		assertEqual(t, texts, []string{"a"})
+		asserter.NoError(t, err)
+		asserter.Equal(t, texts, []string{"a"})
 	})
 	t.Run("nothing is passed on after the end mark", func(t *testing.T) {
 		s := open(t, first+end+end)
 		_, err := collect(t.Context(), s)
-		assertNoError(t, err)
+		asserter.NoError(t, err)
 		_, err = s.Next(t.Context())
-		assertEqual(t, err != nil, true)
+		asserter.Equal(t, err != nil, true)
 	})
 	t.Run("close reaches the engine", func(t *testing.T) {
 		gone := make(chan struct{})
@@ -56,11 +57,11 @@
 			close(gone)
 		}))
 		s, err := engine.Generate(t.Context(), job("j"))
-		assertNoError(t, err)
-		assertNoError(t, s.Close())
+		asserter.NoError(t, err)
+		asserter.NoError(t, s.Close())
 		<-gone
 		_, err = s.Next(t.Context())
-		assertVerdict(t, err, buckthorndyke.MayHaveRun)
+		asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
 	})
 	for name, faults := range map[string]standin.EngineFaults{
 		"crossed token of the stand-in": {CrossToken: true},
@@ -70,13 +71,13 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			m := startMemory(ctx)
-			assertNoError(t, m.engine.SetFaults(ctx, faults))
+			asserter.NoError(t, m.engine.SetFaults(ctx, faults))
 			server := standin.NewEngineServer(loopback, m.engine)
 			standin.Start(ctx, server)
 			engine := connector.NewHTTPEngine(addressOf(ctx, t, server))
 			texts, err := collect(ctx, generate(ctx, t, engine, job("j")))
-			assertCode(t, err, buckthorndyke.CodeEngineFailed)
-			assertEqual(t, texts, standin.AnswerTokens(model, prompt, 1))
+			asserter.Code(t, err, buckthorndyke.CodeEngineFailed)
+			asserter.Equal(t, texts, standin.AnswerTokens(model, prompt, 1))
 		})
 	}
 }
--- a/connector/verdict_test.go
+++ b/connector/verdict_test.go
@@ -11,6 +11,7 @@
 	"testing"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/connector"
 )
 
@@ -53,27 +54,27 @@
 		onEach(t, func(t *testing.T, send send) {
 			listener := listen(t)
 			address := listener.Addr().String()
-			assertNoError(t, listener.Close())
-			assertVerdict(t, send(t.Context(), address), buckthorndyke.NotRun)
+			asserter.NoError(t, listener.Close())
+			asserter.Verdict(t, send(t.Context(), address), buckthorndyke.NotRun)
 		})
 	})
 	t.Run("the server closes before it reads", func(t *testing.T) {
 		onEach(t, func(t *testing.T, send send) {
 			address, requests := serveRaw(t, func(net.Conn) bool { return false })
-			assertVerdict(t, send(t.Context(), address), buckthorndyke.MayHaveRun)
-			assertEqual(t, len(requests), 0)
+			asserter.Verdict(t, send(t.Context(), address), buckthorndyke.MayHaveRun)
+			asserter.Equal(t, len(requests), 0)
 		})
 	})
 	t.Run("the server closes after it has read", func(t *testing.T) {
 		onEach(t, func(t *testing.T, send send) {
 			address, requests := serveRaw(t, readRequest)
-			assertVerdict(t, send(t.Context(), address), buckthorndyke.MayHaveRun)
-			assertEqual(t, len(requests), 1)
+			asserter.Verdict(t, send(t.Context(), address), buckthorndyke.MayHaveRun)
+			asserter.Equal(t, len(requests), 1)
 		})
 	})
 	t.Run("the answer is cut", func(t *testing.T) {
 		onEach(t, func(t *testing.T, send send) {
-			assertVerdict(t, send(t.Context(), serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			asserter.Verdict(t, send(t.Context(), serve(t, func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set("Content-Length", "100")
 				_, _ = w.Write([]byte(`{"offset":`))
 			})), buckthorndyke.MayHaveRun)
@@ -82,7 +83,7 @@
 	t.Run("the answer has another form", func(t *testing.T) {
 		for _, name := range []string{"log", "engine order", "engine job"} {
 			t.Run(name, func(t *testing.T) {
-				assertVerdict(t, sends[name](t.Context(), serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				asserter.Verdict(t, sends[name](t.Context(), serve(t, func(w http.ResponseWriter, _ *http.Request) {
 					_, _ = w.Write([]byte("data: hello\n\n"))
 				})), buckthorndyke.MayHaveRun)
 			})
@@ -91,7 +92,7 @@
 	t.Run("the server fails without a verdict", func(t *testing.T) {
 		for _, name := range []string{"log", "engine order", "engine job"} {
 			t.Run(name, func(t *testing.T) {
-				assertVerdict(t, sends[name](t.Context(), serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				asserter.Verdict(t, sends[name](t.Context(), serve(t, func(w http.ResponseWriter, _ *http.Request) {
 					http.Error(w, "busy", http.StatusServiceUnavailable)
 				})), buckthorndyke.MayHaveRun)
 			})
@@ -102,7 +103,7 @@
 			address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 				_, _ = w.Write([]byte("data: " + strings.Repeat("x", 2<<20)))
 			})
-			assertVerdict(t, send(t.Context(), address, connector.WithBodyLimit(1000)), buckthorndyke.MayHaveRun)
+			asserter.Verdict(t, send(t.Context(), address, connector.WithBodyLimit(1000)), buckthorndyke.MayHaveRun)
 		})
 	})
 	t.Run("the header of the answer is too large", func(t *testing.T) {
@@ -110,16 +111,16 @@
 			address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set("X-Large", strings.Repeat("x", 10_000))
 			})
-			assertVerdict(t, send(t.Context(), address, connector.WithHeaderLimit(1000)), buckthorndyke.MayHaveRun)
+			asserter.Verdict(t, send(t.Context(), address, connector.WithHeaderLimit(1000)), buckthorndyke.MayHaveRun)
 		})
 	})
 	t.Run("the request is too large", func(t *testing.T) {
 		onEach(t, func(t *testing.T, send send) {
 			address, requests := serveRaw(t, readRequest)
 			err := send(t.Context(), address, connector.WithBodyLimit(-1))
-			assertVerdict(t, err, buckthorndyke.NotRun)
-			assertCode(t, err, buckthorndyke.CodeTooLarge)
-			assertEqual(t, len(requests), 0)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
+			asserter.Code(t, err, buckthorndyke.CodeTooLarge)
+			asserter.Equal(t, len(requests), 0)
 		})
 	})
 	t.Run("a redirect is not followed", func(t *testing.T) {
@@ -128,7 +129,7 @@
 			_ = send(t.Context(), serve(t, func(w http.ResponseWriter, r *http.Request) {
 				http.Redirect(w, r, "http://"+elsewhere, http.StatusTemporaryRedirect)
 			}))
-			assertEqual(t, len(requests), 0)
+			asserter.Equal(t, len(requests), 0)
 		})
 	})
 }
@@ -148,8 +149,8 @@
 				cancel()
 			}()
 			_, err := log.Read(ctx, stream, 1, buckthorndyke.Hour)
-			assertCode(t, err, buckthorndyke.CodeDeadline)
-			assertEqual(t, *reused, false)
+			asserter.Code(t, err, buckthorndyke.CodeDeadline)
+			asserter.Equal(t, *reused, false)
 		}
 	})
 	t.Run("one that is idle is used again", func(t *testing.T) {
@@ -160,8 +161,8 @@
 			ctx := t.Context()
 			reused := traceReuse(&ctx)
 			_, err := log.Append(ctx, stream, nil)
-			assertNoError(t, err)
-			assertEqual(t, *reused, want)
+			asserter.NoError(t, err)
+			asserter.Equal(t, *reused, want)
 		}
 	})
 	t.Run("one of a service is never used again", func(t *testing.T) {
@@ -171,9 +172,9 @@
 			ctx := t.Context()
 			reused := traceReuse(&ctx)
 			answer, err := service.Call(ctx, address, booking())
-			assertNoError(t, err)
-			assertEqual(t, answer.Status, http.StatusNoContent)
-			assertEqual(t, *reused, false)
+			asserter.NoError(t, err)
+			asserter.Equal(t, answer.Status, http.StatusNoContent)
+			asserter.Equal(t, *reused, false)
 		}
 	})
 }
@@ -184,9 +185,9 @@
 			http.Error(w, "the hall is closed", http.StatusInternalServerError)
 		})
 		answer, err := connector.NewHTTPService().Call(t.Context(), address, booking())
-		assertNoError(t, err)
-		assertEqual(t, answer.Status, http.StatusInternalServerError)
-		assertEqual(t, string(answer.Body), "the hall is closed\n")
+		asserter.NoError(t, err)
+		asserter.Equal(t, answer.Status, http.StatusInternalServerError)
+		asserter.Equal(t, string(answer.Body), "the hall is closed\n")
 	})
 	t.Run("headers of a connection are not passed on", func(t *testing.T) {
 		address := serve(t, func(w http.ResponseWriter, r *http.Request) {
@@ -198,10 +199,10 @@
 		call.Header.Set("Upgrade", "websocket")
 		call.Path = "@elsewhere/?a#b"
 		answer, err := connector.NewHTTPService().Call(t.Context(), address, call)
-		assertNoError(t, err)
-		assertEqual(t, answer.Header.Get("Keep-Alive"), "")
-		assertEqual(t, answer.Header.Get("X-Upgrade"), "")
-		assertEqual(t, answer.Header.Get("X-Url"), "/@elsewhere/%3Fa%23b?seats=1")
+		asserter.NoError(t, err)
+		asserter.Equal(t, answer.Header.Get("Keep-Alive"), "")
+		asserter.Equal(t, answer.Header.Get("X-Upgrade"), "")
+		asserter.Equal(t, answer.Header.Get("X-Url"), "/@elsewhere/%3Fa%23b?seats=1")
 	})
 }
 
@@ -210,7 +211,7 @@
 	t.Helper()
 	var config net.ListenConfig
 	listener, err := config.Listen(t.Context(), "tcp", loopback)
-	assertNoError(t, err)
+	asserter.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	return listener
 }
--- a/standin/assert_test.go
+++ b/standin/assert_test.go
@@ -5,9 +5,8 @@
 	"testing"
 	"testing/synctest"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/standin"
 	"github.com/buckthorndyke/buckthorndyke/timekeeper"
 )
@@ -22,40 +21,6 @@
 	})
 }
 
-func assertCode(t *testing.T, err error, want buckthorndyke.Code) {
-	t.Helper()
-	if err == nil {
-		t.Fatalf("got no error, want code %s", want)
-	}
-	if got := buckthorndyke.RefusalOf(err).Code(); got != want {
-		t.Errorf("got code %s, want %s: %v", got, want, err)
-	}
-}
-
-func assertEqual[V any](t *testing.T, got, want V) {
-	t.Helper()
-	if d := cmp.Diff(want, got); d != "" {
-		t.Errorf("difference (-want +got):\n%s", d)
-	}
-}
-
-func assertNoError(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatalf("unexpected error: %v", err)
-	}
-}
-
-func assertVerdict(t *testing.T, err error, want buckthorndyke.Verdict) {
-	t.Helper()
-	if err == nil {
-		t.Fatalf("got no error, want verdict %s", want)
-	}
-	if got := buckthorndyke.VerdictOf(err); got != want {
-		t.Errorf("got verdict %s, want %s: %v", got, want, err)
-	}
-}
-
 // load loads a model or adapter and fails the test unless that works.
 func load(ctx context.Context, t *testing.T, engine buckthorndyke.Engine, order buckthorndyke.Order) {
 	t.Helper()
@@ -64,8 +29,8 @@
 		order.ID = buckthorndyke.OrderID("load-" + order.Model)
 	}
 	state, err := engine.Order(ctx, order)
-	assertNoError(t, err)
-	assertEqual(t, state, buckthorndyke.OrderDone)
+	asserter.NoError(t, err)
+	asserter.Equal(t, state, buckthorndyke.OrderDone)
 }
 
 // collect returns the texts of a stream's tokens up to its end mark or error.
@@ -77,7 +42,7 @@
 		if err != nil {
 			return texts, err
 		}
-		assertEqual(t, token.Index, first+len(texts))
+		asserter.Equal(t, token.Index, first+len(texts))
 		if token.Last {
 			return texts, nil
 		}
--- a/standin/engineorders_test.go
+++ b/standin/engineorders_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/standin"
 )
 
@@ -17,10 +18,10 @@
 			old := buckthorndyke.Order{Fence: 6, ID: "old", Kind: buckthorndyke.OrderLoad, Model: model}
 			assertOrder(ctx, t, engine, old, buckthorndyke.OrderFenced)
 			status, err := engine.Status(ctx)
-			assertNoError(t, err)
-			assertEqual(t, status.Fence, 7)
-			assertEqual(t, status.Orders["old"], buckthorndyke.OrderFenced)
-			assertEqual(t, len(status.Residents), 0)
+			asserter.NoError(t, err)
+			asserter.Equal(t, status.Fence, 7)
+			asserter.Equal(t, status.Orders["old"], buckthorndyke.OrderFenced)
+			asserter.Equal(t, len(status.Residents), 0)
 		})
 	})
 	t.Run("an old fencing number is ignored otherwise", func(t *testing.T) {
@@ -33,27 +34,27 @@
 	t.Run("an order whose answer is lost is carried out", func(t *testing.T) {
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			engine := startEngine(ctx, clock, standin.EngineConfig{})
-			assertNoError(t, engine.SetFaults(ctx, standin.EngineFaults{LoseOrderAnswers: 1}))
+			asserter.NoError(t, engine.SetFaults(ctx, standin.EngineFaults{LoseOrderAnswers: 1}))
 			order := buckthorndyke.Order{ID: "o", Kind: buckthorndyke.OrderLoad, MemoryMB: 8000, Model: model}
 			_, err := engine.Order(ctx, order)
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
 			assertOrderState(ctx, t, engine, "o", buckthorndyke.OrderRunning)
 			assertOrder(ctx, t, engine, order, buckthorndyke.OrderDone)
 			assertOrderState(ctx, t, engine, "o", buckthorndyke.OrderDone)
 			journal, err := engine.Journal(ctx)
-			assertNoError(t, err)
-			assertEqual(t, journal.Loads[model], 1)
-			assertEqual(t, len(journal.Orders), 1)
+			asserter.NoError(t, err)
+			asserter.Equal(t, journal.Loads[model], 1)
+			asserter.Equal(t, len(journal.Orders), 1)
 		})
 	})
 	t.Run("a late order is carried out after its sender has given up", func(t *testing.T) {
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			engine := startEngine(ctx, clock, standin.EngineConfig{})
-			assertNoError(t, engine.SetFaults(ctx, standin.EngineFaults{OrderDelay: buckthorndyke.Minute}))
+			asserter.NoError(t, engine.SetFaults(ctx, standin.EngineFaults{OrderDelay: buckthorndyke.Minute}))
 			short, cancel := context.WithTimeout(ctx, buckthorndyke.Second.Duration())
 			defer cancel()
 			_, err := engine.Order(short, buckthorndyke.Order{ID: "o", Kind: buckthorndyke.OrderLoad, Model: model})
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
 			assertOrderState(ctx, t, engine, "o", "")
 			<-clock.After(2 * buckthorndyke.Minute)
 			assertOrderState(ctx, t, engine, "o", buckthorndyke.OrderDone)
@@ -81,8 +82,8 @@
 			unload := buckthorndyke.Order{ID: "u", Kind: buckthorndyke.OrderUnload, Model: model}
 			assertOrder(ctx, t, engine, unload, buckthorndyke.OrderDone)
 			status, err := engine.Status(ctx)
-			assertNoError(t, err)
-			assertEqual(t, len(status.Residents), 0)
+			asserter.NoError(t, err)
+			asserter.Equal(t, len(status.Residents), 0)
 		})
 	})
 	t.Run("an unload ends a load of the model as failed", func(t *testing.T) {
@@ -101,13 +102,13 @@
 			engine := startEngine(ctx, clock, standin.EngineConfig{StatusLag: buckthorndyke.Second})
 			load(ctx, t, engine, buckthorndyke.Order{MemoryMB: 1000, Model: model})
 			status, err := engine.Status(ctx)
-			assertNoError(t, err)
-			assertEqual(t, status.Orders["load-"+buckthorndyke.OrderID(model)], buckthorndyke.OrderDone)
-			assertEqual(t, len(status.Residents), 0)
+			asserter.NoError(t, err)
+			asserter.Equal(t, status.Orders["load-"+buckthorndyke.OrderID(model)], buckthorndyke.OrderDone)
+			asserter.Equal(t, len(status.Residents), 0)
 			<-clock.After(2 * buckthorndyke.Second)
 			status, err = engine.Status(ctx)
-			assertNoError(t, err)
-			assertEqual(t, status.Residents, []buckthorndyke.Resident{{MemoryMB: 1000, Model: model}})
+			asserter.NoError(t, err)
+			asserter.Equal(t, status.Residents, []buckthorndyke.Resident{{MemoryMB: 1000, Model: model}})
 		})
 	})
 	t.Run("a cached checkpoint loads faster", func(t *testing.T) {
@@ -115,10 +116,10 @@
 			engine := startEngine(ctx, clock, standin.EngineConfig{CachedOnDisk: []buckthorndyke.ModelID{"disk"}})
 			before := clock.Now()
 			load(ctx, t, engine, buckthorndyke.Order{MemoryMB: 8000, Model: "disk"})
-			assertEqual(t, clock.Now()-before, 2*buckthorndyke.Second)
+			asserter.Equal(t, clock.Now()-before, 2*buckthorndyke.Second)
 			before = clock.Now()
 			load(ctx, t, engine, buckthorndyke.Order{MemoryMB: 8000, Model: "remote"})
-			assertEqual(t, clock.Now()-before, 4*buckthorndyke.Second)
+			asserter.Equal(t, clock.Now()-before, 4*buckthorndyke.Second)
 		})
 	})
 }
@@ -135,8 +136,8 @@
 ) {
 	t.Helper()
 	got, err := engine.Order(ctx, order)
-	assertNoError(t, err)
-	assertEqual(t, got, want)
+	asserter.NoError(t, err)
+	asserter.Equal(t, got, want)
 }
 
 func assertOrderState(
@@ -144,14 +145,14 @@
 ) {
 	t.Helper()
 	status, err := engine.Status(ctx)
-	assertNoError(t, err)
-	assertEqual(t, status.Orders[id], want)
+	asserter.NoError(t, err)
+	asserter.Equal(t, status.Orders[id], want)
 }
 
 func assertOvercommitted(ctx context.Context, t *testing.T, engine *standin.MemoryEngine, want bool, highestMB int) {
 	t.Helper()
 	journal, err := engine.Journal(ctx)
-	assertNoError(t, err)
-	assertEqual(t, journal.Overcommitted, want)
-	assertEqual(t, journal.HighestMemoryMB, highestMB)
+	asserter.NoError(t, err)
+	asserter.Equal(t, journal.Overcommitted, want)
+	asserter.Equal(t, journal.HighestMemoryMB, highestMB)
 }
--- /dev/null
+++ b/standin/lister.go
@@ -0,0 +1,77 @@
+package standin
+
+import (
+	"context"
+	"errors"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+// lister is the task that fills the VM list of a site once its servers have
+// bound their addresses, and then tells these.
+type lister struct {
+	asks *mailer.Mailbox[mailer.Reply[SiteAddresses]]
+	site *Site
+}
+
+// Serve implements suture.Service.
+func (l *lister) Serve(ctx context.Context) error {
+	addresses, err := l.addresses(ctx)
+	if err != nil {
+		return err
+	}
+	if err := l.site.list.Set(ctx, l.vms(addresses)); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case reply := <-l.asks.Receive():
+			reply.Answer(addresses)
+		}
+	}
+}
+
+// addresses waits until all servers have bound their addresses.
+func (l *lister) addresses(ctx context.Context) (SiteAddresses, error) {
+	s := l.site
+	a := SiteAddresses{Runners: make([]string, len(s.runners)), ServiceVMs: make([]string, len(s.services))}
+	err := errors.Join(
+		bound(ctx, &s.log.httpServer, &a.Log),
+		bound(ctx, &s.vmList.httpServer, &a.VMList),
+		bound(ctx, &s.weights.httpServer, &a.WeightStore),
+	)
+	for i, r := range s.runners {
+		err = errors.Join(err, bound(ctx, &r.httpServer, &a.Runners[i]))
+	}
+	for i, service := range s.services {
+		err = errors.Join(err, bound(ctx, &service.httpServer, &a.ServiceVMs[i]))
+	}
+	return a, err
+}
+
+// vms returns the VMs of the site, whose servers have bound the addresses a.
+func (l *lister) vms(a SiteAddresses) []buckthorndyke.VM {
+	var vms []buckthorndyke.VM
+	for _, cfg := range l.site.cfg.EntryVMs {
+		vms = append(vms, cfg.vm(buckthorndyke.RoleEntry, cfg.Address))
+	}
+	for i, cfg := range l.site.cfg.Runners {
+		vms = append(vms, cfg.vm(buckthorndyke.RoleRunner, a.Runners[i]))
+	}
+	for i, cfg := range l.site.cfg.ServiceVMs {
+		vm := cfg.vm(buckthorndyke.RoleService, a.ServiceVMs[i])
+		vm.Service = cfg.Service
+		vms = append(vms, vm)
+	}
+	return vms
+}
+
+// bound stores the address that server has bound, once it has.
+func bound(ctx context.Context, server *httpServer, address *string) error {
+	var err error
+	*address, err = server.Address(ctx)
+	return err
+}
--- a/standin/memoryengine_test.go
+++ b/standin/memoryengine_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/standin"
 )
 
@@ -19,7 +20,7 @@
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			engine := startEngine(ctx, clock, standin.EngineConfig{})
 			_, err := engine.Generate(ctx, buckthorndyke.Job{ID: "j", Model: model})
-			assertVerdict(t, err, buckthorndyke.NotRun)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
 		})
 	})
 	t.Run("a crash breaks all streams and empties the memory", func(t *testing.T) {
@@ -27,46 +28,46 @@
 			engine := startEngine(ctx, clock, standin.EngineConfig{})
 			load(ctx, t, engine, buckthorndyke.Order{MemoryMB: 8000, Model: model})
 			before, err := engine.Status(ctx)
-			assertNoError(t, err)
+			asserter.NoError(t, err)
 			bystander := generate(ctx, t, engine, buckthorndyke.Job{ID: "a", Prompt: prompt})
 			culprit := generate(ctx, t, engine, buckthorndyke.Job{ID: "b", Prompt: standin.CrashPrompt})
 			_, err = collect(ctx, t, bystander, 0)
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
 			_, err = collect(ctx, t, culprit, 0)
-			assertCode(t, err, buckthorndyke.CodeEngineFailed)
+			asserter.Code(t, err, buckthorndyke.CodeEngineFailed)
 			_, err = engine.Status(ctx)
-			assertVerdict(t, err, buckthorndyke.NotRun)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
 			<-clock.After(buckthorndyke.Minute)
 			after, err := engine.Status(ctx)
-			assertNoError(t, err)
-			assertEqual(t, after.Started > before.Started, true)
-			assertEqual(t, len(after.Residents), 0)
-			assertEqual(t, len(after.Orders), 0)
+			asserter.NoError(t, err)
+			asserter.Equal(t, after.Started > before.Started, true)
+			asserter.Equal(t, len(after.Residents), 0)
+			asserter.Equal(t, len(after.Orders), 0)
 		})
 	})
 	t.Run("a cut stream ends in an error and is resumed with its next token", func(t *testing.T) {
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			engine := startLoadedEngine(ctx, clock, standin.EngineConfig{AnswerTokens: 9})
-			assertNoError(t, engine.SetFaults(ctx, standin.EngineFaults{CutStreamAfter: 4}))
+			asserter.NoError(t, engine.SetFaults(ctx, standin.EngineFaults{CutStreamAfter: 4}))
 			part, err := collect(ctx, t, generate(ctx, t, engine, buckthorndyke.Job{ID: "a", Prompt: prompt}), 0)
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
-			assertEqual(t, len(part), 4)
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Equal(t, len(part), 4)
 			job := buckthorndyke.Job{ID: "b", Prompt: prompt, Resume: part}
 			rest, err := collect(ctx, t, generate(ctx, t, engine, job), 4)
-			assertNoError(t, err)
-			assertEqual(t, append(part, rest...), standin.AnswerTokens(model, prompt, 9))
+			asserter.NoError(t, err)
+			asserter.Equal(t, append(part, rest...), standin.AnswerTokens(model, prompt, 9))
 		})
 	})
 	t.Run("a doubled token comes as it is", func(t *testing.T) {
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			engine := startLoadedEngine(ctx, clock, standin.EngineConfig{})
-			assertNoError(t, engine.SetFaults(ctx, standin.EngineFaults{DoubleToken: true}))
+			asserter.NoError(t, engine.SetFaults(ctx, standin.EngineFaults{DoubleToken: true}))
 			s := generate(ctx, t, engine, buckthorndyke.Job{ID: "a", Prompt: prompt})
 			first, err := s.Next(ctx)
-			assertNoError(t, err)
+			asserter.NoError(t, err)
 			second, err := s.Next(ctx)
-			assertNoError(t, err)
-			assertEqual(t, second, first)
+			asserter.NoError(t, err)
+			asserter.Equal(t, second, first)
 		})
 	})
 	t.Run("jobs beyond the slots wait in the order of their ranks", func(t *testing.T) {
@@ -76,14 +77,14 @@
 			free := generate(ctx, t, engine, buckthorndyke.Job{ID: "b", Rank: buckthorndyke.RankFree})
 			urgent := generate(ctx, t, engine, buckthorndyke.Job{ID: "c", Rank: buckthorndyke.RankUrgent})
 			_, err := urgent.Next(ctx)
-			assertNoError(t, err)
+			asserter.NoError(t, err)
 			short, cancel := context.WithTimeout(ctx, buckthorndyke.Millisecond.Duration())
 			defer cancel()
 			_, err = free.Next(short)
-			assertCode(t, err, buckthorndyke.CodeDeadline)
+			asserter.Code(t, err, buckthorndyke.CodeDeadline)
 			journal, err := engine.Journal(ctx)
-			assertNoError(t, err)
-			assertEqual(t, journal.HighestRunning, 1)
+			asserter.NoError(t, err)
+			asserter.Equal(t, journal.HighestRunning, 1)
 		})
 	})
 	t.Run("cancel and close end a job", func(t *testing.T) {
@@ -91,13 +92,13 @@
 			engine := startLoadedEngine(ctx, clock, standin.EngineConfig{})
 			generate(ctx, t, engine, buckthorndyke.Job{ID: "a"})
 			closed := generate(ctx, t, engine, buckthorndyke.Job{ID: "b"})
-			assertNoError(t, engine.Cancel(ctx, "a"))
-			assertNoError(t, engine.Cancel(ctx, "unknown"))
-			assertNoError(t, closed.Close())
+			asserter.NoError(t, engine.Cancel(ctx, "a"))
+			asserter.NoError(t, engine.Cancel(ctx, "unknown"))
+			asserter.NoError(t, closed.Close())
 			synctest.Wait()
 			status, err := engine.Status(ctx)
-			assertNoError(t, err)
-			assertEqual(t, len(status.Jobs), 0)
+			asserter.NoError(t, err)
+			asserter.Equal(t, len(status.Jobs), 0)
 		})
 	})
 }
@@ -109,7 +110,7 @@
 	job.Model = model
 	job.Request = buckthorndyke.RequestID(job.ID)
 	s, err := engine.Generate(ctx, job)
-	assertNoError(t, err)
+	asserter.NoError(t, err)
 	return s
 }
 
--- a/standin/memorylog_test.go
+++ b/standin/memorylog_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/standin"
 )
 
@@ -15,10 +16,10 @@
 	t.Run("a log that is down refuses as not run", func(t *testing.T) {
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			log := startLog(ctx, clock)
-			assertNoError(t, log.SetFaults(ctx, standin.LogFaults{Down: true}))
+			asserter.NoError(t, log.SetFaults(ctx, standin.LogFaults{Down: true}))
 			_, err := log.Append(ctx, stream, []byte("a"))
-			assertVerdict(t, err, buckthorndyke.NotRun)
-			assertNoError(t, log.SetFaults(ctx, standin.LogFaults{}))
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
+			asserter.NoError(t, log.SetFaults(ctx, standin.LogFaults{}))
 			assertTail(ctx, t, log, 0)
 		})
 	})
@@ -31,29 +32,29 @@
 				failed <- err
 			}()
 			synctest.Wait()
-			assertNoError(t, log.SetFaults(ctx, standin.LogFaults{Down: true}))
-			assertCode(t, <-failed, buckthorndyke.CodeLogUnavailable)
+			asserter.NoError(t, log.SetFaults(ctx, standin.LogFaults{Down: true}))
+			asserter.Code(t, <-failed, buckthorndyke.CodeLogUnavailable)
 		})
 	})
 	t.Run("an append whose answer is lost has taken effect", func(t *testing.T) {
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			log := startLog(ctx, clock)
-			assertNoError(t, log.SetFaults(ctx, standin.LogFaults{LoseAnswers: 1}))
+			asserter.NoError(t, log.SetFaults(ctx, standin.LogFaults{LoseAnswers: 1}))
 			_, err := log.Append(ctx, stream, []byte("a"))
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
 			offset, err := log.Append(ctx, stream, []byte("b"))
-			assertNoError(t, err)
-			assertEqual(t, offset, 2)
+			asserter.NoError(t, err)
+			asserter.Equal(t, offset, 2)
 		})
 	})
 	t.Run("a late append takes effect after its caller has given up", func(t *testing.T) {
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			log := startLog(ctx, clock)
-			assertNoError(t, log.SetFaults(ctx, standin.LogFaults{Delay: 10 * buckthorndyke.Second}))
+			asserter.NoError(t, log.SetFaults(ctx, standin.LogFaults{Delay: 10 * buckthorndyke.Second}))
 			short, cancel := context.WithTimeout(ctx, buckthorndyke.Second.Duration())
 			defer cancel()
 			_, err := log.Append(short, stream, []byte("a"))
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
 			assertTail(ctx, t, log, 1)
 		})
 	})
@@ -63,7 +64,7 @@
 			gone, cancel := context.WithCancel(ctx)
 			cancel()
 			_, err := log.Append(gone, stream, []byte("a"))
-			assertVerdict(t, err, buckthorndyke.NotRun)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
 		})
 	})
 	t.Run("a read below the first kept record yields no entries", func(t *testing.T) {
@@ -71,25 +72,25 @@
 			log := startLog(ctx, clock, standin.WithRetention(2))
 			for _, data := range []string{"a", "b", "c"} {
 				_, err := log.Append(ctx, stream, []byte(data))
-				assertNoError(t, err)
+				asserter.NoError(t, err)
 			}
 			batch, err := log.Read(ctx, stream, 1, buckthorndyke.Minute)
-			assertNoError(t, err)
-			assertEqual(t, batch, buckthorndyke.Batch{First: 2, Tail: 3})
+			asserter.NoError(t, err)
+			asserter.Equal(t, batch, buckthorndyke.Batch{First: 2, Tail: 3})
 			batch, err = log.Read(ctx, stream, 2, 0)
-			assertNoError(t, err)
-			assertEqual(t, len(batch.Entries), 2)
-			assertEqual(t, string(batch.Entries[0].Data), "b")
+			asserter.NoError(t, err)
+			asserter.Equal(t, len(batch.Entries), 2)
+			asserter.Equal(t, string(batch.Entries[0].Data), "b")
 		})
 	})
 	t.Run("stats count appends and bytes", func(t *testing.T) {
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			log := startLog(ctx, clock)
 			_, err := log.Append(ctx, stream, []byte("abc"))
-			assertNoError(t, err)
+			asserter.NoError(t, err)
 			stats, err := log.Stats(ctx)
-			assertNoError(t, err)
-			assertEqual(t, stats, standin.LogStats{AppendedBytes: 3, Appends: 1})
+			asserter.NoError(t, err)
+			asserter.Equal(t, stats, standin.LogStats{AppendedBytes: 3, Appends: 1})
 		})
 	})
 }
@@ -97,8 +98,8 @@
 func assertTail(ctx context.Context, t *testing.T, log buckthorndyke.Log, want buckthorndyke.Offset) {
 	t.Helper()
 	batch, err := log.Read(ctx, stream, 1, 0)
-	assertNoError(t, err)
-	assertEqual(t, batch.Tail, want)
+	asserter.NoError(t, err)
+	asserter.Equal(t, batch.Tail, want)
 }
 
 func startLog(ctx context.Context, clock buckthorndyke.Clock, opts ...standin.LogOption) *standin.MemoryLog {
--- a/standin/memoryservice_test.go
+++ b/standin/memoryservice_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/standin"
 )
 
@@ -13,29 +14,29 @@
 	t.Run("a service that is down refuses as not run", func(t *testing.T) {
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			service := startService(ctx, clock)
-			assertNoError(t, service.SetFaults(ctx, standin.ServiceFaults{Down: true}))
+			asserter.NoError(t, service.SetFaults(ctx, standin.ServiceFaults{Down: true}))
 			_, err := service.Call(ctx, "a", booking)
-			assertVerdict(t, err, buckthorndyke.NotRun)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
 			assertBookings(ctx, t, service, 0)
 		})
 	})
 	t.Run("a call whose answer is lost has taken effect", func(t *testing.T) {
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			service := startService(ctx, clock)
-			assertNoError(t, service.SetFaults(ctx, standin.ServiceFaults{LoseAnswers: 1}))
+			asserter.NoError(t, service.SetFaults(ctx, standin.ServiceFaults{LoseAnswers: 1}))
 			_, err := service.Call(ctx, "a", booking)
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
 			assertBookings(ctx, t, service, 1)
 		})
 	})
 	t.Run("a late call takes effect after its caller has given up", func(t *testing.T) {
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			service := startService(ctx, clock)
-			assertNoError(t, service.SetFaults(ctx, standin.ServiceFaults{Delay: buckthorndyke.Minute}))
+			asserter.NoError(t, service.SetFaults(ctx, standin.ServiceFaults{Delay: buckthorndyke.Minute}))
 			short, cancel := context.WithTimeout(ctx, buckthorndyke.Second.Duration())
 			defer cancel()
 			_, err := service.Call(short, "a", booking)
-			assertVerdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
 			assertBookings(ctx, t, service, 0)
 			<-clock.After(2 * buckthorndyke.Minute)
 			assertBookings(ctx, t, service, 1)
@@ -45,9 +46,9 @@
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			service := startService(ctx, clock)
 			answer, err := service.Call(ctx, "a", booking)
-			assertNoError(t, err)
-			assertEqual(t, answer.Status, http.StatusOK)
-			assertEqual(t, string(answer.Body), `{"call":1,"request":"r1"}`)
+			asserter.NoError(t, err)
+			asserter.Equal(t, answer.Status, http.StatusOK)
+			asserter.Equal(t, string(answer.Body), `{"call":1,"request":"r1"}`)
 		})
 	})
 }
@@ -61,10 +62,10 @@
 func assertBookings(ctx context.Context, t *testing.T, service *standin.MemoryService, want int) {
 	t.Helper()
 	journal, err := service.Journal(ctx)
-	assertNoError(t, err)
-	assertEqual(t, journal.Keys["k1"], want)
-	assertEqual(t, journal.Requests["r1"], want)
-	assertEqual(t, len(journal.Calls), want)
+	asserter.NoError(t, err)
+	asserter.Equal(t, journal.Keys["k1"], want)
+	asserter.Equal(t, journal.Requests["r1"], want)
+	asserter.Equal(t, len(journal.Calls), want)
 }
 
 func startService(ctx context.Context, clock buckthorndyke.Clock) *standin.MemoryService {
--- a/standin/memorystores_test.go
+++ b/standin/memorystores_test.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/standin"
 )
 
@@ -17,7 +18,7 @@
 			first, second := buckthorndyke.VM{ID: "a"}, buckthorndyke.VM{ID: "b"}
 			list := standin.NewMemoryVMList(clock, standin.WithLag(buckthorndyke.Second), standin.WithVMs(first))
 			standin.Start(ctx, list)
-			assertNoError(t, list.Set(ctx, []buckthorndyke.VM{second}))
+			asserter.NoError(t, list.Set(ctx, []buckthorndyke.VM{second}))
 			assertListed(ctx, t, list, first)
 			<-clock.After(buckthorndyke.Second)
 			assertListed(ctx, t, list, second)
@@ -29,10 +30,10 @@
 	t.Run("a store that is down refuses as not run", func(t *testing.T) {
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			store := startStore(ctx, clock)
-			assertNoError(t, store.SetFaults(ctx, standin.StoreFaults{Down: true}))
+			asserter.NoError(t, store.SetFaults(ctx, standin.StoreFaults{Down: true}))
 			_, err := store.Describe(ctx, model)
-			assertVerdict(t, err, buckthorndyke.NotRun)
-			assertVerdict(t, store.Fetch(ctx, model, false, 1), buckthorndyke.NotRun)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
+			asserter.Verdict(t, store.Fetch(ctx, model, false, 1), buckthorndyke.NotRun)
 		})
 	})
 	t.Run("a checkpoint that it lacks is unknown", func(t *testing.T) {
@@ -40,26 +41,26 @@
 			known := buckthorndyke.Checkpoint{Model: model, SizeMB: 123}
 			store := startStore(ctx, clock, standin.WithCheckpoints(known), standin.WithDefaultSize(0))
 			got, err := store.Describe(ctx, model)
-			assertNoError(t, err)
-			assertEqual(t, got, known)
+			asserter.NoError(t, err)
+			asserter.Equal(t, got, known)
 			_, err = store.Describe(ctx, "another")
-			assertCode(t, err, buckthorndyke.CodeModelUnknown)
+			asserter.Code(t, err, buckthorndyke.CodeModelUnknown)
 		})
 	})
 	t.Run("at most four models start in a second", func(t *testing.T) {
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			store := startStore(ctx, clock)
-			assertEqual(t, fetchAll(ctx, t, clock, store, 9, false), 2*buckthorndyke.Second+span*9/4)
+			asserter.Equal(t, fetchAll(ctx, t, clock, store, 9, false), 2*buckthorndyke.Second+span*9/4)
 			stats, err := store.Stats(ctx)
-			assertNoError(t, err)
-			assertEqual(t, stats, standin.StoreStats{HighestModels: 9, Models: 9, ModelsBeyondLimit: 5})
+			asserter.NoError(t, err)
+			asserter.Equal(t, stats, standin.StoreStats{HighestModels: 9, Models: 9, ModelsBeyondLimit: 5})
 		})
 	})
 	t.Run("adapters slow down beyond thirty at once", func(t *testing.T) {
 		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
 			store := startStore(ctx, clock)
-			assertEqual(t, fetchAll(ctx, t, clock, store, 30, true), span)
-			assertEqual(t, fetchAll(ctx, t, clock, store, 60, true), 2*span)
+			asserter.Equal(t, fetchAll(ctx, t, clock, store, 30, true), span)
+			asserter.Equal(t, fetchAll(ctx, t, clock, store, 60, true), 2*span)
 		})
 	})
 	t.Run("a load that is given up makes room", func(t *testing.T) {
@@ -67,8 +68,8 @@
 			store := startStore(ctx, clock)
 			short, cancel := context.WithTimeout(ctx, buckthorndyke.Millisecond.Duration())
 			defer cancel()
-			assertVerdict(t, store.Fetch(short, model, true, span), buckthorndyke.MayHaveRun)
-			assertEqual(t, fetchAll(ctx, t, clock, store, 30, true), span)
+			asserter.Verdict(t, store.Fetch(short, model, true, span), buckthorndyke.MayHaveRun)
+			asserter.Equal(t, fetchAll(ctx, t, clock, store, 30, true), span)
 		})
 	})
 }
@@ -79,8 +80,8 @@
 func assertListed(ctx context.Context, t *testing.T, list buckthorndyke.VMList, want ...buckthorndyke.VM) {
 	t.Helper()
 	got, err := list.List(ctx)
-	assertNoError(t, err)
-	assertEqual(t, got, want)
+	asserter.NoError(t, err)
+	asserter.Equal(t, got, want)
 }
 
 // fetchAll fetches n checkpoints at once and returns how long that takes.
@@ -95,7 +96,7 @@
 			return store.Fetch(ctx, buckthorndyke.ModelID(fmt.Sprint(i)), adapter, span)
 		})
 	}
-	assertNoError(t, g.Wait())
+	asserter.NoError(t, g.Wait())
 	return clock.Now() - before
 }
 
--- a/standin/site.go
+++ b/standin/site.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/thejerf/suture/v4"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
 	"github.com/buckthorndyke/buckthorndyke/timekeeper"
 )
 
@@ -16,6 +16,7 @@
 	cfg        SiteConfig
 	clock      buckthorndyke.Clock
 	list       *MemoryVMList
+	lister     *lister
 	log        *LogServer
 	runners    []*EngineServer
 	services   []*ServiceServer
@@ -69,27 +70,15 @@
 	s.add(log, s.log, s.list, s.vmList, store, s.weights)
 	s.addRunners(store)
 	s.addServices()
-	s.add(suture.Service(lister{site: s}))
+	s.lister = &lister{asks: mailer.NewMailbox[mailer.Reply[SiteAddresses]](), site: s}
+	s.add(s.lister)
 	return s
 }
 
-// Addresses returns the addresses that the site has bound, once it has.
+// Addresses returns the addresses that the site has bound, once it has and the
+// VM list shows them.
 func (s *Site) Addresses(ctx context.Context) (SiteAddresses, error) {
-	var a SiteAddresses
-	err := errors.Join(
-		bound(ctx, &s.log.httpServer, &a.Log),
-		bound(ctx, &s.vmList.httpServer, &a.VMList),
-		bound(ctx, &s.weights.httpServer, &a.WeightStore),
-	)
-	a.Runners = make([]string, len(s.runners))
-	for i, r := range s.runners {
-		err = errors.Join(err, bound(ctx, &r.httpServer, &a.Runners[i]))
-	}
-	a.ServiceVMs = make([]string, len(s.services))
-	for i, service := range s.services {
-		err = errors.Join(err, bound(ctx, &service.httpServer, &a.ServiceVMs[i]))
-	}
-	return a, err
+	return mailer.Ask(ctx, s.lister.asks, func(r mailer.Reply[SiteAddresses]) mailer.Reply[SiteAddresses] { return r })
 }
 
 // Serve runs the site until ctx ends. It implements suture.Service.
@@ -130,49 +119,3 @@
 		s.add(server)
 	}
 }
-
-// vms returns the VMs of the site, which has bound the given addresses.
-func (s *Site) vms(a SiteAddresses) []buckthorndyke.VM {
-	var vms []buckthorndyke.VM
-	for _, cfg := range s.cfg.EntryVMs {
-		vms = append(vms, cfg.vm(buckthorndyke.RoleEntry, cfg.Address))
-	}
-	for i, cfg := range s.cfg.Runners {
-		vms = append(vms, cfg.vm(buckthorndyke.RoleRunner, a.Runners[i]))
-	}
-	for i, cfg := range s.cfg.ServiceVMs {
-		vm := cfg.vm(buckthorndyke.RoleService, a.ServiceVMs[i])
-		vm.Service = cfg.Service
-		vms = append(vms, vm)
-	}
-	return vms
-}
-
-// vm returns the line of the VM list for a VM at address.
-func (c VMConfig) vm(role buckthorndyke.Role, address string) buckthorndyke.VM {
-	return buckthorndyke.VM{Address: address, Domain: c.Domain, ID: c.ID, Role: role}
-}
-
-// lister fills the VM list once the site has bound its addresses.
-type lister struct {
-	site *Site
-}
-
-// Serve implements suture.Service.
-func (l lister) Serve(ctx context.Context) error {
-	addresses, err := l.site.Addresses(ctx)
-	if err != nil {
-		return err
-	}
-	if err := l.site.list.Set(ctx, l.site.vms(addresses)); err != nil {
-		return err
-	}
-	return suture.ErrDoNotRestart
-}
-
-// bound stores the address that server has bound, once it has.
-func bound(ctx context.Context, server *httpServer, address *string) error {
-	var err error
-	*address, err = server.Address(ctx)
-	return err
-}
--- a/standin/siteconfig.go
+++ b/standin/siteconfig.go
@@ -21,6 +21,11 @@
 	ID      buckthorndyke.VMID     `json:"id"`
 }
 
+// vm returns the line of the VM list for a VM at address.
+func (c VMConfig) vm(role buckthorndyke.Role, address string) buckthorndyke.VM {
+	return buckthorndyke.VM{Address: address, Domain: c.Domain, ID: c.ID, Role: role}
+}
+
 // LogConfig says how the log service behaves.
 type LogConfig struct {
 	Address string `json:"address"`
