--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -14,6 +14,7 @@
 
 // Events of the log.
 const (
+	EventDrainAsked     Event = "drain-asked"
 	EventDrainBegun     Event = "drain-begun"
 	EventDrainEnded     Event = "drain-ended"
 	EventDrainStep      Event = "drain-step"
--- a/supervisor/operator/handler.go
+++ b/supervisor/operator/handler.go
@@ -11,8 +11,10 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
+	"github.com/rs/zerolog"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/translator"
 )
 
@@ -28,12 +30,13 @@
 // handler decodes operators' requests and encodes the answers.
 type handler struct {
 	bodyLimit  int64
+	logger     zerolog.Logger
 	operations Operations
 	token      [sha256.Size]byte
 }
 
-func newHandler(operations Operations, token string, bodyLimit int64) *handler {
-	return &handler{bodyLimit: bodyLimit, operations: operations, token: sha256.Sum256([]byte(token))}
+func newHandler(operations Operations, token string, bodyLimit int64, logger zerolog.Logger) *handler {
+	return &handler{bodyLimit: bodyLimit, logger: logger, operations: operations, token: sha256.Sum256([]byte(token))}
 }
 
 func (h *handler) apply(ctx iris.Context) {
@@ -43,6 +46,7 @@
 		return
 	}
 	result, err := h.operations.Apply(ctx.Request().Context(), ApplyRequest(m))
+	h.logApply(m, result, err)
 	if err != nil {
 		writeError(ctx, err)
 		return
@@ -111,10 +115,26 @@
 		writeError(ctx, err)
 		return
 	}
+	h.logger.Info().EmbedObject(reporter.EventDrainAsked).Str("from", ctx.RemoteAddr()).Msg("an operator asked for a drain")
 	ctx.StatusCode(http.StatusAccepted)
 	_ = ctx.JSON(DrainAnswer{Draining: true})
 }
 
+// logApply logs the outcome of an attempt to change the rules.
+func (h *handler) logApply(m ApplyMessage, result ApplyResult, err error) {
+	line := h.logger.Info().Str("by", m.By[:min(len(m.By), maxByBytes)]).Uint64("base", uint64(m.Base))
+	switch {
+	case err != nil && buckthorndyke.VerdictOf(err) == buckthorndyke.MayHaveRun:
+		line.EmbedObject(reporter.EventRulesUnknown).Err(err).Msg("it is not known whether the rules were accepted")
+	case err != nil:
+		line.EmbedObject(reporter.EventRulesRejected).Err(err).Msg("the rules were refused")
+	case !result.Accepted:
+		line.EmbedObject(reporter.EventRulesRejected).Str("reason", result.Reason).Msg("the rules were rejected")
+	default:
+		line.EmbedObject(reporter.EventRulesAccepted).Uint64("version", uint64(result.Version)).Msg("the rules were accepted")
+	}
+}
+
 func (h *handler) metrics(ctx iris.Context) {
 	m, err := h.operations.Metrics(ctx.Request().Context())
 	if err != nil {
--- a/supervisor/operator/operator.go
+++ b/supervisor/operator/operator.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
+	"github.com/rs/zerolog"
 	"golang.org/x/net/netutil"
 
 	"github.com/buckthorndyke/buckthorndyke"
@@ -48,6 +49,7 @@
 	address    string
 	limits     Limits
 	listener   net.Listener
+	logger     zerolog.Logger
 	operations Operations
 	token      string
 }
@@ -80,6 +82,11 @@
 	return func(o *Operator) { o.listener = socket }
 }
 
+// WithLogger logs what operators change.
+func WithLogger(logger zerolog.Logger) Option {
+	return func(o *Operator) { o.logger = logger }
+}
+
 // WithMetrics serves the metrics in m.
 func WithMetrics(m buckthorndyke.MetricsReporter) Option {
 	return func(o *Operator) { o.operations.metrics = m }
@@ -101,6 +108,7 @@
 	o := &Operator{
 		address:    defaultAddress,
 		limits:     DefaultLimits(),
+		logger:     zerolog.Nop(),
 		operations: Operations{follower: follower, proposer: proposer},
 	}
 	for _, opt := range opts {
@@ -114,7 +122,7 @@
 	if o.token == "" {
 		return nil, errors.New("the operator interface has no token; set one in the settings")
 	}
-	h := newHandler(o.operations, o.token, o.limits.Body)
+	h := newHandler(o.operations, o.token, o.limits.Body, o.logger)
 	app := iris.New()
 	app.Logger().SetLevel("disable")
 	app.Get(PathLive, func(ctx iris.Context) { _, _ = ctx.WriteString("live\n") })
--- a/supervisor/operator/operator_test.go
+++ b/supervisor/operator/operator_test.go
@@ -1,6 +1,7 @@
 package operator_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -12,6 +13,7 @@
 	"testing/synctest"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/asserter"
@@ -73,10 +75,12 @@
 		assertError(t, body, buckthorndyke.CodeLogUnavailable, buckthorndyke.NotRun)
 	})
 	t.Run("an unknown outcome is said to be unknown", func(t *testing.T) {
-		_, body := client{proposer: func(buckthorndyke.Change) (buckthorndyke.Ruling, error) {
+		var log bytes.Buffer
+		_, body := client{log: &log, proposer: func(buckthorndyke.Change) (buckthorndyke.Ruling, error) {
 			return buckthorndyke.Ruling{}, errors.New("no ruling in time")
 		}}.post(t, operator.PathRules, applyBody)
 		assertError(t, body, buckthorndyke.CodeInternal, buckthorndyke.MayHaveRun)
+		asserter.Contains(t, log.String(), `"by":"M. Okafor","base":7,"event":"rules-unknown"`)
 	})
 	t.Run("rules with faults are not proposed", func(t *testing.T) {
 		status, body := client{proposer: refuseAll}.post(t, operator.PathRules, `{"base":7,"by":"A","text":"service x\nrank gold"}`)
@@ -193,6 +197,7 @@
 type client struct {
 	drain    func()
 	follower buckthorndyke.Follower
+	log      *bytes.Buffer
 	proposer proposerFunc
 	// token replaces the right one.
 	token *string
@@ -213,11 +218,14 @@
 	if c.follower == nil {
 		c.follower = states(progress(), progress())
 	}
+	if c.log == nil {
+		c.log = new(bytes.Buffer)
+	}
 	limits := operator.DefaultLimits()
 	limits.Body = 2048
 	handler, err := operator.New(c.follower, c.proposer, operator.WithToken(testToken), operator.WithDrain(c.drain),
 		operator.WithFleet(fakeFleet{}), operator.WithMetrics(reporter.NewMetrics()), operator.WithLimits(limits),
-		operator.WithParser(parser.NewRules())).Handler()
+		operator.WithParser(parser.NewRules()), operator.WithLogger(zerolog.New(c.log))).Handler()
 	asserter.NoError(t, err)
 	server := httptest.NewServer(handler)
 	defer server.Close()
