fix(configurer): refuse a peer address that peers cannot reach

The peer address is published to the other entry VMs as it stands, so that port 0 or an unspecified address would be published too. The conversion of stand-in settings stood twice; the one in standin stays, with the two fields that it lacked. The operator interface logs what operators change.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -81,6 +81,7 @@
 		recorder.New(self, tree.Follower(), metrics),
 		operator.New(tree.Follower(), tree.Proposer(),
 			operator.WithAddress(s.Operator.Address), operator.WithDrain(tree.Drain), operator.WithFleet(tree.Prober()),
+			operator.WithLogger(logger),
 			operator.WithMetrics(metrics), operator.WithParser(rules), operator.WithToken(s.Operator.Token.Text)),
 	)
 	tree.AddFront(listener.New(s.Callers.Address, recorder.NewGateway(tree.Gateway(), metrics, clock), clock,
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -33,15 +33,15 @@
 	return func(c *Commander) { c.serve = serve }
 }
 
-// WithStandIn makes the sub-command stand-in call standIn in place of those of
-// package standin. It must return when ctx ends.
+// WithStandIn makes the sub-command stand-in call standIn, which must return
+// when ctx ends.
 func WithStandIn(standIn func(ctx context.Context, settings configurer.StandIn) error) Option {
 	return func(c *Commander) { c.standIn = standIn }
 }
 
 // New returns a commander.
 func New(opts ...Option) *Commander {
-	c := &Commander{clock: timekeeper.NewRealClock(), standIn: serveSite}
+	c := &Commander{clock: timekeeper.NewRealClock()}
 	for _, opt := range opts {
 		opt(c)
 	}
--- a/configurer/parseserve.go
+++ b/configurer/parseserve.go
@@ -120,7 +120,7 @@
 func (o object) peers() Peers {
 	section := o.object("peers", true)
 	defer section.close()
-	return Peers{Address: section.address(addressListen), Key: section.secret("key")}
+	return Peers{Address: section.address(addressRemote), Key: section.secret("key")}
 }
 
 // platform returns the address in the section of one of the platform's
--- a/configurer/values.go
+++ b/configurer/values.go
@@ -21,7 +21,7 @@
 	// addressListen is where the process itself serves: port 0 lets the system
 	// choose one.
 	addressListen addressKind = iota
-	// addressRemote is where the process reaches another.
+	// addressRemote is where one process reaches another.
 	addressRemote
 )
 
@@ -42,7 +42,7 @@
 	case parsed.Addr().Zone() != "":
 		o.d.report(at, buckthorndyke.FaultAddress, fmt.Sprintf("%q has a zone", text), mend)
 	case kind == addressRemote && parsed.Port() == 0:
-		o.d.report(at, buckthorndyke.FaultAddress, fmt.Sprintf("%q has port 0", text), "write the port that the other side serves on")
+		o.d.report(at, buckthorndyke.FaultAddress, fmt.Sprintf("%q has port 0", text), "write the port that others reach")
 	case kind == addressRemote && parsed.Addr().IsUnspecified():
 		o.d.report(at, buckthorndyke.FaultAddress, fmt.Sprintf("%q names no VM", text), mend)
 	}
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -5,9 +5,13 @@
 // SiteConfigOf returns the config of the site that the settings describe.
 func SiteConfigOf(s configurer.StandIn) SiteConfig {
 	cfg := SiteConfig{
-		Log:         LogConfig{Address: s.Log.Address, RetainRecords: s.Log.RetentionRecords},
-		VMList:      VMListConfig{Address: s.VMList.Address, Lag: s.VMList.Lag},
-		WeightStore: WeightStoreConfig{Address: s.WeightStore.Address, ModelsPerSecond: s.WeightStore.ModelLoadsPerSecond},
+		Log:    LogConfig{Address: s.Log.Address, RetainRecords: s.Log.RetentionRecords},
+		VMList: VMListConfig{Address: s.VMList.Address, Lag: s.VMList.Lag},
+		WeightStore: WeightStoreConfig{
+			Address:         s.WeightStore.Address,
+			DefaultSizeMB:   s.WeightStore.DefaultSizeMB,
+			ModelsPerSecond: s.WeightStore.ModelLoadsPerSecond,
+		},
 	}
 	for _, vm := range s.EntryVMs {
 		cfg.EntryVMs = append(cfg.EntryVMs, VMConfig{Address: vm.Address, Domain: vm.Domain, ID: vm.VM})
@@ -27,12 +31,13 @@
 func runnerConfigOf(r configurer.StandInRunner) RunnerConfig {
 	return RunnerConfig{
 		Engine: EngineConfig{
-			CachedInMemory: r.CachedInMemory,
-			CachedOnDisk:   r.CachedOnDisk,
-			ChecksFence:    r.ChecksFence,
-			MemoryMB:       r.MemoryMB,
-			Slots:          r.Slots,
-			TokenInterval:  r.TokenInterval,
+			CachedInMemory:    r.CachedInMemory,
+			CachedOnDisk:      r.CachedOnDisk,
+			ChecksFence:       r.ChecksFence,
+			MemoryMB:          r.MemoryMB,
+			RemoteMBPerSecond: r.RemoteMBPerSecond,
+			Slots:             r.Slots,
+			TokenInterval:     r.TokenInterval,
 		},
 		VMConfig: VMConfig{Address: r.Address, Domain: r.Domain, ID: r.VM},
 	}
