perf(placer,detector): hash ids once per change of the fleet

Adds tests of the placement, of successors and of the judgement of evidence, and benchmarks by size.

--- /dev/null
+++ b/detector/detector_test.go
@@ -0,0 +1,174 @@
+package detector_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/detector"
+)
+
+type vmList = buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.VM]
+
+func TestRoster(t *testing.T) {
+	for _, size := range []int{2, 3, 8, 60} {
+		t.Run(fmt.Sprintf("%d members are each probed by a few, near and far", size), func(t *testing.T) {
+			members := membersOf(size)
+			roster := detector.NewRoster(members, 4)
+			for _, m := range members {
+				watchers := roster.Watchers(m.VM)
+				asserter.Equal(t, len(watchers), min(4, size-1))
+				asserter.Equal(t, slices.Contains(watchers, m.VM), false)
+				far := slices.ContainsFunc(members, func(o buckthorndyke.Member) bool {
+					return o.Domain != m.Domain && slices.Contains(watchers, o.VM)
+				})
+				asserter.True(t, far, "no watcher in another domain")
+			}
+		})
+	}
+	t.Run("targets are the other side of watchers", func(t *testing.T) {
+		roster := detector.NewRoster(membersOf(40), 4)
+		for _, m := range roster.Members() {
+			for _, target := range roster.Targets(m.VM) {
+				asserter.True(t, slices.Contains(roster.Watchers(target.VM), m.VM), "a target that is not watched")
+			}
+		}
+	})
+	t.Run("successors hear of a suspicion", func(t *testing.T) {
+		s := buckthorndyke.State{}.WithOwnership(buckthorndyke.Ownership{
+			Owner: "v03", Runner: "r", Successors: []buckthorndyke.VMID{"v39"},
+		})
+		audience := detector.NewRoster(membersOf(40), 4).Audience("v03", s)
+		asserter.True(t, slices.Contains(audience, buckthorndyke.VMID("v39")), "the successor does not hear")
+		asserter.True(t, len(audience) <= 5, "too many hear")
+	})
+}
+
+func TestJudge(t *testing.T) {
+	members := membersOf(6)
+	listed := listOf(members...)
+	missed := func(e detector.Evidence, vm buckthorndyke.VMID, n int) detector.Evidence {
+		for range n {
+			e = e.WithMiss(vm)
+		}
+		return e
+	}
+	suspects := []buckthorndyke.VMID{"v01"}
+	own := missed(detector.NewEvidence("v00"), "v01", detector.DefaultMisses)
+	confirmed := own.WithNews("v02", suspects, 10)
+	for _, tc := range []struct {
+		name     string
+		evidence detector.Evidence
+		vms      vmList
+		now      buckthorndyke.Millis
+		want     bool
+	}{
+		{"a few misses are no suspicion", missed(detector.NewEvidence("v00"), "v01", 2).WithNews("v02", suspects, 10), listed, 20, false},
+		{"own misses alone are none", own, listed, 20, false},
+		{"two reporters make a suspect", confirmed, listed, 20, true},
+		{"two others make a suspect", detector.NewEvidence("v00").
+			WithNews("v02", suspects, 10).WithNews("v03", suspects, 10), listed, 20, true},
+		{"a suspect's own report does not count", own.WithNews("v01", suspects, 10), listed, 20, false},
+		{"old news do not count", confirmed, listed, 10 + detector.DefaultNewsAge + 1, false},
+		{"a reporter that takes its report back does not count", confirmed.WithNews("v02", nil, 15), listed, 20, false},
+		{"one reporter is enough if the VM list lacks the VM", own, listOf(members[0], members[2]), 20, true},
+		{"an empty VM list is no evidence", own, vmList{}, 20, false},
+		{"the VM list alone is no evidence", detector.NewEvidence("v00"), listOf(members[0]), 20, false},
+		{"many misses alone are none while others could confirm", missed(own, "v01", 99), listed, 20, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, l := tc.evidence.Judge(members, tc.vms, tc.now)
+			asserter.Equal(t, l.Suspected("v01"), tc.want)
+		})
+	}
+	t.Run("an answer clears a suspect", func(t *testing.T) {
+		e, l := confirmed.Judge(members, listed, 20)
+		asserter.Equal(t, l.Suspected("v01"), true)
+		e, l = e.WithAnswer("v01", 30).Judge(members, listed, 31)
+		asserter.Equal(t, l.Suspects.Len(), 0)
+		asserter.Equal(t, len(e.Doubtful()), 0)
+	})
+	t.Run("a suspicion keeps the instant at which it began", func(t *testing.T) {
+		e, _ := confirmed.Judge(members, listed, 20)
+		_, l := e.WithNews("v02", suspects, 500).Judge(members, listed, 600)
+		since, _ := l.Suspects.Get("v01")
+		asserter.Equal(t, since, 20)
+	})
+	t.Run("the only member that answers nobody suspects after more misses", func(t *testing.T) {
+		e := detector.NewEvidence("v00")
+		for _, m := range members[1:] {
+			e = missed(e, m.VM, detector.DefaultLoneMisses-1)
+		}
+		_, l := e.Judge(members, listed, 20)
+		asserter.Equal(t, l.Suspects.Len(), 0)
+		_, l = e.WithMiss("v01").Judge(members, listed, 20)
+		asserter.Equal(t, l.Suspected("v01"), true)
+	})
+	t.Run("what is only heard is not passed on", func(t *testing.T) {
+		e := detector.NewEvidence("v00").WithNews("v02", suspects, 10).WithNews("v03", suspects, 10)
+		asserter.Equal(t, len(e.Reported()), 0)
+		asserter.Equal(t, e.Doubtful(), suspects)
+		asserter.Equal(t, own.Reported(), suspects)
+	})
+	t.Run("a VM that is no longer a member is forgotten", func(t *testing.T) {
+		e, _ := own.Judge(members[2:], listed, 20)
+		asserter.Equal(t, len(e.Reported()), 0)
+	})
+}
+
+// BenchmarkTargets is the work after a change of the members. It reports the
+// probes that one VM sends in a round, on average.
+func BenchmarkTargets(b *testing.B) {
+	for _, size := range []int{8, 50, 205, 410} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			members := membersOf(size)
+			b.ReportAllocs()
+			for b.Loop() {
+				detector.NewRoster(members, detector.DefaultFanOut).Targets("v00")
+			}
+			roster := detector.NewRoster(members, detector.DefaultFanOut)
+			probes, most := 0, 0
+			for _, m := range members {
+				n := len(roster.Targets(m.VM))
+				probes, most = probes+n, max(most, n)
+			}
+			b.ReportMetric(float64(probes)/float64(size), "probes/round")
+			b.ReportMetric(float64(most), "probes/round-max")
+		})
+	}
+}
+
+// BenchmarkJudge is the work of one round without suspects.
+func BenchmarkJudge(b *testing.B) {
+	for _, size := range []int{8, 50, 205, 410} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			members := membersOf(size)
+			listed := listOf(members...)
+			e := detector.NewEvidence("v00")
+			b.ReportAllocs()
+			for b.Loop() {
+				e, _ = e.Judge(members, listed, 1)
+			}
+		})
+	}
+}
+
+func listOf(members ...buckthorndyke.Member) vmList {
+	var list vmList
+	for _, m := range members {
+		list = list.With(m.VM, buckthorndyke.VM{ID: m.VM})
+	}
+	return list
+}
+
+func membersOf(n int) []buckthorndyke.Member {
+	members := make([]buckthorndyke.Member, n)
+	for i := range members {
+		members[i] = buckthorndyke.Member{
+			Domain: buckthorndyke.DomainID(fmt.Sprint("d", i%8)), VM: buckthorndyke.VMID(fmt.Sprintf("v%02d", i)),
+		}
+	}
+	return members
+}
--- a/placer/assignment.go
+++ b/placer/assignment.go
@@ -19,18 +19,18 @@
 // Assign returns the placements that self proposes. It is the same as long as
 // the inputs that SameInputs compares are.
 func Assign(s buckthorndyke.State, l buckthorndyke.Liveness, self buckthorndyke.VMID) Assignment {
-	members := proposers(s, l)
+	members := NewField(proposers(s, l))
 	runners := usableRunners(s, l)
 	a := Assignment{Reclaimed: reclaimed(s, l)}
 	for model, rule := range s.Rules.Models.All() {
-		if !rule.IsAdapter() && Proposer(model, members) == self {
+		if !rule.IsAdapter() && members.Top(modelKey(model)) == self {
 			a.Models = append(a.Models, AssignedModel{
 				Desired: Desired(rule, runners), Model: model, Replicas: rule.Replicas,
 			})
 		}
 	}
 	for model := range s.Placements.All() {
-		if !s.Rules.Models.Has(model) && Proposer(model, members) == self {
+		if !s.Rules.Models.Has(model) && members.Top(modelKey(model)) == self {
 			a.Models = append(a.Models, AssignedModel{Model: model})
 		}
 	}
--- a/placer/desired.go
+++ b/placer/desired.go
@@ -34,7 +34,7 @@
 // Proposer returns the VM that proposes the placement of model, or "" if there
 // are no members.
 func Proposer(model buckthorndyke.ModelID, members []buckthorndyke.VMID) buckthorndyke.VMID {
-	return Top("model/"+string(model), members)
+	return Top(modelKey(model), members)
 }
 
 // candidate is a runner that could hold a model.
@@ -66,3 +66,8 @@
 	}
 	return candidates
 }
+
+// modelKey is hashed with the members to choose who proposes a placement.
+func modelKey(model buckthorndyke.ModelID) string {
+	return "model/" + string(model)
+}
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,241 @@
+package placer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/placer"
+)
+
+const propertySeed = 20261204
+
+func TestDesired(t *testing.T) {
+	t.Run("runners without the memory are left out", func(t *testing.T) {
+		runners := []placer.Runner{{ID: "small", MemoryMB: 9}, {ID: "large", MemoryMB: 10}}
+		got := placer.Desired(buckthorndyke.ModelRule{ID: "m", MemoryMB: 10, Replicas: 2}, runners)
+		asserter.Equal(t, got, []buckthorndyke.RunnerID{"large"})
+	})
+	t.Run("there are never more replicas than the maximum", func(t *testing.T) {
+		assertHolds(t, func(r *rand.Rand) bool {
+			rule, runners := ruleAndRunners(r)
+			return len(placer.Desired(rule, runners)) <= rule.Replicas
+		})
+	})
+	t.Run("replicas are spread over failure domains", func(t *testing.T) {
+		assertHolds(t, spreads(placer.Desired))
+		assertCatches(t, spreads(func(m buckthorndyke.ModelRule, runners []placer.Runner) []buckthorndyke.RunnerID {
+			for i := range runners {
+				runners[i].Domain = "one"
+			}
+			return placer.Desired(m, runners)
+		}))
+	})
+	t.Run("a runner that joins or leaves moves at most its own replicas", func(t *testing.T) {
+		assertHolds(t, movesLittle(placer.Desired))
+		assertCatches(t, movesLittle(modulo))
+	})
+}
+
+func TestNeed(t *testing.T) {
+	permitted := func(runners ...buckthorndyke.RunnerID) buckthorndyke.Placement {
+		p := buckthorndyke.Placement{Model: "m", Version: 9}
+		for _, r := range runners {
+			p = p.WithSlot(buckthorndyke.Slot{Runner: r})
+		}
+		return p
+	}
+	withdrawn := func(p buckthorndyke.Placement, r buckthorndyke.RunnerID) buckthorndyke.Placement {
+		return p.WithSlot(buckthorndyke.Slot{Runner: r, Withdrawn: true})
+	}
+	desired := []buckthorndyke.RunnerID{"a", "b"}
+	for _, tc := range []struct {
+		name string
+		need placer.Need
+		want buckthorndyke.Change
+	}{
+		{
+			"a new model is permitted at once",
+			placer.Need{Desired: desired, Replicas: 2},
+			buckthorndyke.PermitChange{Model: "m", Runners: desired},
+		},
+		{"a complete placement needs nothing", placer.Need{Desired: desired, Placement: permitted("a", "b"), Replicas: 2}, nil},
+		{"a better runner alone moves nothing", placer.Need{Desired: desired, Placement: permitted("a", "c"), Replicas: 2}, nil},
+		{
+			"a settled need moves one permission",
+			placer.Need{Desired: desired, Placement: permitted("c", "d"), Replicas: 2, Settled: true},
+			buckthorndyke.WithdrawChange{Base: 9, Model: "m", Runner: "c"},
+		},
+		{
+			"a move waits for the eviction",
+			placer.Need{Desired: desired, Placement: withdrawn(permitted("d"), "c"), Replicas: 2, Settled: true},
+			nil,
+		},
+		{
+			"a slot that is free is used without a move",
+			placer.Need{Desired: desired, Placement: permitted("c"), Replicas: 2, Settled: true},
+			buckthorndyke.PermitChange{Base: 9, Model: "m", Runners: []buckthorndyke.RunnerID{"a"}},
+		},
+		{
+			"a smaller maximum gives up the worst",
+			placer.Need{Desired: desired[:1], Placement: permitted("a", "b"), Replicas: 1},
+			buckthorndyke.WithdrawChange{Base: 9, Model: "m", Runner: "b"},
+		},
+		{
+			"a smaller maximum that is already withdrawn needs no more",
+			placer.Need{Desired: desired[:1], Placement: withdrawn(permitted("a"), "b"), Replicas: 1},
+			nil,
+		},
+		{
+			"a model that is gone gives up all",
+			placer.Need{Placement: permitted("a")},
+			buckthorndyke.WithdrawChange{Base: 9, Model: "m", Runner: "a"},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tc.need.Model = "m"
+			got, _ := tc.need.Next()
+			asserter.Equal(t, got, tc.want)
+		})
+	}
+}
+
+func TestSuccessors(t *testing.T) {
+	members := membersOf(9, 3)
+	owner := members[0]
+	t.Run("the owner is none, and one is in another domain", func(t *testing.T) {
+		for i := range 50 {
+			runner := buckthorndyke.RunnerID(fmt.Sprint("r", i))
+			got := placer.Successors(runner, owner.VM, members, 2)
+			asserter.Equal(t, len(got), 2)
+			outside := slices.ContainsFunc(members, func(m buckthorndyke.Member) bool {
+				return m.Domain != owner.Domain && slices.Contains(got, m.VM)
+			})
+			asserter.True(t, outside && !slices.Contains(got, owner.VM), "no successor outside the owner's domain")
+		}
+	})
+	t.Run("members that drain are none", func(t *testing.T) {
+		leaving := slices.Clone(members)
+		for i := range leaving[1:] {
+			leaving[i+1].Leaving = i > 0
+		}
+		asserter.Equal(t, placer.Successors("r", owner.VM, leaving, 3), []buckthorndyke.VMID{members[1].VM})
+	})
+}
+
+func TestRank(t *testing.T) {
+	t.Run("the best are the first of the ranking", func(t *testing.T) {
+		ids := make([]buckthorndyke.VMID, 40)
+		for i := range ids {
+			ids[i] = buckthorndyke.VMID(fmt.Sprint("v", i))
+		}
+		ranked := placer.Rank("key", ids)
+		asserter.Equal(t, placer.Best("key", ids, 7), ranked[:7])
+		asserter.Equal(t, placer.Top("key", ids), ranked[0])
+		asserter.Equal(t, len(placer.Best("key", ids[:3], 7)), 3)
+		asserter.Equal(t, placer.Top[buckthorndyke.VMID]("key", nil), "")
+	})
+}
+
+type desiredFunc func(buckthorndyke.ModelRule, []placer.Runner) []buckthorndyke.RunnerID
+
+// spreads says that no domain holds two replicas more than another could.
+func spreads(desired desiredFunc) func(*rand.Rand) bool {
+	return func(r *rand.Rand) bool {
+		rule, runners := ruleAndRunners(r)
+		free, used := make(map[buckthorndyke.DomainID]int), make(map[buckthorndyke.DomainID]int)
+		for _, run := range runners {
+			free[run.Domain]++
+		}
+		domains := make(map[buckthorndyke.RunnerID]buckthorndyke.DomainID)
+		for _, run := range runners {
+			domains[run.ID] = run.Domain
+		}
+		for _, id := range desired(rule, slices.Clone(runners)) {
+			used[domains[id]]++
+			free[domains[id]]--
+		}
+		for a, n := range used {
+			for b, left := range free {
+				if a != b && left > 0 && n > used[b]+1 {
+					return false
+				}
+			}
+		}
+		return true
+	}
+}
+
+// movesLittle says that one runner more moves at most one replica.
+func movesLittle(desired desiredFunc) func(*rand.Rand) bool {
+	return func(r *rand.Rand) bool {
+		rule, runners := ruleAndRunners(r)
+		before, after := desired(rule, runners[1:]), desired(rule, runners)
+		kept := 0
+		for _, id := range before {
+			if slices.Contains(after, id) {
+				kept++
+			}
+		}
+		joined := slices.Contains(after, runners[0].ID)
+		return kept == len(before) || joined && kept >= len(before)-1
+	}
+}
+
+// modulo places without rendezvous hashing.
+func modulo(rule buckthorndyke.ModelRule, runners []placer.Runner) []buckthorndyke.RunnerID {
+	var ids []buckthorndyke.RunnerID
+	for i := range min(rule.Replicas, len(runners)) {
+		ids = append(ids, runners[(len(rule.ID)+i*7)%len(runners)].ID)
+	}
+	return ids
+}
+
+func assertHolds(t *testing.T, p func(*rand.Rand) bool) {
+	t.Helper()
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(propertySeed))
+	properties.Property(t.Name(), prop.ForAll(func(seed uint64) bool {
+		return p(rand.New(rand.NewPCG(seed, propertySeed)))
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+// assertCatches checks that p can fail.
+func assertCatches(t *testing.T, p func(*rand.Rand) bool) {
+	t.Helper()
+	for seed := range uint64(50) {
+		if !p(rand.New(rand.NewPCG(seed, propertySeed))) {
+			return
+		}
+	}
+	t.Error("the property holds for a broken variant")
+}
+
+func membersOf(n, domains int) []buckthorndyke.Member {
+	members := make([]buckthorndyke.Member, n)
+	for i := range members {
+		members[i] = buckthorndyke.Member{
+			Domain: buckthorndyke.DomainID(fmt.Sprint("d", i%domains)), VM: buckthorndyke.VMID(fmt.Sprintf("v%03d", i)),
+		}
+	}
+	return members
+}
+
+func ruleAndRunners(r *rand.Rand) (buckthorndyke.ModelRule, []placer.Runner) {
+	runners := make([]placer.Runner, 2+r.IntN(20))
+	for i := range runners {
+		runners[i] = placer.Runner{
+			Domain: buckthorndyke.DomainID(fmt.Sprint("d", r.IntN(4))),
+			ID:     buckthorndyke.RunnerID(fmt.Sprint("r", i)),
+		}
+	}
+	model := buckthorndyke.ModelID(fmt.Sprint("m", r.IntN(1000)))
+	return buckthorndyke.ModelRule{ID: model, Replicas: 1 + r.IntN(6)}, runners
+}
--- a/placer/rendezvous.go
+++ b/placer/rendezvous.go
@@ -5,49 +5,66 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// Best returns the n best of ids for key, best first.
-func Best[ID ~string](key string, ids []ID, n int) []ID {
+// Field is a set of ids to choose from. It keeps their hashes, so that choices
+// for many keys are cheap.
+type Field[ID ~string] struct {
+	entries []entry[ID]
+}
+
+// NewField returns the field of ids.
+func NewField[ID ~string](ids []ID) Field[ID] {
+	entries := make([]entry[ID], len(ids))
+	for i, id := range ids {
+		entries[i] = entry[ID]{hash: xxhash.Sum64String(string(id)), id: id}
+	}
+	return Field[ID]{entries: entries}
+}
+
+// Best returns the n best ids for key that use accepts, best first. A nil use
+// accepts all.
+func (f Field[ID]) Best(key string, n int, use func(ID) bool) []ID {
 	best := make([]scoredID[ID], 0, n+1)
-	for _, id := range ids {
-		s := scoredID[ID]{id: id, score: Score(key, string(id))}
+	hash := xxhash.Sum64String(key)
+	var worst uint64
+	for i := range f.entries {
+		e := &f.entries[i]
+		score := combine(hash, e.hash)
+		if score < worst || use != nil && !use(e.id) {
+			continue
+		}
+		s := scoredID[ID]{id: e.id, score: score}
 		at, _ := slices.BinarySearchFunc(best, s, compareScored)
-		if at < n {
-			best = slices.Insert(best, at, s)[:min(len(best)+1, n)]
+		best = slices.Insert(best, at, s)[:min(len(best)+1, n)]
+		if n > 0 && len(best) == n {
+			worst = best[n-1].score
 		}
 	}
 	return idsOf(best)
 }
 
-// Rank returns ids in the order of their scores for key, best first.
-func Rank[ID ~string](key string, ids []ID) []ID {
-	scored := make([]scoredID[ID], len(ids))
-	for i, id := range ids {
-		scored[i] = scoredID[ID]{id: id, score: Score(key, string(id))}
+// Rank returns all ids in the order of their scores for key, best first.
+func (f Field[ID]) Rank(key string) []ID {
+	scored := make([]scoredID[ID], len(f.entries))
+	hash := xxhash.Sum64String(key)
+	for i, e := range f.entries {
+		scored[i] = scoredID[ID]{id: e.id, score: combine(hash, e.hash)}
 	}
 	slices.SortFunc(scored, compareScored)
 	return idsOf(scored)
 }
 
-// Score returns the rendezvous score of id for key. The highest one wins.
-func Score(key, id string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write(separator)
-	_, _ = d.WriteString(id)
-	return d.Sum64()
-}
-
-// Top returns the best of ids for key, or "" if there are none.
-func Top[ID ~string](key string, ids []ID) ID {
+// Top returns the best id for key, or "" if there are none.
+func (f Field[ID]) Top(key string) ID {
 	var best scoredID[ID]
-	for i, id := range ids {
-		s := scoredID[ID]{id: id, score: Score(key, string(id))}
+	hash := xxhash.Sum64String(key)
+	for i, e := range f.entries {
+		s := scoredID[ID]{id: e.id, score: combine(hash, e.hash)}
 		if i == 0 || compareScored(s, best) < 0 {
 			best = s
 		}
@@ -55,17 +72,51 @@
 	return best.id
 }
 
-// separator keeps key and id apart in a hash.
-var separator = []byte{0}
+// Best returns the n best of ids for key, best first.
+func Best[ID ~string](key string, ids []ID, n int) []ID {
+	return NewField(ids).Best(key, n, nil)
+}
+
+// Rank returns ids in the order of their scores for key, best first.
+func Rank[ID ~string](key string, ids []ID) []ID {
+	return NewField(ids).Rank(key)
+}
+
+// Score returns the rendezvous score of id for key. The highest one wins.
+func Score(key, id string) uint64 {
+	return combine(xxhash.Sum64String(key), xxhash.Sum64String(id))
+}
+
+// Top returns the best of ids for key, or "" if there are none.
+func Top[ID ~string](key string, ids []ID) ID {
+	return NewField(ids).Top(key)
+}
+
+// entry is an id with its hash.
+type entry[ID ~string] struct {
+	hash uint64
+	id   ID
+}
 
 type scoredID[ID ~string] struct {
 	id    ID
 	score uint64
 }
 
+// combine returns the score of an id with one hash for a key with another.
+func combine(key, id uint64) uint64 {
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[:8], key)
+	binary.LittleEndian.PutUint64(pair[8:], id)
+	return xxhash.Sum64(pair[:])
+}
+
 // compareScored sorts by falling score, then by id.
 func compareScored[ID ~string](a, b scoredID[ID]) int {
-	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	if a.score != b.score {
+		return cmp.Compare(b.score, a.score)
+	}
+	return cmp.Compare(a.id, b.id)
 }
 
 func idsOf[ID ~string](scored []scoredID[ID]) []ID {
--- a/supervisor/prober/fleet_test.go
+++ b/supervisor/prober/fleet_test.go
@@ -191,7 +191,7 @@
 	for _, n := range f.nodes {
 		members = append(members, buckthorndyke.Member{Domain: n.self.Domain, VM: n.self.VM})
 	}
-	vm := detector.Watchers(members[i], members, detector.DefaultFanOut)[0]
+	vm := detector.NewRoster(members, detector.DefaultFanOut).Watchers(members[i].VM)[0]
 	at := slices.IndexFunc(f.nodes, func(n *node) bool { return n.self.VM == vm })
 	return f.nodes[at]
 }
--- a/supervisor/prober/membership.go
+++ b/supervisor/prober/membership.go
@@ -40,7 +40,7 @@
 	}
 	t.vms = table
 	absent := make(map[buckthorndyke.VMID]int)
-	for _, m := range t.members {
+	for _, m := range t.roster.Members() {
 		if !table.Has(m.VM) && table.Len() > 0 {
 			absent[m.VM] = t.absent[m.VM] + 1
 		}
@@ -146,7 +146,7 @@
 		return
 	}
 	var live []buckthorndyke.VMID
-	for _, m := range t.members {
+	for _, m := range t.roster.Members() {
 		if !l.Suspected(m.VM) {
 			live = append(live, m.VM)
 		}
--- a/supervisor/prober/round.go
+++ b/supervisor/prober/round.go
@@ -7,7 +7,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/buckthorndyke/buckthorndyke"
-	"github.com/buckthorndyke/buckthorndyke/detector"
 	"github.com/buckthorndyke/buckthorndyke/placer"
 )
 
@@ -70,7 +69,7 @@
 func (t *task) extras() []buckthorndyke.VMID {
 	extras := t.evidence.Doubtful()
 	for _, vm := range t.evidence.Reported() {
-		extras = append(extras, detector.Audience(vm, t.progress.State, t.members, t.cfg.fanOut)...)
+		extras = append(extras, t.roster.Audience(vm, t.progress.State)...)
 	}
 	slices.Sort(extras)
 	return placer.Best(string(t.self.VM), slices.Compact(extras), extraLimit)
--- a/supervisor/prober/task.go
+++ b/supervisor/prober/task.go
@@ -36,6 +36,7 @@
 	members     []buckthorndyke.Member
 	pending     map[buckthorndyke.VMID]bool
 	progress    buckthorndyke.Progress
+	roster      detector.Roster
 	// proposing holds the members that a proposal under way is about.
 	proposing map[buckthorndyke.VMID]bool
 	started   buckthorndyke.Millis
@@ -135,11 +136,12 @@
 	before := t.progress.State.Members
 	t.progress = p
 	if !before.Same(p.State.Members) {
-		t.members = t.members[:0:0]
+		var members []buckthorndyke.Member
 		for _, m := range p.State.Members.All() {
-			t.members = append(t.members, m)
+			members = append(members, m)
 		}
-		t.targets = detector.Targets(t.self.VM, t.members, t.cfg.fanOut)
+		t.roster = detector.NewRoster(members, t.cfg.fanOut)
+		t.targets = t.roster.Targets(t.self.VM)
 	}
 	t.join(ctx)
 }
@@ -148,7 +150,7 @@
 // removed.
 func (t *task) judge(ctx context.Context) error {
 	var l buckthorndyke.Liveness
-	t.evidence, l = t.evidence.Judge(t.members, t.vms, t.clock.Now())
+	t.evidence, l = t.evidence.Judge(t.roster.Members(), t.vms, t.clock.Now())
 	t.remove(ctx, l)
 	return t.feed.Publish(ctx, l)
 }
