--- a/supervisor/prober/task.go
+++ b/supervisor/prober/task.go
@@ -33,7 +33,6 @@
 	// joinAfter is the instant of the next try to join.
 	joinAfter   buckthorndyke.Millis
 	joinBackoff buckthorndyke.Millis
-	members     []buckthorndyke.Member
 	pending     map[buckthorndyke.VMID]bool
 	progress    buckthorndyke.Progress
 	roster      detector.Roster
