--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -8,7 +8,7 @@
 const (
 	defaultAuditLimit      = 512
 	defaultQuarantineLimit = 1024
-	defaultRulingLimit     = 1024
+	defaultRulingLimit     = 4096
 	// differenceLimit bounds the lines that an audit entry keeps.
 	differenceLimit = 100
 )
--- a/encoder/encoder.go
+++ b/encoder/encoder.go
@@ -22,8 +22,12 @@
 
 // DecodeProposal implements buckthorndyke.Encoder.
 func (e *Proto) DecodeProposal(data []byte) (buckthorndyke.Proposal, error) {
+	plain, err := decompress(data)
+	if err != nil {
+		return buckthorndyke.Proposal{}, err
+	}
 	var w wire.Proposal
-	if err := proto.Unmarshal(data, &w); err != nil {
+	if err := proto.Unmarshal(plain, &w); err != nil {
 		return buckthorndyke.Proposal{}, errors.Wrap(err, "decode proposal")
 	}
 	p := buckthorndyke.Proposal{
@@ -67,5 +71,8 @@
 		return nil, err
 	}
 	data, err := proto.Marshal(w)
-	return data, errors.Wrap(err, "encode proposal")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode proposal")
+	}
+	return compress(data)
 }
--- a/encoder/encoder_test.go
+++ b/encoder/encoder_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -58,6 +60,19 @@
 		_, err := e.DecodeState(&wire.State{RulesText: "nonsense", RulesVersion: 1})
 		asserter.Error(t, err)
 	})
+	t.Run("a large record is compressed and survives", func(t *testing.T) {
+		want := buckthorndyke.Proposal{
+			Change: buckthorndyke.RulesChange{Text: strings.Repeat(rulesText, 1000)}, ID: "large",
+		}
+		data, err := e.EncodeProposal(want)
+		asserter.NoError(t, err)
+		asserter.True(t, len(data) < 1000, "the record is not compressed")
+		got, err := e.DecodeProposal(data)
+		asserter.NoError(t, err)
+		asserter.Equal(t, got, want)
+		_, err = e.DecodeProposal(data[:len(data)/2])
+		asserter.Error(t, err)
+	})
 	t.Run("bytes that are no message are an error", func(t *testing.T) {
 		_, err := e.DecodeProposal([]byte{0xff})
 		asserter.Error(t, err)
@@ -96,6 +111,32 @@
 	})
 }
 
+// BenchmarkRules is the work of decoding a change of the rules. It reports the
+// size of its record.
+func BenchmarkRules(b *testing.B) {
+	for _, adapters := range []int{75, 1000, 7750, 31000} {
+		b.Run(fmt.Sprintf("adapters=%d", adapters), func(b *testing.B) {
+			e := encoder.NewProto(parser.NewRules())
+			var text strings.Builder
+			text.WriteString(rulesText)
+			for i := range adapters {
+				fmt.Fprintf(&text, "adapter hall-%05d base=m memory-mb=%d # asked for by A. Clerk\n", i, 40+i%97)
+			}
+			data, err := e.EncodeProposal(buckthorndyke.Proposal{
+				Change: buckthorndyke.RulesChange{Text: text.String()}, ID: "r",
+			})
+			asserter.NoError(b, err)
+			b.ReportAllocs()
+			for b.Loop() {
+				_, err = e.DecodeProposal(data)
+				asserter.NoError(b, err)
+			}
+			b.ReportMetric(float64(text.Len()), "text-B")
+			b.ReportMetric(float64(len(data)), "record-B")
+		})
+	}
+}
+
 func assertUnknown(t *testing.T, e *encoder.Proto, data []byte) {
 	t.Helper()
 	p, err := e.DecodeProposal(data)
--- a/supervisor/follower/scan.go
+++ b/supervisor/follower/scan.go
@@ -33,7 +33,8 @@
 	for _, e := range r.batch.Entries {
 		t.scan.next = e.Offset + 1
 		p, err := t.encoder.DecodeProposal(e.Data)
-		if c, ok := p.Change.(buckthorndyke.CheckpointChange); ok && err == nil {
+		c, ok := p.Change.(buckthorndyke.CheckpointChange)
+		if ok && err == nil && c.State.Offset < e.Offset {
 			t.scan.found = &c.State
 		}
 	}
