--- a/supervisor/planner/planner_test.go
+++ b/supervisor/planner/planner_test.go
@@ -70,7 +70,7 @@
 	})
 	t.Run("the proposals of one VM are bounded", func(t *testing.T) {
 		inWorld(t, func(w *world) {
-			w.start(1, planner.WithRate(1))
+			w.start(1, planner.WithFleetRate(1))
 			w.apply(rulesOf(60, 1))
 			before := w.peek().proposals
 			w.wait(soon)
