feat(router): join loads that are under way, share surveys

A survey also tells what runners have loaded or are loading, so that a router without reports joins a load in place of starting another. The task now checks again when it is asked.

--- a/supervisor/claimer/claimer_test.go
+++ b/supervisor/claimer/claimer_test.go
@@ -216,6 +216,14 @@
 			asserter.Equal(t, got, want)
 		}
 	})
+	run(t, "a claim is passed on once, whatever the keepers know of each other", func(t *testing.T, f *fleet) {
+		for name, other := range map[string]string{"0": "1", "1": "0"} {
+			state := buckthorndyke.State{}.WithMember(buckthorndyke.Member{PeerAddress: other, VM: buckthorndyke.VMID(other)})
+			f.nodes[name].progress <- buckthorndyke.Progress{AtTail: true, State: state}
+		}
+		synctest.Wait()
+		assertClaim(t, f.nodes["0"], f.newKey(), "a", granted)
+	})
 	run(t, "a lost answer to the append changes nothing", func(t *testing.T, f *fleet) {
 		key := f.newKey()
 		f.faults(t, standin.LogFaults{LoseAnswers: 2})
--- /dev/null
+++ b/supervisor/router/choice_test.go
@@ -0,0 +1,75 @@
+package router_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+)
+
+func TestChoice(t *testing.T) {
+	for _, best := range []string{"r1", "r2"} {
+		run(t, "a cold model is asked for where it is cached: "+best, func(t *testing.T, f *fixture) {
+			f.statuses[best] = buckthorndyke.EngineStatus{
+				Cached: map[buckthorndyke.ModelID]buckthorndyke.Tier{"m": buckthorndyke.TierDisk},
+			}
+			assertAnswer(t, f.start(t), request, "abcd")
+			asserter.Equal(t, string((<-f.asked).Runner), best)
+		})
+		run(t, "a load that is under way is joined: "+best, func(t *testing.T, f *fixture) {
+			f.statuses["r1"] = buckthorndyke.EngineStatus{
+				Cached: map[buckthorndyke.ModelID]buckthorndyke.Tier{"m": buckthorndyke.TierMemory},
+			}
+			f.statuses[best] = buckthorndyke.EngineStatus{Residents: []buckthorndyke.Resident{{Loading: true, Model: "m"}}}
+			assertAnswer(t, f.start(t), request, "abcd")
+			asserter.Equal(t, string((<-f.asked).Runner), best)
+		})
+		run(t, "the runner that reported the model is asked again: "+best, func(t *testing.T, f *fixture) {
+			f.deskAll(func(_ context.Context, r buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+				if string(r.Runner) != best {
+					return nil, buckthorndyke.NewRefusal(buckthorndyke.CodeOverloaded, buckthorndyke.NotRun, "full")
+				}
+				event := granted(r.Runner)
+				event.Report = buckthorndyke.RunnerReport{
+					Residents: []buckthorndyke.ModelID{"m"}, Runner: r.Runner, Slots: 4,
+				}
+				return f.ticket(event), nil
+			})
+			r := f.start(t)
+			assertAnswer(t, r, request, "abcd")
+			for len(f.asked) > 0 {
+				<-f.asked
+			}
+			assertAnswer(t, r, request, "abcd")
+			assertCount(t, f.asked, 1)
+		})
+	}
+	run(t, "requests for one cold model at once share a survey and a runner", func(t *testing.T, f *fixture) {
+		r := f.start(t)
+		for range 50 {
+			go func() { _, _ = read(t.Context(), r, request) }()
+		}
+		synctest.Wait()
+		assertCount(t, f.surveyed, 2)
+		first := <-f.asked
+		for range 49 {
+			asserter.Equal(t, (<-f.asked).Runner, first.Runner)
+		}
+	})
+	run(t, "a long prompt goes back to the runner that served its prefix", func(t *testing.T, f *fixture) {
+		f.statuses["r1"] = buckthorndyke.EngineStatus{Residents: []buckthorndyke.Resident{{Model: "m"}}}
+		f.statuses["r2"] = f.statuses["r1"]
+		r, ask := f.start(t), request
+		ask.Prompt = strings.Repeat("long ", 100)
+		assertAnswer(t, r, ask, "abcd")
+		first := <-f.asked
+		for _, id := range []buckthorndyke.RequestID{"x", "y", "z", "u", "v"} {
+			ask.ID = id
+			assertAnswer(t, r, ask, "abcd")
+			asserter.Equal(t, (<-f.asked).Runner, first.Runner)
+		}
+	})
+}
--- a/supervisor/router/fakes_test.go
+++ b/supervisor/router/fakes_test.go
@@ -41,6 +41,8 @@
 	servers   map[string]serverFunc
 	started   chan buckthorndyke.Job
 	state     buckthorndyke.State
+	statuses  map[string]buckthorndyke.EngineStatus
+	surveyed  chan string
 	vms       []buckthorndyke.VM
 }
 
@@ -60,6 +62,8 @@
 		sent:      make(chan string, recordCapacity),
 		servers:   make(map[string]serverFunc),
 		started:   make(chan buckthorndyke.Job, recordCapacity),
+		statuses:  make(map[string]buckthorndyke.EngineStatus),
+		surveyed:  make(chan string, 4*recordCapacity),
 	}
 	digest := sha256.Sum256([]byte("token"))
 	rules := buckthorndyke.Rules{}.
@@ -259,7 +263,10 @@
 }
 
 func (e fakeEngine) Status(context.Context) (buckthorndyke.EngineStatus, error) {
-	return buckthorndyke.EngineStatus{Started: e.f.life}, nil
+	e.f.surveyed <- e.address
+	status := e.f.statuses[e.address]
+	status.Started = e.f.life
+	return status, nil
 }
 
 // fakeStream yields tokens and then fails, or stays silent if silent is set.
--- a/supervisor/router/stream_test.go
+++ b/supervisor/router/stream_test.go
@@ -108,8 +108,10 @@
 	})
 	run(t, "a silent runner is left", func(t *testing.T, f *fixture) {
 		f.firstJob(hang(part(0, 2)...))
-		assertAnswer(t, f.start(t), request, "abcd")
+		r, asked := f.start(t), f.clock.Now()
+		assertAnswer(t, r, request, "abcd")
 		assertCount(t, f.cancelled, 1)
+		asserter.True(t, f.clock.Now()-asked < 16*buckthorndyke.Second, "the runner was left too late")
 	})
 	run(t, "a runner that is silent from the start is refused in time", func(t *testing.T, f *fixture) {
 		f.runJobs(hang())
--- a/supervisor/router/survey.go
+++ b/supervisor/router/survey.go
@@ -49,11 +49,17 @@
 	for _, s := range m.statuses {
 		k.lives = k.lives.With(s.runner, s.status.Started)
 		k.tiers = k.tiers.With(s.runner, s.status.Cached)
+		report, _ := k.reports.Get(s.runner)
+		k.reports = k.reports.With(s.runner, s.update(report))
 	}
 	return k
 }
 
 func (m surveyMessage) act(ctx context.Context, r *Router) {
+	if r.knowledge.isSurveyed(m.model, r.clock.Now()) {
+		m.reply.Answer(r.knowledge)
+		return
+	}
 	waiting, running := r.surveys[m.model]
 	r.surveys[m.model] = append(waiting, m.reply)
 	if running {
@@ -71,6 +77,18 @@
 	return k
 }
 
+// update returns report with what the runner has loaded or is loading by now. To
+// join a load is as good as to find the model loaded.
+func (s runnerStatus) update(report buckthorndyke.RunnerReport) buckthorndyke.RunnerReport {
+	report.Residents = nil
+	for _, r := range s.status.Residents {
+		report.Residents = append(report.Residents, r.Model)
+	}
+	report.Runner = s.runner
+	report.Slots = s.status.Slots
+	return report
+}
+
 // survey asks the engines of runners for their status, all at once.
 func (r *Router) survey(ctx context.Context, runners []buckthorndyke.Ownership) []runnerStatus {
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout.Duration())
@@ -100,10 +118,16 @@
 	return statuses
 }
 
+// isSurveyed reports whether a survey of the model's runners still holds.
+func (k knowledge) isSurveyed(model buckthorndyke.ModelID, now buckthorndyke.Millis) bool {
+	at, ok := k.surveyed.Get(model)
+	return ok && now-at < surveyAge
+}
+
 // surveyed returns knowledge that tells which of several cold runners has the
 // cheapest copy of the checkpoint. It is k itself if there is no such choice.
 func (g *generation) surveyed(ctx context.Context, k knowledge) (knowledge, error) {
-	if at, ok := k.surveyed.Get(g.ask.Model); ok && g.clock.Now()-at < surveyAge {
+	if k.isSurveyed(g.ask.Model, g.clock.Now()) {
 		return k, nil
 	}
 	var cold []buckthorndyke.Ownership
