feat(router): ask runners and servers that failed lately last

Cause: each request found out by itself that an owner is silent (600 ms) or that a backend server is dead; with one of three servers dead the retry budget ran out and calls were refused. A failure is now a hint to the other requests for 2 s.

--- a/chooser/order.go
+++ b/chooser/order.go
@@ -19,7 +19,7 @@
 // two random ones, then the others by load. Cold runners follow, the cheapest
 // copy of the checkpoint first and among equals in rendezvous order, so that all
 // entry VMs send the requests for one cold model to the same runner. Runners
-// without a live owner come last. Equal seeds give equal choices.
+// without a live owner, or that failed lately, come last. Equal seeds give equal choices.
 func Order(model buckthorndyke.ModelID, candidates []Candidate, seed uint64) []buckthorndyke.RunnerID {
 	sorted := slices.Clone(candidates)
 	slices.SortFunc(sorted, func(a, b Candidate) int {
--- a/supervisor/router/attempt.go
+++ b/supervisor/router/attempt.go
@@ -16,7 +16,7 @@
 	// silenceTimeout bounds the time until the owner's first sign.
 	silenceTimeout = 600 * buckthorndyke.Millisecond
 	// statusTimeout bounds the question in which life a runner's engine is.
-	statusTimeout = 2 * buckthorndyke.Second
+	statusTimeout = 500 * buckthorndyke.Millisecond
 	// watchInterval is how often a waiting request looks for a new owner.
 	watchInterval = 200 * buckthorndyke.Millisecond
 )
--- a/supervisor/router/call_test.go
+++ b/supervisor/router/call_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/asserter"
@@ -89,6 +90,16 @@
 		f.serve(fail(buckthorndyke.MayHaveRun), "s1")
 		assertCallRefused(t, f.start(t), call("GET", ""), buckthorndyke.CodeServiceUnavailable, buckthorndyke.MayHaveRun)
 	})
+	run(t, "a dead server does not use up the retries", func(t *testing.T, f *fixture) {
+		f.serve(fail(buckthorndyke.NotRun), "s1")
+		f.serve(succeed, "s2", "s3")
+		f.sent = make(chan string, 4096)
+		r := f.start(t)
+		for range 1000 {
+			assertCalled(t, r, call("POST", ""))
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
 	run(t, "a leaving server gets no call", func(t *testing.T, f *fixture) {
 		f.serve(succeed, "s1", "s2")
 		f.vms[0].Leaving = true
--- a/supervisor/router/generate_test.go
+++ b/supervisor/router/generate_test.go
@@ -110,6 +110,18 @@
 		assertAnswer(t, f.start(t), request, "abcd")
 		assertCount(t, f.closed, 2)
 	})
+	run(t, "a silent owner is asked last for a while", func(t *testing.T, f *fixture) {
+		f.deskFirst(func(context.Context, buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+			return f.ticket(), nil
+		})
+		r := f.start(t)
+		assertAnswer(t, r, request, "abcd")
+		asked := f.clock.Now()
+		assertAnswer(t, r, request, "abcd")
+		asserter.Equal(t, f.clock.Now(), asked)
+		silent, next, again := <-f.asked, <-f.asked, <-f.asked
+		asserter.True(t, silent.Runner != next.Runner && next.Runner == again.Runner, "the silent owner was asked again")
+	})
 	run(t, "the new owner is asked when a paused owner is succeeded", func(t *testing.T, f *fixture) {
 		f.deskAll(func(context.Context, buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
 			return f.ticket(queued), nil
@@ -141,6 +153,29 @@
 		asserter.Equal(t, buckthorndyke.RefusalOf(err).RetryAfter(), 7*buckthorndyke.Second)
 		asserter.Equal(t, f.clock.Now(), asked)
 	})
+	run(t, "a refusal without an alternative spends no retry", func(t *testing.T, f *fixture) {
+		f.deskAll(overloaded)
+		both := f.state
+		f.state = f.state.WithPlacement(buckthorndyke.Placement{Model: "m"}.WithSlot(buckthorndyke.Slot{Runner: "r1"}))
+		r := f.start(t)
+		for range 200 {
+			assertRefused(t, r, request, buckthorndyke.CodeOverloaded, buckthorndyke.NotRun)
+		}
+		f.state = both
+		f.publish()
+		_, _ = read(t.Context(), r, request)
+		assertCount(t, f.asked, 202)
+	})
+	run(t, "a runner that may be back soon is waited for", func(t *testing.T, f *fixture) {
+		moved := func(context.Context, buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+			return nil, buckthorndyke.NewRefusal(buckthorndyke.CodeNotOwner, buckthorndyke.NotRun, "moved")
+		}
+		f.deskFirst(moved)
+		f.deskFirstThen(overloaded)
+		f.deskFirstThen(moved)
+		assertAnswer(t, f.start(t), request, "abcd")
+		assertCount(t, f.asked, 4)
+	})
 	run(t, "retries do not multiply a flood", func(t *testing.T, f *fixture) {
 		f.deskAll(overloaded)
 		f.asked = make(chan buckthorndyke.TicketRequest, 4096)
--- a/supervisor/router/knowledge.go
+++ b/supervisor/router/knowledge.go
@@ -7,10 +7,16 @@
 	"github.com/buckthorndyke/buckthorndyke/chooser"
 )
 
+// troubleSpan is how long a runner or backend server that has failed is asked
+// after the others.
+const troubleSpan = 2 * buckthorndyke.Second
+
 // knowledge is what an entry VM knows when it chooses. It is immutable.
 type knowledge struct {
 	affinity chooser.Affinity
 	budget   chooser.Budget
+	// failures holds when a call of a backend server last failed.
+	failures buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.Millis]
 	// lives holds the life in which a runner's engine was last seen.
 	lives buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Incarnation]
 	// outstanding counts the calls that are under way to each backend server.
@@ -22,6 +28,8 @@
 	surveyed buckthorndyke.Table[buckthorndyke.ModelID, buckthorndyke.Millis]
 	// tiers holds the checkpoints that a runner has close at hand.
 	tiers buckthorndyke.Table[buckthorndyke.RunnerID, map[buckthorndyke.ModelID]buckthorndyke.Tier]
+	// troubles holds when a runner or its owner last failed.
+	troubles buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Millis]
 	// turn rotates among equally loaded backend servers.
 	turn int
 	vms  []buckthorndyke.VM
@@ -33,7 +41,7 @@
 }
 
 // candidates describes the permitted runners of a model.
-func (k knowledge) candidates(r buckthorndyke.GenerateRequest) []chooser.Candidate {
+func (k knowledge) candidates(r buckthorndyke.GenerateRequest, now buckthorndyke.Millis) []chooser.Candidate {
 	placement, ok := k.progress.State.PlacementOf(r.Model)
 	if !ok {
 		return nil
@@ -41,17 +49,20 @@
 	permitted := placement.Permitted()
 	candidates := make([]chooser.Candidate, len(permitted))
 	for i, runner := range permitted {
-		candidates[i] = k.candidate(runner, r)
+		candidates[i] = k.candidate(runner, r, now)
 	}
 	return candidates
 }
 
 // candidate describes one permitted runner.
 func (k knowledge) candidate(
-	runner buckthorndyke.RunnerID, r buckthorndyke.GenerateRequest,
+	runner buckthorndyke.RunnerID, r buckthorndyke.GenerateRequest, now buckthorndyke.Millis,
 ) chooser.Candidate {
 	c := chooser.Candidate{Runner: runner, Tier: buckthorndyke.TierRemote}
 	_, _, c.Live = k.owner(runner)
+	if at, ok := k.troubles.Get(runner); ok && now-at < troubleSpan {
+		c.Live = false
+	}
 	report, _ := k.reports.Get(runner)
 	c.Load = chooser.LoadOf(report, r.Caller.Rank)
 	c.Loaded = slices.Contains(report.Residents, r.Model)
@@ -68,8 +79,10 @@
 }
 
 // order returns the permitted runners in the order in which r asks them.
-func (k knowledge) order(r buckthorndyke.GenerateRequest, seed uint64) []buckthorndyke.RunnerID {
-	return chooser.Order(r.Model, k.candidates(r), seed)
+func (k knowledge) order(
+	r buckthorndyke.GenerateRequest, seed uint64, now buckthorndyke.Millis,
+) []buckthorndyke.RunnerID {
+	return chooser.Order(r.Model, k.candidates(r, now), seed)
 }
 
 // owner returns the ownership of runner and the live member that owns it.
--- a/supervisor/router/messages.go
+++ b/supervisor/router/messages.go
@@ -62,6 +62,12 @@
 		runner buckthorndyke.RunnerID
 	}
 
+	// troubleMessage reports that a runner or its owner fails.
+	troubleMessage struct {
+		at     buckthorndyke.Millis
+		runner buckthorndyke.RunnerID
+	}
+
 	// vmsMessage brings the VM list.
 	vmsMessage struct {
 		vms []buckthorndyke.VM
@@ -109,7 +115,19 @@
 	return k
 }
 
+func (m troubleMessage) apply(k knowledge) knowledge {
+	k.troubles = k.troubles.With(m.runner, m.at)
+	return k
+}
+
 func (m vmsMessage) apply(k knowledge) knowledge {
 	k.vms = m.vms
+	failures := k.failures
+	k.failures = buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.Millis]{}
+	for _, vm := range m.vms {
+		if at, ok := failures.Get(vm.ID); ok {
+			k.failures = k.failures.With(vm.ID, at)
+		}
+	}
 	return k
 }
--- a/supervisor/router/send.go
+++ b/supervisor/router/send.go
@@ -31,7 +31,7 @@
 			return buckthorndyke.ServiceAnswer{}, c.refusal(buckthorndyke.CodeServiceUnavailable, err.Error())
 		}
 		answer, err := c.service.Call(ctx, vm.Address, c.ask.Call)
-		_ = c.box.Send(context.WithoutCancel(ctx), endedMessage{vm: vm.ID})
+		_ = c.box.Send(context.WithoutCancel(ctx), endedMessage{at: c.clock.Now(), failed: err != nil && ctx.Err() == nil, vm: vm.ID})
 		if err == nil {
 			return answer, nil
 		}
@@ -56,7 +56,7 @@
 // server returns the backend server to send to.
 func (c *call) server(ctx context.Context) (buckthorndyke.VM, error) {
 	chosen, err := mailer.Ask(ctx, c.box, func(reply mailer.Reply[serverReply]) message {
-		return serverMessage{reply: reply, service: c.ask.Call.Service, tried: c.tried}
+		return serverMessage{now: c.clock.Now(), reply: reply, service: c.ask.Call.Service, tried: c.tried}
 	})
 	if err != nil {
 		return buckthorndyke.VM{}, err
--- a/supervisor/router/servers.go
+++ b/supervisor/router/servers.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -15,11 +16,14 @@
 type (
 	// endedMessage reports that a call of a backend server has ended.
 	endedMessage struct {
-		vm buckthorndyke.VMID
+		at     buckthorndyke.Millis
+		failed bool
+		vm     buckthorndyke.VMID
 	}
 
 	// serverMessage asks for a backend server and counts a call of it.
 	serverMessage struct {
+		now     buckthorndyke.Millis
 		reply   mailer.Reply[serverReply]
 		service buckthorndyke.ServiceID
 		tried   []buckthorndyke.VMID
@@ -33,6 +37,11 @@
 )
 
 func (m endedMessage) apply(k knowledge) knowledge {
+	if m.failed {
+		k.failures = k.failures.With(m.vm, m.at)
+	} else {
+		k.failures = k.failures.Without(m.vm)
+	}
 	left, _ := k.outstanding.Get(m.vm)
 	if left <= 1 {
 		k.outstanding = k.outstanding.Without(m.vm)
@@ -43,7 +52,7 @@
 }
 
 func (m serverMessage) apply(k knowledge) knowledge {
-	vm, found := k.server(m.service, m.tried)
+	vm, found := k.server(m)
 	m.reply.Answer(serverReply{found: found, vm: vm})
 	if found {
 		calls, _ := k.outstanding.Get(vm.ID)
@@ -53,20 +62,21 @@
 	return k
 }
 
-// server returns the backend server of service with the fewest calls under way.
-// Equals take turns. A leaving server gets no new call.
-func (k knowledge) server(service buckthorndyke.ServiceID, tried []buckthorndyke.VMID) (buckthorndyke.VM, bool) {
+// server returns the backend server of a service with the fewest calls under way.
+// Equals take turns. A leaving server gets no new call, and one that failed lately
+// only if there is no other.
+func (k knowledge) server(m serverMessage) (buckthorndyke.VM, bool) {
 	var best []buckthorndyke.VM
-	fewest := 0
+	lightest := serverLoad{}
 	for _, vm := range k.vms {
-		if vm.Role != buckthorndyke.RoleService || vm.Service != service || vm.Leaving || slices.Contains(tried, vm.ID) {
+		if vm.Role != buckthorndyke.RoleService || vm.Service != m.service || vm.Leaving || slices.Contains(m.tried, vm.ID) {
 			continue
 		}
-		calls, _ := k.outstanding.Get(vm.ID)
-		if len(best) == 0 || calls < fewest {
-			best, fewest = best[:0], calls
+		load := k.serverLoad(vm.ID, m.now)
+		if len(best) == 0 || load.compare(lightest) < 0 {
+			best, lightest = best[:0], load
 		}
-		if calls == fewest {
+		if load == lightest {
 			best = append(best, vm)
 		}
 	}
@@ -75,3 +85,28 @@
 	}
 	return best[k.turn%len(best)], true
 }
+
+// serverLoad is what speaks against a backend server.
+type serverLoad struct {
+	calls  int
+	failed bool
+}
+
+// compare returns whether l speaks less (-1), as much or more (1) against its
+// server than other.
+func (l serverLoad) compare(other serverLoad) int {
+	if l.failed != other.failed {
+		if l.failed {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(l.calls, other.calls)
+}
+
+// serverLoad returns what speaks against the backend server on vm.
+func (k knowledge) serverLoad(vm buckthorndyke.VMID, now buckthorndyke.Millis) serverLoad {
+	calls, _ := k.outstanding.Get(vm)
+	at, failed := k.failures.Get(vm)
+	return serverLoad{calls: calls, failed: failed && now-at < troubleSpan}
+}
--- a/supervisor/router/setback.go
+++ b/supervisor/router/setback.go
@@ -49,3 +49,16 @@
 	}
 	return s
 }
+
+// troubles reports whether s is a sign that the runner or its owner fails, so
+// that other requests should rather ask others for a while.
+func (s *setback) troubles() bool {
+	switch s.kind {
+	case setbackBroken, setbackUnstarted:
+		return true
+	case setbackMoved:
+		return s.refusal.Code() != buckthorndyke.CodeNotOwner
+	default:
+		return false
+	}
+}
--- a/supervisor/router/stream_test.go
+++ b/supervisor/router/stream_test.go
@@ -69,6 +69,21 @@
 		asserter.True(t, !(<-f.asked).Resumed && (<-f.asked).Resumed, "the second ticket is not that of a resumed request")
 		assertCount(t, f.cancelled, 1)
 	})
+	run(t, "an answer that has begun waits for a place", func(t *testing.T, f *fixture) {
+		f.firstJob(yield(part(0, 2)...))
+		f.deskFirst(func(context.Context, buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+			return f.grant(buckthorndyke.TicketRequest{Runner: "r1"}), nil
+		})
+		full := f.desks["a"]
+		f.deskAll(func(ctx context.Context, r buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+			if r.Resumed && len(f.asked) < 5 {
+				return nil, buckthorndyke.NewRefusal(buckthorndyke.CodeOverloaded, buckthorndyke.NotRun, "full")
+			}
+			return full(ctx, r)
+		})
+		assertAnswer(t, f.start(t), request, "abcd")
+		assertCount(t, f.asked, 5)
+	})
 	run(t, "tokens that the caller has are left out", func(t *testing.T, f *fixture) {
 		f.runJobs(yield(part(0, 2)...), func(context.Context, buckthorndyke.Job) (buckthorndyke.TokenStream, error) {
 			return whole(buckthorndyke.Job{}), nil
--- a/supervisor/router/survey.go
+++ b/supervisor/router/survey.go
@@ -127,11 +127,12 @@
 // surveyed returns knowledge that tells which of several cold runners has the
 // cheapest copy of the checkpoint. It is k itself if there is no such choice.
 func (g *generation) surveyed(ctx context.Context, k knowledge) (knowledge, error) {
-	if k.isSurveyed(g.ask.Model, g.clock.Now()) {
+	now := g.clock.Now()
+	if k.isSurveyed(g.ask.Model, now) {
 		return k, nil
 	}
 	var cold []buckthorndyke.Ownership
-	for _, c := range k.candidates(g.ask) {
+	for _, c := range k.candidates(g.ask, now) {
 		if c.Live && c.Loaded {
 			return k, nil
 		}
