--- a/supervisor/claimer/settler.go
+++ b/supervisor/claimer/settler.go
@@ -15,7 +15,7 @@
 	settleCapacity = 512
 	// answerLimit bounds the body of a recorded answer, in bytes. A longer answer
 	// is not recorded, only that the call ran.
-	answerLimit = 64 * 1024
+	answerLimit = 8 * 1024
 )
 
 // settler is the task that appends outcomes.
--- a/supervisor/router/fakes_test.go
+++ b/supervisor/router/fakes_test.go
@@ -122,23 +122,36 @@
 		})
 }
 
+// drain forgets what was recorded of one request.
+func (f *fixture) drain() {
+	<-f.asked
+	<-f.started
+	<-f.closed
+}
+
 // publish makes the router see the fixture's state.
 func (f *fixture) publish() {
 	f.progress <- buckthorndyke.Progress{AtTail: true, LogDown: f.logDown, State: f.state}
 	synctest.Wait()
 }
 
+// launch runs the router until ctx ends.
+func (f *fixture) launch(ctx context.Context, opts ...router.Option) *router.Router {
+	self := buckthorndyke.Self{Incarnation: 1, VM: "self"}
+	r := router.New(self, f, f, fakePeers{f: f}, fakeEngines{f: f}, f, f.claims, f, f.clock, opts...)
+	go func() { _ = r.Serve(ctx) }()
+	return r
+}
+
 // start runs the router in the test's bubble.
 func (f *fixture) start(t *testing.T, opts ...router.Option) *router.Router {
 	t.Helper()
-	self := buckthorndyke.Self{Incarnation: 1, VM: "self"}
-	r := router.New(self, f, f, fakePeers{f: f}, fakeEngines{f: f}, f, f.claims, f, f.clock, opts...)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() {
 		cancel()
 		synctest.Wait()
 	})
-	go func() { _ = r.Serve(ctx) }()
+	r := f.launch(ctx, opts...)
 	f.publish()
 	return r
 }
