--- a/supervisor/router/fakes_test.go
+++ b/supervisor/router/fakes_test.go
@@ -41,6 +41,8 @@
 	servers   map[string]serverFunc
 	started   chan buckthorndyke.Job
 	state     buckthorndyke.State
+	statuses  map[string]buckthorndyke.EngineStatus
+	surveyed  chan string
 	vms       []buckthorndyke.VM
 }
 
@@ -60,6 +62,8 @@
 		sent:      make(chan string, recordCapacity),
 		servers:   make(map[string]serverFunc),
 		started:   make(chan buckthorndyke.Job, recordCapacity),
+		statuses:  make(map[string]buckthorndyke.EngineStatus),
+		surveyed:  make(chan string, 4*recordCapacity),
 	}
 	digest := sha256.Sum256([]byte("token"))
 	rules := buckthorndyke.Rules{}.
@@ -118,23 +122,36 @@
 		})
 }
 
+// drain forgets what was recorded of one request.
+func (f *fixture) drain() {
+	<-f.asked
+	<-f.started
+	<-f.closed
+}
+
 // publish makes the router see the fixture's state.
 func (f *fixture) publish() {
 	f.progress <- buckthorndyke.Progress{AtTail: true, LogDown: f.logDown, State: f.state}
 	synctest.Wait()
 }
 
+// launch runs the router until ctx ends.
+func (f *fixture) launch(ctx context.Context, opts ...router.Option) *router.Router {
+	self := buckthorndyke.Self{Incarnation: 1, VM: "self"}
+	r := router.New(self, f, f, fakePeers{f: f}, fakeEngines{f: f}, f, f.claims, f, f.clock, opts...)
+	go func() { _ = r.Serve(ctx) }()
+	return r
+}
+
 // start runs the router in the test's bubble.
 func (f *fixture) start(t *testing.T, opts ...router.Option) *router.Router {
 	t.Helper()
-	self := buckthorndyke.Self{Incarnation: 1, VM: "self"}
-	r := router.New(self, f, f, fakePeers{f: f}, fakeEngines{f: f}, f, f.claims, f, f.clock, opts...)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() {
 		cancel()
 		synctest.Wait()
 	})
-	go func() { _ = r.Serve(ctx) }()
+	r := f.launch(ctx, opts...)
 	f.publish()
 	return r
 }
@@ -259,7 +276,10 @@
 }
 
 func (e fakeEngine) Status(context.Context) (buckthorndyke.EngineStatus, error) {
-	return buckthorndyke.EngineStatus{Started: e.f.life}, nil
+	e.f.surveyed <- e.address
+	status := e.f.statuses[e.address]
+	status.Started = e.f.life
+	return status, nil
 }
 
 // fakeStream yields tokens and then fails, or stays silent if silent is set.
