feat(bencher): measure what an entry VM adds to a warm model

Cause: the added latency was not known. Ruled out: answers that broke in the first run were evictions after 1.5 s: the owner does not see jobs that the bench starts by itself; the bench now keeps the model for an hour. Conclusion: make bench prints the table.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,11 @@
 
 export GOFLAGS = -buildvcs=false
 
-.PHONY: build check-generated demo format generate lint test tools
+.PHONY: bench build check-generated demo format generate lint test tools
+
+bench: build
+	go build -o bin/bencher ./bencher
+	bin/bencher bin/buckthorndyke
 
 build:
 	go build -o bin/buckthorndyke ./cmd/buckthorndyke
--- /dev/null
+++ b/bencher/bench.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/connector"
+	"github.com/buckthorndyke/buckthorndyke/launcher"
+	"github.com/buckthorndyke/buckthorndyke/timekeeper"
+)
+
+// What the bench sends.
+const (
+	benchModel   = "bench"
+	benchRules   = "model bench memory-mb=100 replicas=1 # asked for by the bench\n" + benchCallerRule
+	benchService = "bookings"
+	benchToken   = "bench-caller-token"
+	// benchCallerRule holds the SHA-256 of benchToken.
+	benchCallerRule = "caller bench rank=urgent token-sha256=%s # asked for by the bench\n"
+	// benchTokens is the number of tokens of an answer.
+	benchTokens = 8
+	// benchRequests is the number of requests of one series.
+	benchRequests = 1920
+	// keepWarm outlasts the bench.
+	keepWarm    = buckthorndyke.Hour
+	runnerSlots = 64
+)
+
+// bench measures one site.
+type bench struct {
+	binary string
+	clock  buckthorndyke.Clock
+	out    io.Writer
+}
+
+func newBench(binary string, out io.Writer) *bench {
+	return &bench{binary: binary, clock: timekeeper.NewRealClock(), out: out}
+}
+
+// run starts a site, measures it and stops it.
+func (b *bench) run(ctx context.Context) (err error) {
+	folder, err := os.MkdirTemp("", "buckthorndyke-bench-")
+	if err != nil {
+		return errors.Wrap(err, "make a folder for the settings")
+	}
+	defer func() { err = errors.CombineErrors(err, os.RemoveAll(folder)) }()
+	site, err := launcher.NewSite(ctx, 1, 1, benchService)
+	if err != nil {
+		return err
+	}
+	site.RunnerSlots = runnerSlots
+	// The owner does not know of the jobs that the bench starts by itself, and must
+	// not take the model for idle.
+	site.Overrides = map[string]any{"keep-warm": map[string]any{"policy": "fixed", "fixed-ms": keepWarm}}
+	l := launcher.New(b.binary, folder)
+	standIn, err := l.Start(ctx, "stand-in", "stand-in", site.StandInSettings(), "http://"+site.VMList+"/v1/vms")
+	if err != nil {
+		return err
+	}
+	defer standIn.Kill()
+	entry, err := l.Start(ctx, "entry", "serve", site.EntrySettings(0), "http://"+site.Entries[0].Callers+"/readyz")
+	if err != nil {
+		return err
+	}
+	defer entry.Kill()
+	if err := b.apply(ctx, l, site, folder); err != nil {
+		return err
+	}
+	return b.measure(ctx, site)
+}
+
+// apply puts the bench's rules in force.
+func (b *bench) apply(ctx context.Context, l *launcher.Launcher, site launcher.Site, folder string) error {
+	token, rules := filepath.Join(folder, "operator-token"), filepath.Join(folder, "bench.rules")
+	if err := os.WriteFile(token, []byte(launcher.OperatorToken), 0o600); err != nil {
+		return errors.Wrap(err, "write the operator's token")
+	}
+	text := fmt.Sprintf(benchRules, launcher.SHA256(benchToken))
+	if err := os.WriteFile(rules, []byte(text), 0o600); err != nil {
+		return errors.Wrap(err, "write the rules")
+	}
+	_, err := l.Run(ctx, "rules", "apply", rules, "--as", "bench", "--operator", site.Entries[0].Operator, "--token-file", token)
+	return err
+}
+
+// measure prints the latencies of both ways at both numbers of callers.
+func (b *bench) measure(ctx context.Context, site launcher.Site) error {
+	direct := &directTarget{engine: connector.NewHTTPEngine(site.Runners[0])}
+	through := &entryTarget{url: "http://" + site.Entries[0].Callers + "/v1/completions"}
+	if err := through.send(ctx); err != nil { // loads the model
+		return err
+	}
+	_, _ = fmt.Fprintln(b.out, "| callers | way | p50 ms | p95 ms | p99 ms | requests a second |")
+	_, _ = fmt.Fprintln(b.out, "| --- | --- | --- | --- | --- | --- |")
+	for _, callers := range []int{1, runnerSlots} {
+		requests := benchRequests
+		if callers == 1 {
+			requests /= 8
+		}
+		d, err := b.series(ctx, direct, callers, requests)
+		if err != nil {
+			return err
+		}
+		e, err := b.series(ctx, through, callers, requests)
+		if err != nil {
+			return err
+		}
+		b.print(callers, "direct", d)
+		b.print(callers, "entry VM", e)
+		_, _ = fmt.Fprintf(b.out, "| %d | added | %.2f | %.2f | %.2f | |\n", callers,
+			e.quantile(50)-d.quantile(50), e.quantile(95)-d.quantile(95), e.quantile(99)-d.quantile(99))
+	}
+	return nil
+}
+
+// print prints one series.
+func (b *bench) print(callers int, way string, s series) {
+	_, _ = fmt.Fprintf(b.out, "| %d | %s | %.2f | %.2f | %.2f | %.0f |\n",
+		callers, way, s.quantile(50), s.quantile(95), s.quantile(99), s.perSecond())
+}
--- a/launcher/site.go
+++ b/launcher/site.go
@@ -2,15 +2,17 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 )
 
 // Sizes of the site that a Site describes.
 const (
-	domains         = 3
-	runnerMemoryMB  = 48_000
-	runnerSlots     = 8
-	serviceReplicas = 3
+	domains            = 3
+	runnerMemoryMB     = 48_000
+	defaultRunnerSlots = 8
+	serviceReplicas    = 3
 )
 
 // Secrets of sites on loopback.
@@ -38,6 +40,8 @@
 	WeightStore string
 	// Overrides replace settings of the entry VMs.
 	Overrides map[string]any
+	// RunnerSlots is the number of requests that a runner batches.
+	RunnerSlots int
 	// RunnersIgnoreFence makes all runners ignore fencing numbers.
 	RunnersIgnoreFence bool
 }
@@ -45,7 +49,7 @@
 // NewSite returns a site with free addresses for the given numbers of entry VMs
 // and runners, and one plain service.
 func NewSite(ctx context.Context, entries, runners int, service string) (Site, error) {
-	site := Site{ServiceName: service}
+	site := Site{RunnerSlots: defaultRunnerSlots, ServiceName: service}
 	addresses, err := FreeAddresses(ctx, 3+3*entries+runners+serviceReplicas)
 	if err != nil {
 		return site, err
@@ -99,7 +103,7 @@
 	for i, address := range s.Runners {
 		runners = append(runners, map[string]any{
 			"vm": fmt.Sprintf("runner-%d", i+1), "address": address, "failure-domain": domain(i),
-			"memory-mb": runnerMemoryMB, "slots": runnerSlots, "checks-fence": !s.RunnersIgnoreFence,
+			"memory-mb": runnerMemoryMB, "slots": s.RunnerSlots, "checks-fence": !s.RunnersIgnoreFence,
 		})
 	}
 	for i, address := range s.Services {
@@ -118,6 +122,12 @@
 	}
 }
 
+// SHA256 returns the digest of a caller's token as the rules hold it.
+func SHA256(token string) string {
+	digest := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(digest[:])
+}
+
 // domain returns the failure domain of the i-th VM of its kind.
 func domain(i int) string {
 	return string(rune('a' + i%domains))
