perf(connector): let tokens that come in one packet wait in a buffer

Each token was handed over on its own, with a switch between two goroutines. The buffer stays bounded, so that a slow caller still slows the engine down.

--- /dev/null
+++ b/connector/bench_test.go
@@ -0,0 +1,58 @@
+package connector_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/connector"
+	"github.com/buckthorndyke/buckthorndyke/encoder"
+	"github.com/buckthorndyke/buckthorndyke/wire"
+)
+
+// benchTokens is the number of tokens of one answer in a benchmark.
+const benchTokens = 256
+
+// BenchmarkHTTPEngineStream measures the time from a job's start to its end mark
+// with an engine that answers at once.
+func BenchmarkHTTPEngineStream(b *testing.B) {
+	events := make([]string, 0, benchTokens+1)
+	for i := range benchTokens + 1 {
+		data, err := encoder.EncodeJSON(&wire.EngineToken{
+			Index: int32(i), Job: "j", Last: i == benchTokens, Text: "token ",
+		})
+		asserter.NoError(b, err)
+		events = append(events, fmt.Sprintf("data: %s\n\n", data))
+	}
+	b.Run("at once", func(b *testing.B) {
+		whole := []byte(strings.Join(events, ""))
+		benchmarkStream(b, serve(b, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(whole) }))
+	})
+	b.Run("flushed token by token", func(b *testing.B) {
+		benchmarkStream(b, serve(b, func(w http.ResponseWriter, _ *http.Request) {
+			flusher := http.NewResponseController(w)
+			for _, event := range events {
+				_, _ = w.Write([]byte(event))
+				_ = flusher.Flush()
+			}
+		}))
+	})
+}
+
+// benchmarkStream reads whole answers from the engine at address.
+func benchmarkStream(b *testing.B, address string) {
+	b.Helper()
+	engine := connector.NewHTTPEngine(address)
+	b.ReportAllocs()
+	for b.Loop() {
+		s, err := engine.Generate(b.Context(), buckthorndyke.Job{ID: "j", Model: model})
+		asserter.NoError(b, err)
+		texts, err := collect(b.Context(), s)
+		asserter.NoError(b, err)
+		asserter.Equal(b, len(texts), benchTokens)
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*benchTokens), "ns/token")
+}
--- a/connector/httpstream.go
+++ b/connector/httpstream.go
@@ -14,6 +14,9 @@
 // that its connection can be used again.
 const drainTimeout = 1 * buckthorndyke.Second
 
+// streamBuffer bounds the tokens that wait for the reader of a stream.
+const streamBuffer = 16
+
 // streamItem is the next token of a stream or the error that broke it.
 type streamItem struct {
 	err   error
@@ -32,7 +35,7 @@
 func newHTTPStream(
 	ctx context.Context, cancel context.CancelFunc, body io.ReadCloser, job buckthorndyke.Job,
 ) *httpStream {
-	s := &httpStream{cancel: cancel, items: make(chan streamItem)}
+	s := &httpStream{cancel: cancel, items: make(chan streamItem, streamBuffer)}
 	go func() {
 		defer cancel()
 		defer func() { _ = body.Close() }()
--- a/connector/verdict_test.go
+++ b/connector/verdict_test.go
@@ -223,7 +223,7 @@
 }
 
 // serve serves handler and returns its address.
-func serve(t *testing.T, handler http.HandlerFunc) string {
+func serve(t testing.TB, handler http.HandlerFunc) string {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
