--- a/standin/enginejournal.go
+++ b/standin/enginejournal.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -10,7 +11,9 @@
 // EngineJournal is what an engine has done, for assertions. Its maps and slices
 // are copies.
 type EngineJournal struct {
-	Crashes int `json:"crashes"`
+	// Changes are the changes of what the memory holds, in sequence.
+	Changes []ResidentChange `json:"changes"`
+	Crashes int              `json:"crashes"`
 	// HighestMemoryMB is the most memory that was in use at once.
 	HighestMemoryMB int `json:"highest-memory-mb"`
 	// HighestRunning is the most jobs that ran at once.
@@ -36,8 +39,53 @@
 	State buckthorndyke.OrderState `json:"state"`
 }
 
+// ResidentChange is one change of what an engine's memory holds. A model that is
+// loading is held.
+type ResidentChange struct {
+	At    buckthorndyke.Millis  `json:"at-ms"`
+	Held  bool                  `json:"held"`
+	Model buckthorndyke.ModelID `json:"model"`
+}
+
+// HighestHolders returns the most engines that held a model at once, by their
+// journals. Changes at one instant count as if those that free memory came first.
+func HighestHolders(model buckthorndyke.ModelID, journals ...EngineJournal) int {
+	var changes []ResidentChange
+	for _, j := range journals {
+		changes = append(changes, j.Changes...)
+	}
+	slices.SortStableFunc(changes, func(a, b ResidentChange) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), compareBools(a.Held, b.Held))
+	})
+	holders, highest := 0, 0
+	for _, c := range changes {
+		switch {
+		case c.Model != model:
+		case c.Held:
+			holders++
+			highest = max(highest, holders)
+		default:
+			holders--
+		}
+	}
+	return highest
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // clone returns a copy that shares nothing with j.
 func (j EngineJournal) clone() EngineJournal {
+	j.Changes = slices.Clone(j.Changes)
 	j.Jobs = maps.Clone(j.Jobs)
 	j.Loads = maps.Clone(j.Loads)
 	j.Orders = slices.Clone(j.Orders)
--- /dev/null
+++ b/standin/enginejournal_test.go
@@ -0,0 +1,56 @@
+package standin_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/standin"
+)
+
+func TestHighestHolders(t *testing.T) {
+	t.Run("one engine after the other", func(t *testing.T) {
+		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
+			a, b := startEngine(ctx, clock, standin.EngineConfig{}), startEngine(ctx, clock, standin.EngineConfig{})
+			load(ctx, t, a, buckthorndyke.Order{MemoryMB: 8000, Model: model})
+			assertOrder(ctx, t, a, buckthorndyke.Order{ID: "u", Kind: buckthorndyke.OrderUnload, Model: model}, buckthorndyke.OrderDone)
+			load(ctx, t, b, buckthorndyke.Order{MemoryMB: 8000, Model: model})
+			assertHolders(ctx, t, 1, a, b)
+		})
+	})
+	t.Run("two engines at once", func(t *testing.T) {
+		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
+			a, b := startEngine(ctx, clock, standin.EngineConfig{}), startEngine(ctx, clock, standin.EngineConfig{})
+			load(ctx, t, a, buckthorndyke.Order{MemoryMB: 8000, Model: model})
+			load(ctx, t, b, buckthorndyke.Order{MemoryMB: 8000, Model: model})
+			assertHolders(ctx, t, 2, a, b)
+		})
+	})
+	t.Run("a crash and a failed load free the model", func(t *testing.T) {
+		inBubble(t, func(ctx context.Context, t *testing.T, clock buckthorndyke.Clock) {
+			store := standin.NewMemoryWeightStore(clock, standin.WithDefaultSize(0))
+			a := standin.NewMemoryEngine(clock, store, standin.EngineConfig{})
+			b := startLoadedEngine(ctx, clock, standin.EngineConfig{})
+			standin.Start(ctx, store, a)
+			order := buckthorndyke.Order{ID: "o", Kind: buckthorndyke.OrderLoad, Model: model}
+			asserter.NoError(t, b.Crash(ctx))
+			assertOrder(ctx, t, a, order, buckthorndyke.OrderFailed)
+			<-clock.After(buckthorndyke.Minute)
+			load(ctx, t, b, buckthorndyke.Order{MemoryMB: 8000, Model: model})
+			assertHolders(ctx, t, 1, a, b)
+		})
+	})
+}
+
+// assertHolders checks the most engines that held the model at once.
+func assertHolders(ctx context.Context, t *testing.T, want int, engines ...*standin.MemoryEngine) {
+	t.Helper()
+	var journals []standin.EngineJournal
+	for _, engine := range engines {
+		journal, err := engine.Journal(ctx)
+		asserter.NoError(t, err)
+		journals = append(journals, journal)
+	}
+	asserter.Equal(t, standin.HighestHolders(model, journals...), want)
+}
--- a/standin/enginemessages.go
+++ b/standin/enginemessages.go
@@ -45,6 +45,9 @@
 	for model := range s.cached {
 		s.cached[model] = buckthorndyke.TierDisk
 	}
+	for model := range s.residents {
+		s.release(model)
+	}
 	s.clear()
 	s.restarting = true
 	s.started++
--- a/standin/engineorders.go
+++ b/standin/engineorders.go
@@ -154,7 +154,7 @@
 	state := buckthorndyke.OrderDone
 	if m.err != nil {
 		state = buckthorndyke.OrderFailed
-		delete(s.residents, m.order.Model)
+		s.release(m.order.Model)
 	} else {
 		r := s.residents[m.order.Model]
 		r.Loading = false
--- a/standin/enginestate.go
+++ b/standin/enginestate.go
@@ -125,13 +125,14 @@
 			job.cancel(errUnloaded)
 		}
 	}
-	delete(s.residents, model)
+	s.release(model)
 	s.record()
 }
 
 // hold puts a model into memory.
 func (s *engineState) hold(r buckthorndyke.Resident) {
 	s.residents[r.Model] = r
+	s.journal.Changes = append(s.journal.Changes, ResidentChange{At: s.clock.Now(), Held: true, Model: r.Model})
 	used := s.memoryUsed()
 	s.journal.HighestMemoryMB = max(s.journal.HighestMemoryMB, used)
 	s.journal.Overcommitted = s.journal.Overcommitted || used > s.cfg.MemoryMB
@@ -179,6 +180,15 @@
 	}
 }
 
+// release removes a model from the residents, if it is one.
+func (s *engineState) release(model buckthorndyke.ModelID) {
+	if _, held := s.residents[model]; !held {
+		return
+	}
+	delete(s.residents, model)
+	s.journal.Changes = append(s.journal.Changes, ResidentChange{At: s.clock.Now(), Model: model})
+}
+
 // report returns the status as far as it has become visible.
 func (s *engineState) report() buckthorndyke.EngineStatus {
 	report := s.status()
