--- a/connector/client.go
+++ b/connector/client.go
@@ -66,7 +66,7 @@
 	if in != nil {
 		var err error
 		if body, err = encoder.EncodeJSON(in); err != nil {
-			return nil, e.fail(ctx, err)
+			return nil, badRequest(err)
 		}
 	}
 	header := http.Header{contentType: {jsonType}}
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -44,7 +44,7 @@
 	})
 	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		return nil, e.fail(ctx, err)
+		return nil, badRequest(err)
 	}
 	// Without GetBody the transport cannot send the body again.
 	r.GetBody = nil
@@ -71,6 +71,13 @@
 	return body, nil
 }
 
+// badRequest returns the error of a request that cannot be encoded.
+func badRequest(err error) error {
+	refusal := buckthorndyke.NewRefusal(
+		buckthorndyke.CodeBadRequest, buckthorndyke.NotRun, "the request cannot be encoded")
+	return fmt.Errorf("%w: %w", refusal, err)
+}
+
 // refuse returns err as a refusal. The error of an ended context has the code
 // CodeDeadline.
 func refuse(ctx context.Context, code buckthorndyke.Code, verdict buckthorndyke.Verdict, err error) error {
--- a/connector/verdict_test.go
+++ b/connector/verdict_test.go
@@ -123,6 +123,18 @@
 			asserter.Equal(t, len(requests), 0)
 		})
 	})
+	t.Run("the request cannot be encoded", func(t *testing.T) {
+		address, requests := serveRaw(t, readRequest)
+		unreadable := job("j")
+		unreadable.Prompt = "\xff"
+		_, err := connector.NewHTTPEngine(address).Generate(t.Context(), unreadable)
+		asserter.Refused(t, err, buckthorndyke.CodeBadRequest, buckthorndyke.NotRun)
+		call := booking()
+		call.Method = "BOOK A HALL"
+		_, err = connector.NewHTTPService().Call(t.Context(), address, call)
+		asserter.Refused(t, err, buckthorndyke.CodeBadRequest, buckthorndyke.NotRun)
+		asserter.Equal(t, len(requests), 0)
+	})
 	t.Run("a redirect is not followed", func(t *testing.T) {
 		onEach(t, func(t *testing.T, send send) {
 			elsewhere, requests := serveRaw(t, readRequest)
