test(commander,configurer): catch three broken variants

Three survived: a reset connection taken for one that was never made, no report of any VM taken for all, and a negative weight. Each now fails a test; the reset was seen failing on the broken variant.

--- a/commander/rulesapply_test.go
+++ b/commander/rulesapply_test.go
@@ -35,6 +35,12 @@
 		asserter.Contains(t, got.stdout, "in force on 1 of 2 live VMs")
 		asserter.Contains(t, got.stdout, "lacking: entry-2: cut off")
 	})
+	t.Run("without any report they are not said to be in force", func(t *testing.T) {
+		s := newSite(t)
+		address := s.entry(t, "entry-1", direct, operator.WithFleet(fleet{}))
+		got := apply(file(t, bookings), "M. Okafor", address, "--wait-ms", "1")
+		assertResult(t, got, commander.ExitFailed, "not in force on all live VMs")
+	})
 	t.Run("as JSON", func(t *testing.T) {
 		s := newSite(t)
 		got := apply(file(t, bookings), "M. Okafor", s.entry(t, "entry-1", direct), "--json")
--- a/commander/site_test.go
+++ b/commander/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -108,7 +109,8 @@
 			select {
 			case <-lose:
 				next.ServeHTTP(httptest.NewRecorder(), r)
-				panic(http.ErrAbortHandler)
+				reset(w)
+				return
 			default:
 			}
 		}
@@ -116,6 +118,18 @@
 	})
 }
 
+// reset ends the connection of a request as a crashed process would.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	if c, ok := conn.(*net.TCPConn); ok {
+		_ = c.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // result is what a run of the command line left.
 type result struct {
 	code           int
--- a/configurer/serve_test.go
+++ b/configurer/serve_test.go
@@ -73,6 +73,7 @@
 		{"number with a fraction", `"vm":`, `"lease-ms": 3000.5, "vm":`, []string{"2:15 out-of-range"}},
 		{"number too large", `"vm":`, `"drift-permille": 501, "vm":`, []string{"2:21 out-of-range"}},
 		{"weight out of range", `"vm":`, `"keep-warm": {"cold-start-weight": 1.1}, "vm":`, []string{"2:38 out-of-range"}},
+		{"weight below 0", `"vm":`, `"keep-warm": {"cold-start-weight": -0.1}, "vm":`, []string{"2:38 out-of-range"}},
 		{"weight as a text", `"vm":`, `"keep-warm": {"cold-start-weight": "1"}, "vm":`, []string{"2:38 out-of-range"}},
 		{"unknown policy", `"vm":`, `"keep-warm": {"policy": "lfu"}, "vm":`, []string{"2:27 bad-value"}},
 		{"truth value as a number", `"vm":`, `"runners": {"check-fence": 1}, "vm":`, []string{"2:30 bad-type"}},
