fix(examples): entry.jsonc serves as it stands

README's first request starts the example entry VM as it is, but the example named files of secrets that no machine has.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -72,8 +72,8 @@
 		minimal, err := configurer.ParseServe([]byte(`{
 			"vm": "entry-1", "failure-domain": "lakes-east-a",
 			"callers": {"address": "127.0.0.1:8080"},
-			"peers": {"address": "127.0.0.1:19110", "key-file": "/run/secrets/buckthorndyke-fleet-key"},
-			"operator": {"address": "127.0.0.1:9090", "token-file": "/run/secrets/buckthorndyke-operator-token"},
+			"peers": {"address": "127.0.0.1:19110", "key": "example-fleet-key"},
+			"operator": {"address": "127.0.0.1:8082", "token": "example-operator-token"},
 			"log": {"address": "127.0.0.1:19000"}, "vm-list": {"address": "127.0.0.1:19001"},
 			"weight-store": {"address": "127.0.0.1:19002"},
 			"keep-warm": {"cold-start-weight": 0.8},
