fix(steward): no load behind an eviction, no start before the fence, known jobs

(1) A paid adapter's load went ahead of the eviction of its own base for a more urgent load, which evicted the adapter again: load and eviction alternated every 5 ms and the urgent request ran into its deadline. (2) A new owner served loaded models before the runner had accepted its fencing number, so that the dead owner's delayed order evicted a model under a job. (3) Jobs are now told apart by the request in their id (JobIDOf), so that those of lost holders and previous owners hold back evictions. On runners that ignore fencing numbers a dead owner's late order can still evict under a job; the stream is then resumed.

--- a/ids.go
+++ b/ids.go
@@ -1,6 +1,9 @@
 package buckthorndyke
 
-import "strconv"
+import (
+	"strconv"
+	"strings"
+)
 
 // Identifiers. Each is opaque text that is compared for equality only.
 type (
@@ -29,6 +32,24 @@
 	VMID string
 )
 
+// jobSeparator stands between the request and the attempt in a JobID.
+const jobSeparator = "/"
+
+// JobIDOf returns the id of one attempt of a request. An owner recognizes by it
+// the jobs of its own tickets in a runner's status.
+func JobIDOf(request RequestID, attempt string) JobID {
+	return JobID(string(request) + jobSeparator + attempt)
+}
+
+// Request returns the request that j is an attempt of.
+func (j JobID) Request() RequestID {
+	at := strings.LastIndex(string(j), jobSeparator)
+	if at < 0 {
+		return RequestID(j)
+	}
+	return RequestID(j[:at])
+}
+
 // Incarnation tells two lives of one VM's process apart. A later life has the
 // higher number.
 type Incarnation uint64
--- a/supervisor/owner/steward/orders_test.go
+++ b/supervisor/owner/steward/orders_test.go
@@ -197,6 +197,18 @@
 			asserter.Equal(t, s.assertSafe().Loads[gym], 1)
 		})
 	})
+	t.Run("an adapter is not loaded again while its base makes room", func(t *testing.T) {
+		inSite(t, standin.EngineConfig{MemoryMB: fit + 500, Slots: 1}, func(s *site) {
+			running := s.grant(hall, ordinary)
+			s.ask(organ, ordinary)
+			s.wait(buckthorndyke.Second)
+			urgent := s.ask(choir, buckthorndyke.RankUrgent)
+			s.wait(buckthorndyke.Second)
+			running.Close(buckthorndyke.TicketDone)
+			s.assertEvent(urgent, buckthorndyke.TicketGranted)
+			asserter.Equal(t, s.assertSafe().Loads[organ], 1)
+		})
+	})
 	t.Run("a steady flow to a loaded model does not starve a load", func(t *testing.T) {
 		inSite(t, standin.EngineConfig{MemoryMB: fit}, func(s *site) {
 			flow := s.grant(hall, ordinary)
--- a/supervisor/owner/steward/plan.go
+++ b/supervisor/owner/steward/plan.go
@@ -25,6 +25,12 @@
 	wake buckthorndyke.Millis
 }
 
+// passes reports whether l may go ahead of a load that waits for room: it is a
+// paid adapter's, whose base stays.
+func (n plan) passes(l load) bool {
+	return l.rule.IsAdapter() && l.rank.Paid() && n.evict == "" && !n.held[l.rule.Base]
+}
+
 // planner makes plans. It is pure.
 type planner struct {
 	account   account
@@ -131,7 +137,7 @@
 		if !ok || planned[l.rule.ID] {
 			continue
 		}
-		if blocked && (!l.rule.IsAdapter() || !l.rank.Paid()) {
+		if blocked && !next.passes(l) {
 			continue
 		}
 		if l.rule.MemoryMB <= free {
@@ -140,7 +146,7 @@
 			next.loads = append(next.loads, l)
 			continue
 		}
-		if !blocked && p.makeRoom {
+		if !blocked && p.makeRoom && p.evictable {
 			p.planRoom(next, d, l.rule.MemoryMB-free, keep)
 		}
 		blocked = true
--- a/supervisor/owner/steward/rebuild.go
+++ b/supervisor/owner/steward/rebuild.go
@@ -57,7 +57,8 @@
 	}
 	t.settleByStatus(m, crashed)
 	t.absorb(m.status, now)
-	t.watchForeign(m.status, crashed)
+	t.jobs = t.jobs.withoutOld(m.asked - t.statusLag)
+	t.foreign = t.jobs.foreign(m.status.Jobs, m.asked, t.statusLag)
 	t.finishRead(m, now)
 }
 
@@ -153,19 +154,8 @@
 	for _, r := range t.account.residents.All() {
 		loading = loading || r.loading
 	}
-	if t.phase != phaseReady || t.account.order != nil || len(t.foreign) > 0 || loading || t.failures > 0 {
+	if t.phase != phaseReady || t.account.order != nil || t.foreign > 0 || loading || t.failures > 0 {
 		return statusFast
 	}
 	return statusSlow
 }
-
-// watchForeign follows the jobs of a previous owner's tickets until they end.
-func (t *task) watchForeign(status buckthorndyke.EngineStatus, crashed bool) {
-	jobs := make(map[buckthorndyke.JobID]bool)
-	for _, job := range status.Jobs {
-		if !crashed && (!t.granted || t.foreign[job]) {
-			jobs[job] = true
-		}
-	}
-	t.foreign = jobs
-}
--- a/supervisor/owner/steward/site_test.go
+++ b/supervisor/owner/steward/site_test.go
@@ -231,7 +231,11 @@
 	changes chan buckthorndyke.Change
 }
 
-func (r *recorder) Propose(_ context.Context, c buckthorndyke.Change) (buckthorndyke.Ruling, error) {
-	r.changes <- c
-	return buckthorndyke.Ruling{Accepted: true}, nil
+func (r *recorder) Propose(ctx context.Context, c buckthorndyke.Change) (buckthorndyke.Ruling, error) {
+	select {
+	case r.changes <- c:
+		return buckthorndyke.Ruling{Accepted: true}, nil
+	case <-ctx.Done():
+		return buckthorndyke.Ruling{}, ctx.Err()
+	}
 }
--- a/supervisor/owner/steward/takeover_test.go
+++ b/supervisor/owner/steward/takeover_test.go
@@ -21,6 +21,18 @@
 			assertBefore(t, orders[1].At-s.start0, steward.DefaultLease)
 		})
 	})
+	t.Run("nothing starts before the runner is fenced", func(t *testing.T) {
+		prepare := func(s *site) {
+			s.order(loadOf(hall))
+			asserter.NoError(t, s.engine.SetFaults(s.ctx, standin.EngineFaults{OrderDelay: 3 * buckthorndyke.Second}))
+		}
+		inTakeover(t, standin.EngineConfig{ChecksFence: true}, prepare, func(s *site) {
+			waiting := s.ask(hall, buckthorndyke.RankOrdinary)
+			s.wait(2 * buckthorndyke.Second)
+			s.assertNone(waiting)
+			s.assertEvent(waiting, buckthorndyke.TicketGranted)
+		})
+	})
 	t.Run("a runner that ignores them gets no order before the lease has ended", func(t *testing.T) {
 		inTakeover(t, standin.EngineConfig{}, nil, func(s *site) {
 			s.grant(hall, buckthorndyke.RankOrdinary)
--- a/supervisor/owner/steward/task.go
+++ b/supervisor/owner/steward/task.go
@@ -22,7 +22,8 @@
 const (
 	// phaseLease waits until the previous owner's lease has ended.
 	phaseLease phase = iota
-	// phaseFence raises the runner's fencing number.
+	// phaseFence raises the runner's fencing number. Nothing starts before that,
+	// since a previous owner's order could still evict a model.
 	phaseFence
 	// phaseRead waits until the runner carries out no order of a previous owner.
 	phaseRead
@@ -43,14 +44,13 @@
 	failures int
 	// fenced is set once the runner has refused an order for its fence.
 	fenced bool
-	// foreign are the jobs of tickets that a previous owner has granted.
-	foreign map[buckthorndyke.JobID]bool
+	// foreign is the number of jobs that belong to no ticket of the steward.
+	foreign int
 	freeing freeing
 	// gone is set while the runner's VM is neither listed nor answers.
-	gone bool
-	// granted is set once the first ticket was granted.
-	granted  bool
+	gone     bool
 	holders  map[buckthorndyke.TicketID]holder
+	jobs     jobs
 	keepWarm buckthorndyke.KeepWarmPolicy
 	last     buckthorndyke.TicketID
 	// newcomers are the tickets that were asked for since the last decision.
@@ -128,7 +128,7 @@
 	t.gone = true
 	t.order.finish()
 	t.account = account{}
-	t.foreign = nil
+	t.foreign = 0
 	t.endAll(errEngine, errRunner)
 }
 
@@ -140,7 +140,6 @@
 		t.refuse(w.ID, errExpired)
 	}
 	for _, w := range d.Granted {
-		t.granted = true
 		t.account = t.account.withUse(w.Model, w.Rank, now)
 		h := t.holders[w.ID]
 		h.put(occurrence{event: buckthorndyke.TicketEvent{
@@ -221,7 +220,7 @@
 // settled reports whether all work on the runner is known, so that a model can
 // be evicted.
 func (t *task) settled(now buckthorndyke.Millis) bool {
-	return t.phase == phaseReady && len(t.foreign) == 0 && now >= t.settledAt()
+	return t.phase == phaseReady && t.foreign == 0 && now >= t.settledAt()
 }
 
 // settledAt returns the instant from which the runner's report shows all that
--- a/supervisor/owner/steward/ticket.go
+++ b/supervisor/owner/steward/ticket.go
@@ -55,6 +55,8 @@
 type holder struct {
 	cold   bool
 	events chan<- occurrence
+	// request is the request that the ticket was asked for.
+	request buckthorndyke.RequestID
 	// stop ends the watch on the holder's context.
 	stop func() bool
 }
--- a/supervisor/owner/steward/tickets.go
+++ b/supervisor/owner/steward/tickets.go
@@ -10,12 +10,12 @@
 // admissionView returns what admission needs to know at now.
 func (t *task) admissionView(now buckthorndyke.Millis) buckthorndyke.AdmissionView {
 	slots := t.slots
-	if t.status.doubtful > 0 {
+	if t.status.doubtful > 0 || t.phase == phaseFence {
 		slots = 0
 	}
 	return buckthorndyke.AdmissionView{
 		Cleared:  func(m buckthorndyke.ModelID) bool { return t.plan.cleared[m] },
-		Foreign:  len(t.foreign),
+		Foreign:  t.foreign,
 		Held:     func(m buckthorndyke.ModelID) bool { return t.plan.held[m] },
 		Loaded:   t.account.loaded,
 		LoadWait: func(m buckthorndyke.ModelID) buckthorndyke.Millis { return t.loadWait(m, now) },
@@ -65,10 +65,12 @@
 	t.observe(w, now)
 	events := make(chan occurrence, eventLimit)
 	t.holders[w.ID] = holder{
-		cold:   !t.account.loaded(w.Model),
-		events: events,
-		stop:   context.AfterFunc(m.ctx, func() { t.post(ticketClosed{id: w.ID}) }),
+		cold:    !t.account.loaded(w.Model),
+		events:  events,
+		request: m.request.Request,
+		stop:    context.AfterFunc(m.ctx, func() { t.post(ticketClosed{id: w.ID}) }),
 	}
+	t.jobs = t.jobs.withHeld(m.request.Request)
 	t.newcomers = append(t.newcomers, w.ID)
 	m.reply.Answer(ticketAnswer{ticket: &ticket{events: events, id: w.ID, steward: t.Steward}})
 }
@@ -82,6 +84,7 @@
 	now := t.clock.Now()
 	h.stop()
 	delete(t.holders, m.id)
+	t.jobs = t.jobs.withEnded(h.request, now)
 	t.admission = t.admission.Without(m.id, now)
 	if m.outcome == buckthorndyke.TicketCrashed {
 		t.status.at = now
@@ -160,7 +163,9 @@
 	h.stop()
 	h.put(occurrence{err: err})
 	delete(t.holders, id)
-	t.admission = t.admission.Without(id, t.clock.Now())
+	now := t.clock.Now()
+	t.jobs = t.jobs.withEnded(h.request, now)
+	t.admission = t.admission.Without(id, now)
 }
 
 // refuseUnservable refuses waiting requests that the runner can no longer
@@ -181,7 +186,7 @@
 // report returns the summary of the runner.
 func (t *task) report() buckthorndyke.RunnerReport {
 	return buckthorndyke.RunnerReport{
-		Busy:      len(t.admission.Running()) + len(t.foreign),
+		Busy:      len(t.admission.Running()) + t.foreign,
 		Epoch:     t.view.Ownership.Epoch,
 		Residents: t.account.models(),
 		Runner:    t.view.Ownership.Runner,
--- a/supervisor/router/attempt.go
+++ b/supervisor/router/attempt.go
@@ -61,7 +61,7 @@
 	a := &attempt{
 		epoch:      ownership.Epoch,
 		generation: g,
-		job:        buckthorndyke.JobID(uuid.NewString()),
+		job:        buckthorndyke.JobIDOf(g.ask.ID, uuid.NewString()),
 		runner:     runner,
 		suspect:    suspect,
 		ticket:     ticket,
