fix(steward): a crash settles no order that may still be on its way

The order now stays outstanding, with its memory, until the runner knows it. The careless variant that reserves nothing is found.

--- a/supervisor/owner/steward/faults_test.go
+++ b/supervisor/owner/steward/faults_test.go
@@ -36,16 +36,29 @@
 			parameters.MinSuccessfulTests = faultRuns
 			properties := gopter.NewProperties(parameters)
 			properties.Property("nothing is overcommitted, dropped, late or undecided", prop.ForAll(
-				func(seed uint64) string { return faultRun(t, seed, checksFence) }, gen.UInt64().WithShrinker(gopter.NoShrinker),
+				func(seed uint64) string { return faultRun(t, seed, checksFence, false) }, gen.UInt64().WithShrinker(gopter.NoShrinker),
 			))
 			properties.TestingRun(t)
 		})
 	}
 }
 
+// TestFaultsOfCarelessOwner shows that TestFaults finds an owner that takes over
+// at once from one whose order may still be on its way.
+func TestFaultsOfCarelessOwner(t *testing.T) {
+	for seed := range uint64(faultRuns) {
+		if faultRun(t, 2*seed, false, true) != "" {
+			return
+		}
+	}
+	t.Error("no run found a fault")
+}
+
 // chaos is one run of TestFaults.
 type chaos struct {
 	*site
+	// careless makes the next owner reserve nothing for the last one's order.
+	careless    bool
 	checksFence bool
 	faults      chan string
 	jobs        int
@@ -58,7 +71,7 @@
 }
 
 // faultRun returns what did not hold, or "".
-func faultRun(t *testing.T, seed uint64, checksFence bool) string {
+func faultRun(t *testing.T, seed uint64, checksFence, careless bool) string {
 	var fault string
 	synctest.Test(t, func(t *testing.T) {
 		cfg := standin.EngineConfig{
@@ -66,7 +79,7 @@
 			StatusLag: buckthorndyke.Millis(seed%2) * 300,
 		}
 		c := &chaos{
-			site: newSite(t, cfg), lag: cfg.StatusLag, checksFence: checksFence, faults: make(chan string, 1000), random: rand.New(rand.NewPCG(seed, 1)),
+			site: newSite(t, cfg), lag: cfg.StatusLag, checksFence: checksFence, careless: careless, faults: make(chan string, 1000), random: rand.New(rand.NewPCG(seed, 1)),
 		}
 		defer c.cancel()
 		c.replace()
@@ -184,6 +197,7 @@
 	}
 	c.view.Ownership.Epoch++
 	c.view.Ownership.Previous = "dead"
+	c.view.PreviousGone = c.careless
 	ctx := c.ctx
 	c.ctx, c.stop = context.WithCancel(ctx)
 	c.start(c.view, steward.WithLease(2*buckthorndyke.Second))
--- a/supervisor/owner/steward/orders.go
+++ b/supervisor/owner/steward/orders.go
@@ -112,8 +112,10 @@
 }
 
 // settleByStatus settles the outstanding order by a report. An order that the
-// runner has not seen is sent again, under its old id, once that is certain.
-func (t *task) settleByStatus(m statusAnswered, crashed bool) {
+// runner has not seen is sent again, under its old id, once that is certain. A
+// crash settles nothing, since the order may still be on its way: to send it
+// again makes the runner know it, so that a late copy has no effect.
+func (t *task) settleByStatus(m statusAnswered) {
 	o := t.account.order
 	if o == nil {
 		return
@@ -127,8 +129,6 @@
 		t.settleOrder(buckthorndyke.OrderDone, now)
 	case !t.order.lost || m.asked < t.order.lostAt || state == buckthorndyke.OrderRunning:
 		t.order.unknown = 0
-	case crashed:
-		t.settleOrder(buckthorndyke.OrderFailed, now)
 	default:
 		t.order.unknown++
 		t.resendUnknown(*o, now)
--- a/supervisor/owner/steward/rebuild.go
+++ b/supervisor/owner/steward/rebuild.go
@@ -55,7 +55,7 @@
 	if crashed || t.phase != phaseReady {
 		t.account = newAccount(m.status, now).withReserve(t.account.reservedMB).withPending(t.account)
 	}
-	t.settleByStatus(m, crashed)
+	t.settleByStatus(m)
 	t.absorb(m.status, now)
 	t.jobs = t.jobs.withoutOld(m.asked - t.statusLag)
 	t.foreign = t.jobs.foreign(m.status.Jobs, m.asked, t.statusLag)
