feat(router): never carry a mixed answer on; prove requests on a fleet

Found by the fleet with a runner that puts another job's token into a stream: the token had the right index, so the check of indices let it through and dropped the right one as a duplicate. A token that says something else for a place that the caller has now ends the answer with an error if it comes from the same job, and leaves the runner if it comes from a later one. (Between processes the connector already leaves such tokens out by the job's id.)

Also on a fleet of three entry VMs: the owner killed or paused while a request waits or streams, a runner crash under six answers, cut and doubled streams, a request that crashes its runners (two crashes in all, others whole), free work that makes room for paid work.

--- a/supervisor/router/attempt.go
+++ b/supervisor/router/attempt.go
@@ -24,6 +24,8 @@
 // attempt is one job of a request on one runner.
 type attempt struct {
 	*generation
+	// begun is the number of tokens that the caller had before the job.
+	begun  int
 	engine buckthorndyke.Engine
 	// epoch is that of the owner that was asked.
 	epoch  buckthorndyke.Offset
@@ -59,6 +61,7 @@
 		return setbackOfTicket(runner, err)
 	}
 	a := &attempt{
+		begun:      len(g.delivered),
 		epoch:      ownership.Epoch,
 		generation: g,
 		job:        buckthorndyke.JobID(uuid.NewString()),
@@ -83,6 +86,20 @@
 	return s
 }
 
+// again checks a token that the caller has. A runner that does not carry the
+// caller's answer on is left; one that says two things for one place may have
+// given the caller a part of another answer, so that this one cannot be whole.
+func (a *attempt) again(token buckthorndyke.Token) *setback {
+	if token.Text == a.delivered[token.Index] {
+		return nil
+	}
+	s := a.broken("the runner has mixed two answers")
+	if token.Index >= a.begun {
+		s.kind = setbackFinal
+	}
+	return s
+}
+
 // broken returns the setback of a job that the runner broke off.
 func (a *attempt) broken(message string) *setback {
 	return &setback{
@@ -109,8 +126,7 @@
 func (a *attempt) forward(ctx context.Context, token buckthorndyke.Token) (bool, *setback) {
 	switch {
 	case token.Index < len(a.delivered) && !token.Last:
-		// The caller has this token from an earlier attempt.
-		return false, nil
+		return false, a.again(token)
 	case token.Index != len(a.delivered):
 		return false, a.broken("the runner left a gap before token " + strconv.Itoa(token.Index))
 	}
--- /dev/null
+++ b/supervisor/router/fleet_test.go
@@ -0,0 +1,151 @@
+package router_test
+
+import (
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/standin"
+	"github.com/buckthorndyke/buckthorndyke/tester"
+)
+
+// fleetAnswers bounds the answers of one test.
+const fleetAnswers = 256
+
+// runFleet runs test with three entry VMs and three runners.
+func runFleet(t *testing.T, name string, cfg standin.EngineConfig, test func(t *testing.T, f *tester.Fleet)) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := tester.NewFleet(t, tester.Config{Engine: cfg, Nodes: 3, Runners: 3})
+			f.Apply(tester.Rules)
+			f.AwaitServing()
+			test(t, f)
+		})
+	})
+}
+
+// ownerOf returns the node that owns the only runner of a model, and another one.
+func ownerOf(t *testing.T, f *tester.Fleet, model buckthorndyke.ModelID) (int, int, buckthorndyke.RunnerID) {
+	t.Helper()
+	state := f.State(0)
+	placement, _ := state.Placements.Get(model)
+	runner := placement.Permitted()[0]
+	ownership, _ := state.Owner(runner)
+	for i, n := range f.Nodes {
+		if n.Self.VM == ownership.Owner {
+			return i, (i + 1) % len(f.Nodes), runner
+		}
+	}
+	t.Fatalf("nobody owns %s", runner)
+	return 0, 0, ""
+}
+
+// generate sends a request through a node in the background.
+func generate(t *testing.T, f *tester.Fleet, node int, token string, model buckthorndyke.ModelID, prompt string) <-chan tester.Answer {
+	answers := make(chan tester.Answer, 1)
+	go func() { answers <- f.Generate(t.Context(), node, token, model, prompt) }()
+	return answers
+}
+
+// assertWhole checks that an answer is whole.
+func assertWhole(t *testing.T, got tester.Answer, model buckthorndyke.ModelID, prompt string) {
+	t.Helper()
+	asserter.NoError(t, got.Err)
+	asserter.Equal(t, got.Text, tester.AnswerTo(model, prompt))
+}
+
+func TestFleet(t *testing.T) {
+	// A load takes ten seconds, a token one.
+	slow := standin.EngineConfig{RemoteMBPerSecond: 800, TokenInterval: buckthorndyke.Second}
+	for _, after := range []time.Duration{time.Second, 12 * time.Second} {
+		runFleet(t, "the owner is killed after "+after.String(), slow, func(t *testing.T, f *tester.Fleet) {
+			owner, other, _ := ownerOf(t, f, "hall")
+			answer := generate(t, f, other, tester.UrgentToken, "hall", "hello")
+			time.Sleep(after)
+			f.Kill(owner)
+			assertWhole(t, <-answer, "hall", "hello")
+		})
+		runFleet(t, "the owner is paused after "+after.String(), slow, func(t *testing.T, f *tester.Fleet) {
+			owner, other, _ := ownerOf(t, f, "hall")
+			answer := generate(t, f, other, tester.UrgentToken, "hall", "hello")
+			time.Sleep(after)
+			f.Nodes[owner].Link.Pause()
+			assertWhole(t, <-answer, "hall", "hello")
+			f.Nodes[owner].Link.Resume()
+		})
+	}
+	runFleet(t, "the runner crashes while several answers are under way", slow, func(t *testing.T, f *tester.Fleet) {
+		_, _, runner := ownerOf(t, f, "hall")
+		var answers []<-chan tester.Answer
+		for i := range 6 {
+			answers = append(answers, generate(t, f, i%3, tester.UrgentToken, "hall", strconv.Itoa(i)))
+		}
+		time.Sleep(14 * time.Second)
+		asserter.NoError(t, f.Engines[runner].Crash(t.Context()))
+		for i, answer := range answers {
+			assertWhole(t, <-answer, "hall", strconv.Itoa(i))
+		}
+		asserter.Equal(t, f.State(0).Quarantines.Len(), 0)
+	})
+	for name, faults := range map[string]standin.EngineFaults{
+		"cut":     {CutStreamAfter: 3},
+		"doubled": {DoubleToken: true},
+	} {
+		runFleet(t, "a stream is "+name, slow, func(t *testing.T, f *tester.Fleet) {
+			_, other, runner := ownerOf(t, f, "hall")
+			asserter.NoError(t, f.Engines[runner].SetFaults(t.Context(), faults))
+			assertWhole(t, f.Generate(t.Context(), other, tester.UrgentToken, "hall", "hello"), "hall", "hello")
+		})
+	}
+	runFleet(t, "a stream is mixed with another", slow, func(t *testing.T, f *tester.Fleet) {
+		// The connector leaves out tokens of other jobs by the job's id; here the
+		// router gets them.
+		_, other, runner := ownerOf(t, f, "hall")
+		asserter.NoError(t, f.Engines[runner].SetFaults(t.Context(), standin.EngineFaults{CrossToken: true}))
+		answer := f.Generate(t.Context(), other, tester.UrgentToken, "hall", "hello")
+		asserter.Refused(t, answer.Err, buckthorndyke.CodeEngineFailed, buckthorndyke.MayHaveRun)
+	})
+	// A load takes two seconds, a token 400 ms.
+	quick := standin.EngineConfig{RemoteMBPerSecond: 4000, TokenInterval: 400 * buckthorndyke.Millisecond}
+	runFleet(t, "a request crashes each runner that runs it", quick, func(t *testing.T, f *tester.Fleet) {
+		var answers []<-chan tester.Answer
+		for i := range 5 {
+			answers = append(answers, generate(t, f, i%3, tester.OrdinaryToken, "gym", strconv.Itoa(i)))
+		}
+		time.Sleep(3 * time.Second)
+		for node := range f.Nodes {
+			answer := f.Generate(t.Context(), node, tester.UrgentToken, "gym", standin.CrashPrompt)
+			asserter.True(t, answer.Err != nil, "a request that crashes its runner was answered")
+			time.Sleep(time.Second)
+		}
+		asserter.Refused(t, f.Generate(t.Context(), 0, tester.UrgentToken, "gym", standin.CrashPrompt).Err,
+			buckthorndyke.CodeQuarantined, buckthorndyke.NotRun)
+		for i, answer := range answers {
+			assertWhole(t, <-answer, "gym", strconv.Itoa(i))
+		}
+		crashes := 0
+		for _, journal := range f.Journals() {
+			crashes += journal.Crashes
+		}
+		asserter.Equal(t, crashes, 2)
+		asserter.Equal(t, f.State(0).Quarantines.Len(), 1)
+	})
+	runFleet(t, "paid work takes the place of free work, which goes on later", slow, func(t *testing.T, f *tester.Fleet) {
+		free := make(chan tester.Answer, fleetAnswers)
+		for i := range 8 {
+			go func() { free <- f.Generate(t.Context(), i%3, tester.FreeToken, "hall", "free") }()
+		}
+		time.Sleep(12 * time.Second)
+		asked := f.Clock.Now()
+		paid := f.Generate(t.Context(), 0, tester.UrgentToken, "hall", "paid")
+		assertWhole(t, paid, "hall", "paid")
+		asserter.True(t, paid.FirstToken < 4*buckthorndyke.Second, "urgent work waited for free work: "+strconv.Itoa(int(f.Clock.Now()-asked)))
+		for range 8 {
+			assertWhole(t, <-free, "hall", "free")
+		}
+	})
+}
--- a/supervisor/router/stream_test.go
+++ b/supervisor/router/stream_test.go
@@ -90,6 +90,19 @@
 		})
 		assertAnswer(t, f.start(t), request, "abcd")
 	})
+	run(t, "a runner that begins another answer is left", func(t *testing.T, f *fixture) {
+		f.runJobs(yield(part(0, 2)...), yield(buckthorndyke.Token{Text: "x"}, buckthorndyke.Token{Index: 1, Text: "y"},
+			buckthorndyke.Token{Index: 2, Text: "z"}), func(_ context.Context, job buckthorndyke.Job) (buckthorndyke.TokenStream, error) {
+			return whole(job), nil
+		})
+		assertAnswer(t, f.start(t), request, "abcd")
+	})
+	run(t, "an answer that a runner has mixed with another ends with an error", func(t *testing.T, f *fixture) {
+		f.runJobs(yield(buckthorndyke.Token{Text: "a"}, buckthorndyke.Token{Index: 1, Text: "x"},
+			buckthorndyke.Token{Index: 1, Text: "b"}))
+		assertRefused(t, f.start(t), request, buckthorndyke.CodeEngineFailed, buckthorndyke.MayHaveRun)
+		assertCount(t, f.started, 1)
+	})
 	run(t, "a gap is not passed on", func(t *testing.T, f *fixture) {
 		f.firstJob(yield(append(part(0, 1), part(2, 4)...)...))
 		assertAnswer(t, f.start(t), request, "abcd")
