--- a/endtoend/main_test.go
+++ b/endtoend/main_test.go
@@ -2,6 +2,7 @@
 package endtoend
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/exec"
@@ -25,7 +26,7 @@
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
 	binary = filepath.Join(folder, "buckthorndyke")
-	build := exec.Command("go", "build", "-o", binary, "../cmd/buckthorndyke")
+	build := exec.CommandContext(context.Background(), "go", "build", "-o", binary, "../cmd/buckthorndyke")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%v: %s\n", err, out)
 		return 1
