--- /dev/null
+++ b/measurer/floodstudy.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/evictor"
+	"github.com/buckthorndyke/buckthorndyke/scheduler"
+)
+
+const (
+	// floodFactor is the arrivals of a flood beside the fleet's capacity.
+	floodFactor = 10
+	// floodStart is the time before a flood, which is not counted.
+	floodStart = 3 * buckthorndyke.Minute
+	floodTime  = 3 * buckthorndyke.Minute
+	// activeModels is the number of models that are asked for at the same time.
+	// The others are idle.
+	activeModels = 35
+	// noFlood stands for the rank of a flood that does not come.
+	noFlood = buckthorndyke.RankCount
+)
+
+// usualLoads are the arrivals of each rank outside floods, beside the fleet's
+// capacity.
+var usualLoads = [buckthorndyke.RankCount]float64{0.15, 0.25, 0.15}
+
+// floodCase is one admission policy under one flood.
+type floodCase struct {
+	// active is the number of models that are asked for.
+	active     int
+	admission  buckthorndyke.AdmissionPolicy
+	deployment deployment
+	flood      buckthorndyke.Rank
+	name       string
+	// paidOnly leaves the free rank's arrivals out.
+	paidOnly bool
+}
+
+// run runs the case with one seed, with a flood of length.
+func (c floodCase) run(seed uint64, length buckthorndyke.Millis) *tally {
+	end := floodStart + length
+	measured := span{from: floodStart, to: end}
+	var sources [][]request
+	for r, load := range usualLoads {
+		rank := buckthorndyke.Rank(r)
+		if rank.Paid() || !c.paidOnly {
+			source := steady{active: c.active, during: span{to: end}, load: load, rank: rank}
+			sources = append(sources, source.arrivals(c.deployment, seed))
+		}
+	}
+	if c.flood != noFlood {
+		source := steady{active: c.active, during: measured, load: floodFactor, rank: c.flood, stream: 1}
+		sources = append(sources, source.arrivals(c.deployment, seed))
+	}
+	p := policies{admission: c.admission, keepWarm: evictor.NewAdaptiveKeepWarm(c.deployment.coldStartWeight)}
+	return newFleet(c.deployment, seed, p, measured).run(merge(sources...))
+}
+
+// scenario returns the name of the flood.
+func (c floodCase) scenario() string {
+	switch {
+	case c.active != activeModels:
+		return "no flood, all models wanted at once"
+	case c.paidOnly:
+		return "no flood, no free work"
+	case c.flood == noFlood:
+		return "no flood"
+	default:
+		return c.flood.String() + " flood"
+	}
+}
+
+// floodStudy measures the admission policies for one deployment.
+type floodStudy struct {
+	cases   []floodCase
+	results []results
+}
+
+// newFloodStudy measures d.
+func newFloodStudy(d deployment) floodStudy {
+	var s floodStudy
+	add := func(name string, admission buckthorndyke.AdmissionPolicy) {
+		c := floodCase{active: activeModels, admission: admission, deployment: d, flood: noFlood, name: name, paidOnly: true}
+		s.cases = append(s.cases, c)
+		c.paidOnly = false
+		for _, c.flood = range []buckthorndyke.Rank{noFlood, buckthorndyke.RankFree, buckthorndyke.RankOrdinary, buckthorndyke.RankUrgent} {
+			s.cases = append(s.cases, c)
+		}
+	}
+	add("shared", scheduler.NewSharedScheduler())
+	add("FIFO", scheduler.NewFIFO())
+	s.cases = append(s.cases, floodCase{
+		active: len(d.models), admission: scheduler.NewSharedScheduler(), deployment: d, flood: noFlood, name: "shared",
+	})
+	s.results = runAll(len(s.cases), func(i int, seed uint64) *tally { return s.cases[i].run(seed, floodTime) })
+	return s
+}
+
+// find returns the results of the shared policy in a flood.
+func (s floodStudy) find(flood buckthorndyke.Rank, paidOnly bool) results {
+	for i, c := range s.cases {
+		if c.flood == flood && c.paidOnly == paidOnly {
+			return s.results[i]
+		}
+	}
+	return nil
+}
+
+// print writes the rows of the study.
+func (s floodStudy) print(w *strings.Builder) {
+	for i, c := range s.cases {
+		r := s.results[i]
+		sum := r.merged()
+		cells := []string{c.deployment.name, c.name, c.scenario()}
+		for rank := range buckthorndyke.Rank(buckthorndyke.RankCount) {
+			cells = append(cells, share(sum.ranks[rank].inTimeShare())+spreadOf(r, func(t *tally) float64 {
+				return t.ranks[rank].inTimeShare() * percent
+			}))
+		}
+		cells = append(cells,
+			share(sum.ranks[buckthorndyke.RankUrgent].keptShare()), share(sum.ranks[buckthorndyke.RankOrdinary].keptShare()),
+			seconds(sum.paidFirst, 99), fmt.Sprint(sum.evictions), fmt.Sprint(sum.loads), fmt.Sprint(sum.lost()),
+		)
+		row(w, cells...)
+	}
+}
--- /dev/null
+++ b/measurer/loadtime.go
@@ -0,0 +1,44 @@
+package main
+
+import "github.com/buckthorndyke/buckthorndyke"
+
+// Speeds of loads and the parts of the checkpoints that a runner caches.
+const (
+	adapterLoadMin     = 5 * buckthorndyke.Millisecond
+	adapterLoadSpread  = 6
+	cachedInMemoryPart = 0.1
+	cachedOnDiskPart   = 0.3
+	diskMBPerSecond    = 4000
+	memoryMBPerSecond  = 16000
+	remoteMBPerSecond  = 2000
+)
+
+// loadTime returns what a load takes while no other one slows it.
+func loadTime(tier buckthorndyke.Tier, rule buckthorndyke.ModelRule) buckthorndyke.Millis {
+	if rule.IsAdapter() {
+		return adapterLoadMin + buckthorndyke.Millis(len(rule.ID)%adapterLoadSpread)
+	}
+	speed := [...]int{memoryMBPerSecond, diskMBPerSecond, remoteMBPerSecond}[tier]
+	return buckthorndyke.Second * buckthorndyke.Millis(rule.MemoryMB) / buckthorndyke.Millis(speed)
+}
+
+// randomTiers returns where one runner finds the checkpoints of models. Adapters
+// come from the weight store.
+func randomTiers(d deployment, seed uint64, runner buckthorndyke.RunnerID) map[buckthorndyke.ModelID]buckthorndyke.Tier {
+	r := newRandom(seed, "tiers/"+string(runner))
+	tiers := make(map[buckthorndyke.ModelID]buckthorndyke.Tier, len(d.models))
+	for _, m := range d.models {
+		pick := r.Float64()
+		switch {
+		case m.IsAdapter():
+			tiers[m.ID] = buckthorndyke.TierRemote
+		case pick < cachedInMemoryPart:
+			tiers[m.ID] = buckthorndyke.TierMemory
+		case pick < cachedInMemoryPart+cachedOnDiskPart:
+			tiers[m.ID] = buckthorndyke.TierDisk
+		default:
+			tiers[m.ID] = buckthorndyke.TierRemote
+		}
+	}
+	return tiers
+}
--- /dev/null
+++ b/measurer/plan.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/evictor"
+)
+
+// plan is what a runner's owner does next about loaded models.
+type plan struct {
+	cleared, held map[buckthorndyke.ModelID]bool
+	// evict are the models to evict.
+	evict []buckthorndyke.ModelID
+	// loads are the loads that fit into memory together once evict is done.
+	loads []load
+	// wake is the instant at which an idle model may be evicted, or 0.
+	wake buckthorndyke.Millis
+}
+
+// planner makes the plan of one runner at one instant, in the way of a steward.
+type planner struct {
+	busy    map[buckthorndyke.ModelID]bool
+	now     buckthorndyke.Millis
+	runner  *runner
+	waiting []buckthorndyke.Waiter
+}
+
+// newPlanner returns the planner of r.
+func newPlanner(r *runner, now buckthorndyke.Millis) planner {
+	return planner{busy: r.busyModels(), now: now, runner: r, waiting: r.admission.Waiting()}
+}
+
+// next returns the plan.
+func (p planner) next() plan {
+	next := plan{
+		cleared: make(map[buckthorndyke.ModelID]bool),
+		held:    make(map[buckthorndyke.ModelID]bool),
+	}
+	p.planLoads(&next)
+	if len(next.evict) == 0 {
+		p.planIdle(&next)
+	}
+	return next
+}
+
+// candidates returns the models that may make room for d. With drain set, models
+// with work in flight count as unused.
+func (p planner) candidates(d buckthorndyke.ModelDemand, drain bool) []evictor.Candidate {
+	running := make(map[buckthorndyke.ModelID]int)
+	for _, w := range p.runner.admission.Running() {
+		running[w.Model]++
+	}
+	var candidates []evictor.Candidate
+	for model, have := range p.runner.residents.All() {
+		c := evictor.Candidate{
+			Base: have.rule.Base, MemoryMB: have.rule.MemoryMB, Model: model, Paid: have.paid,
+			Used:  p.waitsBefore(model, d) || p.runner.loading != nil && p.runner.loading.rule.Base == model,
+			Worth: p.runner.keepWarm.Worth(model, p.loadTime(have.rule), p.now),
+		}
+		if drain {
+			c.Worth = float64(running[model])
+		} else {
+			c.Used = c.Used || running[model] > 0
+		}
+		candidates = append(candidates, c)
+	}
+	return candidates
+}
+
+// loadTime returns what it takes to load a model again.
+func (p planner) loadTime(rule buckthorndyke.ModelRule) buckthorndyke.Millis {
+	return loadTime(p.runner.tiers[rule.ID], rule)
+}
+
+// planIdle plans the eviction of models that were idle for their keep time.
+func (p planner) planIdle(next *plan) {
+	used := make(map[buckthorndyke.ModelID]bool)
+	for _, w := range p.waiting {
+		used[w.Model] = true
+		if rule, ok := p.runner.rules.Models.Get(w.Model); ok {
+			used[rule.Home()] = true
+		}
+	}
+	for model, have := range p.runner.residents.All() {
+		if used[model] || p.busy[model] || p.runner.hasAdapterOf(model) {
+			continue
+		}
+		until := have.lastUsed + p.runner.keepWarm.KeepFor(model, p.loadTime(have.rule))
+		switch {
+		case until <= p.now:
+			next.evict = append(next.evict, model)
+		case next.wake == 0 || until < next.wake:
+			next.wake = until
+		}
+	}
+}
+
+// planLoads plans the loads that requests wait for, in their order, and the
+// evictions that the first load without room needs.
+func (p planner) planLoads(next *plan) {
+	free := p.runner.freeMB()
+	blocked := false
+	planned := make(map[buckthorndyke.ModelID]bool)
+	var keep []buckthorndyke.ModelID
+	for _, d := range p.runner.admission.Demand() {
+		rule, _ := p.runner.rules.Models.Get(d.Model)
+		keep = append(keep, rule.Home())
+		l, ok := p.wanted(d)
+		if !ok || planned[l.rule.ID] || blocked && (!l.rule.IsAdapter() || !d.Rank.Paid()) {
+			continue
+		}
+		if l.rule.MemoryMB > free && !blocked {
+			free += p.planRoom(next, d, l.rule.MemoryMB-free, keep)
+		}
+		if l.rule.MemoryMB > free {
+			blocked = true
+			continue
+		}
+		planned[l.rule.ID] = true
+		free -= l.rule.MemoryMB
+		next.loads = append(next.loads, l)
+	}
+}
+
+// planRoom plans the evictions for a load that does not fit, and returns the
+// memory that they free. If every victim is in use, paid work holds back younger
+// work on some of them.
+func (p planner) planRoom(next *plan, d buckthorndyke.ModelDemand, needMB int, keep []buckthorndyke.ModelID) int {
+	if p.runner.loading != nil || len(next.evict) > 0 {
+		return 0
+	}
+	next.evict = evictor.ChooseVictims(p.candidates(d, false), needMB, d.Rank, keep...)
+	freed := 0
+	for _, victim := range next.evict {
+		have, _ := p.runner.residents.Get(victim)
+		freed += have.rule.MemoryMB
+	}
+	if freed > 0 || !d.Rank.Paid() {
+		return freed
+	}
+	for _, victim := range evictor.ChooseVictims(p.candidates(d, true), needMB, d.Rank, keep...) {
+		next.held[victim] = true
+		next.cleared[victim] = true
+	}
+	return 0
+}
+
+// waitsBefore reports whether work that waits for model goes before d.
+func (p planner) waitsBefore(model buckthorndyke.ModelID, d buckthorndyke.ModelDemand) bool {
+	for _, w := range p.waiting {
+		if w.Model == model && (w.Rank < d.Rank || w.Rank == d.Rank && w.Arrived < d.Arrived) {
+			return true
+		}
+	}
+	return false
+}
+
+// wanted returns the load that d needs first: that of the base, or its own.
+func (p planner) wanted(d buckthorndyke.ModelDemand) (load, bool) {
+	rule, _ := p.runner.rules.Models.Get(d.Model)
+	if rule.IsAdapter() && !p.runner.has(rule.Base) {
+		rule, _ = p.runner.rules.Models.Get(rule.Base)
+	}
+	if p.runner.has(rule.ID) || rule.IsAdapter() && !p.runner.loaded(rule.Base) {
+		return load{}, false
+	}
+	return load{rank: d.Rank, rule: rule}, true
+}
--- /dev/null
+++ b/measurer/runner.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// resident is a loaded model or adapter.
+type resident struct {
+	lastUsed buckthorndyke.Millis
+	paid     bool
+	rule     buckthorndyke.ModelRule
+}
+
+// load is a load of a model or an adapter for work of a rank.
+type load struct {
+	rank buckthorndyke.Rank
+	rule buckthorndyke.ModelRule
+}
+
+// runner models a runner and what its owner knows of it.
+type runner struct {
+	admission buckthorndyke.AdmissionPolicy
+	// asked is the load that the gate was asked for, as ask number askNumber, or
+	// that it permitted.
+	asked     *load
+	askNumber int
+	permitted bool
+	// cleared and held are models on which running free work is revoked and on
+	// which no more work starts.
+	cleared, held map[buckthorndyke.ModelID]bool
+	id            buckthorndyke.RunnerID
+	// idleSince is the instant up to which idle time was counted.
+	idleSince buckthorndyke.Millis
+	keepWarm  buckthorndyke.KeepWarmPolicy
+	// loading is the load that runs until loadEnd.
+	loading   *load
+	loadEnd   buckthorndyke.Millis
+	residents buckthorndyke.Table[buckthorndyke.ModelID, resident]
+	rules     buckthorndyke.Rules
+	// tiers says where the runner finds checkpoints.
+	tiers map[buckthorndyke.ModelID]buckthorndyke.Tier
+	// wakeAt is the next instant at which the runner acts by itself, or 0.
+	wakeAt buckthorndyke.Millis
+}
+
+// busyModels returns the models that work is in flight on, bases included.
+func (r *runner) busyModels() map[buckthorndyke.ModelID]bool {
+	busy := make(map[buckthorndyke.ModelID]bool)
+	for _, w := range r.admission.Running() {
+		busy[w.Model] = true
+		if rule, ok := r.rules.Models.Get(w.Model); ok {
+			busy[rule.Home()] = true
+		}
+	}
+	return busy
+}
+
+// coldness returns what has to be loaded for work on model.
+func (r *runner) coldness(model buckthorndyke.ModelID) coldness {
+	rule, _ := r.rules.Models.Get(model)
+	switch {
+	case r.loaded(model):
+		return warm
+	case rule.IsAdapter() && r.loaded(rule.Base):
+		return coldAdapter
+	default:
+		return coldModel
+	}
+}
+
+// freeMB returns the memory that a load may take.
+func (r *runner) freeMB() int {
+	return runnerMemoryMB - r.usedMB()
+}
+
+// has reports whether model takes memory.
+func (r *runner) has(model buckthorndyke.ModelID) bool {
+	return r.residents.Has(model) || r.loading != nil && r.loading.rule.ID == model
+}
+
+// hasAdapterOf reports whether an adapter of base takes memory.
+func (r *runner) hasAdapterOf(base buckthorndyke.ModelID) bool {
+	for _, have := range r.residents.All() {
+		if have.rule.Base == base {
+			return true
+		}
+	}
+	return r.loading != nil && r.loading.rule.Base == base
+}
+
+// idleMB returns the memory of models without work.
+func (r *runner) idleMB() int {
+	busy := r.busyModels()
+	idle := 0
+	for model, have := range r.residents.All() {
+		if !busy[model] {
+			idle += have.rule.MemoryMB
+		}
+	}
+	return idle
+}
+
+// loaded reports whether model can start work.
+func (r *runner) loaded(model buckthorndyke.ModelID) bool {
+	have, ok := r.residents.Get(model)
+	return ok && (!have.rule.IsAdapter() || r.residents.Has(have.rule.Base))
+}
+
+// loadWait predicts the time until model can start work.
+func (r *runner) loadWait(model buckthorndyke.ModelID, now buckthorndyke.Millis) buckthorndyke.Millis {
+	var wait buckthorndyke.Millis
+	if r.loading != nil {
+		wait = max(r.loadEnd-now, 0)
+	}
+	rule, _ := r.rules.Models.Get(model)
+	if rule.IsAdapter() && !r.has(rule.Base) {
+		base, _ := r.rules.Models.Get(rule.Base)
+		wait += loadTime(r.tiers[base.ID], base)
+	}
+	if !r.has(model) {
+		wait += loadTime(r.tiers[model], rule)
+	}
+	return wait
+}
+
+// report returns the summary that entry VMs choose by.
+func (r *runner) report() buckthorndyke.RunnerReport {
+	return buckthorndyke.RunnerReport{
+		Busy: len(r.admission.Running()), Runner: r.id, Slots: runnerSlots, Waiting: r.admission.WaitingByRank(),
+	}
+}
+
+// usedMB returns the memory that is taken.
+func (r *runner) usedMB() int {
+	used := 0
+	for _, have := range r.residents.All() {
+		used += have.rule.MemoryMB
+	}
+	if r.loading != nil {
+		used += r.loading.rule.MemoryMB
+	}
+	return used
+}
+
+// use records that w used its model, and so its base.
+func (r *runner) use(w buckthorndyke.Waiter, now buckthorndyke.Millis) {
+	have, ok := r.residents.Get(w.Model)
+	if !ok {
+		return
+	}
+	for {
+		have.lastUsed, have.paid = now, w.Rank.Paid()
+		r.residents = r.residents.With(have.rule.ID, have)
+		base, ok := r.residents.Get(have.rule.Base)
+		if !ok {
+			return
+		}
+		have = base
+	}
+}
+
+// view returns what admission needs to know.
+func (r *runner) view(now buckthorndyke.Millis) buckthorndyke.AdmissionView {
+	return buckthorndyke.AdmissionView{
+		Cleared:  func(m buckthorndyke.ModelID) bool { return r.cleared[m] },
+		Held:     func(m buckthorndyke.ModelID) bool { return r.held[m] },
+		Loaded:   r.loaded,
+		LoadWait: func(m buckthorndyke.ModelID) buckthorndyke.Millis { return r.loadWait(m, now) },
+		Now:      now,
+		Rules:    r.rules,
+		Slots:    runnerSlots,
+	}
+}
--- /dev/null
+++ b/measurer/warmstudy.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/evictor"
+	"github.com/buckthorndyke/buckthorndyke/scheduler"
+)
+
+const (
+	// fixedKeep is the time of the fixed time-out.
+	fixedKeep = 5 * buckthorndyke.Minute
+	// warmDays is the length of a run about keeping models warm.
+	warmDays = 3
+)
+
+// warmCase is one keep-warm policy under one workload.
+type warmCase struct {
+	deployment deployment
+	keepWarm   buckthorndyke.KeepWarmPolicy
+	name       string
+	// paidOnly leaves the free rank's arrivals out.
+	paidOnly bool
+}
+
+// run runs the case with one seed for some days.
+func (c warmCase) run(seed uint64, days int) *tally {
+	length := buckthorndyke.Millis(days) * buckthorndyke.Day
+	arrivals := burstyArrivals(c.deployment, seed, length)
+	if c.paidOnly {
+		arrivals = slices.DeleteFunc(arrivals, func(q request) bool { return !q.rank.Paid() })
+	}
+	p := policies{admission: scheduler.NewSharedScheduler(), keepWarm: c.keepWarm}
+	return newFleet(c.deployment, seed, p, span{to: length}).run(arrivals)
+}
+
+// warmStudy measures the keep-warm policies for one deployment.
+type warmStudy struct {
+	cases   []warmCase
+	results []results
+}
+
+// Places of cases in a warmStudy.
+const (
+	warmAdaptive = iota
+	warmFixed
+	warmLRU
+	warmPaidOnly
+	warmOthers
+)
+
+// newWarmStudy measures d.
+func newWarmStudy(d deployment) warmStudy {
+	adaptive := func(weight float64) buckthorndyke.KeepWarmPolicy { return evictor.NewAdaptiveKeepWarm(weight) }
+	own := fmt.Sprintf("adaptive, weight %.1f", d.coldStartWeight)
+	s := warmStudy{cases: []warmCase{
+		warmAdaptive: {deployment: d, keepWarm: adaptive(d.coldStartWeight), name: own},
+		warmFixed:    {deployment: d, keepWarm: evictor.NewFixedKeepWarm(fixedKeep), name: "fixed time-out, 5 min"},
+		warmLRU:      {deployment: d, keepWarm: evictor.NewLRUKeepWarm(), name: "LRU"},
+		warmPaidOnly: {deployment: d, keepWarm: adaptive(d.coldStartWeight), name: own + ", no free work", paidOnly: true},
+	}}
+	for _, weight := range []float64{0.1, 0.2, 0.5, 0.8} {
+		if weight != d.coldStartWeight {
+			s.cases = append(s.cases, warmCase{
+				deployment: d, keepWarm: adaptive(weight), name: fmt.Sprintf("for comparison: adaptive, weight %.1f", weight),
+			})
+		}
+	}
+	s.results = runAll(len(s.cases), func(i int, seed uint64) *tally { return s.cases[i].run(seed, warmDays) })
+	return s
+}
+
+// print writes the rows of the study.
+func (s warmStudy) print(w *strings.Builder) {
+	for i, c := range s.cases {
+		r := s.results[i]
+		sum := r.merged()
+		row(w, c.deployment.name, c.name,
+			fmt.Sprint(sum.arrived()),
+			fmt.Sprint(sum.cold.TotalCount()),
+			seconds(sum.cold, 50), seconds(sum.cold, 95), seconds(sum.cold, 99)+spreadOf(r, coldP99),
+			fmt.Sprint(sum.coldModel.TotalCount()), seconds(sum.coldModel, 99),
+			seconds(sum.paidFirst, 99),
+			fmt.Sprintf("%.1f", idleHours(sum)/float64(len(r)))+spreadOf(r, idleHours),
+			fmt.Sprint(sum.evictions), fmt.Sprint(sum.loads), fmt.Sprint(sum.unserved()),
+		)
+	}
+}
+
+// coldP99 returns the 99th percentile of cold starts, in seconds.
+func coldP99(t *tally) float64 {
+	return float64(t.cold.ValueAtPercentile(99)) / float64(buckthorndyke.Second)
+}
+
+// idleHours returns the idle accelerator hours.
+func idleHours(t *tally) float64 {
+	return t.idle / float64(buckthorndyke.Hour)
+}
