--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,10 @@
 
 .PHONY: bench build check-generated demo format generate lint measure test tools
 
+bench: build
+	go build -o bin/bencher ./bencher
+	bin/bencher bin/buckthorndyke
+
 build:
 	go build -o bin/buckthorndyke ./cmd/buckthorndyke
 
