feat(capacity): measure the cost of control at several sizes

Cause: the capacity page needs slopes by nodes, runners and models. Ruled out: a simulator; the real trees run over the in-memory stand-ins in one bubble, and the processor time of the process over virtual time gives the cost.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 export GOFLAGS = -buildvcs=false
 
-.PHONY: bench build check-generated demo format generate lint measure test tools
+.PHONY: bench build capacity check-generated demo format generate lint measure test tools
 
 bench: build
 	go build -o bin/bencher ./bencher
@@ -19,6 +19,12 @@
 build:
 	go build -o bin/buckthorndyke ./cmd/buckthorndyke
 
+# Each cost is measured at several sizes; the slopes give it at the target size.
+capacity:
+	BUCKTHORNDYKE_CAPACITY=full go test -count=1 -v -run TestControlCost ./capacity
+	go test -run '^$$' -bench . -benchmem -benchtime 200ms ./arbiter ./connector ./detector ./encoder ./evictor \
+		./parser ./placer ./scheduler ./supervisor/claimer ./supervisor/prober ./supervisor/router
+
 check-generated: generate
 	git diff --exit-code -- wire
 
--- /dev/null
+++ b/capacity/control_test.go
@@ -0,0 +1,120 @@
+// Package capacity measures what control costs, at several sizes, so that the
+// slopes give the cost at the target size.
+package capacity_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/standin"
+	"github.com/buckthorndyke/buckthorndyke/tester"
+)
+
+const (
+	// window is the virtual time over which a cost is measured.
+	window = 30 * buckthorndyke.Second
+	// churnInterval is the time between two changes of the rules under churn.
+	churnInterval = 3 * buckthorndyke.Second
+	// fullVariable asks for all sizes; without it only the smallest is measured.
+	fullVariable = "BUCKTHORNDYKE_CAPACITY"
+)
+
+// size is the size of a fleet.
+type size struct {
+	nodes, runners, models int
+}
+
+// cost is what control costs in one window.
+type cost struct {
+	appends, reads, bytes float64 // a second, of the whole fleet
+	cpu                   float64 // milliseconds of one core a second, for each node
+}
+
+func TestControlCost(t *testing.T) {
+	sizes := []size{{nodes: 3, runners: 4, models: 16}}
+	if os.Getenv(fullVariable) != "" {
+		sizes = append(sizes,
+			size{nodes: 6, runners: 4, models: 16},
+			size{nodes: 12, runners: 4, models: 16},
+			size{nodes: 24, runners: 4, models: 16},
+			size{nodes: 6, runners: 12, models: 16},
+			size{nodes: 6, runners: 36, models: 16},
+			size{nodes: 6, runners: 12, models: 64},
+			size{nodes: 6, runners: 12, models: 330},
+		)
+	}
+	fmt.Println("| nodes | runners | models | load | appends/s | bytes appended/s | reads/s | ms of a core a second, a node |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, s := range sizes {
+		for _, churn := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				c := measure(t, s, churn)
+				load := "idle"
+				if churn {
+					load = "churn"
+				}
+				fmt.Printf("| %d | %d | %d | %s | %.2f | %.0f | %.1f | %.2f |\n",
+					s.nodes, s.runners, s.models, load, c.appends, c.bytes, c.reads, c.cpu)
+				asserter.True(t, c.reads > 0, "the fleet has not read the log")
+			})
+		}
+	}
+}
+
+// measure returns the cost of control for a fleet of size s.
+func measure(t *testing.T, s size, churn bool) cost {
+	t.Helper()
+	f := tester.NewFleet(t, tester.Config{Nodes: s.nodes, Runners: s.runners})
+	f.Apply(rulesOf(s.models, 0))
+	f.AwaitServing()
+	<-f.Clock.After(window)
+	before, cpu := stats(t, f), cpuTime(t)
+	for passed := buckthorndyke.Millis(0); passed < window; passed += churnInterval {
+		if churn {
+			f.Apply(rulesOf(s.models, int(passed)))
+		}
+		<-f.Clock.After(churnInterval)
+	}
+	after := stats(t, f)
+	seconds := window.Duration().Seconds()
+	return cost{
+		appends: float64(after.Appends-before.Appends) / seconds,
+		bytes:   float64(after.AppendedBytes-before.AppendedBytes) / seconds,
+		cpu:     (cpuTime(t) - cpu) / seconds / float64(s.nodes),
+		reads:   float64(after.Reads-before.Reads) / seconds,
+	}
+}
+
+// cpuTime returns the processor time that the process has used, in milliseconds.
+func cpuTime(t *testing.T) float64 {
+	t.Helper()
+	var usage syscall.Rusage
+	asserter.NoError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	micros := (usage.Utime.Sec+usage.Stime.Sec)*1_000_000 + usage.Utime.Usec + usage.Stime.Usec
+	return float64(micros) / 1000
+}
+
+// rulesOf returns rules for n models. Rules with another variant differ in one
+// line.
+func rulesOf(n, variant int) string {
+	var text strings.Builder
+	text.WriteString(tester.Rules)
+	for i := range n {
+		fmt.Fprintf(&text, "model model-%d memory-mb=4000 replicas=2 # asked for by T. Ester\n", i)
+	}
+	fmt.Fprintf(&text, "adapter variant-%d base=hall memory-mb=60 # asked for by T. Ester\n", variant)
+	return text.String()
+}
+
+func stats(t *testing.T, f *tester.Fleet) standin.LogStats {
+	t.Helper()
+	s, err := f.Log.Stats(t.Context())
+	asserter.NoError(t, err)
+	return s
+}
