--- a/supervisor/router/attempt.go
+++ b/supervisor/router/attempt.go
@@ -154,6 +154,9 @@
 		return a.broken(err.Error())
 	}
 	a.mayHaveRun = true
+	if a.begun > 0 {
+		a.options.meter.Count(buckthorndyke.MetricStreamsResumed, 1)
+	}
 	s := a.receive(ctx, stream)
 	if s != nil {
 		a.cancelJob(ctx)
--- a/supervisor/router/options.go
+++ b/supervisor/router/options.go
@@ -15,6 +15,7 @@
 type options struct {
 	callTimeout  buckthorndyke.Millis
 	local        map[buckthorndyke.VMID]buckthorndyke.Peer
+	meter        buckthorndyke.Meter
 	stallTimeout buckthorndyke.Millis
 	vmInterval   buckthorndyke.Millis
 }
@@ -29,6 +30,11 @@
 	return func(o *options) { o.local[vm] = peer }
 }
 
+// WithMeter counts retries and resumed streams.
+func WithMeter(m buckthorndyke.Meter) Option {
+	return func(o *options) { o.meter = m }
+}
+
 // WithStallTimeout bounds the time between two tokens. A runner that is silent
 // for longer counts as failed.
 func WithStallTimeout(d buckthorndyke.Millis) Option {
@@ -39,3 +45,10 @@
 func WithVMInterval(d buckthorndyke.Millis) Option {
 	return func(o *options) { o.vmInterval = d }
 }
+
+// noMeter takes no measurements.
+type noMeter struct{}
+
+func (noMeter) Count(buckthorndyke.Metric, int64)                  {}
+func (noMeter) Observe(buckthorndyke.Metric, buckthorndyke.Millis) {}
+func (noMeter) Set(buckthorndyke.Metric, int64)                    {}
--- a/supervisor/router/recover.go
+++ b/supervisor/router/recover.go
@@ -64,5 +64,9 @@
 	allowed, err := mailer.Ask(ctx, r.box, func(reply mailer.Reply[bool]) message {
 		return retryMessage{reply: reply}
 	})
-	return err == nil && allowed
+	if err != nil || !allowed {
+		return false
+	}
+	r.options.meter.Count(buckthorndyke.MetricRetries, 1)
+	return true
 }
--- a/supervisor/router/router.go
+++ b/supervisor/router/router.go
@@ -44,6 +44,7 @@
 	o := options{
 		callTimeout:  defaultCallTimeout,
 		local:        make(map[buckthorndyke.VMID]buckthorndyke.Peer),
+		meter:        noMeter{},
 		stallTimeout: defaultStallTimeout,
 		vmInterval:   defaultVMInterval,
 	}
