--- a/measurer/deployment.go
+++ b/measurer/deployment.go
@@ -58,9 +58,3 @@
 	}
 	return d
 }
-
-// replicas returns the replica maximum of a model, or of an adapter's base.
-func (d deployment) replicas(rule buckthorndyke.ModelRule) int {
-	home, _ := d.rules.Models.Get(rule.Home())
-	return home.Replicas
-}
--- a/measurer/floodstudy.go
+++ b/measurer/floodstudy.go
@@ -15,11 +15,8 @@
 	// floodStart is the time before a flood, which is not counted.
 	floodStart = 3 * buckthorndyke.Minute
 	floodTime  = 3 * buckthorndyke.Minute
-	// activeModels is the number of models that are asked for at the same time.
-	// The others are idle.
-	activeModels = 35
 	// noFlood stands for the rank of a flood that does not come.
-	noFlood = buckthorndyke.RankCount
+	noFlood buckthorndyke.Rank = buckthorndyke.RankCount
 )
 
 // usualLoads are the arrivals of each rank outside floods, beside the fleet's
@@ -36,6 +33,8 @@
 	name       string
 	// paidOnly leaves the free rank's arrivals out.
 	paidOnly bool
+	// skewed has all models asked for, whatever runners they are on.
+	skewed bool
 }
 
 // run runs the case with one seed, with a flood of length.
@@ -46,12 +45,12 @@
 	for r, load := range usualLoads {
 		rank := buckthorndyke.Rank(r)
 		if rank.Paid() || !c.paidOnly {
-			source := steady{active: c.active, during: span{to: end}, load: load, rank: rank}
+			source := steady{during: span{to: end}, load: load, rank: rank, skewed: c.skewed}
 			sources = append(sources, source.arrivals(c.deployment, seed))
 		}
 	}
 	if c.flood != noFlood {
-		source := steady{active: c.active, during: measured, load: floodFactor, rank: c.flood, stream: 1}
+		source := steady{during: measured, load: floodFactor, rank: c.flood, skewed: c.skewed, stream: 1}
 		sources = append(sources, source.arrivals(c.deployment, seed))
 	}
 	p := policies{admission: c.admission, keepWarm: evictor.NewAdaptiveKeepWarm(c.deployment.coldStartWeight)}
@@ -60,16 +59,17 @@
 
 // scenario returns the name of the flood.
 func (c floodCase) scenario() string {
-	switch {
-	case c.active != activeModels:
-		return "no flood, all models wanted at once"
-	case c.paidOnly:
-		return "no flood, no free work"
-	case c.flood == noFlood:
-		return "no flood"
-	default:
-		return c.flood.String() + " flood"
+	name := "no flood"
+	if c.flood != noFlood {
+		name = c.flood.String() + " flood"
+	}
+	if c.paidOnly {
+		name += ", no free work"
 	}
+	if c.skewed {
+		name += ", all models at once"
+	}
+	return name
 }
 
 // floodStudy measures the admission policies for one deployment.
@@ -82,7 +82,7 @@
 func newFloodStudy(d deployment) floodStudy {
 	var s floodStudy
 	add := func(name string, admission buckthorndyke.AdmissionPolicy) {
-		c := floodCase{active: activeModels, admission: admission, deployment: d, flood: noFlood, name: name, paidOnly: true}
+		c := floodCase{admission: admission, deployment: d, flood: noFlood, name: name, paidOnly: true}
 		s.cases = append(s.cases, c)
 		c.paidOnly = false
 		for _, c.flood = range []buckthorndyke.Rank{noFlood, buckthorndyke.RankFree, buckthorndyke.RankOrdinary, buckthorndyke.RankUrgent} {
@@ -91,9 +91,11 @@
 	}
 	add("shared", scheduler.NewSharedScheduler())
 	add("FIFO", scheduler.NewFIFO())
-	s.cases = append(s.cases, floodCase{
-		active: len(d.models), admission: scheduler.NewSharedScheduler(), deployment: d, flood: noFlood, name: "shared",
-	})
+	for flood := range noFlood + 1 {
+		s.cases = append(s.cases, floodCase{
+			admission: scheduler.NewSharedScheduler(), deployment: d, flood: flood, name: "shared", skewed: true,
+		})
+	}
 	s.results = runAll(len(s.cases), func(i int, seed uint64) *tally { return s.cases[i].run(seed, floodTime) })
 	return s
 }
@@ -101,7 +103,7 @@
 // find returns the results of the shared policy in a flood.
 func (s floodStudy) find(flood buckthorndyke.Rank, paidOnly bool) results {
 	for i, c := range s.cases {
-		if c.flood == flood && c.paidOnly == paidOnly {
+		if c.flood == flood && c.paidOnly == paidOnly && !c.skewed {
 			return s.results[i]
 		}
 	}
--- a/measurer/measure_test.go
+++ b/measurer/measure_test.go
@@ -36,8 +36,8 @@
 		"shared": scheduler.NewSharedScheduler(), "fifo": scheduler.NewFIFO(),
 	}
 	for name, admission := range admissions {
-		for flood := range buckthorndyke.Rank(noFlood + 1) {
-			c := floodCase{active: activeModels, admission: admission, deployment: d, flood: flood}
+		for flood := range noFlood + 1 {
+			c := floodCase{admission: admission, deployment: d, flood: flood}
 			t.Run(name+" in "+c.scenario(), func(t *testing.T) {
 				assertSound(t, c.run(testSeed, testFlood))
 			})
@@ -60,7 +60,7 @@
 
 func TestDeterminism(t *testing.T) {
 	d := newTestDeployment(t, "lakeshore")
-	c := floodCase{active: activeModels, admission: scheduler.NewSharedScheduler(), deployment: d, flood: buckthorndyke.RankOrdinary}
+	c := floodCase{admission: scheduler.NewSharedScheduler(), deployment: d, flood: buckthorndyke.RankOrdinary}
 	t.Run("equal seeds give equal figures", func(t *testing.T) {
 		asserter.Equal(t, summary(c.run(testSeed, testFlood)), summary(c.run(testSeed, testFlood)))
 	})
--- a/measurer/workload.go
+++ b/measurer/workload.go
@@ -1,17 +1,19 @@
 package main
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/placer"
 )
 
 // Parameters of the arrivals.
 const (
+	// activePerRunner is the number of models of each runner that are asked for
+	// at the same time in floods. The others are idle.
+	activePerRunner = 3
 	// burstTail is the shape of the Pareto distribution of the requests in a
 	// burst.
 	burstTail = 1.3
@@ -83,12 +85,13 @@
 
 // steady is a source of Poisson arrivals of one rank.
 type steady struct {
-	// active is the number of the most popular models that are asked for.
-	active int
 	during span
 	// load is the part of the fleet's slots that the arrivals take if all run.
 	load float64
 	rank buckthorndyke.Rank
+	// skewed has all models asked for, whatever runners they are on, in place of
+	// a few models of each runner.
+	skewed bool
 	// stream tells apart sources of one rank.
 	stream int
 }
@@ -96,13 +99,14 @@
 // arrivals returns the arrivals of the source.
 func (s steady) arrivals(d deployment, seed uint64) []request {
 	r := newRandom(seed, fmt.Sprintf("steady/%s/%d", s.rank, s.stream))
-	least := math.Pow(float64(s.active), -zipfExponent)
 	cumulated := make([]float64, len(d.models))
 	total := 0.0
-	for i, p := range popularity(d, seed) {
-		if p >= least {
-			total += p
-		}
+	weights := balancedPopularity(d, seed)
+	if s.skewed {
+		weights = popularity(d, seed)
+	}
+	for i, p := range weights {
+		total += p
 		cumulated[i] = total
 	}
 	every := meanHold() / (s.load * runnerCount * runnerSlots)
@@ -126,20 +130,40 @@
 }
 
 // popularity returns the popularity of each model beside that of the most
-// popular one. Which model is how popular depends on the seed, except that
-// models with several replicas are more popular than the others.
+// popular one. Which model is how popular depends on the seed.
 func popularity(d deployment, seed uint64) []float64 {
 	p := make([]float64, len(d.models))
-	order := newRandom(seed, "popularity").Perm(len(p))
-	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Compare(d.replicas(d.models[b]), d.replicas(d.models[a]))
-	})
-	for place, i := range order {
-		p[i] = math.Pow(float64(place+1), -zipfExponent)
+	for place, i := range newRandom(seed, "popularity").Perm(len(p)) {
+		p[i] = zipf(place)
 	}
 	return p
 }
 
+// balancedPopularity returns the popularity of each model if only a few models
+// of each runner are asked for, and all runners alike. The others have none.
+func balancedPopularity(d deployment, seed uint64) []float64 {
+	p := make([]float64, len(d.models))
+	taken := make(map[buckthorndyke.RunnerID]int)
+	total := 0.0
+	for place := range activePerRunner {
+		total += zipf(place)
+	}
+	for _, i := range newRandom(seed, "popularity").Perm(len(p)) {
+		home, _ := d.rules.Models.Get(d.models[i].Home())
+		first := placer.Desired(home, d.runners)[0]
+		if taken[first] < activePerRunner {
+			p[i] = zipf(taken[first]) / total
+			taken[first]++
+		}
+	}
+	return p
+}
+
+// zipf returns the popularity of the model at a place, from 0.
+func zipf(place int) float64 {
+	return math.Pow(float64(place+1), -zipfExponent)
+}
+
 // randomHold returns the time that a request takes a slot.
 func randomHold(r *rand.Rand) buckthorndyke.Millis {
 	hold := buckthorndyke.Millis(float64(holdMedian) * math.Exp(holdSigma*r.NormFloat64()))
