feat(owner): hand runners over to members that own fewer

Red before: the first process to join claimed every runner and kept it, so that members that joined later owned none. An owner of at least two runners more than another live member now yields one every two seconds: waiting requests are refused as not run, running ones go on, and the next owner finds their jobs in the status.

--- a/supervisor/owner/holding.go
+++ b/supervisor/owner/holding.go
@@ -80,11 +80,14 @@
 
 // quiesce lets a steward finish its requests.
 func (t *task) quiesce(h *holding) {
-	if h.quiescing {
-		return
+	if !h.quiescing {
+		t.handOver(h, h.steward.Quiesce())
 	}
+}
+
+// handOver marks a runner as ready to be released once done is closed.
+func (t *task) handOver(h *holding, done <-chan struct{}) {
 	h.quiescing = true
-	done := h.steward.Quiesce()
 	go func() {
 		select {
 		case <-done:
--- a/supervisor/owner/owner_test.go
+++ b/supervisor/owner/owner_test.go
@@ -21,6 +21,28 @@
 			asserter.Equal(t, owned, map[buckthorndyke.VMID]int{"vm0": 2, "vm1": 2, "vm2": 2})
 		})
 	})
+	t.Run("a new member gets its part without a cut", func(t *testing.T) {
+		inCluster(t, 1, 4, standin.EngineConfig{AnswerTokens: 3000}, func(c *cluster) {
+			c.grant(c.nodes["vm0"], hall)
+			stream, err := c.runners["r0"].Generate(c.ctx, buckthorndyke.Job{ID: "j", Model: hall})
+			asserter.NoError(t, err)
+			n := c.addNode("vm1", 1, false)
+			c.setVMs(c.vms)
+			c.wait(10 * buckthorndyke.Second)
+			o, counts := c.owned(n), 0
+			for _, owned := range n.state.Ownerships.All() {
+				if owned.Owner == "vm1" {
+					counts++
+				}
+			}
+			asserter.Equal(t, counts, 2)
+			asserter.Equal(t, o.Owner, "vm1")
+			c.grant(n, gym)
+			_, err = stream.Next(c.ctx)
+			asserter.NoError(t, err)
+			c.assertSafe()
+		})
+	})
 	t.Run("only the owner hands out tickets", func(t *testing.T) {
 		inCluster(t, 3, 1, standin.EngineConfig{}, func(c *cluster) {
 			n := c.ownerOf()
--- a/supervisor/owner/steward/freeslots.go
+++ b/supervisor/owner/steward/freeslots.go
@@ -22,7 +22,7 @@
 // freeSlots proposes to free the withdrawn slots whose model is certainly not on
 // the runner.
 func (t *task) freeSlots(now buckthorndyke.Millis) {
-	if now < t.freeing.retryAt || t.silent || t.fenced || !t.gone && !t.settled(now) {
+	if now < t.freeing.retryAt || t.silent || t.quiescing || t.fenced || !t.gone && !t.settled(now) {
 		return
 	}
 	if t.account.reservedMB > 0 {
--- a/supervisor/owner/steward/messages.go
+++ b/supervisor/owner/steward/messages.go
@@ -35,8 +35,10 @@
 		permit buckthorndyke.LoadPermit
 	}
 
-	// quiesce asks for an orderly end.
-	quiesce struct{}
+	// quiesce asks for an orderly end, with yield without waiting for requests.
+	quiesce struct {
+		yield bool
+	}
 
 	// statusAnswered reports the runner's status.
 	statusAnswered struct {
@@ -68,7 +70,7 @@
 func (m freeSettled) apply(t *task)    { t.settleFree(m) }
 func (m orderAnswered) apply(t *task)  { t.answerOrder(m) }
 func (m permitAnswered) apply(t *task) { t.answerPermit(m) }
-func (quiesce) apply(t *task)          { t.quiescing = true }
+func (m quiesce) apply(t *task)        { t.quiesce(m) }
 func (m statusAnswered) apply(t *task) { t.answerStatus(m) }
 func (m ticketAsked) apply(t *task)    { t.askTicket(m) }
 func (m ticketClosed) apply(t *task)   { t.closeTicket(m) }
--- a/supervisor/owner/steward/orders_test.go
+++ b/supervisor/owner/steward/orders_test.go
@@ -156,6 +156,17 @@
 			<-done
 		})
 	})
+	t.Run("yielding refuses what waits and leaves what runs alone", func(t *testing.T) {
+		inSite(t, standin.EngineConfig{Slots: 1}, func(s *site) {
+			running, waiting := s.grant(hall, ordinary), s.ask(gym, ordinary)
+			<-s.steward.Yield()
+			s.assertRefused(waiting, buckthorndyke.CodeDraining, buckthorndyke.NotRun)
+			s.assertNone(running)
+			orders := len(s.assertSafe().Orders)
+			s.wait(buckthorndyke.Minute)
+			asserter.Equal(t, len(s.assertSafe().Orders), orders)
+		})
+	})
 	t.Run("a leaving runner finishes what runs and takes nothing new", func(t *testing.T) {
 		inSite(t, standin.EngineConfig{Slots: 1}, func(s *site) {
 			running, waiting := s.grant(hall, ordinary), s.ask(hall, ordinary)
--- a/supervisor/owner/steward/steward.go
+++ b/supervisor/owner/steward/steward.go
@@ -108,6 +108,15 @@
 	return s.quiesced
 }
 
+// Yield makes the steward refuse the requests that wait and give no more orders,
+// without waiting for those that run: the next owner finds their jobs in the
+// runner's status. The channel that it returns is closed once no order is
+// outstanding.
+func (s *Steward) Yield() <-chan struct{} {
+	go s.post(quiesce{yield: true})
+	return s.quiesced
+}
+
 // Serve implements suture.Service. When it ends, each waiting request is
 // refused as not run.
 func (s *Steward) Serve(ctx context.Context) error {
--- a/supervisor/owner/steward/task.go
+++ b/supervisor/owner/steward/task.go
@@ -72,6 +72,8 @@
 	times   loadTimes
 	view    View
 	wishes  wishes
+	// yielding is set once the runner is handed over beneath its requests.
+	yielding bool
 }
 
 // newTask returns the state at the start of a run.
@@ -110,7 +112,7 @@
 
 // canOrder reports whether an order can be given now.
 func (t *task) canOrder(now buckthorndyke.Millis) bool {
-	return t.account.order == nil && !t.fenced && !t.silent && !t.gone && t.view.mayOrder(now)
+	return t.account.order == nil && !t.yielding && !t.fenced && !t.silent && !t.gone && t.view.mayOrder(now)
 }
 
 // changeView takes over what the owner knows.
@@ -187,7 +189,10 @@
 
 // finishQuiesce reports the orderly end once nothing is left to do.
 func (t *task) finishQuiesce() {
-	if !t.quiescing || t.silent || len(t.holders) > 0 || t.account.order != nil || len(t.freeing.models) > 0 {
+	if !t.quiescing || t.silent || t.account.order != nil || len(t.freeing.models) > 0 {
+		return
+	}
+	if len(t.holders) > 0 && !t.yielding {
 		return
 	}
 	t.silent = true
@@ -195,6 +200,12 @@
 	close(t.quiesced)
 }
 
+// quiesce begins an orderly end.
+func (t *task) quiesce(m quiesce) {
+	t.quiescing = true
+	t.yielding = t.yielding || m.yield
+}
+
 // makePlan returns the plan at now. Room for loads is made only if an order can
 // be given.
 func (t *task) makePlan(now buckthorndyke.Millis) plan {
@@ -214,7 +225,7 @@
 
 // mayPlan reports whether orders can be given apart from an outstanding one.
 func (t *task) mayPlan(now buckthorndyke.Millis) bool {
-	return t.phase == phaseReady && !t.fenced && !t.silent && !t.gone && t.view.mayOrder(now)
+	return t.phase == phaseReady && !t.yielding && !t.fenced && !t.silent && !t.gone && t.view.mayOrder(now)
 }
 
 // settled reports whether all work on the runner is known, so that a model can
--- a/supervisor/owner/steward/tickets.go
+++ b/supervisor/owner/steward/tickets.go
@@ -175,6 +175,8 @@
 		switch {
 		case t.fenced:
 			t.refuse(w.ID, errNotOwner)
+		case t.yielding:
+			t.refuse(w.ID, errDraining)
 		case t.view.Leaving || t.failures >= failureLimit:
 			t.refuse(w.ID, errRunner)
 		case !t.view.permits(w.Model):
--- a/supervisor/owner/task.go
+++ b/supervisor/owner/task.go
@@ -26,6 +26,8 @@
 // task is the state of one run of an owner. Only its goroutine touches it.
 type task struct {
 	*Owner
+	// balanceAt is the instant from which a runner may be handed over.
+	balanceAt buckthorndyke.Millis
 	// ctx ends with the run.
 	ctx      context.Context
 	draining bool
@@ -144,6 +146,7 @@
 	if !t.draining {
 		t.takeClaims(now)
 		t.renewSuccessors(now)
+		t.balance(now)
 	}
 	t.releaseQuiesced(now)
 	t.releaseGone(now)
