--- a/connector/verdict_test.go
+++ b/connector/verdict_test.go
@@ -123,6 +123,18 @@
 			asserter.Equal(t, len(requests), 0)
 		})
 	})
+	t.Run("the request cannot be encoded", func(t *testing.T) {
+		address, requests := serveRaw(t, readRequest)
+		unreadable := job("j")
+		unreadable.Prompt = "\xff"
+		_, err := connector.NewHTTPEngine(address).Generate(t.Context(), unreadable)
+		asserter.Refused(t, err, buckthorndyke.CodeBadRequest, buckthorndyke.NotRun)
+		call := booking()
+		call.Method = "BOOK A HALL"
+		_, err = connector.NewHTTPService().Call(t.Context(), address, call)
+		asserter.Refused(t, err, buckthorndyke.CodeBadRequest, buckthorndyke.NotRun)
+		asserter.Equal(t, len(requests), 0)
+	})
 	t.Run("a redirect is not followed", func(t *testing.T) {
 		onEach(t, func(t *testing.T, send send) {
 			elsewhere, requests := serveRaw(t, readRequest)
@@ -223,7 +235,7 @@
 }
 
 // serve serves handler and returns its address.
-func serve(t *testing.T, handler http.HandlerFunc) string {
+func serve(t testing.TB, handler http.HandlerFunc) string {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
