feat(recorder): record orders and retries

Cause: loads, evictions and order failures were named as metrics and never counted. Ruled out: a meter inside each steward; the orders pass the engines' interface, where one decorator sees them all. cold-start-ms is replaced by load-ms, since only the steward knows which request was cold. Conclusion: all named metrics are recorded.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -26,6 +26,7 @@
 	"github.com/buckthorndyke/buckthorndyke/supervisor/prober"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/recorder"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/responder"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/router"
 	"github.com/buckthorndyke/buckthorndyke/timekeeper"
 )
 
@@ -57,6 +58,7 @@
 		return err
 	}
 	clock := timekeeper.NewRealClock()
+	metrics := reporter.NewMetrics()
 	rules := parser.NewRules()
 	records := encoder.NewProto(rules)
 	self := buckthorndyke.Self{
@@ -66,16 +68,15 @@
 		VM:          s.VM,
 	}
 	platform := supervisor.Platform{
-		Engines: connector.NewHTTPEngines(),
+		Engines: recorder.NewEngines(connector.NewHTTPEngines(), metrics, clock),
 		Log:     connector.NewHTTPLog(s.LogAddress),
 		Peers:   connector.NewConnectPeers(s.Peers.Key.Text, records),
 		Service: connector.NewHTTPService(),
 		VMList:  connector.NewHTTPVMList(s.VMListAddress),
 	}
 	judge := arbiter.New(rules, arbiter.WithDifference(parser.Difference))
-	options := append(treeOptions(s), supervisor.WithLogger(logger))
+	options := append(treeOptions(s), supervisor.WithLogger(logger), supervisor.WithRouter(router.WithMeter(metrics)))
 	tree := supervisor.New(self, platform, judge, records, clock, options...)
-	metrics := reporter.NewMetrics()
 	tree.AddWork(
 		responder.New(s.Peers.Address, s.Peers.Key.Text, tree.Peer(), records),
 		recorder.New(self, tree.Follower(), metrics),
--- a/metric.go
+++ b/metric.go
@@ -2,11 +2,11 @@
 
 // Metrics.
 const (
-	MetricColdStart       Metric = "cold-start-ms"
 	MetricControlOffset   Metric = "control-offset"
 	MetricEvictions       Metric = "evictions"
 	MetricFirstToken      Metric = "first-token-ms"
 	MetricLoads           Metric = "loads"
+	MetricLoadTime        Metric = "load-ms"
 	MetricLogDown         Metric = "log-down"
 	MetricMembers         Metric = "members"
 	MetricOrderFailures   Metric = "order-failures"
