--- a/bencher/bench.go
+++ b/bencher/bench.go
@@ -12,7 +12,6 @@
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/connector"
 	"github.com/buckthorndyke/buckthorndyke/launcher"
-	"github.com/buckthorndyke/buckthorndyke/timekeeper"
 )
 
 // What the bench sends.
@@ -35,21 +34,16 @@
 // bench measures one site.
 type bench struct {
 	binary string
-	clock  buckthorndyke.Clock
+	folder string
 	out    io.Writer
 }
 
-func newBench(binary string, out io.Writer) *bench {
-	return &bench{binary: binary, clock: timekeeper.NewRealClock(), out: out}
+func newBench(binary, folder string, out io.Writer) *bench {
+	return &bench{binary: binary, folder: folder, out: out}
 }
 
 // run starts a site, measures it and stops it.
-func (b *bench) run(ctx context.Context) (err error) {
-	folder, err := os.MkdirTemp("", "buckthorndyke-bench-")
-	if err != nil {
-		return errors.Wrap(err, "make a folder for the settings")
-	}
-	defer func() { err = errors.CombineErrors(err, os.RemoveAll(folder)) }()
+func (b *bench) run(ctx context.Context) error {
 	site, err := launcher.NewSite(ctx, 1, 1, benchService)
 	if err != nil {
 		return err
@@ -58,7 +52,7 @@
 	// The owner does not know of the jobs that the bench starts by itself, and must
 	// not take the model for idle.
 	site.Overrides = map[string]any{"keep-warm": map[string]any{"policy": "fixed", "fixed-ms": keepWarm}}
-	l := launcher.New(b.binary, folder)
+	l := launcher.New(b.binary, b.folder)
 	standIn, err := l.Start(ctx, "stand-in", "stand-in", site.StandInSettings(), "http://"+site.VMList+"/v1/vms")
 	if err != nil {
 		return err
@@ -69,23 +63,20 @@
 		return err
 	}
 	defer entry.Kill()
-	if err := b.apply(ctx, l, site, folder); err != nil {
+	if err := b.apply(ctx, l, site); err != nil {
 		return err
 	}
 	return b.measure(ctx, site)
 }
 
 // apply puts the bench's rules in force.
-func (b *bench) apply(ctx context.Context, l *launcher.Launcher, site launcher.Site, folder string) error {
-	token, rules := filepath.Join(folder, "operator-token"), filepath.Join(folder, "bench.rules")
-	if err := os.WriteFile(token, []byte(launcher.OperatorToken), 0o600); err != nil {
-		return errors.Wrap(err, "write the operator's token")
-	}
+func (b *bench) apply(ctx context.Context, l *launcher.Launcher, site launcher.Site) error {
+	rules := filepath.Join(b.folder, "bench.rules")
 	text := fmt.Sprintf(benchRules, launcher.SHA256(benchToken))
 	if err := os.WriteFile(rules, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write the rules")
 	}
-	_, err := l.Run(ctx, "rules", "apply", rules, "--as", "bench", "--operator", site.Entries[0].Operator, "--token-file", token)
+	_, err := l.Apply(ctx, site, rules, "bench")
 	return err
 }
 
--- a/bencher/main.go
+++ b/bencher/main.go
@@ -6,10 +6,9 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/launcher"
 )
 
 // benchTimeout bounds the whole measurement.
@@ -20,13 +19,9 @@
 		fmt.Fprintln(os.Stderr, "usage: bencher BINARY")
 		os.Exit(2)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	ctx, cancel := context.WithTimeout(ctx, benchTimeout.Duration())
-	err := newBench(os.Args[1], os.Stdout).run(ctx)
-	cancel()
-	stop()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "bencher:", err)
-		os.Exit(1)
-	}
+	os.Exit(launcher.Main("bencher", benchTimeout.Duration(), func(ctx context.Context) error {
+		return launcher.WithFolder("bench", func(folder string) error {
+			return newBench(os.Args[1], folder, os.Stdout).run(ctx)
+		})
+	}))
 }
--- a/demonstrator/demonstration.go
+++ b/demonstrator/demonstration.go
@@ -39,13 +39,8 @@
 }
 
 // apply puts the rules in force on all entry VMs.
-func (d *demonstration) apply(ctx context.Context, l *launcher.Launcher, site launcher.Site, folder string) error {
-	token := filepath.Join(folder, "operator-token")
-	if err := os.WriteFile(token, []byte(launcher.OperatorToken), 0o600); err != nil {
-		return errors.Wrap(err, "write the operator's token")
-	}
-	out, err := l.Run(ctx, "rules", "apply", d.rules, "--as", "demo-operator",
-		"--operator", site.Entries[0].Operator, "--token-file", token)
+func (d *demonstration) apply(ctx context.Context, l *launcher.Launcher, site launcher.Site) error {
+	out, err := l.Apply(ctx, site, d.rules, "demo-operator")
 	d.printf("%s", out)
 	return err
 }
@@ -55,22 +50,19 @@
 }
 
 // run starts the site, sends the requests and stops the site.
-func (d *demonstration) run(ctx context.Context) (err error) {
-	folder, err := os.MkdirTemp("", "buckthorndyke-demo-")
-	if err != nil {
-		return errors.Wrap(err, "make a folder for the settings")
-	}
-	defer func() { err = errors.CombineErrors(err, os.RemoveAll(folder)) }()
-	defer d.kill()
-	logs, err := os.Create(filepath.Join(folder, "site.log"))
-	if err != nil {
-		return errors.Wrap(err, "make the log file")
-	}
-	defer func() { _ = logs.Close() }()
-	if err := d.show(ctx, folder, logs); err != nil {
-		return errors.CombineErrors(err, d.printTail(logs.Name()))
-	}
-	return nil
+func (d *demonstration) run(ctx context.Context) error {
+	return launcher.WithFolder("demo", func(folder string) error {
+		defer d.kill()
+		logs, err := os.Create(filepath.Join(folder, "site.log"))
+		if err != nil {
+			return errors.Wrap(err, "make the log file")
+		}
+		defer func() { _ = logs.Close() }()
+		if err := d.show(ctx, folder, logs); err != nil {
+			return errors.CombineErrors(err, d.printTail(logs.Name()))
+		}
+		return nil
+	})
 }
 
 // show runs the steps of the demonstration.
@@ -83,7 +75,7 @@
 	if err := d.start(ctx, l, site); err != nil {
 		return err
 	}
-	if err := d.apply(ctx, l, site, folder); err != nil {
+	if err := d.apply(ctx, l, site); err != nil {
 		return err
 	}
 	if err := d.stream(ctx, site.Entries[0]); err != nil {
--- a/demonstrator/main.go
+++ b/demonstrator/main.go
@@ -8,10 +8,9 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/launcher"
 )
 
 // demoTimeout bounds the whole demonstration.
@@ -22,13 +21,7 @@
 		fmt.Fprintln(os.Stderr, "usage: demonstrator BINARY RULES")
 		os.Exit(2)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	ctx, cancel := context.WithTimeout(ctx, demoTimeout.Duration())
-	err := newDemonstration(os.Args[1], os.Args[2], os.Stdout).run(ctx)
-	cancel()
-	stop()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "demonstrator:", err)
-		os.Exit(1)
-	}
+	os.Exit(launcher.Main("demonstrator", demoTimeout.Duration(), func(ctx context.Context) error {
+		return newDemonstration(os.Args[1], os.Args[2], os.Stdout).run(ctx)
+	}))
 }
--- a/endtoend/site_test.go
+++ b/endtoend/site_test.go
@@ -68,7 +68,8 @@
 	}
 	rules := filepath.Join(folder, "site.rules")
 	asserter.NoError(t, os.WriteFile(rules, []byte(tester.Rules), 0o600))
-	s.command("rules", "apply", rules, "--as", "tester")
+	_, err = s.l.Apply(t.Context(), described, rules, "tester")
+	asserter.NoError(t, err)
 	return s
 }
 
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"syscall"
 	"time"
@@ -47,6 +49,16 @@
 	return l
 }
 
+// Apply puts the rules in the file at path in force on all entry VMs of a site,
+// in the name of an operator, and returns what the program printed.
+func (l *Launcher) Apply(ctx context.Context, site Site, path, operator string) (string, error) {
+	token := filepath.Join(l.folder, "operator-token")
+	if err := os.WriteFile(token, []byte(OperatorToken), 0o600); err != nil {
+		return "", errors.Wrap(err, "write the operator's token")
+	}
+	return l.Run(ctx, "rules", "apply", path, "--as", operator, "--operator", site.Entries[0].Operator, "--token-file", token)
+}
+
 // Run runs a sub-command to its end and returns what it printed.
 func (l *Launcher) Run(ctx context.Context, args ...string) (string, error) {
 	cmd := exec.CommandContext(ctx, l.binary, args...)
@@ -143,6 +155,30 @@
 	close(p.exited)
 }
 
+// Main runs a command that ends by itself or at a time limit, or once it is
+// interrupted, and returns the exit code of its process.
+func Main(name string, limit time.Duration, run func(ctx context.Context) error) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if err := run(ctx); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		return 1
+	}
+	return 0
+}
+
+// WithFolder runs work with a new folder, which it removes afterwards.
+func WithFolder(name string, work func(folder string) error) (err error) {
+	folder, err := os.MkdirTemp("", "buckthorndyke-"+name+"-")
+	if err != nil {
+		return errors.Wrap(err, "make a folder for the settings")
+	}
+	defer func() { err = errors.CombineErrors(err, os.RemoveAll(folder)) }()
+	return work(folder)
+}
+
 // FreeAddresses returns n addresses on loopback at which nothing listens.
 func FreeAddresses(ctx context.Context, n int) ([]string, error) {
 	var addresses []string
