--- a/connector/tokenreader.go
+++ b/connector/tokenreader.go
@@ -13,9 +13,9 @@
 // out of sequence or of another job.
 type tokenReader struct {
 	events *eventReader
-	job    buckthorndyke.JobID
-	// next index
+	// index is that of the next token.
 	index int
+	job   buckthorndyke.JobID
 }
 
 // newTokenReader returns a reader of the answer to job.
--- a/standin/enginejournal.go
+++ b/standin/enginejournal.go
@@ -47,6 +47,17 @@
 	Model buckthorndyke.ModelID `json:"model"`
 }
 
+// compare orders changes by time and puts those that free memory first.
+func (c ResidentChange) compare(other ResidentChange) int {
+	if c.At == other.At && c.Held != other.Held {
+		if other.Held {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(c.At, other.At)
+}
+
 // HighestHolders returns the most engines that held a model at once, by their
 // journals. Changes at one instant count as if those that free memory came first.
 func HighestHolders(model buckthorndyke.ModelID, journals ...EngineJournal) int {
@@ -54,9 +65,7 @@
 	for _, j := range journals {
 		changes = append(changes, j.Changes...)
 	}
-	slices.SortStableFunc(changes, func(a, b ResidentChange) int {
-		return cmp.Or(cmp.Compare(a.At, b.At), compareBools(a.Held, b.Held))
-	})
+	slices.SortStableFunc(changes, ResidentChange.compare)
 	holders, highest := 0, 0
 	for _, c := range changes {
 		switch {
@@ -71,18 +80,6 @@
 	return highest
 }
 
-// compareBools orders false before true.
-func compareBools(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // clone returns a copy that shares nothing with j.
 func (j EngineJournal) clone() EngineJournal {
 	j.Changes = slices.Clone(j.Changes)
--- a/standin/httpserver.go
+++ b/standin/httpserver.go
@@ -105,7 +105,7 @@
 	return buckthorndyke.NewRefusal(buckthorndyke.CodeBadRequest, buckthorndyke.NotRun, err.Error())
 }
 
-// readMessage reads the body of a request into in.
+// readBody reads the body of a request into in.
 func readBody(r *http.Request, in proto.Message) error {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/standin/site_test.go
+++ b/standin/site_test.go
@@ -13,6 +13,7 @@
 	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/connector"
 	"github.com/buckthorndyke/buckthorndyke/standin"
+	"github.com/buckthorndyke/buckthorndyke/timekeeper"
 )
 
 func TestSite(t *testing.T) {
@@ -84,6 +85,18 @@
 		_, err := connector.NewHTTPEngine(a.Runners[0]).Status(ctx)
 		asserter.Verdict(t, err, buckthorndyke.NotRun)
 	})
+	t.Run("the VM list is replaced over HTTP", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		list := standin.NewMemoryVMList(timekeeper.NewRealClock())
+		server := standin.NewVMListServer("127.0.0.1:0", list)
+		standin.Start(ctx, list, server)
+		address, err := server.Address(ctx)
+		asserter.NoError(t, err)
+		_, status := request(ctx, t, http.MethodPut, address, "/v1/vms", `{"vms": [{"id": "entry-1", "leaving": true}]}`)
+		asserter.Equal(t, status, http.StatusOK)
+		assertListed(ctx, t, list, buckthorndyke.VM{ID: "entry-1", Leaving: true})
+	})
 	t.Run("an address that is taken ends the server", func(t *testing.T) {
 		ctx, a := startSite(t)
 		server := standin.NewVMListServer(a.VMList, standin.NewMemoryVMList(nil))
