fix(owner,steward): keep to the drift of the settings

Cause: drift-permille was read and checked, but serving code used a constant of 2 percent that stood twice, so that a larger drift in the settings was not kept to. Ruled out: dropping the setting, since VMs whose clocks drift more need it.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -131,6 +131,7 @@
 			gatekeeper.WithModelLimits(s.WeightStore.ModelLoadsAtOnce, s.WeightStore.ModelLoadsPerSecond),
 		),
 		supervisor.WithOwner(
+			owner.WithDrift(s.DriftPermille),
 			owner.WithFenceChecks(s.Runners.ChecksFence),
 			owner.WithLease(s.Lease),
 			owner.WithStewardOptions(steward.WithKeepWarm(keepWarmOf(s.KeepWarm))),
--- a/configurer/parseserve.go
+++ b/configurer/parseserve.go
@@ -22,7 +22,7 @@
 	defaultColdStartWeight   = 0.5
 	defaultConnectionLimit   = 1024
 	defaultDrainLimit        = 30 * buckthorndyke.Second
-	defaultDriftPermille     = 10
+	defaultDriftPermille     = 20
 	defaultFixed             = 5 * buckthorndyke.Minute
 	defaultHeaderLimitBytes  = 16 << 10
 	defaultLease             = 3 * buckthorndyke.Second
--- a/supervisor/owner/holding.go
+++ b/supervisor/owner/holding.go
@@ -140,7 +140,7 @@
 	if m, ok := t.outlook.progress.State.Members.Get(have.Previous); ok {
 		h.previous = m.Incarnation
 	}
-	opts := append([]steward.Option{steward.WithLease(t.lease)}, t.stewardOptions...)
+	opts := append([]steward.Option{steward.WithDrift(t.drift), steward.WithLease(t.lease)}, t.stewardOptions...)
 	h.steward = steward.New(t.viewOf(h), t.engines.At(have.Address), t.gate, t.proposer, t.clock, opts...)
 	h.token = t.stewards.Add(h.steward)
 	t.holdings[have.Runner] = h
--- a/supervisor/owner/owner.go
+++ b/supervisor/owner/owner.go
@@ -22,12 +22,14 @@
 	box         *mailer.Mailbox[message]
 	checksFence func(buckthorndyke.RunnerID) bool
 	clock       buckthorndyke.Clock
-	end         context.CancelFunc
-	engines     buckthorndyke.Engines
-	eventHook   suture.EventHook
-	follower    buckthorndyke.Follower
-	gate        buckthorndyke.LoadGate
-	lease       buckthorndyke.Millis
+	// drift is in parts of a thousand.
+	drift     int
+	end       context.CancelFunc
+	engines   buckthorndyke.Engines
+	eventHook suture.EventHook
+	follower  buckthorndyke.Follower
+	gate      buckthorndyke.LoadGate
+	lease     buckthorndyke.Millis
 	// life ends with the owner. Messages to it are given up then.
 	life     context.Context
 	peers    buckthorndyke.Peers
@@ -43,6 +45,12 @@
 // Option configures an Owner.
 type Option func(*Owner)
 
+// WithDrift bounds how much faster one VM's clock runs than another's, in parts
+// of a thousand. It must be the same on all VMs.
+func WithDrift(permille int) Option {
+	return func(o *Owner) { o.drift = permille }
+}
+
 // WithEventHook reports the events of the stewards' supervisor to hook.
 func WithEventHook(hook suture.EventHook) Option {
 	return func(o *Owner) { o.eventHook = hook }
@@ -76,6 +84,7 @@
 		box:         mailer.NewMailbox[message](),
 		checksFence: func(buckthorndyke.RunnerID) bool { return false },
 		clock:       clock,
+		drift:       steward.DefaultDriftPermille,
 		end:         end,
 		engines:     engines,
 		eventHook:   func(suture.Event) {},
--- a/supervisor/owner/promises.go
+++ b/supervisor/owner/promises.go
@@ -85,7 +85,7 @@
 	if r.For <= 0 || r.For > t.lease {
 		return false
 	}
-	until := t.clock.Now() + r.For*(percent+driftPercent)/percent
+	until := t.clock.Now() + r.For.WithDrift(t.drift)
 	t.promised[r.Runner] = max(t.promised[r.Runner], until)
 	return true
 }
--- a/supervisor/owner/steward/rebuild.go
+++ b/supervisor/owner/steward/rebuild.go
@@ -105,7 +105,7 @@
 	if t.phase != phaseLease || !t.mustReserve() {
 		return t.phaseSince
 	}
-	return t.taken + t.lease*(percent+driftPercent)/percent
+	return t.taken + t.lease.WithDrift(t.drift)
 }
 
 // mustReserve reports whether a previous owner may still have an order
--- a/supervisor/owner/steward/steward.go
+++ b/supervisor/owner/steward/steward.go
@@ -15,9 +15,9 @@
 	// DefaultLease is how long an owner may give orders after it last knew that it
 	// is the owner.
 	DefaultLease = 10 * buckthorndyke.Second
-	// driftPercent bounds how much faster one machine's clock runs than another's.
-	driftPercent = 2
-	percent      = 100
+	// DefaultDriftPermille bounds how much faster one machine's clock runs than
+	// another's.
+	DefaultDriftPermille = 20
 )
 
 // Steward is the task that owns one runner.
@@ -25,11 +25,13 @@
 	admission buckthorndyke.AdmissionPolicy
 	box       *mailer.Mailbox[message]
 	clock     buckthorndyke.Clock
-	end       context.CancelFunc
-	engine    buckthorndyke.Engine
-	gate      buckthorndyke.LoadGate
-	keepWarm  buckthorndyke.KeepWarmPolicy
-	lease     buckthorndyke.Millis
+	// drift is in parts of a thousand.
+	drift    int
+	end      context.CancelFunc
+	engine   buckthorndyke.Engine
+	gate     buckthorndyke.LoadGate
+	keepWarm buckthorndyke.KeepWarmPolicy
+	lease    buckthorndyke.Millis
 	// life ends with the steward. Messages to it are given up then.
 	life      context.Context
 	newOrder  func() buckthorndyke.OrderID
@@ -51,6 +53,12 @@
 	return func(s *Steward) { s.admission = p }
 }
 
+// WithDrift bounds how much faster one machine's clock runs than another's, in
+// parts of a thousand.
+func WithDrift(permille int) Option {
+	return func(s *Steward) { s.drift = permille }
+}
+
 // WithKeepWarm decides by p how long idle models stay loaded.
 func WithKeepWarm(p buckthorndyke.KeepWarmPolicy) Option {
 	return func(s *Steward) { s.keepWarm = p }
@@ -81,6 +89,7 @@
 		admission: scheduler.NewSharedScheduler(),
 		box:       mailer.NewMailbox[message](),
 		clock:     clock,
+		drift:     DefaultDriftPermille,
 		end:       end,
 		engine:    engine,
 		gate:      gate,
--- a/supervisor/owner/takes.go
+++ b/supervisor/owner/takes.go
@@ -33,7 +33,7 @@
 	}
 	if t.outlook.isOwned(c.have) && !c.have.ChecksFence && !c.have.OwnedBy(t.self.VM, t.self.Incarnation) {
 		// An earlier life of this VM may have promised to leave the runner alone.
-		earlier := t.started + t.lease*(percent+driftPercent)/percent
+		earlier := t.started + t.lease.WithDrift(t.drift)
 		return now >= t.promised[c.runner] && now >= earlier
 	}
 	return true
--- a/supervisor/owner/task.go
+++ b/supervisor/owner/task.go
@@ -18,9 +18,6 @@
 	listInterval = buckthorndyke.Second
 	// listTimeout bounds one read of the VM list.
 	listTimeout = 5 * buckthorndyke.Second
-	// driftPercent bounds how much faster one machine's clock runs than another's.
-	driftPercent = 2
-	percent      = 100
 )
 
 // task is the state of one run of an owner. Only its goroutine touches it.
