--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -186,18 +186,21 @@
 	}
 }
 
-// lineParser reads one "model replicas" pair a line.
+// lineParser reads a model, its replicas and, for an adapter, its base a line.
 type lineParser struct{}
 
 func (lineParser) Parse(text string) (buckthorndyke.Rules, error) {
 	var r buckthorndyke.Rules
 	for line := range strings.Lines(text) {
 		fields := strings.Fields(line)
-		if len(fields) != 2 {
+		if len(fields) < 2 {
 			return buckthorndyke.Rules{}, errors.New("line 1, column 1: expected two fields")
 		}
-		model := buckthorndyke.ModelID(fields[0])
-		r = r.WithModel(buckthorndyke.ModelRule{ID: model, Replicas: int(fields[1][0] - '0')})
+		rule := buckthorndyke.ModelRule{ID: buckthorndyke.ModelID(fields[0]), Replicas: int(fields[1][0] - '0')}
+		if len(fields) > 2 {
+			rule.Base = buckthorndyke.ModelID(fields[2])
+		}
+		r = r.WithModel(rule)
 	}
 	return r, nil
 }
--- /dev/null
+++ b/arbiter/limits_test.go
@@ -0,0 +1,70 @@
+package arbiter_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/arbiter"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+)
+
+func TestFoldRenewal(t *testing.T) {
+	t.Run("an owner that names other successors keeps what is known of the one before", func(t *testing.T) {
+		f := newFold(t, join("a", 1), join("b", 1), take("b", 1, "r", 0, "a"), take("a", 1, "r", 3, "b"))
+		f.assertAccepted(take("a", 1, "r", 4))
+		o, _ := f.state.Owner("r")
+		asserter.Equal(t, o.Previous, "b")
+		asserter.Equal(t, o.Epoch, 5)
+		f.assertRejected(release("b"))
+	})
+	t.Run("a member that drains is no heir", func(t *testing.T) {
+		f := newFold(t, join("a", 1), join("b", 1), take("a", 1, "r", 0), leave("b", 1, true))
+		f.assertRejected(release("b"))
+	})
+}
+
+func TestFoldLimits(t *testing.T) {
+	t.Run("a record that was folded before changes nothing", func(t *testing.T) {
+		f := newFold(t, join("a", 1), join("b", 1))
+		again, _ := f.arbiter.Fold(f.state, 1, 0, leave("a", 1, false))
+		asserter.Equal(t, again.Members.Len(), 2)
+		asserter.Equal(t, again.Offset, 2)
+	})
+	t.Run("an adapter gets no placement of its own", func(t *testing.T) {
+		f := newFold(t, rules(0, "n 2\nm 2 n"), join("a", 1), take("a", 1, "r", 0))
+		f.assertRejected(permit(0, "r"))
+	})
+	t.Run("a checkpoint that is ahead of its record is rejected", func(t *testing.T) {
+		f := newFold(t)
+		ahead := buckthorndyke.State{}.WithOffset(1)
+		f.assertRejected(propose("a", 1, buckthorndyke.CheckpointChange{State: ahead}))
+		f.assertAccepted(propose("a", 1, buckthorndyke.CheckpointChange{State: ahead}))
+	})
+	t.Run("a quarantine keeps the higher count, and the oldest goes first", func(t *testing.T) {
+		f := newFold(t)
+		for i := range 1025 {
+			f.assertAccepted(quarantine(fmt.Sprint("f", i), 3))
+		}
+		asserter.Equal(t, f.state.Quarantines.Len(), 1024)
+		asserter.Equal(t, f.state.Quarantines.Has("f0"), false)
+		f.assertAccepted(quarantine("f9", 1))
+		q, _ := f.state.Quarantines.Get("f9")
+		asserter.Equal(t, q.Crashes, 3)
+	})
+	t.Run("an audit entry keeps the first lines of a long difference", func(t *testing.T) {
+		long := strings.Split(strings.Repeat("+x ", 250), " ")
+		a := arbiter.New(lineParser{}, arbiter.WithDifference(func(string, string) []string { return long }))
+		s, _ := a.Fold(buckthorndyke.State{}, 1, 0, rules(0, "m 1"))
+		entry, _ := s.Audit.Get(1)
+		asserter.Equal(t, len(entry.Difference), 101)
+		asserter.Equal(t, entry.Difference[100], "... and 151 more lines")
+	})
+}
+
+func quarantine(f string, crashes int) buckthorndyke.Proposal {
+	return propose("a", 1, buckthorndyke.QuarantineChange{
+		Crashes: crashes, Fingerprint: buckthorndyke.Fingerprint(f), Model: "m",
+	})
+}
--- a/supervisor/follower/bubble_test.go
+++ b/supervisor/follower/bubble_test.go
@@ -114,13 +114,6 @@
 	b.append(data)
 }
 
-func (b *bubble) reads() int {
-	b.t.Helper()
-	stats, err := b.log.Stats(b.ctx)
-	asserter.NoError(b.t, err)
-	return stats.Reads
-}
-
 // settle waits until nothing more happens at the present instant.
 func (b *bubble) settle() {
 	synctest.Wait()
--- a/supervisor/follower/fakes_test.go
+++ b/supervisor/follower/fakes_test.go
@@ -45,30 +45,56 @@
 	return p.state, nil
 }
 
-// gate is a log that one process can be cut off from.
+// gate is a log that one process can be cut off from. It counts its reads.
 type gate struct {
 	buckthorndyke.Log
-	closed chan bool
+	held chan gateState
+}
+
+type gateState struct {
+	closed bool
+	reads  int
 }
 
 func newGate(log buckthorndyke.Log) *gate {
-	g := &gate{Log: log, closed: make(chan bool, 1)}
-	g.closed <- false
+	g := &gate{Log: log, held: make(chan gateState, 1)}
+	g.held <- gateState{}
 	return g
 }
 
 func (g *gate) Read(
 	ctx context.Context, stream buckthorndyke.Stream, from buckthorndyke.Offset, wait buckthorndyke.Millis,
 ) (buckthorndyke.Batch, error) {
-	closed := <-g.closed
-	g.closed <- closed
-	if closed {
+	s := <-g.held
+	s.reads++
+	g.held <- s
+	if s.closed {
 		return buckthorndyke.Batch{}, errUnreachable
 	}
 	return g.Log.Read(ctx, stream, from, wait)
 }
 
+func (g *gate) reads() int {
+	s := <-g.held
+	g.held <- s
+	return s.reads
+}
+
 func (g *gate) set(closed bool) {
-	<-g.closed
-	g.closed <- closed
+	s := <-g.held
+	s.closed = closed
+	g.held <- s
+}
+
+// gappyLog is a log that leaves out its second record.
+type gappyLog struct {
+	buckthorndyke.Log
+	data []byte
+}
+
+func (l gappyLog) Read(
+	context.Context, buckthorndyke.Stream, buckthorndyke.Offset, buckthorndyke.Millis,
+) (buckthorndyke.Batch, error) {
+	entries := []buckthorndyke.Entry{{Data: l.data, Offset: 1}, {Data: l.data, Offset: 3}}
+	return buckthorndyke.Batch{Entries: entries, First: 1, Tail: 3}, nil
 }
--- a/supervisor/follower/follower_test.go
+++ b/supervisor/follower/follower_test.go
@@ -44,8 +44,21 @@
 			begin := b.clock.Now()
 			b.start()
 			b.wait(3 * buckthorndyke.Second)
-			age := b.clock.Now() - b.progress.Fresh
-			asserter.True(t, b.progress.Fresh >= begin && age >= 800, "fresh after the read was sent")
+			// The second read was the first to reach the tail; the third is under way.
+			asserter.Equal(t, b.progress.Fresh-begin, 800)
+		})
+	})
+}
+
+func TestGap(t *testing.T) {
+	t.Run("records after a gap are not folded, and reads are spaced", func(t *testing.T) {
+		inBubble(t, func(b *bubble) {
+			b.gate.Log = gappyLog{data: []byte{0xff}}
+			b.start()
+			b.wait(10 * buckthorndyke.Second)
+			asserter.Equal(t, b.progress.State.Offset, 1)
+			asserter.Equal(t, b.progress.AtTail, false)
+			asserter.True(t, b.gate.reads() <= 110, "too many reads")
 		})
 	})
 }
@@ -58,12 +71,12 @@
 			b.settle()
 			b.faults(standin.LogFaults{Down: true})
 			b.wait(buckthorndyke.Second)
-			fresh, reads := b.progress.Fresh, b.reads()
+			fresh, reads := b.progress.Fresh, b.gate.reads()
 			b.wait(buckthorndyke.Minute)
 			asserter.True(t, b.progress.LogDown && b.progress.AtTail, "the log is down and the state is complete")
 			asserter.Equal(t, b.progress.Fresh, fresh)
 			asserter.Equal(t, b.progress.State.Members.Has("a"), true)
-			asserter.True(t, b.reads()-reads <= 40, "too many reads while the log is down")
+			asserter.True(t, b.gate.reads()-reads <= 40, "too many reads while the log is down")
 			b.faults(standin.LogFaults{})
 			b.wait(3 * buckthorndyke.Second)
 			asserter.True(t, !b.progress.LogDown && b.progress.Fresh > fresh, "the log is back")
--- a/supervisor/prober/fleet_test.go
+++ b/supervisor/prober/fleet_test.go
@@ -141,6 +141,19 @@
 	}
 }
 
+// rejoin has a later life of the i-th VM join, whose process does not run.
+func (f *fleet) rejoin(i int) {
+	f.t.Helper()
+	n := f.nodes[i]
+	self := n.self
+	self.Incarnation++
+	p := proposer.New(f.log, encoder.NewProto(parser.NewRules()), n.tail, self, f.clock)
+	_, err := p.Propose(f.ctx, buckthorndyke.JoinChange{Member: buckthorndyke.Member{
+		Domain: self.Domain, Incarnation: self.Incarnation, PeerAddress: self.PeerAddress, VM: self.VM,
+	}})
+	asserter.NoError(f.t, err)
+}
+
 func (f *fleet) setList(vms ...buckthorndyke.VM) {
 	f.t.Helper()
 	asserter.NoError(f.t, f.vms.Set(f.ctx, vms))
@@ -185,15 +198,28 @@
 	synctest.Wait()
 }
 
+// stranger returns a VM that does not probe the i-th.
+func (f *fleet) stranger(i int) *node {
+	watchers := f.roster().Watchers(f.nodes[i].self.VM)
+	at := slices.IndexFunc(f.nodes, func(n *node) bool {
+		return n != f.nodes[i] && !slices.Contains(watchers, n.self.VM)
+	})
+	return f.nodes[at]
+}
+
 // watcher returns a VM that probes the i-th.
 func (f *fleet) watcher(i int) *node {
+	vm := f.roster().Watchers(f.nodes[i].self.VM)[0]
+	at := slices.IndexFunc(f.nodes, func(n *node) bool { return n.self.VM == vm })
+	return f.nodes[at]
+}
+
+func (f *fleet) roster() detector.Roster {
 	var members []buckthorndyke.Member
 	for _, n := range f.nodes {
 		members = append(members, buckthorndyke.Member{Domain: n.self.Domain, VM: n.self.VM})
 	}
-	vm := detector.NewRoster(members, detector.DefaultFanOut).Watchers(members[i].VM)[0]
-	at := slices.IndexFunc(f.nodes, func(n *node) bool { return n.self.VM == vm })
-	return f.nodes[at]
+	return detector.NewRoster(members, detector.DefaultFanOut)
 }
 
 // cutOff breaks the links between n and others, in both directions.
--- a/supervisor/prober/prober_test.go
+++ b/supervisor/prober/prober_test.go
@@ -83,10 +83,11 @@
 	t.Run("a dead VM is suspected by its watchers and heirs", func(t *testing.T) {
 		inFleet(t, 8, func(f *fleet) {
 			f.start()
-			f.own("v3", "v6")
+			heir := f.stranger(3)
+			f.own("v3", heir.self.VM)
 			f.nodes[3].stop()
 			f.wait(detection)
-			assertSuspects(t, f.nodes[6], "v3")
+			assertSuspects(t, heir, "v3")
 			assertSuspects(t, f.watcher(3), "v3")
 		})
 	})
@@ -104,6 +105,15 @@
 			asserter.Equal(t, f.state(0).Members.Has("v2"), true)
 		})
 	})
+	t.Run("a process that a later life has replaced does not answer for it", func(t *testing.T) {
+		inFleet(t, 6, func(f *fleet) {
+			f.start()
+			f.rejoin(2)
+			f.wait(detection)
+			assertSuspects(t, f.watcher(2), "v2")
+			asserter.Refused(t, f.nodes[2].prober.Ready(f.ctx), buckthorndyke.CodeNotReady, buckthorndyke.NotRun)
+		})
+	})
 	t.Run("one cut link makes no suspect", func(t *testing.T) {
 		inFleet(t, 6, func(f *fleet) {
 			f.start()
