feat(evictor): judge models with few arrivals by those of all models

Cause: a model with fewer than three arrivals of its own was kept until its idle time cost as much as a cold start, and the histogram's prior lay evenly over all times up to 18 hours. Most models are rare, so most idle time came from what was not known. Now the prior is the histogram of all models of the runner together.

--- a/evictor/adaptive.go
+++ b/evictor/adaptive.go
@@ -8,20 +8,23 @@
 	// coldStartFactor is the idle time that is worth one unit of load time that a
 	// caller waits, at equal weights.
 	coldStartFactor = 120
-	// fewGaps is the number of inter-arrival times below which the histogram says
-	// too little.
+	// fewGaps is the number of inter-arrival times, of the model or of all models
+	// together, below which the histograms say too little.
 	fewGaps = 3
 )
 
 // AdaptiveKeepWarm keeps a model for the time that costs least, by the
 // histogram of its own inter-arrival times and the time that its load takes. A
-// model with too few arrivals is kept until its idle time has cost as much as a
+// model with few arrivals of its own is judged by those of all models. While
+// these are too few as well, it is kept until its idle time has cost as much as a
 // cold start, which is never more than twice the cost of the best choice in
 // hindsight (the ski rental problem).
 // The weight of cold starts against idle time is one setting.
 type AdaptiveKeepWarm struct {
 	arrivals buckthorndyke.Table[buckthorndyke.ModelID, arrivals]
-	weight   float64
+	// pooled holds the inter-arrival times of all models.
+	pooled arrivals
+	weight float64
 }
 
 // NewAdaptiveKeepWarm returns a policy for a cold-start weight between 0, which
@@ -34,15 +37,18 @@
 func (p AdaptiveKeepWarm) KeepFor(model buckthorndyke.ModelID, loadTime buckthorndyke.Millis) buckthorndyke.Millis {
 	a, _ := p.arrivals.Get(model)
 	coldCost, idleCost := p.weight*coldStartFactor*float64(loadTime), 1-p.weight
-	if a.count() < fewGaps {
+	if a.count() < fewGaps && p.pooled.count() < fewGaps {
 		return breakEven(coldCost, idleCost)
 	}
-	return a.cheapest(coldCost, idleCost)
+	return a.cheapest(p.pooled, coldCost, idleCost)
 }
 
 // WithArrival implements buckthorndyke.KeepWarmPolicy.
 func (p AdaptiveKeepWarm) WithArrival(model buckthorndyke.ModelID, now buckthorndyke.Millis) buckthorndyke.KeepWarmPolicy {
 	a, _ := p.arrivals.Get(model)
+	if a.seen {
+		p.pooled = p.pooled.withGap(now - a.last)
+	}
 	p.arrivals = p.arrivals.With(model, a.with(now))
 	return p
 }
@@ -51,7 +57,7 @@
 // saved per millisecond of keeping the model until its next likely request.
 func (p AdaptiveKeepWarm) Worth(model buckthorndyke.ModelID, loadTime, now buckthorndyke.Millis) float64 {
 	a, _ := p.arrivals.Get(model)
-	return float64(loadTime) * a.rate(now)
+	return float64(loadTime) * a.rate(p.pooled, now)
 }
 
 // breakEven returns the idle time that costs as much as a cold start.
--- a/evictor/arrivals.go
+++ b/evictor/arrivals.go
@@ -17,8 +17,7 @@
 	bucketLimit = math.MaxUint8
 	// firstBound is the upper bound of the first bucket.
 	firstBound = buckthorndyke.Second
-	// priorMass is the weight of the prior, in arrivals. It spreads over all
-	// buckets alike.
+	// priorMass is the weight of the prior, in arrivals.
 	priorMass = 2.0
 )
 
@@ -45,8 +44,8 @@
 // cheapest returns the keep time that costs least in expectation: coldCost for
 // each request that comes later than that, and idleCost for each millisecond
 // that the model stays loaded until then.
-func (a arrivals) cheapest(coldCost, idleCost float64) buckthorndyke.Millis {
-	weights, total := a.weights()
+func (a arrivals) cheapest(pooled arrivals, coldCost, idleCost float64) buckthorndyke.Millis {
+	weights, total := a.weights(pooled)
 	best, bestCost := buckthorndyke.Millis(0), coldCost
 	idle, within := 0.0, 0.0
 	for i := range bucketCount {
@@ -72,8 +71,8 @@
 
 // rate returns the expected requests per millisecond from now on, given the
 // time since the last one.
-func (a arrivals) rate(now buckthorndyke.Millis) float64 {
-	weights, _ := a.weights()
+func (a arrivals) rate(pooled arrivals, now buckthorndyke.Millis) float64 {
+	weights, _ := a.weights(pooled)
 	since := buckthorndyke.Millis(0)
 	if a.seen {
 		since = now - a.last
@@ -91,12 +90,14 @@
 	return mass / remaining
 }
 
-// weights returns the weight of each bucket, prior included, and their sum.
-func (a arrivals) weights() ([bucketCount]float64, float64) {
+// weights returns the weight of each bucket and their sum. The prior, which has
+// the weight of priorMass arrivals, is the distribution of pooled.
+func (a arrivals) weights(pooled arrivals) ([bucketCount]float64, float64) {
 	var weights [bucketCount]float64
 	total := 0.0
+	scale := priorMass / (float64(pooled.count()) + priorMass)
 	for i, c := range a.buckets {
-		weights[i] = float64(c) + priorMass/bucketCount
+		weights[i] = float64(c) + scale*(float64(pooled.buckets[i])+priorMass/bucketCount)
 		total += weights[i]
 	}
 	return weights, total
@@ -105,19 +106,25 @@
 // with returns a histogram that has also seen a request at now.
 func (a arrivals) with(now buckthorndyke.Millis) arrivals {
 	if a.seen {
-		i := bucketOf(now - a.last)
-		if a.buckets[i] == bucketLimit {
-			for j := range a.buckets {
-				a.buckets[j] /= 2
-			}
-		}
-		a.buckets[i]++
+		a = a.withGap(now - a.last)
 	}
 	a.last = now
 	a.seen = true
 	return a
 }
 
+// withGap returns a histogram that holds one more time between two requests.
+func (a arrivals) withGap(gap buckthorndyke.Millis) arrivals {
+	i := bucketOf(gap)
+	if a.buckets[i] == bucketLimit {
+		for j := range a.buckets {
+			a.buckets[j] /= 2
+		}
+	}
+	a.buckets[i]++
+	return a
+}
+
 // makeBounds returns bounds that grow by the square root of two.
 func makeBounds() [bucketCount]buckthorndyke.Millis {
 	var b [bucketCount]buckthorndyke.Millis
--- a/evictor/keepwarm_test.go
+++ b/evictor/keepwarm_test.go
@@ -39,6 +39,12 @@
 		p := arriveAtRandom(evictor.NewAdaptiveKeepWarm(0.5))
 		asserter.True(t, p.KeepFor(model, loadTime/50) < p.KeepFor(model, 4*loadTime), "the load time changes nothing")
 	})
+	t.Run("a model without arrivals of its own is judged by the others", func(t *testing.T) {
+		unknown := evictor.NewAdaptiveKeepWarm(0.5)
+		known := arrive(unknown, 200, 10*buckthorndyke.Second)
+		got, limit := known.KeepFor("new", loadTime), unknown.KeepFor("new", loadTime)/2
+		asserter.True(t, got >= 10*buckthorndyke.Second && got < limit, fmt.Sprintf("kept for %d ms, not below %d ms", got, limit))
+	})
 	t.Run("the rarer model is worth less", func(t *testing.T) {
 		rare := arrive(evictor.NewAdaptiveKeepWarm(0.5), 20, buckthorndyke.Hour)
 		often := arrive(evictor.NewAdaptiveKeepWarm(0.5), 20, buckthorndyke.Minute)
