feat(chooser): ask a cold runner before a crowded one

Cause: a request asked the one runner that had loaded the model as long as that accepted it, though its queue was full for many seconds and another permitted runner idled. The second replica was loaded only once a refusal came, so paid work waited longer without free work than with it, whose refusals spread the load.

--- a/chooser/order.go
+++ b/chooser/order.go
@@ -13,13 +13,17 @@
 // the wait.
 const affinityLimit = loadUnit
 
+// crowdedLimit is the load from which on a request rather waits for a load on
+// another runner: a full batch runs and as many requests wait.
+const crowdedLimit = 2 * loadUnit
+
 // Order returns the candidates in the order in which a request for model asks
 // them. Runners that have loaded the model come first: the one that probably
 // caches the prompt's prefix unless its batch is full, then the less loaded of
 // two random ones, then the others by load. Cold runners follow, the cheapest
 // copy of the checkpoint first and among equals in rendezvous order, so that all
-// entry VMs send the requests for one cold model to the same runner. Runners
-// without a live owner come last. Equal seeds give equal choices.
+// entry VMs send the requests for one cold model to the same runner. Crowded
+// runners come after these, and runners without a live owner last. Equal seeds give equal choices.
 func Order(model buckthorndyke.ModelID, candidates []Candidate, seed uint64) []buckthorndyke.RunnerID {
 	sorted := slices.Clone(candidates)
 	slices.SortFunc(sorted, func(a, b Candidate) int {
@@ -44,6 +48,7 @@
 	classAffine = iota
 	classLoaded
 	classCold
+	classCrowded
 	classOrphan
 )
 
@@ -52,6 +57,8 @@
 	switch {
 	case !c.Live:
 		return classOrphan
+	case c.Load >= crowdedLimit:
+		return classCrowded
 	case !c.Loaded:
 		return classCold
 	case c.Affine && c.Load < affinityLimit:
@@ -68,7 +75,13 @@
 
 // compareWithin compares two candidates of one class.
 func compareWithin(model buckthorndyke.ModelID, a, b Candidate) int {
-	if a.Loaded && b.Loaded {
+	if a.Loaded != b.Loaded {
+		if a.Loaded {
+			return -1
+		}
+		return 1
+	}
+	if a.Loaded {
 		return cmp.Compare(a.Load, b.Load)
 	}
 	return cmp.Or(
