--- a/chooser/order_test.go
+++ b/chooser/crowded_test.go
@@ -8,7 +8,7 @@
 	"github.com/buckthorndyke/buckthorndyke/chooser"
 )
 
-func TestOrder(t *testing.T) {
+func TestCrowded(t *testing.T) {
 	const full = 1000
 	for _, tc := range []struct {
 		name       string
--- a/chooser/order.go
+++ b/chooser/order.go
@@ -23,7 +23,8 @@
 // two random ones, then the others by load. Cold runners follow, the cheapest
 // copy of the checkpoint first and among equals in rendezvous order, so that all
 // entry VMs send the requests for one cold model to the same runner. Crowded
-// runners come after these, and runners without a live owner last. Equal seeds give equal choices.
+// runners come after these. Runners without a live owner, or that failed lately,
+// come last. Equal seeds give equal choices.
 func Order(model buckthorndyke.ModelID, candidates []Candidate, seed uint64) []buckthorndyke.RunnerID {
 	sorted := slices.Clone(candidates)
 	slices.SortFunc(sorted, func(a, b Candidate) int {
--- a/measurer/warmstudy.go
+++ b/measurer/warmstudy.go
@@ -55,17 +55,17 @@
 // newWarmStudy measures d.
 func newWarmStudy(d deployment) warmStudy {
 	adaptive := func(weight float64) buckthorndyke.KeepWarmPolicy { return evictor.NewAdaptiveKeepWarm(weight) }
-	own := fmt.Sprintf("adaptive, weight %.1f", d.coldStartWeight)
+	own := fmt.Sprintf("adaptive, weight %.2f", d.coldStartWeight)
 	s := warmStudy{cases: []warmCase{
 		warmAdaptive: {deployment: d, keepWarm: adaptive(d.coldStartWeight), name: own},
 		warmFixed:    {deployment: d, keepWarm: evictor.NewFixedKeepWarm(fixedKeep), name: "fixed time-out, 5 min"},
 		warmLRU:      {deployment: d, keepWarm: evictor.NewLRUKeepWarm(), name: "LRU"},
 		warmPaidOnly: {deployment: d, keepWarm: adaptive(d.coldStartWeight), name: own + ", no free work", paidOnly: true},
 	}}
-	for _, weight := range []float64{0.1, 0.2, 0.5, 0.8} {
+	for _, weight := range []float64{0.2, 0.5, 0.65, 0.8} {
 		if weight != d.coldStartWeight {
 			s.cases = append(s.cases, warmCase{
-				deployment: d, keepWarm: adaptive(weight), name: fmt.Sprintf("for comparison: adaptive, weight %.1f", weight),
+				deployment: d, keepWarm: adaptive(weight), name: fmt.Sprintf("for comparison: adaptive, weight %.2f", weight),
 			})
 		}
 	}
