--- a/measurer/main.go
+++ b/measurer/main.go
@@ -16,7 +16,7 @@
 // hours.
 const (
 	klotsiringWeight = 0.2
-	lakeshoreWeight  = 0.8
+	lakeshoreWeight  = 0.65
 )
 
 func main() {
