fix(owner): a drain does not wait for takes that have failed

Red before: a take that was refused, as of a runner that does not answer, stayed on record, and the drain waited for it until its limit. An owner also decides nothing while its outlook does not change.

--- a/supervisor/owner/balance.go
+++ b/supervisor/owner/balance.go
@@ -14,7 +14,7 @@
 // balance hands one runner over if another live member owns fewer. The requests
 // that run go on.
 func (t *task) balance(now buckthorndyke.Millis) {
-	if now < t.balanceAt || t.outlook.progress.LogDown || !t.outlook.mayClaim() || len(t.takes) > 0 {
+	if now < t.balanceAt || t.outlook.progress.LogDown || !t.outlook.mayClaim() || t.taking() {
 		return
 	}
 	t.balanceAt = now + balanceInterval
--- a/supervisor/owner/holding.go
+++ b/supervisor/owner/holding.go
@@ -44,7 +44,7 @@
 
 // finishDrain answers those who wait for the drain once no runner is owned.
 func (t *task) finishDrain() {
-	if !t.draining || len(t.holdings) > 0 || len(t.takes) > 0 {
+	if !t.draining || len(t.holdings) > 0 || t.taking() {
 		return
 	}
 	for _, reply := range t.drains {
--- /dev/null
+++ b/supervisor/owner/outlook_test.go
@@ -0,0 +1,45 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// BenchmarkTick measures what an owner decides four times a second while all is
+// well: what to claim and whether to hand something over.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range []struct{ members, runners int }{{8, 12}, {100, 150}, {410, 600}} {
+		b.Run(fmt.Sprintf("members=%d/runners=%d", size.members, size.runners), func(b *testing.B) {
+			o := newOutlook(size.members, size.runners)
+			for b.Loop() {
+				if len(o.claims(buckthorndyke.Hour)) > 0 || o.isOverloaded() {
+					b.Fatal("something was to be done")
+				}
+			}
+		})
+	}
+}
+
+// newOutlook returns the outlook of vm0 when every runner has an owner.
+func newOutlook(members, runners int) outlook {
+	o := outlook{listed: true, self: buckthorndyke.Self{Incarnation: 1, VM: "vm0"}}
+	o.progress.AtTail = true
+	s := o.progress.State
+	for i := range members {
+		s = s.WithMember(buckthorndyke.Member{Incarnation: 1, VM: vmID(i)})
+	}
+	for i := range runners {
+		id := buckthorndyke.RunnerID(fmt.Sprintf("r%d", i))
+		s = s.WithOwnership(buckthorndyke.Ownership{Incarnation: 1, Owner: vmID(i % members), Runner: id})
+		vm := buckthorndyke.VMID(id)
+		o.vms = o.vms.With(vm, buckthorndyke.VM{ID: vm, Role: buckthorndyke.RoleRunner})
+	}
+	o.progress.State = s
+	return o
+}
+
+func vmID(i int) buckthorndyke.VMID {
+	return buckthorndyke.VMID(fmt.Sprintf("vm%d", i))
+}
--- a/supervisor/owner/owner_test.go
+++ b/supervisor/owner/owner_test.go
@@ -1,6 +1,7 @@
 package owner_test
 
 import (
+	"context"
 	"testing"
 
 	"github.com/buckthorndyke/buckthorndyke"
@@ -126,6 +127,18 @@
 			c.assertSafe()
 		})
 	})
+	t.Run("a drain ends although a runner could not be taken", func(t *testing.T) {
+		inCluster(t, 1, 1, standin.EngineConfig{}, func(c *cluster) {
+			vm := buckthorndyke.VM{Address: "nowhere", ID: "r9", Role: buckthorndyke.RoleRunner}
+			c.setVMs(append(c.vms, vm))
+			c.wait(5 * buckthorndyke.Second)
+			ctx, cancel := context.WithTimeout(c.ctx, buckthorndyke.Minute.Duration())
+			defer cancel()
+			n := c.nodes["vm0"]
+			c.propose(n, buckthorndyke.LeaveChange{Draining: true, Incarnation: 1, VM: "vm0"})
+			asserter.NoError(t, n.owner.Drain(ctx))
+		})
+	})
 	t.Run("a second life of a VM gets its runner back", func(t *testing.T) {
 		inCluster(t, 1, 1, standin.EngineConfig{ChecksFence: true}, func(c *cluster) {
 			c.grant(c.ownerOf(), hall)
--- a/supervisor/owner/takes.go
+++ b/supervisor/owner/takes.go
@@ -109,3 +109,13 @@
 	settled.ruling, settled.err = t.proposer.Propose(ctx, buckthorndyke.TakeChange{Base: base, Ownership: o})
 	return settled
 }
+
+// taking reports whether a proposal waits for its ruling.
+func (t *task) taking() bool {
+	for _, k := range t.takes {
+		if k.pending {
+			return true
+		}
+	}
+	return false
+}
--- a/supervisor/owner/task.go
+++ b/supervisor/owner/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
@@ -28,6 +29,9 @@
 	*Owner
 	// balanceAt is the instant from which a runner may be handed over.
 	balanceAt buckthorndyke.Millis
+	// calm is set while nothing is to be taken, renewed or handed over until the
+	// outlook changes.
+	calm bool
 	// ctx ends with the run.
 	ctx      context.Context
 	draining bool
@@ -44,6 +48,8 @@
 	started  buckthorndyke.Millis
 	stewards *suture.Supervisor
 	takes    map[buckthorndyke.RunnerID]take
+	// vms is the newest VM list.
+	vms []buckthorndyke.VM
 }
 
 // newTask returns the state at the start of a run.
@@ -73,10 +79,12 @@
 		case <-ctx.Done():
 			return errors.CombineErrors(ctx.Err(), <-done)
 		case p := <-progress:
+			t.calm = t.calm && p.State.Offset == t.outlook.progress.State.Offset && p.AtTail == t.outlook.progress.AtTail
 			t.outlook.progress = p
 			t.reconcile()
 		case l := <-liveness:
 			t.outlook.liveness = l
+			t.calm = false
 		case m := <-t.box.Receive():
 			m.apply(t)
 		case <-timer:
@@ -86,13 +94,32 @@
 	}
 }
 
+// isCalm reports whether the outlook calls for nothing, now or later.
+func (t *task) isCalm(now buckthorndyke.Millis) bool {
+	if t.outlook.progress.LogDown || t.taking() || t.outlook.liveness.Suspects.Len() > 0 || !t.outlook.mayClaim() {
+		return false
+	}
+	for _, h := range t.holdings {
+		have, _ := t.outlook.progress.State.Owner(h.runner)
+		if h.quiescing || t.outlook.lacksSuccessors(have) {
+			return false
+		}
+	}
+	return len(t.outlook.claims(now)) == 0 && !t.outlook.isOverloaded()
+}
+
 // listVMs takes over the platform's VM list. After an error the last one stays.
 func (t *task) listVMs(m vmsListed) {
 	t.listPending = false
 	if m.err != nil {
 		return
 	}
+	if t.outlook.listed && slices.Equal(m.vms, t.vms) {
+		return
+	}
+	t.vms = m.vms
 	t.outlook = t.outlook.withVMs(m.vms)
+	t.calm = false
 	t.updateAll()
 }
 
@@ -143,10 +170,11 @@
 func (t *task) tick(now buckthorndyke.Millis) {
 	t.readList(now)
 	t.askPromises(now)
-	if !t.draining {
+	if !t.draining && !t.calm {
 		t.takeClaims(now)
 		t.renewSuccessors(now)
 		t.balance(now)
+		t.calm = t.isCalm(now)
 	}
 	t.releaseQuiesced(now)
 	t.releaseGone(now)
