--- a/supervisor/tree.go
+++ b/supervisor/tree.go
@@ -193,8 +193,9 @@
 func (t *Tree) addWork(self buckthorndyke.Self, platform Platform, clock buckthorndyke.Clock, cfg config) {
 	gate := gatekeeper.New(clock, cfg.gatekeeper...)
 	gates := gatekeeper.NewClient(self, t.follower, t.prober, platform.Peers, gate, clock)
+	owns := append([]owner.Option{owner.WithEventHook(reporter.SupervisorHook(cfg.logger))}, cfg.owner...)
 	t.owner = owner.New(self, t.follower, t.proposer, t.prober, platform.VMList, platform.Engines,
-		platform.Peers, gates, clock, cfg.owner...)
+		platform.Peers, gates, clock, owns...)
 	claims := claimer.New(self, t.follower, platform.Log, platform.Peers, clock, cfg.claimer...)
 	t.peer = &localPeer{ClaimKeeper: claims, Desk: t.owner, LoadGate: gate, Responder: t.prober, Successor: t.owner}
 	routes := append([]router.Option{router.WithLocal(self.VM, t.peer)}, cfg.router...)
