--- a/supervisor/prober/fleet_test.go
+++ b/supervisor/prober/fleet_test.go
@@ -198,11 +198,17 @@
 	synctest.Wait()
 }
 
-// stranger returns a VM that does not probe the i-th.
+// stranger returns a VM that does not probe the i-th, and has no probes with any
+// that does.
 func (f *fleet) stranger(i int) *node {
-	watchers := f.roster().Watchers(f.nodes[i].self.VM)
+	roster := f.roster()
+	watchers := roster.Watchers(f.nodes[i].self.VM)
 	at := slices.IndexFunc(f.nodes, func(n *node) bool {
-		return n != f.nodes[i] && !slices.Contains(watchers, n.self.VM)
+		vm := n.self.VM
+		return n != f.nodes[i] && !slices.Contains(watchers, vm) &&
+			!slices.ContainsFunc(watchers, func(w buckthorndyke.VMID) bool {
+				return slices.Contains(roster.Watchers(w), vm) || slices.Contains(roster.Watchers(vm), w)
+			})
 	})
 	return f.nodes[at]
 }
--- a/supervisor/prober/prober_test.go
+++ b/supervisor/prober/prober_test.go
@@ -81,7 +81,7 @@
 
 func TestSuspicion(t *testing.T) {
 	t.Run("a dead VM is suspected by its watchers and heirs", func(t *testing.T) {
-		inFleet(t, 8, func(f *fleet) {
+		inFleet(t, 24, func(f *fleet) {
 			f.start()
 			heir := f.stranger(3)
 			f.own("v3", heir.self.VM)
