feat(supervisor): drain once the platform reclaims the VM

Cause: the prober published that the VM list marks this VM as leaving, and nothing acted on it. Ruled out: draining from the prober itself, which would have to know the branches. Conclusion: the tree drains; the test follows once the fleet of the tests has a front that counts callers.

--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -20,6 +20,7 @@
 	EventDrainStep      Event = "drain-step"
 	EventProcessStarted Event = "process-started"
 	EventProcessStopped Event = "process-stopped"
+	EventReclaimed      Event = "vm-reclaimed"
 	EventRulesAccepted  Event = "rules-accepted"
 	EventRulesRejected  Event = "rules-rejected"
 	EventRulesUnknown   Event = "rules-unknown"
--- a/supervisor/tree.go
+++ b/supervisor/tree.go
@@ -160,20 +160,38 @@
 // Prober returns the task that knows the members' life.
 func (t *Tree) Prober() *prober.Prober { return t.prober }
 
-// Serve implements suture.Service. It serves until ctx ends or Drain is called,
-// and then stops without cutting a request, within the drain limit.
+// Serve implements suture.Service. It serves until ctx ends, Drain is called or
+// the platform reclaims the VM, and then stops without cutting a request, within
+// the drain limit.
 func (t *Tree) Serve(ctx context.Context) error {
 	t.base.start(ctx)
 	t.work.start(ctx)
 	t.front.start(ctx)
-	select {
-	case <-ctx.Done():
-	case <-t.drains.Receive():
-	}
+	t.awaitEnd(ctx)
 	t.stop(context.WithoutCancel(ctx))
 	return ctx.Err()
 }
 
+// awaitEnd waits until there is a reason to stop.
+func (t *Tree) awaitEnd(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	liveness := t.prober.Subscribe(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.drains.Receive():
+			return
+		case l := <-liveness:
+			if l.Reclaimed {
+				t.logger.Info().EmbedObject(reporter.EventReclaimed).Send()
+				return
+			}
+		}
+	}
+}
+
 // addBase makes the branch that follows the log and the members.
 func (t *Tree) addBase(
 	self buckthorndyke.Self, platform Platform, a *arbiter.Arbiter, encoder buckthorndyke.Encoder,
--- a/tester/fleet.go
+++ b/tester/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/buckthorndyke/buckthorndyke"
@@ -138,12 +139,28 @@
 	}
 }
 
+// AwaitEnd waits until a node's process has ended by itself.
+func (f *Fleet) AwaitEnd(node int) {
+	<-f.Nodes[node].done
+}
+
 // Kill ends a node's process at once.
 func (f *Fleet) Kill(node int) {
 	f.Nodes[node].Link.Kill()
 	f.Nodes[node].stop()
 }
 
+// Reclaim announces on the VM list that the platform takes a node's VM back.
+func (f *Fleet) Reclaim(node int) {
+	f.t.Helper()
+	for i := range f.VMs {
+		if f.VMs[i].ID == f.Nodes[node].Self.VM {
+			f.VMs[i].Leaving = true
+		}
+	}
+	asserter.NoError(f.t, f.List.Set(f.ctx, slices.Clone(f.VMs)))
+}
+
 // Restart starts the next life of a node whose process has ended.
 func (f *Fleet) Restart(node int) {
 	f.Nodes[node] = f.start(node)
