--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -76,7 +76,7 @@
 			"operator": {"address": "127.0.0.1:8082", "token": "example-operator-token"},
 			"log": {"address": "127.0.0.1:19000"}, "vm-list": {"address": "127.0.0.1:19001"},
 			"weight-store": {"address": "127.0.0.1:19002"},
-			"keep-warm": {"cold-start-weight": 0.8},
+			"keep-warm": {"cold-start-weight": 0.65},
 			"runners": {"exceptions": ["runner-11", "runner-12"]},
 		}`))
 		asserter.NoError(t, err)
