--- a/measurer/floodstudy.go
+++ b/measurer/floodstudy.go
@@ -25,8 +25,6 @@
 
 // floodCase is one admission policy under one flood.
 type floodCase struct {
-	// active is the number of models that are asked for.
-	active     int
 	admission  buckthorndyke.AdmissionPolicy
 	deployment deployment
 	flood      buckthorndyke.Rank
