--- a/Makefile
+++ b/Makefile
@@ -14,14 +14,16 @@
 
 bench: build
 	go build -o bin/bencher ./bencher
-	bin/bencher bin/buckthorndyke
+	bin/bencher latency bin/buckthorndyke
 
 build:
 	go build -o bin/buckthorndyke ./cmd/buckthorndyke
 
 # Each cost is measured at several sizes; the slopes give it at the target size.
-capacity:
-	BUCKTHORNDYKE_CAPACITY=full go test -count=1 -v -run TestControlCost ./capacity
+capacity: build
+	go build -o bin/bencher ./bencher
+	bin/bencher footprint bin/buckthorndyke
+	BUCKTHORNDYKE_CAPACITY=full go test -count=1 -v ./capacity
 	go test -run '^$$' -bench . -benchmem -benchtime 200ms ./arbiter ./connector ./detector ./encoder ./evictor \
 		./parser ./placer ./scheduler ./supervisor/claimer ./supervisor/prober ./supervisor/router
 
--- a/bencher/bench.go
+++ b/bencher/bench.go
@@ -42,8 +42,8 @@
 	return &bench{binary: binary, folder: folder, out: out}
 }
 
-// run starts a site, measures it and stops it.
-func (b *bench) run(ctx context.Context) error {
+// latency starts a site, measures it and stops it.
+func (b *bench) latency(ctx context.Context) error {
 	site, err := launcher.NewSite(ctx, 1, 1, benchService)
 	if err != nil {
 		return err
@@ -53,16 +53,15 @@
 	// not take the model for idle.
 	site.Overrides = map[string]any{"keep-warm": map[string]any{"policy": "fixed", "fixed-ms": keepWarm}}
 	l := launcher.New(b.binary, b.folder)
-	standIn, err := l.Start(ctx, "stand-in", "stand-in", site.StandInSettings(), "http://"+site.VMList+"/v1/vms")
-	if err != nil {
-		return err
-	}
-	defer standIn.Kill()
-	entry, err := l.Start(ctx, "entry", "serve", site.EntrySettings(0), "http://"+site.Entries[0].Callers+"/readyz")
+	processes, err := l.StartSite(ctx, site)
+	defer func() {
+		for _, p := range processes {
+			p.Kill()
+		}
+	}()
 	if err != nil {
 		return err
 	}
-	defer entry.Kill()
 	if err := b.apply(ctx, l, site); err != nil {
 		return err
 	}
--- /dev/null
+++ b/bencher/footprint.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthorndyke/buckthorndyke/launcher"
+)
+
+// Sizes and times of the footprint.
+const (
+	// footprintWindow is how long the processor time is counted.
+	footprintWindow = 10 * time.Second
+	// settleTime is how long a process is left alone before.
+	settleTime = 5 * time.Second
+	modelCount = 330
+)
+
+// footprint prints what an entry VM's process takes while it is idle, at several
+// numbers of adapters and entry VMs.
+func (b *bench) footprint(ctx context.Context) error {
+	_, _ = fmt.Fprintln(b.out, "| entry VMs | models | adapters | resident MB | greatest resident MB | ms of a core a second |")
+	_, _ = fmt.Fprintln(b.out, "| --- | --- | --- | --- | --- | --- |")
+	for _, size := range []struct{ entries, adapters int }{{1, 75}, {1, 7750}, {1, 31000}, {4, 75}, {8, 75}} {
+		if err := b.footprintOf(ctx, size.entries, size.adapters); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// footprintOf measures the first entry VM of a site.
+func (b *bench) footprintOf(ctx context.Context, entries, adapters int) error {
+	site, err := launcher.NewSite(ctx, entries, entries, benchService)
+	if err != nil {
+		return err
+	}
+	l := launcher.New(b.binary, b.folder)
+	processes, err := l.StartSite(ctx, site)
+	defer func() {
+		for _, p := range processes {
+			p.Kill()
+		}
+	}()
+	if err != nil {
+		return err
+	}
+	rules := filepath.Join(b.folder, "footprint.rules")
+	if err := os.WriteFile(rules, []byte(footprintRules(adapters)), 0o600); err != nil {
+		return errors.Wrap(err, "write the rules")
+	}
+	if _, err := l.Apply(ctx, site, rules, "bench"); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	before, err := processes[1].Usage()
+	if err != nil {
+		return err
+	}
+	time.Sleep(footprintWindow)
+	after, err := processes[1].Usage()
+	if err != nil {
+		return err
+	}
+	cpu := (after.CPU - before.CPU).Seconds() / footprintWindow.Seconds() * 1000
+	_, _ = fmt.Fprintf(b.out, "| %d | %d | %d | %d | %d | %.1f |\n",
+		entries, modelCount, adapters, after.ResidentKB>>10, after.PeakKB>>10, cpu)
+	return nil
+}
+
+// footprintRules returns rules with the target's number of models and the given
+// number of adapters.
+func footprintRules(adapters int) string {
+	var text strings.Builder
+	for i := range modelCount {
+		fmt.Fprintf(&text, "model model-%d memory-mb=14000 replicas=2 # asked for by the bench\n", i)
+	}
+	for i := range adapters {
+		fmt.Fprintf(&text, "adapter adapter-%d base=model-%d memory-mb=60 # asked for by the bench\n", i, i%modelCount)
+	}
+	return text.String()
+}
--- a/bencher/main.go
+++ b/bencher/main.go
@@ -1,5 +1,6 @@
-// Command bencher measures what an entry VM adds to the latency of a warm model,
-// beside the stand-in runner called directly, in one run.
+// Command bencher measures processes on loopback: "latency" is what an entry VM
+// adds to a warm model, beside the stand-in runner called directly in the same
+// run; "footprint" is what an idle entry VM takes at several sizes.
 package main
 
 import (
@@ -12,16 +13,20 @@
 )
 
 // benchTimeout bounds the whole measurement.
-const benchTimeout = 3 * buckthorndyke.Minute
+const benchTimeout = 4 * buckthorndyke.Minute
 
 func main() {
-	if len(os.Args) != 2 {
-		fmt.Fprintln(os.Stderr, "usage: bencher BINARY")
+	if len(os.Args) != 3 || (os.Args[1] != "latency" && os.Args[1] != "footprint") {
+		fmt.Fprintln(os.Stderr, "usage: bencher latency|footprint BINARY")
 		os.Exit(2)
 	}
 	os.Exit(launcher.Main("bencher", benchTimeout.Duration(), func(ctx context.Context) error {
 		return launcher.WithFolder("bench", func(folder string) error {
-			return newBench(os.Args[1], folder, os.Stdout).run(ctx)
+			b := newBench(os.Args[2], folder, os.Stdout)
+			if os.Args[1] == "footprint" {
+				return b.footprint(ctx)
+			}
+			return b.latency(ctx)
 		})
 	}))
 }
--- a/demonstrator/demonstration.go
+++ b/demonstrator/demonstration.go
@@ -96,17 +96,11 @@
 
 // start starts the stand-ins and the entry VMs.
 func (d *demonstration) start(ctx context.Context, l *launcher.Launcher, site launcher.Site) error {
-	p, err := l.Start(ctx, "stand-in", "stand-in", site.StandInSettings(), "http://"+site.VMList+"/v1/vms")
-	if err != nil {
+	var err error
+	if d.processes, err = l.StartSite(ctx, site); err != nil {
 		return err
 	}
-	d.processes = append(d.processes, p)
-	for i, e := range site.Entries {
-		p, err := l.Start(ctx, e.Name, "serve", site.EntrySettings(i), "http://"+e.Callers+"/readyz")
-		if err != nil {
-			return err
-		}
-		d.processes = append(d.processes, p)
+	for _, e := range site.Entries {
 		d.printf("%s serves callers on %s\n", e.Name, e.Callers)
 	}
 	return nil
--- a/endtoend/site_test.go
+++ b/endtoend/site_test.go
@@ -60,12 +60,12 @@
 	folder := t.TempDir()
 	s := &site{Site: described, l: launcher.New(binary, folder), t: t, token: filepath.Join(folder, "token")}
 	asserter.NoError(t, os.WriteFile(s.token, []byte(launcher.OperatorToken), 0o600))
-	s.standIn, err = s.l.Start(t.Context(), "stand-in", "stand-in", s.StandInSettings(), "http://"+s.VMList+"/v1/vms")
-	asserter.NoError(t, err)
-	t.Cleanup(s.standIn.Kill)
-	for i := range s.Entries {
-		s.entries = append(s.entries, s.startEntry(i))
+	processes, err := s.l.StartSite(t.Context(), described)
+	for _, p := range processes {
+		t.Cleanup(p.Kill)
 	}
+	asserter.NoError(t, err)
+	s.standIn, s.entries = processes[0], processes[1:]
 	rules := filepath.Join(folder, "site.rules")
 	asserter.NoError(t, os.WriteFile(rules, []byte(tester.Rules), 0o600))
 	_, err = s.l.Apply(t.Context(), described, rules, "tester")
@@ -220,7 +220,7 @@
 // startEntry starts an entry VM and waits until it is ready.
 func (s *site) startEntry(i int) *launcher.Process {
 	s.t.Helper()
-	p, err := s.l.Start(s.t.Context(), s.Entries[i].Name, "serve", s.EntrySettings(i), "http://"+s.Entries[i].Callers+"/readyz")
+	p, err := s.l.StartEntry(s.t.Context(), s.Site, i)
 	asserter.NoError(s.t, err)
 	s.t.Cleanup(p.Kill)
 	return p
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -91,6 +91,30 @@
 	return p, nil
 }
 
+// StartSite starts the stand-ins of a site and then its entry VMs, and returns
+// those that have started, in that order.
+func (l *Launcher) StartSite(ctx context.Context, site Site) ([]*Process, error) {
+	p, err := l.Start(ctx, "stand-in", "stand-in", site.StandInSettings(), "http://"+site.VMList+"/v1/vms")
+	if err != nil {
+		return nil, err
+	}
+	processes := []*Process{p}
+	for i, e := range site.Entries {
+		p, err := l.StartEntry(ctx, site, i)
+		if err != nil {
+			return processes, errors.Wrapf(err, "start %s", e.Name)
+		}
+		processes = append(processes, p)
+	}
+	return processes, nil
+}
+
+// StartEntry starts one entry VM of a site and waits until it is ready.
+func (l *Launcher) StartEntry(ctx context.Context, site Site, i int) (*Process, error) {
+	e := site.Entries[i]
+	return l.Start(ctx, e.Name, "serve", site.EntrySettings(i), "http://"+e.Callers+"/readyz")
+}
+
 // Process is a process that a Launcher has started.
 type Process struct {
 	Name   string
