test(matrix): every fault at every step over the real trees

The fleet of tester shows each call at the boundary of a process to an observer, which strikes at a step: kill, pause, delay, loss. It also has a front that waits for its callers in a planned stop, as the listener does; without it the router ended under requests in progress, which was a fault of the fleet, not of the tree. Streams in memory break at a foreign token, as the connector does; before that a crossed token reached the caller.

Package matrix plays each cell in a bubble of its own and checks all promises.

--- /dev/null
+++ b/matrix/brokenlog_test.go
@@ -0,0 +1,86 @@
+package matrix_test
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/encoder"
+	"github.com/buckthorndyke/buckthorndyke/parser"
+	"github.com/buckthorndyke/buckthorndyke/timekeeper"
+)
+
+// refreshDelay is the time between two operators who race.
+const refreshDelay = 100 * buckthorndyke.Millisecond
+
+// skippingLog replaces changes of the rules but the first by records that
+// change nothing.
+type skippingLog struct {
+	buckthorndyke.Log
+	encoder *encoder.Proto
+}
+
+func skipRules(vm buckthorndyke.VMID, l buckthorndyke.Log) buckthorndyke.Log {
+	if vm != "entry-1" {
+		return l
+	}
+	return skippingLog{Log: l, encoder: encoder.NewProto(parser.NewRules())}
+}
+
+func (l skippingLog) Read(
+	ctx context.Context, stream buckthorndyke.Stream, from buckthorndyke.Offset, wait buckthorndyke.Millis,
+) (buckthorndyke.Batch, error) {
+	batch, err := l.Log.Read(ctx, stream, from, wait)
+	if stream != buckthorndyke.ControlStream {
+		return batch, err
+	}
+	for i, e := range batch.Entries {
+		p, decodeErr := l.encoder.DecodeProposal(e.Data)
+		c, ok := p.Change.(buckthorndyke.RulesChange)
+		if decodeErr == nil && ok && c.Base != buckthorndyke.NoOffset {
+			p.Change = buckthorndyke.LeaveChange{VM: "nobody"}
+			batch.Entries[i].Data, _ = l.encoder.EncodeProposal(p)
+		}
+	}
+	return batch, err
+}
+
+// refreshingLog gives each change of the rules the current version as its base,
+// as an operator does who does not look at what has changed.
+type refreshingLog struct {
+	buckthorndyke.Log
+	// delay lets one operator come after the other.
+	delay   buckthorndyke.Millis
+	encoder *encoder.Proto
+}
+
+func refreshRules(vm buckthorndyke.VMID, l buckthorndyke.Log) buckthorndyke.Log {
+	r := refreshingLog{Log: l, encoder: encoder.NewProto(parser.NewRules())}
+	if vm == "entry-1" {
+		r.delay = refreshDelay
+	}
+	return r
+}
+
+func (l refreshingLog) Append(
+	ctx context.Context, stream buckthorndyke.Stream, data []byte,
+) (buckthorndyke.Offset, error) {
+	p, err := l.encoder.DecodeProposal(data)
+	c, ok := p.Change.(buckthorndyke.RulesChange)
+	if stream != buckthorndyke.ControlStream || err != nil || !ok {
+		return l.Log.Append(ctx, stream, data)
+	}
+	<-timekeeper.NewRealClock().After(l.delay)
+	batch, err := l.Read(ctx, stream, 1, 0)
+	if err != nil {
+		return l.Log.Append(ctx, stream, data)
+	}
+	for _, e := range batch.Entries {
+		earlier, err := l.encoder.DecodeProposal(e.Data)
+		if _, rules := earlier.Change.(buckthorndyke.RulesChange); rules && err == nil {
+			c.Base = e.Offset
+		}
+	}
+	p.Change = c
+	data, _ = l.encoder.EncodeProposal(p)
+	return l.Log.Append(ctx, stream, data)
+}
--- /dev/null
+++ b/matrix/matrix_test.go
@@ -0,0 +1,173 @@
+package matrix_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/tester"
+)
+
+const (
+	// pairs is the number of seeded pairs of faults.
+	pairs = 64
+	// pairSpread bounds the time between the two faults of a pair.
+	pairSpread = 4 * buckthorndyke.Second
+	// seed is that of the pairs.
+	seed = 1
+)
+
+// full runs all cells in place of a sample.
+var full = flag.Bool("matrix.full", false, "run all cells")
+
+// collected collects the results of all cells.
+var collected *actor[table]
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	var end func() table
+	collected, end = startTable()
+	code := m.Run()
+	var summary strings.Builder
+	end().print(&summary)
+	_, _ = os.Stdout.WriteString(summary.String())
+	os.Exit(code)
+}
+
+func TestMatrix(t *testing.T) {
+	known := readKnownRed()
+	for _, c := range cells() {
+		if !*full && !c.sampled() {
+			continue
+		}
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			assertHolds(t, c, known)
+		})
+	}
+}
+
+// namedCell is a cell with its place in the table.
+type namedCell struct {
+	cell
+	fault   string
+	name    string
+	refused string
+	section string
+}
+
+// cells returns all cells in a fixed sequence.
+func cells() []namedCell {
+	var all []namedCell
+	for _, checks := range []bool{false, true} {
+		for _, s := range steps {
+			for _, f := range faults {
+				all = append(all, newCell("once", cell{checksFence: checks, faults: []fault{f}, step: s, times: 1}))
+			}
+		}
+	}
+	for i, s := range steps {
+		for j, f := range faults {
+			c := cell{checksFence: (i+j)%2 == 0, faults: []fault{f}, step: s, times: 2}
+			all = append(all, newCell("twice", c))
+		}
+	}
+	random := rand.New(rand.NewPCG(seed, seed))
+	for i := range pairs {
+		first, second := faults[random.IntN(len(faults))], faults[random.IntN(len(faults))]
+		c := cell{
+			checksFence: i%2 == 0, step: steps[random.IntN(len(steps))], times: 1,
+			faults: []fault{first, later(second, buckthorndyke.Millis(random.Int64N(int64(pairSpread))))},
+		}
+		n := newCell("pairs", c)
+		n.name = fmt.Sprintf("%s/%d", n.name, i)
+		all = append(all, n)
+	}
+	return all
+}
+
+// sampledFaults and sampledSteps are those of the cells that run without
+// -matrix.full.
+var (
+	sampledFaults = []string{
+		"process killed", "log down", "log answer lost", "runner killed", "caller gone", "operators racing",
+	}
+	sampledSteps = []string{"received", "streaming"}
+)
+
+// sampled reports whether the cell runs without -matrix.full.
+func (c namedCell) sampled() bool {
+	return c.times == 1 && !c.checksFence && slices.Contains(sampledFaults, c.fault) &&
+		slices.Contains(sampledSteps, c.step.name)
+}
+
+// newCell returns a cell with its name.
+func newCell(section string, c cell) namedCell {
+	var names []string
+	refused := ""
+	for _, f := range c.faults {
+		names = append(names, f.name)
+		if refused == "" {
+			refused = f.refuses(c.step)
+		}
+	}
+	runner := "ignores-fence"
+	if c.checksFence {
+		runner = "checks-fence"
+	}
+	fault := strings.Join(names, " + ")
+	title := section
+	if section == "once" {
+		title += ", runners: " + runner
+	}
+	return namedCell{
+		cell: c, fault: fault, refused: refused, section: title,
+		name: strings.ReplaceAll(strings.Join([]string{section, runner, c.step.name, fault}, "/"), " ", "-"),
+	}
+}
+
+// later returns a fault that strikes d after the step.
+func later(f fault, d buckthorndyke.Millis) fault {
+	strike := f.strike
+	f.strike = func(r *run, p point) tester.Fault {
+		go func() {
+			r.sleep(d)
+			r.watch.tell(r.ctx, func(*watch) { strike(r, p) })
+		}()
+		return tester.Fault{}
+	}
+	return f
+}
+
+// assertHolds plays a cell and reports an error if a promise is broken, unless
+// the cell is known to be red.
+func assertHolds(t *testing.T, c namedCell, known []string) {
+	t.Helper()
+	r := result{fault: c.fault, name: t.Name(), section: c.section, step: c.step.name, verdict: verdictHeld}
+	defer func() {
+		collected.tell(context.Background(), func(all *table) { all.results = append(all.results, r) })
+	}()
+	if c.refused != "" {
+		r.verdict, r.detail = verdictNotApplicable, []string{c.refused}
+		return
+	}
+	for _, b := range c.play(t) {
+		r.verdict = verdictBroken
+		r.detail = append(r.detail, b.String())
+	}
+	if r.verdict != verdictBroken {
+		return
+	}
+	if slices.Contains(known, t.Name()) {
+		r.verdict = verdictKnownRed
+		t.Logf("known red: %s", strings.Join(r.detail, "; "))
+		return
+	}
+	t.Error(strings.Join(r.detail, "; "))
+}
--- a/standin/memorystream.go
+++ b/standin/memorystream.go
@@ -34,6 +34,13 @@
 	return item.token, err
 }
 
+// NextOfJob returns the next token and the job that it belongs to, so that a
+// reader can tell a crossed token as on the wire.
+func (s *memoryStream) NextOfJob(ctx context.Context) (buckthorndyke.JobID, buckthorndyke.Token, error) {
+	item, err := s.next(ctx)
+	return item.job, item.token, err
+}
+
 // next returns the next item.
 func (s *memoryStream) next(ctx context.Context) (streamItem, error) {
 	if s.broken != nil {
--- a/tester/fleet.go
+++ b/tester/fleet.go
@@ -26,11 +26,13 @@
 // Config says what a fleet has.
 type Config struct {
 	// Engine configures all runners.
-	Engine  standin.EngineConfig
-	Nodes   int
-	Options []supervisor.Option
-	Rules   string
-	Runners int
+	Engine standin.EngineConfig
+	Nodes  int
+	// Observer is shown the calls of all processes, unless it is nil.
+	Observer Observer
+	Options  []supervisor.Option
+	Runners  int
+	Wiring   Wiring
 }
 
 // Fleet is several entry VMs over one set of stand-ins.
@@ -58,8 +60,9 @@
 	Self buckthorndyke.Self
 	Tree *supervisor.Tree
 
-	done chan struct{}
-	stop context.CancelFunc
+	done  chan struct{}
+	front *front
+	stop  context.CancelFunc
 }
 
 // NewFleet starts a fleet in the current bubble. It runs until the test's
@@ -138,6 +141,9 @@
 	}
 }
 
+// Drain asks a node's process to stop as planned.
+func (f *Fleet) Drain(n *Node) { n.Tree.Drain() }
+
 // Kill ends a node's process at once.
 func (f *Fleet) Kill(node int) {
 	f.Nodes[node].Link.Kill()
@@ -151,7 +157,7 @@
 
 // SetNetwork decides from now on what happens to messages between nodes.
 func (f *Fleet) SetNetwork(rule Rule) {
-	_ = f.network.rules.Send(f.ctx, rule)
+	f.network.set(f.ctx, rule)
 }
 
 // State returns the newest state of a node.
@@ -173,7 +179,7 @@
 		engine := standin.NewMemoryEngine(f.Clock, f.Store, f.cfg.Engine)
 		standin.Start(f.ctx, engine)
 		f.Engines[runner] = engine
-		f.engines = f.engines.With(address(runner), engine)
+		f.engines = f.engines.With(address(runner), f.wired(runner, engine))
 		f.VMs = append(f.VMs, buckthorndyke.VM{
 			Address: address(runner), Domain: domain(i), ID: buckthorndyke.VMID(runner), Role: buckthorndyke.RoleRunner,
 		})
@@ -193,12 +199,7 @@
 
 // nodeAt returns the node that serves peers at an address, or nil.
 func (f *Fleet) nodeAt(at string) *Node {
-	for _, n := range f.Nodes {
-		if n.Self.PeerAddress == at {
-			return n
-		}
-	}
-	return nil
+	return f.network.node(f.ctx, at)
 }
 
 // owned reports whether each runner has an owner that is a member.
@@ -228,9 +229,9 @@
 	f.starts++
 	vm := vmOf(i)
 	n := &Node{
-		Link: newLink(f.ctx),
+		Link: newLink(f.ctx, f.Clock, vm, f.cfg.Observer),
 		Self: buckthorndyke.Self{Domain: domain(i), Incarnation: f.starts, PeerAddress: address(vm), VM: vm},
-		done: make(chan struct{}),
+		done: make(chan struct{}), front: newFront(),
 	}
 	rules := parser.NewRules()
 	checks := func(buckthorndyke.RunnerID) bool { return f.cfg.Engine.ChecksFence }
@@ -239,11 +240,13 @@
 	}, f.cfg.Options...)
 	n.Tree = supervisor.New(n.Self, supervisor.Platform{
 		Engines: &linkEngines{engines: f.engines, link: n.Link},
-		Log:     &linkLog{link: n.Link, log: f.Log},
+		Log:     &linkLog{link: n.Link, log: f.log(vm)},
 		Peers:   &linkPeers{fleet: f, from: n},
-		Service: &linkService{link: n.Link, service: f.Service},
-		VMList:  &linkVMList{link: n.Link, list: f.List},
+		Service: &linkService{link: n.Link, service: f.service()},
+		VMList:  &linkVMList{link: n.Link, list: f.list()},
 	}, arbiter.New(rules, arbiter.WithDifference(parser.Difference)), encoder.NewProto(rules), f.Clock, options...)
+	n.Tree.AddFront(n.front)
+	f.network.add(f.ctx, n)
 	ctx, stop := context.WithCancel(context.WithoutCancel(f.ctx))
 	n.stop = stop
 	go func() {
--- a/tester/link.go
+++ b/tester/link.go
@@ -13,21 +13,27 @@
 // process pass it. While the process is paused calls and answers wait; once it
 // is killed they fail.
 type Link struct {
-	asks  *mailer.Mailbox[mailer.Reply[struct{}]]
-	kill  context.CancelFunc
-	life  context.Context
-	pause *mailer.Mailbox[bool]
+	asks     *mailer.Mailbox[mailer.Reply[struct{}]]
+	clock    buckthorndyke.Clock
+	kill     context.CancelFunc
+	life     context.Context
+	observer Observer
+	pause    *mailer.Mailbox[bool]
+	vm       buckthorndyke.VMID
 }
 
-// newLink returns the link of a process that runs until ctx ends or the process
-// is killed.
-func newLink(ctx context.Context) *Link {
+// newLink returns the link of a process on vm that runs until ctx ends or the
+// process is killed.
+func newLink(ctx context.Context, clock buckthorndyke.Clock, vm buckthorndyke.VMID, observer Observer) *Link {
 	life, kill := context.WithCancel(ctx)
 	l := &Link{
-		asks:  mailer.NewMailbox[mailer.Reply[struct{}]](),
-		kill:  kill,
-		life:  life,
-		pause: mailer.NewMailbox[bool](),
+		asks:     mailer.NewMailbox[mailer.Reply[struct{}]](),
+		clock:    clock,
+		kill:     kill,
+		life:     life,
+		observer: observer,
+		pause:    mailer.NewMailbox[bool](),
+		vm:       vm,
 	}
 	go l.serve()
 	return l
@@ -36,6 +42,9 @@
 // Kill ends the process: its calls in progress fail and no more pass.
 func (l *Link) Kill() { l.kill() }
 
+// Killed reports whether the process has been killed.
+func (l *Link) Killed() bool { return l.life.Err() != nil }
+
 // Pause stops the process without its notice.
 func (l *Link) Pause() { _ = l.pause.Send(l.life, true) }
 
@@ -76,13 +85,25 @@
 	}
 }
 
-// through makes a call that passes the given links, out and back. An error of a
-// link carries the verdict NotRun on the way out and MayHaveRun on the way back.
+// observe shows a point of a call of this process and returns the fault that
+// happens to it.
+func (l *Link) observe(ctx context.Context, p Point) Fault {
+	if l.observer == nil {
+		return Fault{}
+	}
+	p.At, p.From = l.clock.Now(), l.vm
+	return l.observer(ctx, p)
+}
+
+// through makes the call at p, which passes the given links, out and back. An
+// error of a link carries the verdict NotRun on the way out and MayHaveRun on the
+// way back.
 func through[R any](
-	ctx context.Context, links []*Link, call func(ctx context.Context) (R, error),
+	ctx context.Context, links []*Link, p Point, call func(ctx context.Context) (R, error),
 ) (R, error) {
 	var none R
 	var cancel context.CancelFunc
+	out := links[0].observe(ctx, p)
 	for _, l := range links {
 		if err := l.pass(ctx); err != nil {
 			return none, cut(buckthorndyke.NotRun, err)
@@ -90,7 +111,20 @@
 		ctx, cancel = l.bind(ctx)
 		defer cancel()
 	}
+	p.Phase = PhaseSent
+	out = out.with(links[0].observe(ctx, p))
+	if err := out.before(ctx, links[0].clock); err != nil {
+		return none, err
+	}
+	if out.Double {
+		_, _ = call(ctx)
+	}
 	r, err := call(ctx)
+	p.Answer, p.Err, p.Phase = r, err, PhaseAnswered
+	back := out.with(links[0].observe(ctx, p))
+	if lost := back.after(ctx); lost != nil {
+		return none, lost
+	}
 	for _, l := range links {
 		if passErr := l.pass(ctx); passErr != nil {
 			return none, cut(buckthorndyke.MayHaveRun, passErr)
--- a/tester/linkpeer.go
+++ b/tester/linkpeer.go
@@ -27,7 +27,7 @@
 // AcquireLoad implements buckthorndyke.LoadGate.
 func (p *linkPeer) AcquireLoad(ctx context.Context, r buckthorndyke.LoadRequest) (buckthorndyke.LoadPermit, error) {
 	ctx, cancel := p.hold(ctx)
-	permit, err := callPeer(ctx, p, func(ctx context.Context, peer buckthorndyke.Peer) (buckthorndyke.LoadPermit, error) {
+	permit, err := callPeer(ctx, p, p.point(CallAcquireLoad, r), func(ctx context.Context, peer buckthorndyke.Peer) (buckthorndyke.LoadPermit, error) {
 		return peer.AcquireLoad(ctx, r)
 	})
 	if err != nil {
@@ -39,28 +39,28 @@
 
 // Claim implements buckthorndyke.ClaimKeeper.
 func (p *linkPeer) Claim(ctx context.Context, r buckthorndyke.ClaimRequest) (buckthorndyke.ClaimReply, error) {
-	return callPeer(ctx, p, func(ctx context.Context, peer buckthorndyke.Peer) (buckthorndyke.ClaimReply, error) {
+	return callPeer(ctx, p, p.point(CallClaim, r), func(ctx context.Context, peer buckthorndyke.Peer) (buckthorndyke.ClaimReply, error) {
 		return peer.Claim(ctx, r)
 	})
 }
 
 // Probe implements buckthorndyke.Responder.
 func (p *linkPeer) Probe(ctx context.Context, r buckthorndyke.ProbeRequest) (buckthorndyke.ProbeReply, error) {
-	return callPeer(ctx, p, func(ctx context.Context, peer buckthorndyke.Peer) (buckthorndyke.ProbeReply, error) {
+	return callPeer(ctx, p, p.point(CallProbe, r), func(ctx context.Context, peer buckthorndyke.Peer) (buckthorndyke.ProbeReply, error) {
 		return peer.Probe(ctx, r)
 	})
 }
 
 // Promise implements buckthorndyke.Successor.
 func (p *linkPeer) Promise(ctx context.Context, r buckthorndyke.PromiseRequest) (bool, error) {
-	return callPeer(ctx, p, func(ctx context.Context, peer buckthorndyke.Peer) (bool, error) {
+	return callPeer(ctx, p, p.point(CallPromise, r), func(ctx context.Context, peer buckthorndyke.Peer) (bool, error) {
 		return peer.Promise(ctx, r)
 	})
 }
 
 // Settle implements buckthorndyke.ClaimKeeper.
 func (p *linkPeer) Settle(ctx context.Context, o buckthorndyke.ClaimOutcome) error {
-	_, err := callPeer(ctx, p, func(ctx context.Context, peer buckthorndyke.Peer) (struct{}, error) {
+	_, err := callPeer(ctx, p, p.point(CallSettle, o), func(ctx context.Context, peer buckthorndyke.Peer) (struct{}, error) {
 		return struct{}{}, peer.Settle(ctx, o)
 	})
 	return err
@@ -68,7 +68,7 @@
 
 // Snapshot implements buckthorndyke.Responder.
 func (p *linkPeer) Snapshot(ctx context.Context) (buckthorndyke.State, error) {
-	return callPeer(ctx, p, func(ctx context.Context, peer buckthorndyke.Peer) (buckthorndyke.State, error) {
+	return callPeer(ctx, p, p.point(CallSnapshot, nil), func(ctx context.Context, peer buckthorndyke.Peer) (buckthorndyke.State, error) {
 		return peer.Snapshot(ctx)
 	})
 }
@@ -76,14 +76,14 @@
 // Ticket implements buckthorndyke.Desk.
 func (p *linkPeer) Ticket(ctx context.Context, r buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
 	ctx, cancel := p.hold(ctx)
-	ticket, err := callPeer(ctx, p, func(_ context.Context, peer buckthorndyke.Peer) (buckthorndyke.Ticket, error) {
+	ticket, err := callPeer(ctx, p, p.point(CallTicket, r), func(_ context.Context, peer buckthorndyke.Peer) (buckthorndyke.Ticket, error) {
 		return peer.Ticket(ctx, r)
 	})
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	return &linkTicket{cancel: cancel, held: ctx, links: p.links(), ticket: ticket}, nil
+	return &linkTicket{cancel: cancel, links: p.links(), point: p.point(CallTicketNext, r), ticket: ticket}, nil
 }
 
 // hold returns a context that ends once either process is killed.
@@ -114,10 +114,10 @@
 // callPeer makes a call that passes both processes' links and the network
 // between them.
 func callPeer[R any](
-	ctx context.Context, p *linkPeer, call func(ctx context.Context, peer buckthorndyke.Peer) (R, error),
+	ctx context.Context, p *linkPeer, at Point, call func(ctx context.Context, peer buckthorndyke.Peer) (R, error),
 ) (R, error) {
 	target := p.fleet.nodeAt(p.address)
-	return through(ctx, p.links(), func(ctx context.Context) (R, error) {
+	return through(ctx, p.links(), at, func(ctx context.Context) (R, error) {
 		var none R
 		if target == nil {
 			return none, cut(buckthorndyke.NotRun, errUnreachable)
@@ -137,6 +137,11 @@
 	})
 }
 
+// point returns the point of a call of the peer.
+func (p *linkPeer) point(call CallKind, request any) Point {
+	return Point{Address: p.address, Call: call, Request: request}
+}
+
 // linkPermit is a load permit that ends with either process.
 type linkPermit struct {
 	buckthorndyke.LoadPermit
@@ -152,8 +157,8 @@
 // linkTicket is a ticket that ends with either process.
 type linkTicket struct {
 	cancel context.CancelFunc
-	held   context.Context
 	links  []*Link
+	point  Point
 	ticket buckthorndyke.Ticket
 }
 
@@ -165,5 +170,5 @@
 
 // Next implements buckthorndyke.Ticket.
 func (t *linkTicket) Next(ctx context.Context) (buckthorndyke.TicketEvent, error) {
-	return through(ctx, t.links, t.ticket.Next)
+	return through(ctx, t.links, t.point, t.ticket.Next)
 }
--- a/tester/linkplatform.go
+++ b/tester/linkplatform.go
@@ -16,7 +16,8 @@
 func (l *linkLog) Append(
 	ctx context.Context, stream buckthorndyke.Stream, data []byte,
 ) (buckthorndyke.Offset, error) {
-	return through(ctx, []*Link{l.link}, func(ctx context.Context) (buckthorndyke.Offset, error) {
+	p := Point{Call: CallAppend, Request: data, Stream: stream}
+	return through(ctx, []*Link{l.link}, p, func(ctx context.Context) (buckthorndyke.Offset, error) {
 		return l.log.Append(ctx, stream, data)
 	})
 }
@@ -25,7 +26,8 @@
 func (l *linkLog) Read(
 	ctx context.Context, stream buckthorndyke.Stream, from buckthorndyke.Offset, wait buckthorndyke.Millis,
 ) (buckthorndyke.Batch, error) {
-	return through(ctx, []*Link{l.link}, func(ctx context.Context) (buckthorndyke.Batch, error) {
+	p := Point{Call: CallRead, Stream: stream}
+	return through(ctx, []*Link{l.link}, p, func(ctx context.Context) (buckthorndyke.Batch, error) {
 		return l.log.Read(ctx, stream, from, wait)
 	})
 }
@@ -40,7 +42,8 @@
 func (s *linkService) Call(
 	ctx context.Context, address string, call buckthorndyke.ServiceCall,
 ) (buckthorndyke.ServiceAnswer, error) {
-	return through(ctx, []*Link{s.link}, func(ctx context.Context) (buckthorndyke.ServiceAnswer, error) {
+	p := Point{Address: address, Call: CallService, Request: call}
+	return through(ctx, []*Link{s.link}, p, func(ctx context.Context) (buckthorndyke.ServiceAnswer, error) {
 		return s.service.Call(ctx, address, call)
 	})
 }
@@ -53,5 +56,5 @@
 
 // List implements buckthorndyke.VMList.
 func (l *linkVMList) List(ctx context.Context) ([]buckthorndyke.VM, error) {
-	return through(ctx, []*Link{l.link}, l.list.List)
+	return through(ctx, []*Link{l.link}, Point{Call: CallList}, l.list.List)
 }
--- a/tester/network.go
+++ b/tester/network.go
@@ -27,44 +27,62 @@
 // Rule decides what happens to a message from one process to another.
 type Rule func(from, to buckthorndyke.Self) Fault
 
-// network decides on each message between processes.
+// network knows the processes and decides on each message between them.
 type network struct {
-	asks  *mailer.Mailbox[networkAsk]
-	rules *mailer.Mailbox[Rule]
+	box *mailer.Mailbox[func(*networkState)]
 }
 
-// networkAsk asks for the fault of one message.
-type networkAsk struct {
-	from, to buckthorndyke.Self
-	reply    mailer.Reply[Fault]
+// networkState is the state of a network.
+type networkState struct {
+	nodes map[string]*Node
+	rule  Rule
 }
 
 func newNetwork() *network {
-	return &network{asks: mailer.NewMailbox[networkAsk](), rules: mailer.NewMailbox[Rule]()}
+	return &network{box: mailer.NewMailbox[func(*networkState)]()}
 }
 
 // Serve implements suture.Service.
 func (n *network) Serve(ctx context.Context) error {
-	rule := func(_, _ buckthorndyke.Self) Fault { return Fault{} }
+	s := &networkState{
+		nodes: map[string]*Node{}, rule: func(_, _ buckthorndyke.Self) Fault { return Fault{} },
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case rule = <-n.rules.Receive():
-		case ask := <-n.asks.Receive():
-			ask.reply.Answer(rule(ask.from, ask.to))
+		case change := <-n.box.Receive():
+			change(s)
 		}
 	}
 }
 
+// add makes a process reachable in place of the one at its address.
+func (n *network) add(ctx context.Context, node *Node) {
+	_ = n.box.Send(ctx, func(s *networkState) { s.nodes[node.Self.PeerAddress] = node })
+}
+
 // fault returns what happens to a message.
 func (n *network) fault(ctx context.Context, from, to buckthorndyke.Self) Fault {
-	f, _ := mailer.Ask(ctx, n.asks, func(reply mailer.Reply[Fault]) networkAsk {
-		return networkAsk{from: from, reply: reply, to: to}
+	f, _ := mailer.Ask(ctx, n.box, func(reply mailer.Reply[Fault]) func(*networkState) {
+		return func(s *networkState) { reply.Answer(s.rule(from, to)) }
 	})
 	return f
 }
 
+// node returns the process at an address, or nil.
+func (n *network) node(ctx context.Context, address string) *Node {
+	node, _ := mailer.Ask(ctx, n.box, func(reply mailer.Reply[*Node]) func(*networkState) {
+		return func(s *networkState) { reply.Answer(s.nodes[address]) }
+	})
+	return node
+}
+
+// set replaces the rule.
+func (n *network) set(ctx context.Context, rule Rule) {
+	_ = n.box.Send(ctx, func(s *networkState) { s.rule = rule })
+}
+
 // after holds an answer that is lost until its caller gives up.
 func (f Fault) after(ctx context.Context) error {
 	if !f.LoseAnswer {
@@ -90,6 +108,14 @@
 	return nil
 }
 
+// with returns a fault that has also what other does.
+func (f Fault) with(other Fault) Fault {
+	return Fault{
+		Delay: f.Delay + other.Delay, Double: f.Double || other.Double,
+		LoseAnswer: f.LoseAnswer || other.LoseAnswer, LoseRequest: f.LoseRequest || other.LoseRequest,
+	}
+}
+
 // CutDomain loses all messages between a failure domain and the others.
 func CutDomain(domain buckthorndyke.DomainID) Rule {
 	return func(from, to buckthorndyke.Self) Fault {
--- a/tester/traffic.go
+++ b/tester/traffic.go
@@ -42,10 +42,15 @@
 
 // Answer is the outcome of a request.
 type Answer struct {
-	Err error
+	Begun buckthorndyke.Millis
+	Ended buckthorndyke.Millis
+	Err   error
 	// FirstToken is the time until the first token.
 	FirstToken buckthorndyke.Millis
-	Text       string
+	// Killed is set if the process that the request came through was killed.
+	Killed  bool
+	Request buckthorndyke.RequestID
+	Text    string
 }
 
 // AnswerTo returns the whole answer that Generate must get.
@@ -55,19 +60,40 @@
 
 // Call makes a booking through a node.
 func (f *Fleet) Call(ctx context.Context, node int, token, key string) (buckthorndyke.ServiceAnswer, error) {
-	gateway := f.Nodes[node].Tree.Gateway()
+	return f.CallOn(ctx, f.Nodes[node], token, key, buckthorndyke.RequestID(uuid.NewString()))
+}
+
+// CallOn is Call with a request id through a given life of a node. It breaks off
+// if the node's process is killed.
+func (f *Fleet) CallOn(
+	ctx context.Context, n *Node, token, key string, id buckthorndyke.RequestID,
+) (buckthorndyke.ServiceAnswer, error) {
+	ctx, cancel := n.Link.bind(ctx)
+	defer cancel()
+	if err := n.front.enter(ctx); err != nil {
+		return buckthorndyke.ServiceAnswer{}, err
+	}
+	defer n.front.leave()
+	gateway := f.gateway(n)
 	caller, err := gateway.Authenticate(ctx, token)
 	if err != nil {
 		return buckthorndyke.ServiceAnswer{}, err
 	}
-	return gateway.Call(ctx, buckthorndyke.CallRequest{
+	header := http.Header{}
+	if key != "" {
+		header.Set("Idempotency-Key", key)
+	}
+	answer, err := gateway.Call(ctx, buckthorndyke.CallRequest{
 		Call: buckthorndyke.ServiceCall{
-			Body: []byte("book"), Header: http.Header{"Idempotency-Key": {key}}, Method: http.MethodPost, Path: "/halls",
-			Request: buckthorndyke.RequestID(uuid.NewString()), Service: Service,
+			Body: []byte("book"), Header: header, Method: http.MethodPost, Path: "/halls", Request: id, Service: Service,
 		},
 		Caller: caller,
 		Key:    key,
 	})
+	if passErr := n.Link.pass(ctx); passErr != nil {
+		return buckthorndyke.ServiceAnswer{}, passErr
+	}
+	return answer, err
 }
 
 // CallsByKey returns how often a call with a key has taken effect.
@@ -78,35 +104,59 @@
 	return journal.Keys[key]
 }
 
-// Generate sends a request through a node and returns its outcome.
+// Generate sends a request through a node and returns its outcome. It breaks off
+// if the node's process is killed.
 func (f *Fleet) Generate(ctx context.Context, node int, token string, model buckthorndyke.ModelID, prompt string) Answer {
-	begun := f.Clock.Now()
-	gateway := f.Nodes[node].Tree.Gateway()
+	return f.GenerateOn(ctx, f.Nodes[node], token, model, prompt)
+}
+
+// GenerateOn is Generate through a given life of a node.
+func (f *Fleet) GenerateOn(
+	ctx context.Context, n *Node, token string, model buckthorndyke.ModelID, prompt string,
+) Answer {
+	ctx, cancel := n.Link.bind(ctx)
+	defer cancel()
+	a := Answer{Begun: f.Clock.Now(), Request: buckthorndyke.RequestID(uuid.NewString())}
+	n.Link.observe(ctx, Point{Call: CallReceive, Request: a.Request})
+	a.Err = f.receive(ctx, n, token, &a, buckthorndyke.GenerateRequest{
+		ID: a.Request, MaxTokens: AnswerTokens, Model: model, Prompt: prompt,
+	})
+	a.Ended = f.Clock.Now()
+	a.Killed = n.Link.Killed()
+	return a
+}
+
+// receive fills an answer with the tokens of a request.
+func (f *Fleet) receive(
+	ctx context.Context, n *Node, token string, a *Answer, r buckthorndyke.GenerateRequest,
+) error {
+	if err := n.front.enter(ctx); err != nil {
+		return err
+	}
+	defer n.front.leave()
+	gateway := f.gateway(n)
 	caller, err := gateway.Authenticate(ctx, token)
 	if err != nil {
-		return Answer{Err: err}
+		return err
 	}
-	stream, err := gateway.Generate(ctx, buckthorndyke.GenerateRequest{
-		Caller: caller, ID: buckthorndyke.RequestID(uuid.NewString()), MaxTokens: AnswerTokens, Model: model, Prompt: prompt,
-	})
+	r.Caller = caller
+	stream, err := gateway.Generate(ctx, r)
 	if err != nil {
-		return Answer{Err: err}
+		return err
 	}
 	defer func() { _ = stream.Close() }()
-	answer := Answer{}
 	for {
-		token, err := stream.Next(ctx)
-		if err != nil {
-			answer.Err = err
-			return answer
+		t, err := stream.Next(ctx)
+		if passErr := n.Link.pass(ctx); passErr != nil {
+			return passErr
 		}
-		if token.Last {
-			return answer
+		if err != nil || t.Last {
+			return err
 		}
-		if answer.Text == "" {
-			answer.FirstToken = f.Clock.Now() - begun
+		if a.Text == "" {
+			a.FirstToken = f.Clock.Now() - a.Begun
 		}
-		answer.Text += token.Text
+		a.Text += t.Text
 	}
 }
 
