--- a/configurer/parseserve.go
+++ b/configurer/parseserve.go
@@ -22,7 +22,7 @@
 	defaultColdStartWeight   = 0.5
 	defaultConnectionLimit   = 1024
 	defaultDrainLimit        = 30 * buckthorndyke.Second
-	defaultDriftPermille     = 10
+	defaultDriftPermille     = 20
 	defaultFixed             = 5 * buckthorndyke.Minute
 	defaultHeaderLimitBytes  = 16 << 10
 	defaultLease             = 3 * buckthorndyke.Second
@@ -120,7 +120,7 @@
 func (o object) peers() Peers {
 	section := o.object("peers", true)
 	defer section.close()
-	return Peers{Address: section.address(addressListen), Key: section.secret("key")}
+	return Peers{Address: section.address(addressRemote), Key: section.secret("key")}
 }
 
 // platform returns the address in the section of one of the platform's
--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -14,11 +14,13 @@
 
 // Events of the log.
 const (
+	EventDrainAsked     Event = "drain-asked"
 	EventDrainBegun     Event = "drain-begun"
 	EventDrainEnded     Event = "drain-ended"
 	EventDrainStep      Event = "drain-step"
 	EventProcessStarted Event = "process-started"
 	EventProcessStopped Event = "process-stopped"
+	EventReclaimed      Event = "vm-reclaimed"
 	EventRulesAccepted  Event = "rules-accepted"
 	EventRulesRejected  Event = "rules-rejected"
 	EventRulesUnknown   Event = "rules-unknown"
--- a/supervisor/owner/holding.go
+++ b/supervisor/owner/holding.go
@@ -44,7 +44,7 @@
 
 // finishDrain answers those who wait for the drain once no runner is owned.
 func (t *task) finishDrain() {
-	if !t.draining || len(t.holdings) > 0 || len(t.takes) > 0 {
+	if !t.draining || len(t.holdings) > 0 || t.taking() {
 		return
 	}
 	for _, reply := range t.drains {
@@ -80,11 +80,14 @@
 
 // quiesce lets a steward finish its requests.
 func (t *task) quiesce(h *holding) {
-	if h.quiescing {
-		return
+	if !h.quiescing {
+		t.handOver(h, h.steward.Quiesce())
 	}
+}
+
+// handOver marks a runner as ready to be released once done is closed.
+func (t *task) handOver(h *holding, done <-chan struct{}) {
 	h.quiescing = true
-	done := h.steward.Quiesce()
 	go func() {
 		select {
 		case <-done:
@@ -140,7 +143,7 @@
 	if m, ok := t.outlook.progress.State.Members.Get(have.Previous); ok {
 		h.previous = m.Incarnation
 	}
-	opts := append([]steward.Option{steward.WithLease(t.lease)}, t.stewardOptions...)
+	opts := append([]steward.Option{steward.WithDrift(t.drift), steward.WithLease(t.lease)}, t.stewardOptions...)
 	h.steward = steward.New(t.viewOf(h), t.engines.At(have.Address), t.gate, t.proposer, t.clock, opts...)
 	h.token = t.stewards.Add(h.steward)
 	t.holdings[have.Runner] = h
--- a/supervisor/owner/owner_test.go
+++ b/supervisor/owner/owner_test.go
@@ -1,6 +1,7 @@
 package owner_test
 
 import (
+	"context"
 	"testing"
 
 	"github.com/buckthorndyke/buckthorndyke"
@@ -21,6 +22,28 @@
 			asserter.Equal(t, owned, map[buckthorndyke.VMID]int{"vm0": 2, "vm1": 2, "vm2": 2})
 		})
 	})
+	t.Run("a new member gets its part without a cut", func(t *testing.T) {
+		inCluster(t, 1, 4, standin.EngineConfig{AnswerTokens: 3000}, func(c *cluster) {
+			c.grant(c.nodes["vm0"], hall)
+			stream, err := c.runners["r0"].Generate(c.ctx, buckthorndyke.Job{ID: "j", Model: hall})
+			asserter.NoError(t, err)
+			n := c.addNode("vm1", 1, false)
+			c.setVMs(c.vms)
+			c.wait(10 * buckthorndyke.Second)
+			o, counts := c.owned(n), 0
+			for _, owned := range n.state.Ownerships.All() {
+				if owned.Owner == "vm1" {
+					counts++
+				}
+			}
+			asserter.Equal(t, counts, 2)
+			asserter.Equal(t, o.Owner, "vm1")
+			c.grant(n, gym)
+			_, err = stream.Next(c.ctx)
+			asserter.NoError(t, err)
+			c.assertSafe()
+		})
+	})
 	t.Run("only the owner hands out tickets", func(t *testing.T) {
 		inCluster(t, 3, 1, standin.EngineConfig{}, func(c *cluster) {
 			n := c.ownerOf()
@@ -104,6 +127,18 @@
 			c.assertSafe()
 		})
 	})
+	t.Run("a drain ends although a runner could not be taken", func(t *testing.T) {
+		inCluster(t, 1, 1, standin.EngineConfig{}, func(c *cluster) {
+			vm := buckthorndyke.VM{Address: "nowhere", ID: "r9", Role: buckthorndyke.RoleRunner}
+			c.setVMs(append(c.vms, vm))
+			c.wait(5 * buckthorndyke.Second)
+			ctx, cancel := context.WithTimeout(c.ctx, buckthorndyke.Minute.Duration())
+			defer cancel()
+			n := c.nodes["vm0"]
+			c.propose(n, buckthorndyke.LeaveChange{Draining: true, Incarnation: 1, VM: "vm0"})
+			asserter.NoError(t, n.owner.Drain(ctx))
+		})
+	})
 	t.Run("a second life of a VM gets its runner back", func(t *testing.T) {
 		inCluster(t, 1, 1, standin.EngineConfig{ChecksFence: true}, func(c *cluster) {
 			c.grant(c.ownerOf(), hall)
--- a/supervisor/owner/steward/task.go
+++ b/supervisor/owner/steward/task.go
@@ -22,7 +22,8 @@
 const (
 	// phaseLease waits until the previous owner's lease has ended.
 	phaseLease phase = iota
-	// phaseFence raises the runner's fencing number.
+	// phaseFence raises the runner's fencing number. Nothing starts before that,
+	// since a previous owner's order could still evict a model.
 	phaseFence
 	// phaseRead waits until the runner carries out no order of a previous owner.
 	phaseRead
@@ -43,14 +44,13 @@
 	failures int
 	// fenced is set once the runner has refused an order for its fence.
 	fenced bool
-	// foreign are the jobs of tickets that a previous owner has granted.
-	foreign map[buckthorndyke.JobID]bool
+	// foreign is the number of jobs that belong to no ticket of the steward.
+	foreign int
 	freeing freeing
 	// gone is set while the runner's VM is neither listed nor answers.
-	gone bool
-	// granted is set once the first ticket was granted.
-	granted  bool
+	gone     bool
 	holders  map[buckthorndyke.TicketID]holder
+	jobs     jobs
 	keepWarm buckthorndyke.KeepWarmPolicy
 	last     buckthorndyke.TicketID
 	// newcomers are the tickets that were asked for since the last decision.
@@ -72,6 +72,8 @@
 	times   loadTimes
 	view    View
 	wishes  wishes
+	// yielding is set once the runner is handed over beneath its requests.
+	yielding bool
 }
 
 // newTask returns the state at the start of a run.
@@ -110,7 +112,7 @@
 
 // canOrder reports whether an order can be given now.
 func (t *task) canOrder(now buckthorndyke.Millis) bool {
-	return t.account.order == nil && !t.fenced && !t.silent && !t.gone && t.view.mayOrder(now)
+	return t.account.order == nil && !t.yielding && !t.fenced && !t.silent && !t.gone && t.view.mayOrder(now)
 }
 
 // changeView takes over what the owner knows.
@@ -128,7 +130,7 @@
 	t.gone = true
 	t.order.finish()
 	t.account = account{}
-	t.foreign = nil
+	t.foreign = 0
 	t.endAll(errEngine, errRunner)
 }
 
@@ -140,7 +142,6 @@
 		t.refuse(w.ID, errExpired)
 	}
 	for _, w := range d.Granted {
-		t.granted = true
 		t.account = t.account.withUse(w.Model, w.Rank, now)
 		h := t.holders[w.ID]
 		h.put(occurrence{event: buckthorndyke.TicketEvent{
@@ -188,7 +189,10 @@
 
 // finishQuiesce reports the orderly end once nothing is left to do.
 func (t *task) finishQuiesce() {
-	if !t.quiescing || t.silent || len(t.holders) > 0 || t.account.order != nil || len(t.freeing.models) > 0 {
+	if !t.quiescing || t.silent || t.account.order != nil || len(t.freeing.models) > 0 {
+		return
+	}
+	if len(t.holders) > 0 && !t.yielding {
 		return
 	}
 	t.silent = true
@@ -196,6 +200,12 @@
 	close(t.quiesced)
 }
 
+// quiesce begins an orderly end.
+func (t *task) quiesce(m quiesce) {
+	t.quiescing = true
+	t.yielding = t.yielding || m.yield
+}
+
 // makePlan returns the plan at now. Room for loads is made only if an order can
 // be given.
 func (t *task) makePlan(now buckthorndyke.Millis) plan {
@@ -215,13 +225,13 @@
 
 // mayPlan reports whether orders can be given apart from an outstanding one.
 func (t *task) mayPlan(now buckthorndyke.Millis) bool {
-	return t.phase == phaseReady && !t.fenced && !t.silent && !t.gone && t.view.mayOrder(now)
+	return t.phase == phaseReady && !t.yielding && !t.fenced && !t.silent && !t.gone && t.view.mayOrder(now)
 }
 
 // settled reports whether all work on the runner is known, so that a model can
 // be evicted.
 func (t *task) settled(now buckthorndyke.Millis) bool {
-	return t.phase == phaseReady && len(t.foreign) == 0 && now >= t.settledAt()
+	return t.phase == phaseReady && t.foreign == 0 && now >= t.settledAt()
 }
 
 // settledAt returns the instant from which the runner's report shows all that
--- a/supervisor/owner/takes.go
+++ b/supervisor/owner/takes.go
@@ -33,7 +33,7 @@
 	}
 	if t.outlook.isOwned(c.have) && !c.have.ChecksFence && !c.have.OwnedBy(t.self.VM, t.self.Incarnation) {
 		// An earlier life of this VM may have promised to leave the runner alone.
-		earlier := t.started + t.lease*(percent+driftPercent)/percent
+		earlier := t.started + t.lease.WithDrift(t.drift)
 		return now >= t.promised[c.runner] && now >= earlier
 	}
 	return true
@@ -109,3 +109,13 @@
 	settled.ruling, settled.err = t.proposer.Propose(ctx, buckthorndyke.TakeChange{Base: base, Ownership: o})
 	return settled
 }
+
+// taking reports whether a proposal waits for its ruling.
+func (t *task) taking() bool {
+	for _, k := range t.takes {
+		if k.pending {
+			return true
+		}
+	}
+	return false
+}
--- a/supervisor/router/stream_test.go
+++ b/supervisor/router/stream_test.go
@@ -69,12 +69,40 @@
 		asserter.True(t, !(<-f.asked).Resumed && (<-f.asked).Resumed, "the second ticket is not that of a resumed request")
 		assertCount(t, f.cancelled, 1)
 	})
+	run(t, "an answer that has begun waits for a place", func(t *testing.T, f *fixture) {
+		f.firstJob(yield(part(0, 2)...))
+		f.deskFirst(func(context.Context, buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+			return f.grant(buckthorndyke.TicketRequest{Runner: "r1"}), nil
+		})
+		full := f.desks["a"]
+		f.deskAll(func(ctx context.Context, r buckthorndyke.TicketRequest) (buckthorndyke.Ticket, error) {
+			if r.Resumed && len(f.asked) < 5 {
+				return nil, buckthorndyke.NewRefusal(buckthorndyke.CodeOverloaded, buckthorndyke.NotRun, "full")
+			}
+			return full(ctx, r)
+		})
+		assertAnswer(t, f.start(t), request, "abcd")
+		assertCount(t, f.asked, 5)
+	})
 	run(t, "tokens that the caller has are left out", func(t *testing.T, f *fixture) {
 		f.runJobs(yield(part(0, 2)...), func(context.Context, buckthorndyke.Job) (buckthorndyke.TokenStream, error) {
 			return whole(buckthorndyke.Job{}), nil
 		})
 		assertAnswer(t, f.start(t), request, "abcd")
 	})
+	run(t, "a runner that begins another answer is left", func(t *testing.T, f *fixture) {
+		f.runJobs(yield(part(0, 2)...), yield(buckthorndyke.Token{Text: "x"}, buckthorndyke.Token{Index: 1, Text: "y"},
+			buckthorndyke.Token{Index: 2, Text: "z"}), func(_ context.Context, job buckthorndyke.Job) (buckthorndyke.TokenStream, error) {
+			return whole(job), nil
+		})
+		assertAnswer(t, f.start(t), request, "abcd")
+	})
+	run(t, "an answer that a runner has mixed with another ends with an error", func(t *testing.T, f *fixture) {
+		f.runJobs(yield(buckthorndyke.Token{Text: "a"}, buckthorndyke.Token{Index: 1, Text: "x"},
+			buckthorndyke.Token{Index: 1, Text: "b"}))
+		assertRefused(t, f.start(t), request, buckthorndyke.CodeEngineFailed, buckthorndyke.MayHaveRun)
+		assertCount(t, f.started, 1)
+	})
 	run(t, "a gap is not passed on", func(t *testing.T, f *fixture) {
 		f.firstJob(yield(append(part(0, 1), part(2, 4)...)...))
 		assertAnswer(t, f.start(t), request, "abcd")
@@ -108,8 +136,10 @@
 	})
 	run(t, "a silent runner is left", func(t *testing.T, f *fixture) {
 		f.firstJob(hang(part(0, 2)...))
-		assertAnswer(t, f.start(t), request, "abcd")
+		r, asked := f.start(t), f.clock.Now()
+		assertAnswer(t, r, request, "abcd")
 		assertCount(t, f.cancelled, 1)
+		asserter.True(t, f.clock.Now()-asked < 16*buckthorndyke.Second, "the runner was left too late")
 	})
 	run(t, "a runner that is silent from the start is refused in time", func(t *testing.T, f *fixture) {
 		f.runJobs(hang())
--- a/supervisor/tree.go
+++ b/supervisor/tree.go
@@ -160,20 +160,38 @@
 // Prober returns the task that knows the members' life.
 func (t *Tree) Prober() *prober.Prober { return t.prober }
 
-// Serve implements suture.Service. It serves until ctx ends or Drain is called,
-// and then stops without cutting a request, within the drain limit.
+// Serve implements suture.Service. It serves until ctx ends, Drain is called or
+// the platform reclaims the VM, and then stops without cutting a request, within
+// the drain limit.
 func (t *Tree) Serve(ctx context.Context) error {
 	t.base.start(ctx)
 	t.work.start(ctx)
 	t.front.start(ctx)
-	select {
-	case <-ctx.Done():
-	case <-t.drains.Receive():
-	}
+	t.awaitEnd(ctx)
 	t.stop(context.WithoutCancel(ctx))
 	return ctx.Err()
 }
 
+// awaitEnd waits until there is a reason to stop.
+func (t *Tree) awaitEnd(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	liveness := t.prober.Subscribe(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.drains.Receive():
+			return
+		case l := <-liveness:
+			if l.Reclaimed {
+				t.logger.Info().EmbedObject(reporter.EventReclaimed).Send()
+				return
+			}
+		}
+	}
+}
+
 // addBase makes the branch that follows the log and the members.
 func (t *Tree) addBase(
 	self buckthorndyke.Self, platform Platform, a *arbiter.Arbiter, encoder buckthorndyke.Encoder,
@@ -193,8 +211,9 @@
 func (t *Tree) addWork(self buckthorndyke.Self, platform Platform, clock buckthorndyke.Clock, cfg config) {
 	gate := gatekeeper.New(clock, cfg.gatekeeper...)
 	gates := gatekeeper.NewClient(self, t.follower, t.prober, platform.Peers, gate, clock)
+	owns := append([]owner.Option{owner.WithEventHook(reporter.SupervisorHook(cfg.logger))}, cfg.owner...)
 	t.owner = owner.New(self, t.follower, t.proposer, t.prober, platform.VMList, platform.Engines,
-		platform.Peers, gates, clock, cfg.owner...)
+		platform.Peers, gates, clock, owns...)
 	claims := claimer.New(self, t.follower, platform.Log, platform.Peers, clock, cfg.claimer...)
 	t.peer = &localPeer{ClaimKeeper: claims, Desk: t.owner, LoadGate: gate, Responder: t.prober, Successor: t.owner}
 	routes := append([]router.Option{router.WithLocal(self.VM, t.peer)}, cfg.router...)
