--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 export GOFLAGS = -buildvcs=false
 
-.PHONY: bench build capacity check-generated demo format generate lint measure test tools
+.PHONY: bench build capacity check-generated demo format generate lint matrix measure test tools
 
 bench: build
 	go build -o bin/bencher ./bencher
@@ -44,6 +44,9 @@
 	@test -z "$$($(TOOLS)/gofumpt -l $$(git ls-files '*.go' | grep -v -e '\.pb\.go$$' -e '\.connect\.go$$'))" || { echo 'gofumpt: not formatted'; exit 1; }
 	$(TOOLS)/golangci-lint run
 
+matrix:
+	cd matrix && go test -count=1 -timeout 30m -run TestMatrix -args -matrix.full
+
 measure:
 	go run ./measurer examples
 
