--- a/tester/fleet_test.go
+++ b/tester/fleet_test.go
@@ -46,3 +46,66 @@
 		})
 	})
 }
+
+func TestPlannedStop(t *testing.T) {
+	t.Run("a stop cuts no request and hands the runners over", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newServingFleet(t)
+			answers := generateOnAll(t, f)
+			f.Stop(0)
+			assertWholeAnswers(t, answers, len(f.Nodes))
+			assertOwnsNothing(t, awaitGone(f, 1, f.Nodes[0].Self.VM), f.Nodes[0].Self.VM)
+		})
+	})
+	t.Run("a VM that the platform reclaims stops by itself", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newServingFleet(t)
+			answers := generateOnAll(t, f)
+			f.Reclaim(0)
+			f.AwaitEnd(0)
+			assertWholeAnswers(t, answers, len(f.Nodes))
+			assertOwnsNothing(t, awaitGone(f, 1, f.Nodes[0].Self.VM), f.Nodes[0].Self.VM)
+		})
+	})
+}
+
+func newServingFleet(t *testing.T) *tester.Fleet {
+	t.Helper()
+	f := tester.NewFleet(t, tester.Config{Nodes: 3, Runners: 3})
+	f.Apply(tester.Rules)
+	f.AwaitServing()
+	return f
+}
+
+// generateOnAll sends a request for a cold model through each node and returns
+// once all are on their way.
+func generateOnAll(t *testing.T, f *tester.Fleet) <-chan tester.Answer {
+	t.Helper()
+	answers := make(chan tester.Answer, len(f.Nodes))
+	for node := range f.Nodes {
+		go func() { answers <- f.Generate(t.Context(), node, tester.UrgentToken, "hall", "hello") }()
+	}
+	synctest.Wait()
+	return answers
+}
+
+func assertOwnsNothing(t *testing.T, s buckthorndyke.State, vm buckthorndyke.VMID) {
+	t.Helper()
+	for runner, o := range s.Ownerships.All() {
+		asserter.True(t, o.Owner != vm, string(vm)+" still owns "+string(runner))
+	}
+}
+
+func assertWholeAnswers(t *testing.T, answers <-chan tester.Answer, n int) {
+	t.Helper()
+	for range n {
+		answer := <-answers
+		asserter.NoError(t, answer.Err)
+		asserter.Equal(t, answer.Text, tester.AnswerTo("hall", "hello"))
+	}
+}
+
+// awaitGone waits until a node knows that vm is no member, and returns its state.
+func awaitGone(f *tester.Fleet, node int, vm buckthorndyke.VMID) buckthorndyke.State {
+	return f.Await(node, func(p buckthorndyke.Progress) bool { return !p.State.Members.Has(vm) }).State
+}
