fix(owner,arbiter): a succeeded owner says once none of its orders is outstanding

Cause: on a runner that ignores fencing numbers the successor kept memory reserved for a late order of the previous owner, and freed no withdrawn slot, until that owner's process was replaced. An owner that was only paused lives on, so that a model with one replica that moved was served nowhere for good (four cells of the fault matrix). Ruled out: a time limit for the reserve, since a goroutine may be paused again between its check and its send; the offset in a probe's answer, which shows that the process has folded the take but not that its steward has ended. Conclusion: the previous owner proposes a release with its own epoch after its steward has ended without an outstanding order; the fold then forgets it as previous. With an order outstanding the reserve stays as before.

--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -39,6 +39,18 @@
 		o, _ := f.state.Owner("r")
 		asserter.Equal(t, o.Previous, "")
 	})
+	t.Run("the previous owner's word that no order is outstanding counts, another's does not", func(t *testing.T) {
+		f := newFold(t, join("a", 1), join("b", 1), take("a", 1, "r", 0, "b"), take("b", 1, "r", 3))
+		o, _ := f.state.Owner("r")
+		asserter.Equal(t, o.Previous, "a")
+		f.assertRejected(releaseBy("b", "r", 3))
+		f.assertRejected(releaseBy("a", "r", o.Epoch))
+		f.assertAccepted(releaseBy("a", "r", 3))
+		o, _ = f.state.Owner("r")
+		asserter.Equal(t, o.Previous, "")
+		asserter.Equal(t, o.OwnedBy("b", 1), true)
+		f.assertRejected(releaseBy("a", "r", 3))
+	})
 	t.Run("a handover raises the epoch", func(t *testing.T) {
 		f := newFold(t, join("a", 1), join("b", 7), take("a", 1, "r", 0, "b"))
 		f.assertRejected(release("nobody"))
--- a/arbiter/ownerships.go
+++ b/arbiter/ownerships.go
@@ -6,9 +6,13 @@
 	"github.com/buckthorndyke/buckthorndyke"
 )
 
-// applyRelease gives up a runner, or hands it over to the heir at once.
+// applyRelease gives up a runner, or hands it over to the heir at once. From the
+// previous owner it says that none of that owner's orders is outstanding.
 func applyRelease(s buckthorndyke.State, r record, c buckthorndyke.ReleaseChange) (buckthorndyke.State, string) {
 	o, ok := s.Ownerships.Get(c.Runner)
+	if ok && o.Previous != "" && r.proposal.Proposer == o.Previous && c.Epoch < o.Epoch {
+		return s.WithOwnership(o.WithPrevious("")), ""
+	}
 	if !ok || !r.by(o.Owner, o.Incarnation) {
 		return s, reasonNotOwner
 	}
--- a/arbiter/proposals_test.go
+++ b/arbiter/proposals_test.go
@@ -40,6 +40,11 @@
 	return propose("a", 1, buckthorndyke.ReleaseChange{Epoch: 3, Heir: heir, Runner: "r"})
 }
 
+// releaseBy has a VM that owned "r" say that none of its orders is outstanding.
+func releaseBy(vm buckthorndyke.VMID, runner buckthorndyke.RunnerID, epoch buckthorndyke.Offset) buckthorndyke.Proposal {
+	return propose(vm, 1, buckthorndyke.ReleaseChange{Epoch: epoch, Runner: runner})
+}
+
 func permit(base buckthorndyke.Offset, runners ...buckthorndyke.RunnerID) buckthorndyke.Proposal {
 	return propose("", 0, buckthorndyke.PermitChange{Base: base, Model: "m", Runners: runners})
 }
--- a/change.go
+++ b/change.go
@@ -62,6 +62,8 @@
 	}
 
 	// ReleaseChange gives up the ownership of a runner, to Heir if that is set.
+	// An owner that was succeeded proposes it with its own epoch once none of its
+	// orders is outstanding.
 	ReleaseChange struct {
 		Epoch  Offset
 		Heir   VMID
--- a/supervisor/owner/holding.go
+++ b/supervisor/owner/holding.go
@@ -18,6 +18,8 @@
 
 // holding is a runner that this VM owns.
 type holding struct {
+	// epoch is that of the take with which the holding began.
+	epoch buckthorndyke.Offset
 	// lease is the instant until which the successors have promised.
 	lease buckthorndyke.Millis
 	// previous is the life of the previous owner when the runner was taken.
@@ -139,7 +141,7 @@
 
 // start starts the steward of a runner that this VM has become the owner of.
 func (t *task) start(have buckthorndyke.Ownership) {
-	h := &holding{runner: have.Runner}
+	h := &holding{epoch: have.Epoch, runner: have.Runner}
 	if m, ok := t.outlook.progress.State.Members.Get(have.Previous); ok {
 		h.previous = m.Incarnation
 	}
@@ -160,11 +162,39 @@
 	}
 }
 
+// confirmIdle tells the successor of a runner, by a record, that no order of this
+// VM is outstanding, so that it need not reserve memory for one. Without the
+// record it does so until this process has ended.
+func (t *task) confirmIdle(h *holding) {
+	select {
+	case <-h.steward.Idle():
+	case <-t.ctx.Done():
+		return
+	}
+	for {
+		ctx, cancel := context.WithTimeout(t.ctx, releaseTimeout.Duration())
+		_, err := t.proposer.Propose(ctx, buckthorndyke.ReleaseChange{Epoch: h.epoch, Runner: h.runner})
+		cancel()
+		if err == nil {
+			return
+		}
+		select {
+		case <-t.clock.After(releaseRetry):
+		case <-t.ctx.Done():
+			return
+		}
+	}
+}
+
 // stop stops the steward of a runner that this VM no longer owns.
 func (t *task) stop(runner buckthorndyke.RunnerID, h *holding) {
 	h.steward.Stop()
 	_ = t.stewards.Remove(h.token)
 	delete(t.holdings, runner)
+	have, _ := t.outlook.progress.State.Owner(runner)
+	if have.Previous == t.self.VM && !have.ChecksFence {
+		go t.confirmIdle(h)
+	}
 }
 
 // stopAll stops all stewards at the end of a run.
--- a/supervisor/owner/steward/steward.go
+++ b/supervisor/owner/steward/steward.go
@@ -26,17 +26,21 @@
 	box       *mailer.Mailbox[message]
 	clock     buckthorndyke.Clock
 	// drift is in parts of a thousand.
-	drift    int
-	end      context.CancelFunc
-	engine   buckthorndyke.Engine
-	gate     buckthorndyke.LoadGate
+	drift  int
+	end    context.CancelFunc
+	engine buckthorndyke.Engine
+	gate   buckthorndyke.LoadGate
+	// idle is closed once the steward has ended without an outstanding order.
+	idle     chan struct{}
 	keepWarm buckthorndyke.KeepWarmPolicy
 	lease    buckthorndyke.Millis
 	// life ends with the steward. Messages to it are given up then.
-	life      context.Context
-	newOrder  func() buckthorndyke.OrderID
-	proposer  buckthorndyke.Proposer
-	quiesced  chan struct{}
+	life     context.Context
+	newOrder func() buckthorndyke.OrderID
+	proposer buckthorndyke.Proposer
+	quiesced chan struct{}
+	// runs counts the runs of Serve. Only their goroutine touches it.
+	runs      int
 	statusLag buckthorndyke.Millis
 	// taken is the instant at which the owner has learned that it is the owner.
 	taken buckthorndyke.Millis
@@ -93,6 +97,7 @@
 		end:       end,
 		engine:    engine,
 		gate:      gate,
+		idle:      make(chan struct{}),
 		keepWarm:  evictor.NewAdaptiveKeepWarm(evictor.DefaultColdStartWeight),
 		lease:     DefaultLease,
 		life:      life,
@@ -110,6 +115,12 @@
 	return s
 }
 
+// Idle returns a channel that is closed once the steward has ended and none of
+// its orders is outstanding. It stays open if that is not certain.
+func (s *Steward) Idle() <-chan struct{} {
+	return s.idle
+}
+
 // Quiesce makes the steward take no more requests and finish those that it has.
 // The channel that it returns is closed once that is done.
 func (s *Steward) Quiesce() <-chan struct{} {
@@ -129,6 +140,7 @@
 // Serve implements suture.Service. When it ends, each waiting request is
 // refused as not run.
 func (s *Steward) Serve(ctx context.Context) error {
+	s.runs++
 	t := newTask(s)
 	defer t.end(ctx)
 	return t.run(ctx)
--- a/supervisor/owner/steward/task.go
+++ b/supervisor/owner/steward/task.go
@@ -161,8 +161,13 @@
 	t.endAll(errLost, errNotOwner)
 	t.dropPermit()
 	t.order.finish()
-	if ctx.Err() != nil {
-		t.Steward.end()
+	if ctx.Err() == nil {
+		return
+	}
+	t.Steward.end()
+	// After a restart an order of an earlier run may be outstanding.
+	if t.account.order == nil && t.runs == 1 {
+		close(t.idle)
 	}
 }
 
