fix(matrix): see the answers of calls whose context has ended

Control cells failed now and then with "step not reached". A proposer gives up its append once the follower shows the ruling, so that the observer was asked under a context that had ended and lost the point. The fleet and the tree were not at fault. The observer now uses the context of the cell.

--- a/matrix/run_test.go
+++ b/matrix/run_test.go
@@ -53,7 +53,7 @@
 	standin.Start(r.ctx, r.ledger, r.watch)
 	r.f = tester.NewFleet(t, tester.Config{
 		Engine: standin.EngineConfig{ChecksFence: checksFence, TokenInterval: tokenInterval},
-		Nodes:  nodes, Observer: observe(r.watch), Runners: runners, Wiring: wiring,
+		Nodes:  nodes, Observer: observe(r.ctx, r.watch), Runners: runners, Wiring: wiring,
 		Options: []supervisor.Option{
 			supervisor.WithFollower(follower.WithCheckpoints(checkpointRecords, checkpointAge)),
 		},
--- a/matrix/watcher_test.go
+++ b/matrix/watcher_test.go
@@ -58,9 +58,10 @@
 	return struck
 }
 
-// observe returns the observer that shows points to w.
-func observe(w *actor[watch]) tester.Observer {
-	return func(ctx context.Context, p tester.Point) tester.Fault {
+// observe returns the observer that shows points to w until ctx ends, also those
+// of calls whose own context has ended.
+func observe(ctx context.Context, w *actor[watch]) tester.Observer {
+	return func(_ context.Context, p tester.Point) tester.Fault {
 		return get(ctx, w, func(s *watch) tester.Fault { return s.see(p) })
 	}
 }
