refactor(tester): take a token's digest from launcher; name isNeeded in its comment

Cause: the read-through found the digest of a token written twice in test support, and a doc comment with the name of another method. Ruled out: sharing it with the router, which serving code must not take from launcher. Conclusion: behaviour is as it was.

--- a/supervisor/owner/holding.go
+++ b/supervisor/owner/holding.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// hasHeld reports whether the runner is still listed or counted on.
+// isNeeded reports whether the runner is still listed or counted on.
 func (t *task) isNeeded(runner buckthorndyke.RunnerID) bool {
 	return !t.outlook.listed || t.outlook.vms.Has(buckthorndyke.VMID(runner)) || t.outlook.hasSlots(runner)
 }
--- a/tester/traffic.go
+++ b/tester/traffic.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"strings"
 
@@ -11,6 +9,7 @@
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/launcher"
 	"github.com/buckthorndyke/buckthorndyke/standin"
 )
 
@@ -30,9 +29,9 @@
 	"model gym memory-mb=8000 replicas=2 # asked for by T. Ester",
 	"model court memory-mb=12000 replicas=1 # asked for by T. Ester",
 	"adapter hall-north base=hall memory-mb=60 # asked for by T. Ester",
-	"caller clerk rank=urgent token-sha256=" + sum(UrgentToken) + " # asked for by T. Ester",
-	"caller member rank=ordinary token-sha256=" + sum(OrdinaryToken) + " # asked for by T. Ester",
-	"caller visitor rank=free token-sha256=" + sum(FreeToken) + " # asked for by T. Ester",
+	"caller clerk rank=urgent token-sha256=" + launcher.SHA256(UrgentToken) + " # asked for by T. Ester",
+	"caller member rank=ordinary token-sha256=" + launcher.SHA256(OrdinaryToken) + " # asked for by T. Ester",
+	"caller visitor rank=free token-sha256=" + launcher.SHA256(FreeToken) + " # asked for by T. Ester",
 	"rank urgent share-percent=60 queue-limit=64 first-token-ms=30000 max-tokens=1024 # asked for by T. Ester",
 	"rank ordinary share-percent=40 queue-limit=64 first-token-ms=30000 max-tokens=1024 # asked for by T. Ester",
 	"rank free share-percent=0 queue-limit=64 first-token-ms=30000 max-tokens=1024 # asked for by T. Ester",
@@ -189,8 +188,3 @@
 	asserter.NoError(f.t, err)
 	return key.String()
 }
-
-func sum(token string) string {
-	digest := sha256.Sum256([]byte(token))
-	return hex.EncodeToString(digest[:])
-}
