fix(steward): a report asked for in the millisecond of a crash grants nothing

Cause: the doubt about a broken job was an instant, and a report counted as newer if it was asked for in the same millisecond. A status call sent just before the crash was handled cleared the doubt, and a waiting request was granted on the crashed runner. Conclusion: a fault of the steward, not of the test; calls are counted now.

--- a/supervisor/owner/steward/messages.go
+++ b/supervisor/owner/steward/messages.go
@@ -42,7 +42,9 @@
 
 	// statusAnswered reports the runner's status.
 	statusAnswered struct {
-		asked  buckthorndyke.Millis
+		asked buckthorndyke.Millis
+		// call is the number of the status call.
+		call   int
 		err    error
 		status buckthorndyke.EngineStatus
 	}
--- a/supervisor/owner/steward/orders_test.go
+++ b/supervisor/owner/steward/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/asserter"
@@ -68,6 +69,25 @@
 			asserter.Equal(t, s.assertSafe().Loads[hall], 2)
 		})
 	})
+	t.Run("a report asked for in the millisecond of a crash grants nothing", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t, standin.EngineConfig{Restart: 100, Slots: 1})
+			defer s.cancel()
+			engine := &delayedStatus{MemoryEngine: s.engine, asked: make(chan chan struct{}), on: make(chan struct{})}
+			s.steward = steward.New(s.view, engine, s.gate, s.proposer, s.clock)
+			standin.Start(s.ctx, s.steward)
+			s.wait(3 * buckthorndyke.Second)
+			running, waiting := s.grant(hall, ordinary), s.ask(hall, ordinary)
+			close(engine.on)
+			release := <-engine.asked
+			asserter.NoError(t, s.engine.Crash(s.ctx))
+			running.Close(buckthorndyke.TicketCrashed)
+			synctest.Wait()
+			close(release)
+			s.assertEvent(waiting, buckthorndyke.TicketGranted)
+			asserter.Equal(t, s.assertSafe().Loads[hall], 2)
+		})
+	})
 	t.Run("a crash that only the status shows ends what runs", func(t *testing.T) {
 		inSite(t, standin.EngineConfig{Restart: 100}, func(s *site) {
 			running := s.grant(hall, ordinary)
--- a/supervisor/owner/steward/rebuild.go
+++ b/supervisor/owner/steward/rebuild.go
@@ -21,13 +21,19 @@
 type statusRun struct {
 	// at is the instant of the next call.
 	at buckthorndyke.Millis
-	// doubtful is the instant at which a job was broken off, until a report that
-	// was asked for since then has come. Nothing starts before that. It is 0
-	// otherwise.
-	doubtful buckthorndyke.Millis
+	// calls counts the calls that were sent.
+	calls int
+	// doubtful is the value of calls when a job was broken off, until a report
+	// that was asked for after that has come. Nothing starts before that. It is
+	// -1 otherwise. Instants cannot tell a call apart that was sent in the same
+	// millisecond as the job broke.
+	doubtful int
 	pending  bool
 }
 
+// certain is the value of statusRun.doubtful while no job was broken off.
+const certain = -1
+
 // answerStatus takes over a runner's report.
 func (t *task) answerStatus(m statusAnswered) {
 	now := t.clock.Now()
@@ -38,8 +44,8 @@
 		return
 	}
 	t.failures = 0
-	if m.asked >= t.status.doubtful {
-		t.status.doubtful = 0
+	if m.call > t.status.doubtful {
+		t.status.doubtful = certain
 	}
 	if t.gone {
 		t.gone = false
@@ -123,11 +129,13 @@
 	}
 	t.status.pending = true
 	t.status.at = now + t.statusInterval()
+	t.status.calls++
+	call := t.status.calls
 	go func() {
 		ctx, cancel := context.WithTimeout(t.life, statusTimeout.Duration())
 		defer cancel()
 		status, err := t.engine.Status(ctx)
-		t.post(statusAnswered{asked: now, err: err, status: status})
+		t.post(statusAnswered{asked: now, call: call, err: err, status: status})
 	}()
 }
 
--- a/supervisor/owner/steward/site_test.go
+++ b/supervisor/owner/steward/site_test.go
@@ -239,3 +239,28 @@
 		return buckthorndyke.Ruling{}, ctx.Err()
 	}
 }
+
+// delayedStatus is an engine whose next report, once on is closed, is held back
+// until the channel that it sends to asked is closed.
+type delayedStatus struct {
+	*standin.MemoryEngine
+	asked chan chan struct{}
+	on    chan struct{}
+}
+
+// Status implements buckthorndyke.Engine.
+func (e *delayedStatus) Status(ctx context.Context) (buckthorndyke.EngineStatus, error) {
+	status, err := e.MemoryEngine.Status(ctx)
+	select {
+	case <-e.on:
+	default:
+		return status, err
+	}
+	release := make(chan struct{})
+	select {
+	case e.asked <- release:
+		<-release
+	default:
+	}
+	return status, err
+}
--- a/supervisor/owner/steward/task.go
+++ b/supervisor/owner/steward/task.go
@@ -86,6 +86,7 @@
 		holders:   make(map[buckthorndyke.TicketID]holder),
 		keepWarm:  s.keepWarm,
 		retry:     newRetries(),
+		status:    statusRun{doubtful: certain},
 		view:      s.view,
 	}
 	t.enter(phaseLease, now)
--- a/supervisor/owner/steward/tickets.go
+++ b/supervisor/owner/steward/tickets.go
@@ -10,7 +10,7 @@
 // admissionView returns what admission needs to know at now.
 func (t *task) admissionView(now buckthorndyke.Millis) buckthorndyke.AdmissionView {
 	slots := t.slots
-	if t.status.doubtful > 0 || t.phase == phaseFence {
+	if t.status.doubtful != certain || t.phase == phaseFence {
 		slots = 0
 	}
 	return buckthorndyke.AdmissionView{
@@ -88,7 +88,7 @@
 	t.admission = t.admission.Without(m.id, now)
 	if m.outcome == buckthorndyke.TicketCrashed {
 		t.status.at = now
-		t.status.doubtful = now
+		t.status.doubtful = t.status.calls
 	}
 }
 
