--- a/chooser/budget.go
+++ b/chooser/budget.go
@@ -13,13 +13,28 @@
 // Budget bounds retries to a fraction of requests, so that retries do not
 // multiply a flood. It is immutable.
 type Budget struct {
+	// burst is the number of retries that a full budget allows at once.
+	burst int
 	// left is what is left, in thousandths of a retry.
 	left int
 }
 
+// BudgetOption configures a Budget.
+type BudgetOption func(*Budget)
+
+// WithBurst bounds the retries that a full budget allows at once to n.
+func WithBurst(n int) BudgetOption {
+	return func(b *Budget) { b.burst = n }
+}
+
 // NewBudget returns a full budget.
-func NewBudget() Budget {
-	return Budget{left: budgetBurst * retryPrice}
+func NewBudget(opts ...BudgetOption) Budget {
+	b := Budget{burst: budgetBurst}
+	for _, opt := range opts {
+		opt(&b)
+	}
+	b.left = b.burst * retryPrice
+	return b
 }
 
 // Allows reports whether the budget has a retry left.
@@ -29,7 +44,7 @@
 
 // WithRequest returns a budget that has earned the share of one more request.
 func (b Budget) WithRequest() Budget {
-	b.left = min(b.left+retriesPerThousand, budgetBurst*retryPrice)
+	b.left = min(b.left+retriesPerThousand, b.burst*retryPrice)
 	return b
 }
 
--- a/cmd/buckthorndyke/main.go
+++ b/cmd/buckthorndyke/main.go
@@ -15,6 +15,7 @@
 
 func main() {
 	c := commander.New(
+		commander.WithRelay(assembler.New(os.Stdout).Relay),
 		commander.WithServe(assembler.New(os.Stderr).Serve),
 		commander.WithStandIn(serveStandIns),
 	)
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -15,6 +15,7 @@
 // Commander runs sub-commands.
 type Commander struct {
 	clock   buckthorndyke.Clock
+	relay   func(ctx context.Context, settings configurer.Relay) error
 	serve   func(ctx context.Context, settings configurer.Serve) error
 	standIn func(ctx context.Context, settings configurer.StandIn) error
 }
@@ -27,6 +28,12 @@
 	return func(c *Commander) { c.clock = clock }
 }
 
+// WithRelay makes the sub-command relay call relay. When ctx ends, relay must
+// drain and return.
+func WithRelay(relay func(ctx context.Context, settings configurer.Relay) error) Option {
+	return func(c *Commander) { c.relay = relay }
+}
+
 // WithServe makes the sub-command serve call serve. When ctx ends, serve must
 // drain and return.
 func WithServe(serve func(ctx context.Context, settings configurer.Serve) error) Option {
@@ -83,6 +90,7 @@
 	return []*command{
 		c.auditCommand(),
 		c.drainCommand(),
+		c.relayCommand(),
 		group("rules", "Check, apply or show the rules.",
 			c.rulesApplyCommand(), c.rulesCheckCommand(), c.rulesShowCommand()),
 		c.serveCommand(),
--- /dev/null
+++ b/commander/relay.go
@@ -0,0 +1,26 @@
+package commander
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke/configurer"
+)
+
+func (c *Commander) relayCommand() *command {
+	cmd := newCommand("relay", "Relay requests as an entry VM of a platform with a metadata store until SIGTERM, then drain.",
+		"relay --settings relay.jsonc")
+	var settings string
+	cmd.flags.String(&settings, "s", "settings", "The settings file.")
+	cmd.run = func(ctx context.Context, out printer) error {
+		data, err := readSettings(settings)
+		if err != nil {
+			return err
+		}
+		parsed, err := configurer.ParseRelay(data)
+		if err != nil {
+			return out.faulty(settings, err)
+		}
+		return runUntilStopped(ctx, c.relay, parsed)
+	}
+	return cmd
+}
--- /dev/null
+++ b/configurer/relay.go
@@ -0,0 +1,62 @@
+package configurer
+
+import "github.com/buckthorndyke/buckthorndyke"
+
+// Defaults and ranges of the settings of a relaying entry VM.
+const (
+	defaultRelayDrainS = 8
+	defaultRetryBurst  = 6
+	maxRelayDrainS     = 600
+	maxRetryBurst      = 1000
+)
+
+// Relay holds the settings of an entry VM that relays requests on a platform
+// with a metadata store. It is immutable.
+type Relay struct {
+	// ClientsAddress is where clients' requests are served.
+	ClientsAddress string
+	Domain         buckthorndyke.DomainID
+	// DrainLimit bounds the time that the process takes to stop.
+	DrainLimit buckthorndyke.Millis
+	// Lease is how long a grant to give orders lasts.
+	Lease buckthorndyke.Millis
+	// LoadsAtOnce is the number of loads that the weight store allows at full
+	// speed, of the whole fleet.
+	LoadsAtOnce int
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+	Peers    Peers
+	// ReadinessAddress is where the balancer asks whether the VM is ready.
+	ReadinessAddress string
+	// RetryBurst is the number of retries that the VM sends to a service at once.
+	RetryBurst   int
+	StoreAddress string
+	VM           buckthorndyke.VMID
+}
+
+// ParseRelay returns the settings of a relaying entry VM in data. Its error is a
+// *buckthorndyke.FaultsError that holds all faults.
+func ParseRelay(data []byte) (Relay, error) {
+	d := &document{data: data}
+	root := d.parse()
+	weights := root.object("weight-store", false)
+	s := Relay{
+		ClientsAddress:   root.platform("clients"),
+		Domain:           buckthorndyke.DomainID(root.name("failure-domain")),
+		DrainLimit:       buckthorndyke.Millis(root.integer("drain-limit-s", defaultRelayDrainS, 1, maxRelayDrainS)) * buckthorndyke.Second,
+		Lease:            root.millis("lease-ms", defaultLease, minLease, maxLease),
+		LoadsAtOnce:      weights.integer("model-loads-at-once", defaultModelLoads, 1, maxLoads),
+		LogLevel:         root.choice("log-level", "info", "debug", "warn", "error"),
+		Peers:            root.peers(),
+		ReadinessAddress: root.platform("readiness"),
+		RetryBurst:       root.integer("retry-burst", defaultRetryBurst, 1, maxRetryBurst),
+		StoreAddress:     root.platform("store"),
+		VM:               buckthorndyke.VMID(root.name("vm")),
+	}
+	weights.close()
+	root.close()
+	if err := buckthorndyke.NewFaults(d.faults); err != nil {
+		return Relay{}, err
+	}
+	return s, nil
+}
--- /dev/null
+++ b/connector/connectleaders.go
@@ -0,0 +1,35 @@
+package connector
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/translator"
+	"github.com/buckthorndyke/buckthorndyke/wire/wireconnect"
+)
+
+// ConnectLeaders reaches the leading VM by the connect protocol. It implements
+// buckthorndyke.Leaders.
+type ConnectLeaders struct {
+	client *http.Client
+}
+
+// NewConnectLeaders returns leaders that are called with the fleet's key.
+func NewConnectLeaders(key string) *ConnectLeaders {
+	return &ConnectLeaders{client: peerClient(key)}
+}
+
+// Report implements buckthorndyke.Leaders.
+func (l *ConnectLeaders) Report(
+	ctx context.Context, address string, vm buckthorndyke.VMID, demand []buckthorndyke.DemandLine,
+) (buckthorndyke.DemandReply, error) {
+	client := wireconnect.NewLeaderServiceClient(l.client, "http://"+address)
+	out, err := client.Report(ctx, translator.DemandToWire(vm, demand))
+	if err != nil {
+		return buckthorndyke.DemandReply{}, errors.Wrap(err, "report the demand to the leader")
+	}
+	return translator.DemandReplyFromWire(out), nil
+}
--- a/connector/connectpeers.go
+++ b/connector/connectpeers.go
@@ -21,6 +21,11 @@
 
 // NewConnectPeers returns peers that are called with the fleet's key.
 func NewConnectPeers(key string, encoder buckthorndyke.Encoder) *ConnectPeers {
+	return &ConnectPeers{client: peerClient(key), encoder: encoder}
+}
+
+// peerClient returns a client that calls peers with the fleet's key.
+func peerClient(key string) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
@@ -30,10 +35,7 @@
 		},
 		Protocols: protocols,
 	}
-	return &ConnectPeers{
-		client:  &http.Client{Transport: &bearerTransport{base: transport, token: key}},
-		encoder: encoder,
-	}
+	return &http.Client{Transport: &bearerTransport{base: transport, token: key}}
 }
 
 // At implements buckthorndyke.Peers.
--- /dev/null
+++ b/demand.go
@@ -0,0 +1,62 @@
+package buckthorndyke
+
+import "context"
+
+// ModelKey names a model or an adapter of it at a service.
+type ModelKey struct {
+	// Adapter is empty for the model itself.
+	Adapter string
+	Model   ModelID
+	Service ServiceID
+}
+
+// Base returns the key of the model itself.
+func (k ModelKey) Base() ModelKey {
+	k.Adapter = ""
+	return k
+}
+
+// DemandLine is what one VM sees of the demand for a model or adapter.
+type DemandLine struct {
+	// Arrivals is the number of requests since the last message.
+	Arrivals int
+	// Due is how long the request that has to begin first can wait.
+	Due Millis
+	Key ModelKey
+	// Running is the number of requests at runners.
+	Running int
+	// Waiting is the number of requests that no runner can take.
+	Waiting int
+}
+
+// Residence says what the leader knows of a runner ahead of the platform's list.
+type Residence struct {
+	// Closed lists the models that are about to be unloaded.
+	Closed   []ModelID
+	Holdings []Holding
+	Runner   RunnerID
+	Started  Incarnation
+}
+
+// DemandReply is the leader's answer to a report of demand.
+type DemandReply struct {
+	// Leading is not set if the VM that was asked is not the leader.
+	Leading    bool
+	Residences []Residence
+}
+
+// Leaders reaches the leading VM.
+type Leaders interface {
+	// Report tells the VM at address the demand that vm sees.
+	Report(ctx context.Context, address string, vm VMID, demand []DemandLine) (DemandReply, error)
+}
+
+// DemandSource yields the demand that the VM sees.
+type DemandSource interface {
+	// Demand returns the demand since the last call, and whether something waits.
+	Demand(ctx context.Context) (lines []DemandLine, waiting bool, err error)
+	// Pressing receives a value once something begins to wait.
+	Pressing() <-chan struct{}
+	// Residences takes over what the leader knows.
+	Residences(ctx context.Context, list []Residence) error
+}
--- /dev/null
+++ b/election.go
@@ -0,0 +1,24 @@
+package buckthorndyke
+
+import "context"
+
+// Term is a VM's standing in an election, as the platform granted it.
+type Term struct {
+	// Fence rises with each change of the leader.
+	Fence int64
+	// Leading is set if this VM is the leader.
+	Leading bool
+	// Until is the instant at which the grant ends.
+	Until Millis
+}
+
+// Election chooses one leader among the VMs.
+type Election interface {
+	// Campaign takes part in the election or renews the grant.
+	Campaign(ctx context.Context) (Term, error)
+	// Leader returns where the leader answers its peers, or false if there is
+	// none.
+	Leader(ctx context.Context) (address string, ok bool, err error)
+	// Resign gives the grant back.
+	Resign(ctx context.Context) error
+}
--- a/ids.go
+++ b/ids.go
@@ -54,6 +54,11 @@
 // higher number.
 type Incarnation uint64
 
+// String returns i in decimal.
+func (i Incarnation) String() string {
+	return strconv.FormatUint(uint64(i), 10)
+}
+
 // NoOffset is the offset before the first record of a stream.
 const NoOffset Offset = 0
 
--- /dev/null
+++ b/selector/choose.go
@@ -0,0 +1,152 @@
+package selector
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+const (
+	// affinitySlack is how much more load than the least loaded runner the one
+	// with the probable prefix cache may have, in units.
+	affinitySlack = 6000
+	// otherDomain is the load in units that a server in another failure domain is
+	// held to have more.
+	otherDomain = 150
+	// requestUnits is the load of one request.
+	requestUnits = 1000
+	// tokensPerUnit is the number of prompt tokens that weigh one unit.
+	tokensPerUnit = 1
+)
+
+// Query describes a request that needs a server.
+type Query struct {
+	Domain buckthorndyke.DomainID
+	// Excluded are servers that the request must not go to again.
+	Excluded []buckthorndyke.RunnerID
+	Key      buckthorndyke.ModelKey
+	Now      buckthorndyke.Millis
+	// Prefix identifies the shared beginning of the prompt, or is 0.
+	Prefix uint64
+	Seed   uint64
+}
+
+// Choose returns the server that the request goes to, or false if none can take
+// it now. Servers that failed lately are taken only if there is no other.
+func (b Board) Choose(q Query) (buckthorndyke.Backend, bool) {
+	sound, doubtful := b.candidates(q)
+	if len(sound) == 0 {
+		sound = doubtful
+	}
+	if len(sound) == 0 {
+		return buckthorndyke.Backend{}, false
+	}
+	best := slices.MinFunc(sound, func(x, y candidate) int { return x.compare(y) })
+	if q.Prefix == 0 {
+		return best.backend, true
+	}
+	near := slices.MaxFunc(sound, func(x, y candidate) int { return x.compareNear(y) })
+	if near.units <= best.units+affinitySlack {
+		return near.backend, true
+	}
+	return best.backend, true
+}
+
+// Holders returns the number of servers that could take requests for key.
+func (b Board) Holders(key buckthorndyke.ModelKey, now buckthorndyke.Millis) int {
+	sound, doubtful := b.candidates(Query{Key: key, Now: now})
+	return len(sound) + len(doubtful)
+}
+
+// candidate is a server that can take a request.
+type candidate struct {
+	backend buckthorndyke.Backend
+	// draw breaks ties at random.
+	draw uint64
+	// near is the highest for the server that probably caches the prefix.
+	near uint64
+	// units is the server's load.
+	units int
+}
+
+// compare orders candidates by load.
+func (c candidate) compare(other candidate) int {
+	switch {
+	case c.units != other.units:
+		return c.units - other.units
+	case c.draw < other.draw:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// compareNear orders candidates by the likelihood that they cache the prefix.
+func (c candidate) compareNear(other candidate) int {
+	switch {
+	case c.near < other.near:
+		return -1
+	case c.near > other.near:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// candidates returns the servers that can take the request, those that failed
+// lately apart.
+func (b Board) candidates(q Query) (sound, doubtful []candidate) {
+	for id, listed := range b.list.Listed.All() {
+		if listed.Service != q.Key.Service || listed.Leaving || slices.Contains(q.Excluded, id) || !b.holds(listed, q) {
+			continue
+		}
+		c := candidate{backend: listed, draw: hashOf(id, q.Seed), units: b.units(listed, q.Domain)}
+		if q.Prefix != 0 {
+			c.near = hashOf(id, q.Prefix)
+		}
+		if s, ok := b.setbacks.Get(id); ok && q.Now < s.until {
+			doubtful = append(doubtful, c)
+		} else {
+			sound = append(sound, c)
+		}
+	}
+	return sound, doubtful
+}
+
+// holds reports whether a server holds what the request needs.
+func (b Board) holds(listed buckthorndyke.Backend, q Query) bool {
+	if q.Key.Model == "" {
+		return true
+	}
+	if until, ok := b.missing.Get(missingKey(listed.ID, q.Key)); ok && q.Now < until {
+		return false
+	}
+	if until, ok := b.missing.Get(missingKey(listed.ID, q.Key.Base())); ok && q.Now < until {
+		return false
+	}
+	h, ok := b.known(listed, q.Now).Holding(q.Key.Model)
+	return ok && h.Has(q.Key.Adapter)
+}
+
+// units returns the load of a server as seen from domain.
+func (b Board) units(listed buckthorndyke.Backend, domain buckthorndyke.DomainID) int {
+	load := b.Busy(listed.ID)
+	units := load.Requests*requestUnits + load.Tokens/tokensPerUnit
+	if domain != "" && listed.Domain != domain {
+		units += otherDomain
+	}
+	return units
+}
+
+// hashOf returns a number that depends on a server and a seed.
+func hashOf(id buckthorndyke.RunnerID, seed uint64) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(id))
+	_, _ = d.Write([]byte{
+		byte(seed), byte(seed >> 8), byte(seed >> 16), byte(seed >> 24),
+		byte(seed >> 32), byte(seed >> 40), byte(seed >> 48), byte(seed >> 56),
+	})
+	return d.Sum64()
+}
--- /dev/null
+++ b/stager/demand.go
@@ -0,0 +1,113 @@
+package stager
+
+import (
+	"math"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+const (
+	// reportLife is how long a VM's report of waiting and running requests stands.
+	reportLife = 2500 * buckthorndyke.Millisecond
+	// rateSpan is the span over which arrivals are averaged.
+	rateSpan = 12 * buckthorndyke.Second
+)
+
+// Demand is what all VMs report of the demand for models. It is immutable.
+type Demand struct {
+	rates   buckthorndyke.Table[string, rate]
+	reports buckthorndyke.Table[buckthorndyke.VMID, report]
+}
+
+// rate is an average of arrivals that decays with time.
+type rate struct {
+	at    buckthorndyke.Millis
+	perMs float64
+}
+
+// decayed returns the arrivals in a millisecond as averaged at now.
+func (r rate) decayed(now buckthorndyke.Millis) float64 {
+	return r.perMs * math.Exp(-float64(now-r.at)/float64(rateSpan))
+}
+
+// report is the last message of one VM.
+type report struct {
+	at    buckthorndyke.Millis
+	lines []buckthorndyke.DemandLine
+}
+
+// want is the demand for one model or adapter, over all VMs.
+type want struct {
+	due     buckthorndyke.Millis
+	key     buckthorndyke.ModelKey
+	running int
+	waiting int
+}
+
+// PerSecond returns the arrivals a second of requests for key.
+func (d Demand) PerSecond(key buckthorndyke.ModelKey, now buckthorndyke.Millis) float64 {
+	r, _ := d.rates.Get(textOf(key))
+	return r.decayed(now) * float64(buckthorndyke.Second)
+}
+
+// WithReport returns a demand that holds the report of vm at now.
+func (d Demand) WithReport(vm buckthorndyke.VMID, lines []buckthorndyke.DemandLine, now buckthorndyke.Millis) Demand {
+	for _, line := range lines {
+		if line.Arrivals == 0 {
+			continue
+		}
+		d = d.withArrivals(line.Key, line.Arrivals, now)
+		if line.Key.Adapter != "" {
+			d = d.withArrivals(line.Key.Base(), line.Arrivals, now)
+		}
+	}
+	d.reports = d.reports.With(vm, report{at: now, lines: lines})
+	return d
+}
+
+// WithoutOld returns a demand without the reports that no longer stand at now.
+func (d Demand) WithoutOld(now buckthorndyke.Millis) Demand {
+	for vm, r := range d.reports.All() {
+		if now >= r.at+reportLife {
+			d.reports = d.reports.Without(vm)
+		}
+	}
+	return d
+}
+
+// wants returns the demand by model and adapter. The demand for an adapter also
+// counts for its model.
+func (d Demand) wants() map[buckthorndyke.ModelKey]want {
+	out := make(map[buckthorndyke.ModelKey]want)
+	add := func(key buckthorndyke.ModelKey, line buckthorndyke.DemandLine, at buckthorndyke.Millis) {
+		w, ok := out[key]
+		if due := at + line.Due; line.Waiting > 0 && (!ok || w.waiting == 0 || due < w.due) {
+			w.due = due
+		}
+		w.key = key
+		w.running += line.Running
+		w.waiting += line.Waiting
+		out[key] = w
+	}
+	for _, r := range d.reports.All() {
+		for _, line := range r.lines {
+			add(line.Key, line, r.at)
+			if line.Key.Adapter != "" {
+				add(line.Key.Base(), line, r.at)
+			}
+		}
+	}
+	return out
+}
+
+// withArrivals returns a demand with n more arrivals for key.
+func (d Demand) withArrivals(key buckthorndyke.ModelKey, n int, now buckthorndyke.Millis) Demand {
+	r, _ := d.rates.Get(textOf(key))
+	d.rates = d.rates.With(textOf(key), rate{at: now, perMs: r.decayed(now) + float64(n)/float64(rateSpan)})
+	return d
+}
+
+// textOf returns key as the key of a table.
+func textOf(key buckthorndyke.ModelKey) string {
+	return string(key.Service) + "/" + string(key.Model) + "/" + key.Adapter
+}
--- /dev/null
+++ b/stager/floor.go
@@ -0,0 +1,225 @@
+package stager
+
+import (
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+const (
+	// ownLife is how long the leader's own knowledge of a runner stands against
+	// the platform's list, which lags by two heartbeats and a read.
+	ownLife = 4 * buckthorndyke.Second
+	// orderPatience is how long an order may stay without effect on a runner that
+	// carries out none, before it is held to be lost. A lost order that arrives
+	// later is refused, since the runner then expects another number of orders, or
+	// has the same effect.
+	orderPatience = 2 * buckthorndyke.Second
+	// refusedPause is how long a runner that has refused an order gets no other.
+	refusedPause = 150 * buckthorndyke.Millisecond
+	// loadWindow is the span in which the loads from the weight store are counted.
+	loadWindow = 5 * buckthorndyke.Second
+)
+
+// Floor is what the leader knows of all runners and of the demand for models. It
+// is immutable.
+type Floor struct {
+	// atOnce is the number of loads that the weight store allows at full speed.
+	atOnce int
+	demand Demand
+	// remote holds the instants of the latest loads from the weight store.
+	remote  []buckthorndyke.Millis
+	routing buckthorndyke.Routing
+	stages  buckthorndyke.Table[buckthorndyke.RunnerID, stage]
+}
+
+// NewFloor returns a floor without runners. The weight store allows atOnce loads
+// at full speed.
+func NewFloor(atOnce int) Floor {
+	return Floor{atOnce: atOnce}
+}
+
+// Orders returns the number of orders that a runner has accepted, or false if
+// that is not known.
+func (f Floor) Orders(id buckthorndyke.RunnerID) (int64, bool) {
+	s, ok := f.stages.Get(id)
+	return s.orders, ok && s.orders != unknown
+}
+
+// Backend returns a runner as the leader knows it.
+func (f Floor) Backend(id buckthorndyke.RunnerID) (buckthorndyke.Backend, bool) {
+	s, ok := f.stages.Get(id)
+	return s.backend, ok
+}
+
+// Pending returns the runners with an outstanding order, and since when.
+func (f Floor) Pending() map[buckthorndyke.RunnerID]buckthorndyke.Millis {
+	out := make(map[buckthorndyke.RunnerID]buckthorndyke.Millis)
+	for id, s := range f.stages.All() {
+		if s.order != nil {
+			out[id] = s.order.sent
+		}
+	}
+	return out
+}
+
+// Residences returns what the leader knows ahead of the platform's list at now.
+func (f Floor) Residences(now buckthorndyke.Millis) []buckthorndyke.Residence {
+	var out []buckthorndyke.Residence
+	for id, s := range f.stages.All() {
+		closed := s.closed()
+		if len(closed) == 0 && (s.changed == 0 || now >= s.changed+ownLife) {
+			continue
+		}
+		out = append(out, buckthorndyke.Residence{
+			Closed: closed, Holdings: s.backend.Holdings, Runner: id, Started: s.backend.Started,
+		})
+	}
+	return out
+}
+
+// Serves reports whether some runner holds what key names.
+func (f Floor) Serves(key buckthorndyke.ModelKey) bool {
+	for _, s := range f.stages.All() {
+		if s.backend.Service == key.Service && !s.backend.Leaving && s.holds(key) {
+			return true
+		}
+	}
+	return false
+}
+
+// WithBackends returns a floor with the runners of the platform's list.
+func (f Floor) WithBackends(list buckthorndyke.Backends, now buckthorndyke.Millis) Floor {
+	for id, s := range f.stages.All() {
+		if b, ok := list.Listed.Get(id); !ok || b.Started != s.backend.Started {
+			f.stages = f.stages.Without(id)
+		}
+	}
+	for id, b := range list.Listed.All() {
+		s, ok := f.stages.Get(id)
+		switch {
+		case !ok:
+			s = stage{backend: b, orders: unknown}
+		case s.order != nil || s.changed > 0 && now < s.changed+ownLife:
+			s.backend.Leaving = b.Leaving
+			s.backend.Copies = b.Copies
+		default:
+			s.backend = b
+		}
+		f.stages = f.stages.With(id, s)
+	}
+	return f
+}
+
+// WithDemand returns a floor that holds the report of vm.
+func (f Floor) WithDemand(vm buckthorndyke.VMID, lines []buckthorndyke.DemandLine, now buckthorndyke.Millis) Floor {
+	f.demand = f.demand.WithReport(vm, lines, now)
+	return f
+}
+
+// WithDone returns a floor on which the order of a runner has ended.
+func (f Floor) WithDone(id buckthorndyke.RunnerID, now buckthorndyke.Millis) Floor {
+	s, ok := f.stages.Get(id)
+	if !ok {
+		return f
+	}
+	f.stages = f.stages.With(id, s.withDone(now))
+	return f
+}
+
+// WithFailed returns a floor on which the order of a runner was not accepted.
+func (f Floor) WithFailed(id buckthorndyke.RunnerID, now buckthorndyke.Millis) Floor {
+	s, ok := f.stages.Get(id)
+	if !ok {
+		return f
+	}
+	s.order = nil
+	s.goal = ""
+	s.orders = unknown
+	s.retryAt = now + refusedPause
+	f.stages = f.stages.With(id, s)
+	return f
+}
+
+// WithOrder returns a floor on which a runner has an outstanding order.
+func (f Floor) WithOrder(o Intent, now buckthorndyke.Millis) Floor {
+	s, ok := f.stages.Get(o.Runner)
+	if !ok {
+		return f
+	}
+	s.order = &pending{adapter: o.Adapter, kind: o.Kind, model: o.Model, sent: now, tier: o.Tier}
+	if o.Adapter == "" {
+		s.goal = o.Goal
+	} else {
+		s = s.withUse(o.Model, o.Adapter, now)
+	}
+	f.stages = f.stages.With(o.Runner, s)
+	if o.Remote() {
+		f.remote = append(f.loadsSince(now-loadWindow), now)
+	}
+	return f
+}
+
+// WithAccepted returns a floor on which a runner has accepted its order.
+func (f Floor) WithAccepted(id buckthorndyke.RunnerID, orders int64) Floor {
+	s, ok := f.stages.Get(id)
+	if !ok {
+		return f
+	}
+	s.orders = orders
+	f.stages = f.stages.With(id, s)
+	return f
+}
+
+// WithReport returns a floor with a runner's own report of now. It ends an order
+// that the report shows to be carried out or lost.
+func (f Floor) WithReport(r buckthorndyke.ModelReport, now buckthorndyke.Millis) Floor {
+	id := r.Backend.ID
+	s, ok := f.stages.Get(id)
+	if !ok || s.backend.Started != r.Backend.Started || s.orders != unknown && r.Orders < s.orders {
+		return f
+	}
+	leaving := s.backend.Leaving
+	s.backend = r.Backend
+	s.backend.Leaving = leaving
+	s.changed = now
+	s.orders = r.Orders
+	if o := s.order; o != nil && !r.Busy {
+		switch {
+		case o.settled(r.Backend):
+			s = s.withDone(now)
+		case now >= o.sent+orderPatience:
+			s.order = nil
+			s.goal = ""
+		}
+	}
+	f.stages = f.stages.With(id, s)
+	return f
+}
+
+// WithRouting returns a floor with another configuration.
+func (f Floor) WithRouting(r buckthorndyke.Routing) Floor {
+	f.routing = r
+	return f
+}
+
+// loadsSince returns the instants of the loads from the weight store after an
+// instant.
+func (f Floor) loadsSince(after buckthorndyke.Millis) []buckthorndyke.Millis {
+	var out []buckthorndyke.Millis
+	for _, at := range f.remote {
+		if at > after {
+			out = append(out, at)
+		}
+	}
+	return out
+}
+
+// withUse returns the stage after a use of an adapter.
+func (s stage) withUse(model buckthorndyke.ModelID, adapter string, now buckthorndyke.Millis) stage {
+	used := make(map[string]buckthorndyke.Millis, len(s.used)+1)
+	for k, v := range s.used {
+		used[k] = v
+	}
+	used[string(model)+"/"+adapter] = now
+	s.used = used
+	return s
+}
--- /dev/null
+++ b/stager/plan.go
@@ -0,0 +1,258 @@
+package stager
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+const (
+	// coldCopy is the cost of evicting a model whose checkpoint the runner could
+	// load again only from the weight store, in requests a second.
+	coldCopy = 0.2
+	// fullBatch is the share of a runner's batch, in thousandths, from which on
+	// another replica of a model is wanted.
+	fullBatch = 350
+	// spareReplica is the cost of evicting a model that other runners hold too, in
+	// requests a second.
+	spareReplica = 0.1
+	// waitWorth is the worth of a waiting request in requests a second.
+	waitWorth = 2.0
+)
+
+// Intent is an order that the leader ought to give.
+type Intent struct {
+	// Adapter is empty for a model.
+	Adapter string
+	// Goal is the model that room is made for by an unload, or that is loaded.
+	Goal   buckthorndyke.ModelID
+	Kind   buckthorndyke.OrderKind
+	Model  buckthorndyke.ModelID
+	Runner buckthorndyke.RunnerID
+	// Tier is where the runner finds what it loads.
+	Tier buckthorndyke.Tier
+}
+
+// Remote reports whether the order takes weights of a model from the weight
+// store.
+func (i Intent) Remote() bool {
+	return i.Kind == buckthorndyke.OrderLoad && i.Adapter == "" && i.Tier == buckthorndyke.TierRemote
+}
+
+// Plan returns the orders that the demand calls for at now, at most one for each
+// runner without an outstanding one.
+func (f Floor) Plan(now buckthorndyke.Millis) []Intent {
+	f.demand = f.demand.WithoutOld(now)
+	p := planner{Floor: f, now: now, wants: f.demand.wants()}
+	p.finishGoals()
+	p.serveWaiting()
+	p.addReplicas()
+	return p.intents
+}
+
+// planner is the state of one plan.
+type planner struct {
+	Floor
+	intents []Intent
+	now     buckthorndyke.Millis
+	wants   map[buckthorndyke.ModelKey]want
+}
+
+// addReplicas asks for replicas of models whose runners are nearly full.
+func (p *planner) addReplicas() {
+	for _, w := range p.sorted(func(w want) bool { return w.key.Adapter == "" && w.running > 0 }) {
+		facts := p.facts(w.key.Service)
+		if facts == nil {
+			continue
+		}
+		replicas := p.replicas(w.key)
+		if replicas == 0 || w.running*1000 < replicas*facts.Slots*fullBatch || p.coming(w.key) {
+			continue
+		}
+		p.place(w, *facts, p.worth(w.key))
+	}
+}
+
+// add gives an order.
+func (p *planner) add(i Intent) {
+	p.intents = append(p.intents, i)
+	p.Floor = p.WithOrder(i, p.now)
+}
+
+// coming reports whether some runner is loading what key names.
+func (p *planner) coming(key buckthorndyke.ModelKey) bool {
+	for _, s := range p.stages.All() {
+		if s.backend.Service == key.Service && s.loads(key) {
+			return true
+		}
+	}
+	return false
+}
+
+// facts returns what the configuration says of a service's runners, or nil.
+func (p *planner) facts(id buckthorndyke.ServiceID) *buckthorndyke.EngineFacts {
+	service, _ := p.routing.Services.Get(id)
+	return service.Engine
+}
+
+// finishGoals goes on with what earlier plans have begun.
+func (p *planner) finishGoals() {
+	for id, s := range p.stages.All() {
+		if s.goal == "" || s.order != nil || p.now < s.retryAt {
+			continue
+		}
+		key := buckthorndyke.ModelKey{Model: s.goal, Service: s.backend.Service}
+		facts := p.facts(key.Service)
+		if facts == nil || s.backend.Leaving || s.holds(key) {
+			s.goal = ""
+			p.stages = p.stages.With(id, s)
+			continue
+		}
+		if way, ok := p.way(s, *facts, key, p.worth(key)); ok {
+			p.take(s, key, way)
+			continue
+		}
+		s.goal = ""
+		p.stages = p.stages.With(id, s)
+	}
+}
+
+// mayLoadRemote reports whether another load may be taken from the weight store.
+func (p *planner) mayLoadRemote(facts buckthorndyke.EngineFacts) bool {
+	running := 0
+	for _, s := range p.stages.All() {
+		if s.order != nil && s.order.kind == buckthorndyke.OrderLoad && s.order.adapter == "" && s.order.tier == buckthorndyke.TierRemote {
+			running++
+		}
+	}
+	ceiling := int(facts.LoadsPerSecond * float64(loadWindow) / float64(buckthorndyke.Second))
+	return running < p.atOnce && len(p.loadsSince(p.now-loadWindow)) < max(ceiling, 1)
+}
+
+// place gives the order that brings the model of w to the best runner.
+func (p *planner) place(w want, facts buckthorndyke.EngineFacts, worth float64) {
+	var best stage
+	var bestWay way
+	found := false
+	for _, s := range p.stages.All() {
+		if s.backend.Service != w.key.Service || s.backend.Leaving || s.order != nil || s.goal != "" || p.now < s.retryAt || s.holds(w.key) {
+			continue
+		}
+		way, ok := p.way(s, facts, w.key, worth)
+		if ok && (!found || way.cost < bestWay.cost) {
+			best, bestWay, found = s, way, true
+		}
+	}
+	if found {
+		p.take(best, w.key, bestWay)
+	}
+}
+
+// placeAdapter gives the order that brings an adapter to the best runner that
+// holds its model.
+func (p *planner) placeAdapter(w want, facts buckthorndyke.EngineFacts) {
+	var best stage
+	found := false
+	for _, s := range p.stages.All() {
+		if s.backend.Service != w.key.Service || s.backend.Leaving || s.order != nil || p.now < s.retryAt || !s.holds(w.key.Base()) {
+			continue
+		}
+		if !found || s.adapters() < best.adapters() {
+			best, found = s, true
+		}
+	}
+	if !found {
+		return
+	}
+	model, _ := facts.Models.Get(w.key.Model)
+	if best.adapters() < facts.AdapterSlots && best.freeMB(facts) >= model.AdapterMB {
+		p.add(Intent{
+			Adapter: w.key.Adapter, Kind: buckthorndyke.OrderLoad, Model: w.key.Model, Runner: best.backend.ID,
+			Tier: buckthorndyke.TierRemote,
+		})
+		return
+	}
+	if model, adapter, ok := p.oldestAdapter(best); ok {
+		p.add(Intent{Adapter: adapter, Kind: buckthorndyke.OrderUnload, Model: model, Runner: best.backend.ID})
+	}
+}
+
+// oldestAdapter returns the adapter of a runner that was used least lately and
+// is not in use.
+func (p *planner) oldestAdapter(s stage) (buckthorndyke.ModelID, string, bool) {
+	var oldest buckthorndyke.ModelID
+	var adapter string
+	var least float64
+	found := false
+	for _, h := range s.backend.Holdings {
+		for _, a := range h.Adapters {
+			key := buckthorndyke.ModelKey{Adapter: a, Model: h.Model, Service: s.backend.Service}
+			if w := p.wants[key]; w.running > 0 || w.waiting > 0 {
+				continue
+			}
+			if r := p.demand.PerSecond(key, p.now); !found || r < least {
+				oldest, adapter, least, found = h.Model, a, r, true
+			}
+		}
+	}
+	return oldest, adapter, found
+}
+
+// replicas returns the number of runners that hold what key names.
+func (p *planner) replicas(key buckthorndyke.ModelKey) int {
+	n := 0
+	for _, s := range p.stages.All() {
+		if s.backend.Service == key.Service && !s.backend.Leaving && s.holds(key) {
+			n++
+		}
+	}
+	return n
+}
+
+// serveWaiting gives orders for what requests wait for, the most pressing first.
+func (p *planner) serveWaiting() {
+	for _, w := range p.sorted(func(w want) bool { return w.waiting > 0 }) {
+		facts := p.facts(w.key.Service)
+		if facts == nil || p.replicas(w.key) > 0 || p.coming(w.key) {
+			continue
+		}
+		if w.key.Adapter != "" {
+			p.placeAdapter(w, *facts)
+			continue
+		}
+		if facts.Models.Has(w.key.Model) {
+			p.place(w, *facts, p.worth(w.key))
+		}
+	}
+}
+
+// sorted returns the wants that pass keep, the most pressing first.
+func (p *planner) sorted(keep func(w want) bool) []want {
+	var out []want
+	for _, w := range p.wants {
+		if keep(w) {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, b want) int {
+		return cmp.Or(cmp.Compare(b.waiting, a.waiting), cmp.Compare(a.due, b.due), cmp.Compare(textOf(a.key), textOf(b.key)))
+	})
+	return out
+}
+
+// take gives the first order of a way.
+func (p *planner) take(s stage, key buckthorndyke.ModelKey, w way) {
+	i := Intent{Goal: key.Model, Kind: buckthorndyke.OrderLoad, Model: key.Model, Runner: s.backend.ID, Tier: w.tier}
+	if w.evict != "" {
+		i.Kind = buckthorndyke.OrderUnload
+		i.Model = w.evict
+	}
+	p.add(i)
+}
+
+// worth returns what it is worth to hold the model of key, in requests a second.
+func (p *planner) worth(key buckthorndyke.ModelKey) float64 {
+	w := p.wants[key]
+	return p.demand.PerSecond(key, p.now) + waitWorth*float64(w.waiting)
+}
--- /dev/null
+++ b/stager/stage.go
@@ -0,0 +1,157 @@
+package stager
+
+import (
+	"slices"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// unknown stands for a number of orders that the runner has not reported.
+const unknown = -1
+
+// pending is an order whose end is not known yet.
+type pending struct {
+	adapter string
+	kind    buckthorndyke.OrderKind
+	model   buckthorndyke.ModelID
+	// sent is the instant at which the order was sent.
+	sent buckthorndyke.Millis
+	// tier is where the runner finds what it loads.
+	tier buckthorndyke.Tier
+}
+
+// settled reports whether b shows that the order was carried out.
+func (o pending) settled(b buckthorndyke.Backend) bool {
+	h, held := b.Holding(o.model)
+	switch {
+	case o.adapter == "":
+		return held == (o.kind == buckthorndyke.OrderLoad)
+	case !held:
+		return o.kind == buckthorndyke.OrderUnload
+	default:
+		return h.Has(o.adapter) == (o.kind == buckthorndyke.OrderLoad)
+	}
+}
+
+// stage is a runner as the leader knows it.
+type stage struct {
+	// backend is the newest of the platform's list, the runner's reports and what
+	// the leader's own orders have changed.
+	backend buckthorndyke.Backend
+	// changed is the instant of the last change by an order.
+	changed buckthorndyke.Millis
+	// goal is the model that room is made for, or empty.
+	goal buckthorndyke.ModelID
+	// order is the outstanding order, or nil.
+	order *pending
+	// orders is the number of orders that the runner has accepted, or unknown.
+	orders int64
+	// retryAt is the instant from which the runner may be given another order.
+	retryAt buckthorndyke.Millis
+	// used holds the last use of each adapter.
+	used map[string]buckthorndyke.Millis
+}
+
+// adapters returns the number of adapters that the runner holds.
+func (s stage) adapters() int {
+	n := 0
+	for _, h := range s.backend.Holdings {
+		n += len(h.Adapters)
+	}
+	return n
+}
+
+// closed returns the models that take no more requests.
+func (s stage) closed() []buckthorndyke.ModelID {
+	if s.order != nil && s.order.kind == buckthorndyke.OrderUnload && s.order.adapter == "" {
+		return []buckthorndyke.ModelID{s.order.model}
+	}
+	return nil
+}
+
+// freeMB returns the memory that is not taken, in megabytes.
+func (s stage) freeMB(facts buckthorndyke.EngineFacts) int {
+	free := facts.MemoryMB
+	for _, h := range s.backend.Holdings {
+		m, _ := facts.Models.Get(h.Model)
+		free -= m.MemoryMB + len(h.Adapters)*m.AdapterMB
+	}
+	if s.order != nil && s.order.kind == buckthorndyke.OrderLoad {
+		m, _ := facts.Models.Get(s.order.model)
+		if _, held := s.backend.Holding(s.order.model); !held {
+			free -= m.MemoryMB
+		} else if s.order.adapter != "" {
+			free -= m.AdapterMB
+		}
+	}
+	return free
+}
+
+// holds reports whether the runner holds what key names and keeps it.
+func (s stage) holds(key buckthorndyke.ModelKey) bool {
+	h, ok := s.backend.Holding(key.Model)
+	return ok && h.Has(key.Adapter) && !slices.Contains(s.closed(), key.Model)
+}
+
+// loads reports whether the runner is loading what key names.
+func (s stage) loads(key buckthorndyke.ModelKey) bool {
+	if s.goal == key.Model && key.Adapter == "" {
+		return true
+	}
+	return s.order != nil && s.order.kind == buckthorndyke.OrderLoad &&
+		s.order.model == key.Model && s.order.adapter == key.Adapter
+}
+
+// withDone returns the stage after the end of its order.
+func (s stage) withDone(now buckthorndyke.Millis) stage {
+	o := s.order
+	if o == nil {
+		return s
+	}
+	if o.kind == buckthorndyke.OrderLoad {
+		s.backend = withLoaded(s.backend, o.model, o.adapter)
+	} else {
+		s.backend = withUnloaded(s.backend, o.model, o.adapter)
+	}
+	if s.goal == o.model && o.kind == buckthorndyke.OrderLoad {
+		s.goal = ""
+	}
+	s.order = nil
+	s.changed = now
+	return s
+}
+
+// withLoaded returns b with a model or adapter more.
+func withLoaded(b buckthorndyke.Backend, model buckthorndyke.ModelID, adapter string) buckthorndyke.Backend {
+	b.Holdings = slices.Clone(b.Holdings)
+	for i, h := range b.Holdings {
+		if h.Model != model {
+			continue
+		}
+		if !h.Has(adapter) {
+			h.Adapters = append(slices.Clone(h.Adapters), adapter)
+			b.Holdings[i] = h
+		}
+		return b
+	}
+	if adapter == "" {
+		b.Holdings = append(b.Holdings, buckthorndyke.Holding{Model: model})
+	}
+	return b
+}
+
+// withUnloaded returns b with a model or adapter less.
+func withUnloaded(b buckthorndyke.Backend, model buckthorndyke.ModelID, adapter string) buckthorndyke.Backend {
+	var kept []buckthorndyke.Holding
+	for _, h := range b.Holdings {
+		switch {
+		case h.Model != model:
+			kept = append(kept, h)
+		case adapter != "":
+			h.Adapters = slices.DeleteFunc(slices.Clone(h.Adapters), func(a string) bool { return a == adapter })
+			kept = append(kept, h)
+		}
+	}
+	b.Holdings = kept
+	return b
+}
--- /dev/null
+++ b/stager/way.go
@@ -0,0 +1,76 @@
+package stager
+
+import "github.com/buckthorndyke/buckthorndyke"
+
+// way is how a model can be brought to a runner.
+type way struct {
+	// cost weighs the time until the model is there and what is lost for it.
+	cost float64
+	// evict is the model that is unloaded first, or empty.
+	evict buckthorndyke.ModelID
+	tier  buckthorndyke.Tier
+}
+
+// way returns how the model of key, which is worth the given requests a second,
+// can be brought to s, or false if it cannot or is not worth it.
+func (p *planner) way(s stage, facts buckthorndyke.EngineFacts, key buckthorndyke.ModelKey, worth float64) (way, bool) {
+	model, ok := facts.Models.Get(key.Model)
+	if !ok {
+		return way{}, false
+	}
+	out := way{tier: s.backend.Tier(key.Model)}
+	if out.tier == buckthorndyke.TierRemote && !p.mayLoadRemote(facts) {
+		return way{}, false
+	}
+	out.cost = float64(model.LoadTimes[out.tier]) / float64(buckthorndyke.Second)
+	free := s.freeMB(facts)
+	gone := make(map[buckthorndyke.ModelID]bool)
+	for free < model.MemoryMB {
+		victim, lost, ok := p.victim(s, gone)
+		if !ok || lost >= worth {
+			return way{}, false
+		}
+		if out.evict == "" {
+			out.evict = victim.Model
+		}
+		gone[victim.Model] = true
+		worth -= lost
+		out.cost += lost
+		facts, _ := facts.Models.Get(victim.Model)
+		free += facts.MemoryMB + len(victim.Adapters)*facts.AdapterMB
+	}
+	return out, true
+}
+
+// victim returns the model of s whose loss costs least, and that cost in
+// requests a second.
+func (p *planner) victim(s stage, gone map[buckthorndyke.ModelID]bool) (buckthorndyke.Holding, float64, bool) {
+	var best buckthorndyke.Holding
+	var least float64
+	found := false
+	for _, h := range s.backend.Holdings {
+		if gone[h.Model] {
+			continue
+		}
+		if lost := p.lost(s, h.Model); !found || lost < least {
+			best, least, found = h, lost, true
+		}
+	}
+	return best, least, found
+}
+
+// lost returns what it costs to unload a model of s, in requests a second.
+func (p *planner) lost(s stage, model buckthorndyke.ModelID) float64 {
+	key := buckthorndyke.ModelKey{Model: model, Service: s.backend.Service}
+	lost := p.worth(key)
+	if running := p.wants[key].running; running > 0 {
+		lost += float64(running)
+	}
+	if replicas := p.replicas(key); replicas > 1 {
+		return spareReplica + lost/float64(replicas)
+	}
+	if s.backend.Tier(model) == buckthorndyke.TierRemote {
+		lost += coldCopy
+	}
+	return lost
+}
--- a/supervisor/branch.go
+++ b/starter/branch.go
@@ -1,4 +1,5 @@
-package supervisor
+// Package starter starts and stops the branches of a supervisor tree.
+package starter
 
 import (
 	"context"
@@ -11,16 +12,16 @@
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 )
 
-// branch is a part of the tree that starts and stops as one.
-type branch struct {
+// Branch is a part of the tree that starts and stops as one.
+type Branch struct {
 	done   <-chan error
 	stop   context.CancelFunc
 	suture *suture.Supervisor
 }
 
-// newBranch returns a branch that restarts the tasks that fail, and gives each
+// NewBranch returns a branch that restarts the tasks that fail, and gives each
 // the time limit to stop.
-func newBranch(name string, limit buckthorndyke.Millis, logger zerolog.Logger, tasks ...suture.Service) *branch {
+func NewBranch(name string, limit buckthorndyke.Millis, logger zerolog.Logger, tasks ...suture.Service) *Branch {
 	s := suture.New(name, suture.Spec{
 		EventHook: reporter.SupervisorHook(logger),
 		Timeout:   limit.Duration(),
@@ -28,17 +29,17 @@
 	for _, task := range tasks {
 		s.Add(task)
 	}
-	return &branch{suture: s}
+	return &Branch{suture: s}
 }
 
-// add adds a task to a branch that has not started.
-func (b *branch) add(task suture.Service) {
+// Add adds a task to a branch that has not started.
+func (b *Branch) Add(task suture.Service) {
 	b.suture.Add(task)
 }
 
-// end stops the tasks and waits until they have ended. It returns nil if all
+// End stops the tasks and waits until they have ended. It returns nil if all
 // have stopped as asked.
-func (b *branch) end() error {
+func (b *Branch) End() error {
 	b.stop()
 	if err := <-b.done; !errors.Is(err, context.Canceled) {
 		return err
@@ -46,8 +47,8 @@
 	return nil
 }
 
-// start starts the tasks. They do not end with ctx but with end.
-func (b *branch) start(ctx context.Context) {
+// Start starts the tasks. They do not end with ctx but with End.
+func (b *Branch) Start(ctx context.Context) {
 	ctx, b.stop = context.WithCancel(context.WithoutCancel(ctx))
 	b.done = b.suture.ServeBackground(ctx)
 }
--- /dev/null
+++ b/supervisor/relayer/demander/demander.go
@@ -0,0 +1,102 @@
+// Package demander reports the VM's demand for models to the leading VM and
+// passes on what that knows of the runners.
+package demander
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/reporter"
+)
+
+const (
+	// calmEvery is the time between two reports while nothing waits.
+	calmEvery = 800 * buckthorndyke.Millisecond
+	// pressingEvery is the least time between two reports.
+	pressingEvery = 25 * buckthorndyke.Millisecond
+	// reportTimeout bounds one report. The leader answers within a part of it.
+	reportTimeout = 700 * buckthorndyke.Millisecond
+	// searchEvery is the least time between two searches for the leader.
+	searchEvery = 400 * buckthorndyke.Millisecond
+)
+
+// Demander is the task that talks to the leader.
+type Demander struct {
+	clock    buckthorndyke.Clock
+	election buckthorndyke.Election
+	leaders  buckthorndyke.Leaders
+	logger   zerolog.Logger
+	self     buckthorndyke.VMID
+	source   buckthorndyke.DemandSource
+	// address is where the leader answers, or empty.
+	address string
+	// searched is the instant of the last search for the leader.
+	searched buckthorndyke.Millis
+}
+
+// New returns a demander for the VM self.
+func New(
+	self buckthorndyke.VMID, source buckthorndyke.DemandSource, election buckthorndyke.Election, leaders buckthorndyke.Leaders,
+	clock buckthorndyke.Clock, logger zerolog.Logger,
+) *Demander {
+	return &Demander{clock: clock, election: election, leaders: leaders, logger: logger, self: self, source: source}
+}
+
+// Serve implements suture.Service.
+func (d *Demander) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		lines, waiting, err := d.source.Demand(ctx)
+		if err != nil {
+			return err
+		}
+		d.report(ctx, lines)
+		wait := calmEvery
+		if waiting {
+			wait = pressingEvery
+		}
+		select {
+		case <-ctx.Done():
+		case <-d.source.Pressing():
+		case <-d.clock.After(wait):
+		}
+	}
+	return ctx.Err()
+}
+
+// report sends lines to the leader, if there is one.
+func (d *Demander) report(ctx context.Context, lines []buckthorndyke.DemandLine) {
+	if d.address == "" && !d.search(ctx) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout.Duration())
+	defer cancel()
+	reply, err := d.leaders.Report(ctx, d.address, d.self, lines)
+	if err != nil || !reply.Leading {
+		d.logger.Info().EmbedObject(reporter.EventDependencyLost).Str("dependency", "leader").
+			Str("address", d.address).Err(err).Send()
+		d.address = ""
+		return
+	}
+	if err := d.source.Residences(ctx, reply.Residences); err != nil {
+		d.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
+	}
+}
+
+// search looks for the leader, unless that was done just now.
+func (d *Demander) search(ctx context.Context) bool {
+	now := d.clock.Now()
+	if d.searched > 0 && now < d.searched+searchEvery {
+		return false
+	}
+	d.searched = now
+	address, ok, err := d.election.Leader(ctx)
+	if err != nil || !ok {
+		d.logger.Info().EmbedObject(reporter.EventDependencyLost).Str("dependency", "leader").Err(err).Send()
+		return false
+	}
+	d.address = address
+	d.logger.Info().EmbedObject(reporter.EventLeaderFound).Str("address", address).Send()
+	return true
+}
--- /dev/null
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -0,0 +1,102 @@
+package dispatcher
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+const (
+	// backlog bounds the messages that wait for the task.
+	backlog = 1024
+	// defaultRetryBurst is the number of retries that a VM may send at once.
+	defaultRetryBurst = 6
+)
+
+// Dispatcher is the task that knows the backend servers. It implements
+// buckthorndyke.Relay and buckthorndyke.DemandSource.
+type Dispatcher struct {
+	box        *mailer.Mailbox[message]
+	clock      buckthorndyke.Clock
+	domain     buckthorndyke.DomainID
+	lists      *mailer.Feed[buckthorndyke.Backends]
+	logger     zerolog.Logger
+	pool       buckthorndyke.BackendPool
+	pressing   chan struct{}
+	retryBurst int
+	routings   *mailer.Feed[buckthorndyke.Routing]
+}
+
+// Option configures a Dispatcher.
+type Option func(*Dispatcher)
+
+// WithDomain prefers servers in the given failure domain.
+func WithDomain(domain buckthorndyke.DomainID) Option {
+	return func(d *Dispatcher) { d.domain = domain }
+}
+
+// WithLogger logs requests to l.
+func WithLogger(l zerolog.Logger) Option {
+	return func(d *Dispatcher) { d.logger = l }
+}
+
+// WithRetryBurst bounds the retries that the VM sends to a service at once.
+func WithRetryBurst(n int) Option {
+	return func(d *Dispatcher) { d.retryBurst = n }
+}
+
+// New returns a dispatcher that follows routings and lists and reaches servers
+// by pool.
+func New(
+	pool buckthorndyke.BackendPool, routings *mailer.Feed[buckthorndyke.Routing],
+	lists *mailer.Feed[buckthorndyke.Backends], clock buckthorndyke.Clock, opts ...Option,
+) *Dispatcher {
+	d := &Dispatcher{
+		box:        mailer.NewMailbox[message](mailer.WithCapacity(backlog)),
+		clock:      clock,
+		lists:      lists,
+		logger:     zerolog.Nop(),
+		pool:       pool,
+		pressing:   make(chan struct{}, 1),
+		retryBurst: defaultRetryBurst,
+		routings:   routings,
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
+}
+
+// Demand implements buckthorndyke.DemandSource.
+func (d *Dispatcher) Demand(ctx context.Context) ([]buckthorndyke.DemandLine, bool, error) {
+	answer, err := mailer.Ask(ctx, d.box, func(reply mailer.Reply[demandAnswer]) message {
+		return demandAsked{reply: reply}
+	})
+	return answer.lines, answer.waiting, err
+}
+
+// Pressing implements buckthorndyke.DemandSource.
+func (d *Dispatcher) Pressing() <-chan struct{} { return d.pressing }
+
+// Relay implements buckthorndyke.Relay.
+func (d *Dispatcher) Relay(ctx context.Context, r buckthorndyke.RelayRequest, w buckthorndyke.RelayWriter) error {
+	j, err := d.newJob(ctx, r, w)
+	if err == nil {
+		err = j.run(ctx)
+	}
+	d.log(r, j, err)
+	return err
+}
+
+// Residences implements buckthorndyke.DemandSource.
+func (d *Dispatcher) Residences(ctx context.Context, list []buckthorndyke.Residence) error {
+	return d.box.Send(ctx, residencesTold{list: list})
+}
+
+// Serve implements suture.Service.
+func (d *Dispatcher) Serve(ctx context.Context) error {
+	return newTask(d).run(ctx)
+}
--- /dev/null
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -0,0 +1,88 @@
+package dispatcher
+
+import (
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/selector"
+)
+
+// message changes the task's state.
+type message interface {
+	apply(t *task)
+}
+
+// Results of an attempt.
+const (
+	// resultServed means that the server has answered.
+	resultServed result = iota
+	// resultAbsent means that the runner does not hold the model.
+	resultAbsent
+	// resultFailed means that the server did not answer as it should.
+	resultFailed
+	// resultNeutral says nothing of the server.
+	resultNeutral
+)
+
+// result is what an attempt says of its server.
+type result uint8
+
+// grant answers a request for a server.
+type grant struct {
+	backend buckthorndyke.Backend
+	err     error
+}
+
+type (
+	// admitAsked asks for a server.
+	admitAsked struct {
+		job   *job
+		load  selector.Load
+		query selector.Query
+		reply mailer.Reply[grant]
+		// retry is set if a server has seen the request before.
+		retry bool
+		// until is the instant until which the request may wait.
+		until buckthorndyke.Millis
+	}
+
+	// admitLeft says that a request no longer waits.
+	admitLeft struct {
+		job *job
+	}
+
+	// attemptEnded gives a server's place back.
+	attemptEnded struct {
+		key    buckthorndyke.ModelKey
+		load   selector.Load
+		result result
+		server buckthorndyke.RunnerID
+	}
+
+	// demandAsked asks for the demand since the last time.
+	demandAsked struct {
+		reply mailer.Reply[demandAnswer]
+	}
+
+	// demandAnswer is the demand since the last time.
+	demandAnswer struct {
+		lines   []buckthorndyke.DemandLine
+		waiting bool
+	}
+
+	// residencesTold brings a leader's word.
+	residencesTold struct {
+		list []buckthorndyke.Residence
+	}
+
+	// routingAsked asks for the configuration.
+	routingAsked struct {
+		reply mailer.Reply[buckthorndyke.Routing]
+	}
+)
+
+func (m admitAsked) apply(t *task)     { t.admit(m) }
+func (m admitLeft) apply(t *task)      { t.leave(m.job) }
+func (m attemptEnded) apply(t *task)   { t.endAttempt(m) }
+func (m demandAsked) apply(t *task)    { m.reply.Answer(t.demand()) }
+func (m residencesTold) apply(t *task) { t.takeResidences(m.list) }
+func (m routingAsked) apply(t *task)   { m.reply.Answer(t.routing) }
--- /dev/null
+++ b/supervisor/relayer/dispatcher/task.go
@@ -0,0 +1,221 @@
+package dispatcher
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/chooser"
+	"github.com/buckthorndyke/buckthorndyke/selector"
+)
+
+const (
+	// idleWake bounds the time between two looks at the waiting requests.
+	idleWake = buckthorndyke.Second
+	// retryAfter is how long a client whose request found no server should wait.
+	retryAfter = 500 * buckthorndyke.Millisecond
+)
+
+// Refusals of the task.
+var (
+	errBudget = buckthorndyke.NewRefusal(buckthorndyke.CodeOverloaded, buckthorndyke.NotRun,
+		"too many requests have to be repeated").WithRetryAfter(retryAfter)
+	errNoServer = buckthorndyke.NewRefusal(buckthorndyke.CodeRunnerUnavailable, buckthorndyke.NotRun,
+		"no server could take the request in time").WithRetryAfter(retryAfter)
+)
+
+// task is the state of one run of a dispatcher. Only its goroutine touches it.
+type task struct {
+	*Dispatcher
+	arrivals map[buckthorndyke.ModelKey]int
+	board    selector.Board
+	budgets  map[buckthorndyke.ServiceID]chooser.Budget
+	routing  buckthorndyke.Routing
+	running  map[buckthorndyke.ModelKey]int
+	// waiting holds the requests without a server in the order of their arrival.
+	waiting []admitAsked
+}
+
+func newTask(d *Dispatcher) *task {
+	return &task{
+		Dispatcher: d,
+		arrivals:   make(map[buckthorndyke.ModelKey]int),
+		budgets:    make(map[buckthorndyke.ServiceID]chooser.Budget),
+		running:    make(map[buckthorndyke.ModelKey]int),
+	}
+}
+
+// run handles messages until ctx ends.
+func (t *task) run(ctx context.Context) error {
+	routings := t.routings.Subscribe(ctx)
+	lists := t.lists.Subscribe(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-t.box.Receive():
+			m.apply(t)
+		case r := <-routings:
+			t.routing = r
+		case l := <-lists:
+			t.board = t.board.WithBackends(l)
+			t.retryWaiting()
+		case <-t.clock.After(t.wake()):
+			t.retryWaiting()
+		}
+	}
+}
+
+// admit gives a request a server or lets it wait.
+func (t *task) admit(m admitAsked) {
+	key := m.query.Key
+	if !m.retry {
+		t.budgets[key.Service] = t.budget(key.Service).WithRequest()
+		if key.Model != "" {
+			t.arrivals[key]++
+		}
+	} else if !t.budget(key.Service).Allows() {
+		m.reply.Answer(grant{err: errBudget})
+		return
+	}
+	if t.offer(m) {
+		return
+	}
+	t.waiting = append(t.waiting, m)
+	if key.Model != "" {
+		t.press()
+	}
+}
+
+// budget returns the retries that a service may still get from this VM.
+func (t *task) budget(service buckthorndyke.ServiceID) chooser.Budget {
+	if b, ok := t.budgets[service]; ok {
+		return b
+	}
+	return chooser.NewBudget(chooser.WithBurst(t.retryBurst))
+}
+
+// demand returns the demand since the last call.
+func (t *task) demand() demandAnswer {
+	lines := make(map[buckthorndyke.ModelKey]buckthorndyke.DemandLine)
+	change := func(key buckthorndyke.ModelKey, change func(l *buckthorndyke.DemandLine)) {
+		line := lines[key]
+		line.Key = key
+		change(&line)
+		lines[key] = line
+	}
+	for key, n := range t.arrivals {
+		change(key, func(l *buckthorndyke.DemandLine) { l.Arrivals = n })
+	}
+	for key, n := range t.running {
+		change(key, func(l *buckthorndyke.DemandLine) { l.Running = n })
+	}
+	now := t.clock.Now()
+	answer := demandAnswer{}
+	for _, m := range t.waiting {
+		if m.query.Key.Model == "" {
+			continue
+		}
+		answer.waiting = true
+		change(m.query.Key, func(l *buckthorndyke.DemandLine) {
+			if due := max(m.until-now, 0); l.Waiting == 0 || due < l.Due {
+				l.Due = due
+			}
+			l.Waiting++
+		})
+	}
+	clear(t.arrivals)
+	for _, line := range lines {
+		answer.lines = append(answer.lines, line)
+	}
+	slices.SortFunc(answer.lines, func(a, b buckthorndyke.DemandLine) int {
+		return cmp.Or(cmp.Compare(a.Key.Model, b.Key.Model), cmp.Compare(a.Key.Adapter, b.Key.Adapter))
+	})
+	return answer
+}
+
+// endAttempt takes over how an attempt went.
+func (t *task) endAttempt(m attemptEnded) {
+	now := t.clock.Now()
+	t.board = t.board.WithLoad(m.server, selector.Load{Requests: -m.load.Requests, Tokens: -m.load.Tokens})
+	if m.key.Model != "" {
+		if t.running[m.key]--; t.running[m.key] <= 0 {
+			delete(t.running, m.key)
+		}
+	}
+	switch m.result {
+	case resultServed:
+		t.board = t.board.WithSuccess(m.server)
+	case resultAbsent:
+		t.board = t.board.WithMissing(m.server, m.key, now)
+	case resultFailed:
+		t.board = t.board.WithFailure(m.server, now)
+	}
+}
+
+// leave forgets a request that no longer waits.
+func (t *task) leave(j *job) {
+	t.waiting = slices.DeleteFunc(t.waiting, func(m admitAsked) bool { return m.job == j })
+}
+
+// offer gives a request a server if one can take it.
+func (t *task) offer(m admitAsked) bool {
+	m.query.Now = t.clock.Now()
+	m.query.Domain = t.domain
+	backend, ok := t.board.Choose(m.query)
+	if !ok {
+		return false
+	}
+	key := m.query.Key
+	if m.retry {
+		t.budgets[key.Service] = t.budget(key.Service).WithRetry()
+	}
+	t.board = t.board.WithLoad(backend.ID, m.load)
+	if key.Model != "" {
+		t.running[key]++
+	}
+	m.reply.Answer(grant{backend: backend})
+	return true
+}
+
+// press tells that something has begun to wait.
+func (t *task) press() {
+	select {
+	case t.pressing <- struct{}{}:
+	default:
+	}
+}
+
+// retryWaiting offers servers to the waiting requests and refuses those that
+// have waited too long.
+func (t *task) retryWaiting() {
+	now := t.clock.Now()
+	kept := t.waiting[:0]
+	for _, m := range t.waiting {
+		switch {
+		case t.offer(m):
+		case now >= m.until:
+			m.reply.Answer(grant{err: errNoServer})
+		default:
+			kept = append(kept, m)
+		}
+	}
+	t.waiting = kept
+}
+
+// takeResidences takes over a leader's word.
+func (t *task) takeResidences(list []buckthorndyke.Residence) {
+	t.board = t.board.WithResidences(list, t.clock.Now())
+	t.retryWaiting()
+}
+
+// wake returns the time until the next waiting request has waited too long.
+func (t *task) wake() buckthorndyke.Millis {
+	now := t.clock.Now()
+	wake := idleWake
+	for _, m := range t.waiting {
+		wake = min(wake, max(m.until-now, 1))
+	}
+	return wake
+}
--- /dev/null
+++ b/supervisor/relayer/loader/messages.go
@@ -0,0 +1,40 @@
+package loader
+
+import (
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/stager"
+)
+
+// message changes the task's state.
+type message interface {
+	apply(t *task)
+}
+
+type (
+	// demandReported brings the demand of one VM.
+	demandReported struct {
+		lines []buckthorndyke.DemandLine
+		reply mailer.Reply[buckthorndyke.DemandReply]
+		vm    buckthorndyke.VMID
+	}
+
+	// orderAnswered brings a runner's answer to an order.
+	orderAnswered struct {
+		err     error
+		expect  int64
+		intent  stager.Intent
+		outcome buckthorndyke.ModelOrderOutcome
+	}
+
+	// runnerReported brings a runner's report.
+	runnerReported struct {
+		err    error
+		report buckthorndyke.ModelReport
+		runner buckthorndyke.RunnerID
+	}
+)
+
+func (m demandReported) apply(t *task) { t.takeDemand(m) }
+func (m orderAnswered) apply(t *task)  { t.takeAnswer(m) }
+func (m runnerReported) apply(t *task) { t.takeReport(m) }
--- /dev/null
+++ b/supervisor/relayer/loader/task.go
@@ -0,0 +1,232 @@
+package loader
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/reporter"
+	"github.com/buckthorndyke/buckthorndyke/stager"
+)
+
+const (
+	// orderMargin is how long before the end of its grant a leader stops giving
+	// orders, so that none is on its way when the next leader begins.
+	orderMargin = 700 * buckthorndyke.Millisecond
+	// parkLimit is how long a report of demand waits for something to change.
+	parkLimit = 250 * buckthorndyke.Millisecond
+	// pollEvery is the time between two looks at a runner with an outstanding
+	// order.
+	pollEvery = 200 * buckthorndyke.Millisecond
+	// tick is the time between two decisions without a message.
+	tick = 100 * buckthorndyke.Millisecond
+)
+
+// parked is a report of demand that has not been answered.
+type parked struct {
+	demandReported
+	until buckthorndyke.Millis
+}
+
+// task is the state of one run of a loader. Only its goroutine touches it.
+type task struct {
+	*Loader
+	floor stager.Floor
+	life  context.Context
+	// parked are the reports of demand that wait for something to change.
+	parked []parked
+	// polled is the instant of the last look at the runners.
+	polled buckthorndyke.Millis
+	// polling holds the runners whose report was asked for.
+	polling map[buckthorndyke.RunnerID]bool
+	// since is the instant at which the VM began to lead.
+	since buckthorndyke.Millis
+	term  buckthorndyke.Term
+}
+
+// run handles messages until ctx ends.
+func (t *task) run(ctx context.Context) error {
+	routings := t.routings.Subscribe(ctx)
+	lists := t.lists.Subscribe(ctx)
+	terms := t.terms.Subscribe(ctx)
+	for {
+		wait := buckthorndyke.Minute
+		if t.term.Leading {
+			wait = tick
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-t.box.Receive():
+			m.apply(t)
+		case r := <-routings:
+			t.floor = t.floor.WithRouting(r)
+		case l := <-lists:
+			t.floor = t.floor.WithBackends(l, t.clock.Now())
+		case term := <-terms:
+			t.changeTerm(term)
+		case <-t.clock.After(wait):
+		}
+		t.step(t.clock.Now())
+	}
+}
+
+// answerParked answers the reports for which something has changed or which have
+// waited long enough.
+func (t *task) answerParked(now buckthorndyke.Millis) {
+	var kept []parked
+	for _, p := range t.parked {
+		if now < p.until && !t.served(p.lines) {
+			kept = append(kept, p)
+			continue
+		}
+		t.answer(p.reply, now)
+	}
+	t.parked = kept
+}
+
+// answer answers a report of demand.
+func (t *task) answer(reply mailer.Reply[buckthorndyke.DemandReply], now buckthorndyke.Millis) {
+	reply.Answer(buckthorndyke.DemandReply{Leading: t.leads(now), Residences: t.floor.Residences(now)})
+}
+
+// changeTerm takes over the VM's standing.
+func (t *task) changeTerm(term buckthorndyke.Term) {
+	if term.Leading && (!t.term.Leading || term.Fence != t.term.Fence) {
+		t.since = t.clock.Now()
+	}
+	t.term = term
+}
+
+// leads reports whether the VM leads.
+func (t *task) leads(now buckthorndyke.Millis) bool {
+	return t.term.Leading && now < t.term.Until
+}
+
+// mayOrder reports whether the VM may give orders: it leads, its grant lasts,
+// and the lease of a previous leader has ended.
+func (t *task) mayOrder(now buckthorndyke.Millis) bool {
+	return t.term.Leading && now < t.term.Until-orderMargin && now >= t.since+t.lease
+}
+
+// order sends an order.
+func (t *task) order(i stager.Intent) {
+	backend, ok := t.floor.Backend(i.Runner)
+	if !ok {
+		return
+	}
+	orders, known := t.floor.Orders(i.Runner)
+	if !known {
+		t.ask(i.Runner)
+		return
+	}
+	t.floor = t.floor.WithOrder(i, t.clock.Now())
+	o := buckthorndyke.ModelOrder{
+		Adapter: i.Adapter, Backend: backend, Expect: orders, Fence: t.term.Fence, Holder: t.self,
+		Kind: i.Kind, Model: i.Model,
+	}
+	t.logger.Info().EmbedObject(reporter.EventOrderSent).Str("runner", string(i.Runner)).Str("kind", string(i.Kind)).
+		Str("model", string(i.Model)).Str("adapter", i.Adapter).Int64("expect", o.Expect).Int64("fence", o.Fence).
+		Str("tier", i.Tier.String()).Str("goal", string(i.Goal)).Send()
+	go func() {
+		outcome, err := t.pool.Order(t.life, o)
+		_ = t.box.Send(t.life, orderAnswered{err: err, expect: o.Expect, intent: i, outcome: outcome})
+	}()
+}
+
+// poll asks the runners with an outstanding order for their reports.
+func (t *task) poll(now buckthorndyke.Millis) {
+	if now < t.polled+pollEvery {
+		return
+	}
+	t.polled = now
+	for id, sent := range t.floor.Pending() {
+		if now < sent+pollEvery {
+			continue
+		}
+		t.ask(id)
+	}
+}
+
+// ask asks a runner for its report.
+func (t *task) ask(id buckthorndyke.RunnerID) {
+	backend, ok := t.floor.Backend(id)
+	if !ok || t.polling[id] {
+		return
+	}
+	t.polling[id] = true
+	go func() {
+		report, err := t.pool.Report(t.life, backend)
+		_ = t.box.Send(t.life, runnerReported{err: err, report: report, runner: id})
+	}()
+}
+
+// served reports whether something that lines wait for can be served.
+func (t *task) served(lines []buckthorndyke.DemandLine) bool {
+	for _, l := range lines {
+		if l.Waiting > 0 && t.floor.Serves(l.Key) {
+			return true
+		}
+	}
+	return false
+}
+
+// step does what the state calls for at now.
+func (t *task) step(now buckthorndyke.Millis) {
+	if t.mayOrder(now) {
+		for _, i := range t.floor.Plan(now) {
+			t.order(i)
+		}
+		t.poll(now)
+	}
+	t.answerParked(now)
+}
+
+// takeAnswer takes over a runner's answer to an order.
+func (t *task) takeAnswer(m orderAnswered) {
+	now := t.clock.Now()
+	t.logger.Info().EmbedObject(reporter.EventOrderEnded).Str("runner", string(m.intent.Runner)).
+		Str("kind", string(m.intent.Kind)).Str("model", string(m.intent.Model)).Str("adapter", m.intent.Adapter).
+		Str("outcome", string(m.outcome)).Err(m.err).Send()
+	switch m.outcome {
+	case buckthorndyke.ModelOrderAccepted:
+		t.floor = t.floor.WithAccepted(m.intent.Runner, m.expect+1)
+	case buckthorndyke.ModelOrderDone:
+		if m.intent.Adapter != "" && m.intent.Kind == buckthorndyke.OrderUnload {
+			t.floor = t.floor.WithAccepted(m.intent.Runner, m.expect+1)
+		}
+		t.floor = t.floor.WithDone(m.intent.Runner, now)
+	case buckthorndyke.ModelOrderFenced:
+		t.floor = t.floor.WithFailed(m.intent.Runner, now)
+		t.term.Leading = false
+	case buckthorndyke.ModelOrderRefused:
+		t.floor = t.floor.WithFailed(m.intent.Runner, now)
+		t.ask(m.intent.Runner)
+	}
+}
+
+// takeDemand takes over the demand of one VM.
+func (t *task) takeDemand(m demandReported) {
+	now := t.clock.Now()
+	t.floor = t.floor.WithDemand(m.vm, m.lines, now)
+	waits := false
+	for _, l := range m.lines {
+		waits = waits || l.Waiting > 0
+	}
+	if !t.leads(now) || !waits || t.served(m.lines) {
+		t.answer(m.reply, now)
+		return
+	}
+	t.parked = append(t.parked, parked{demandReported: m, until: now + parkLimit})
+}
+
+// takeReport takes over a runner's report.
+func (t *task) takeReport(m runnerReported) {
+	delete(t.polling, m.runner)
+	if m.err != nil {
+		t.logger.Info().EmbedObject(reporter.EventOrderEnded).Str("runner", string(m.runner)).Str("outcome", "no-report").
+			Err(m.err).Send()
+		return
+	}
+	t.floor = t.floor.WithReport(m.report, t.clock.Now())
+}
--- /dev/null
+++ b/supervisor/relayer/relayer.go
@@ -0,0 +1,118 @@
+// Package relayer is the root of the supervisor tree of an entry VM that relays
+// requests on a platform with a metadata store.
+package relayer
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/reporter"
+	"github.com/buckthorndyke/buckthorndyke/starter"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/campaigner"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/demander"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/dispatcher"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/entrance"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/loader"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/watcher"
+)
+
+// Platform is what the tree needs from outside of its process.
+type Platform struct {
+	Directory buckthorndyke.Directory
+	// Election is used by the campaigner alone, Observer by the demander.
+	Election buckthorndyke.Election
+	Leaders  buckthorndyke.Leaders
+	Observer buckthorndyke.Election
+	Pool     buckthorndyke.BackendPool
+}
+
+// Settings are the tree's limits.
+type Settings struct {
+	// AtOnce is the number of loads that the weight store allows at full speed.
+	AtOnce     int
+	DrainLimit buckthorndyke.Millis
+	Lease      buckthorndyke.Millis
+	RetryBurst int
+}
+
+// Tree is the supervisor tree of one entry VM. Its base follows the platform,
+// gives orders and knows the servers; its front lets clients in. The front stops
+// first.
+type Tree struct {
+	base, front *starter.Branch
+	dispatcher  *dispatcher.Dispatcher
+	drainLimit  buckthorndyke.Millis
+	lists       *mailer.Feed[buckthorndyke.Backends]
+	loader      *loader.Loader
+	logger      zerolog.Logger
+	routings    *mailer.Feed[buckthorndyke.Routing]
+}
+
+// New returns the tree of the VM self. It opens no socket of its own; AddBase and
+// SetFront add the tasks that do.
+func New(
+	self buckthorndyke.Self, platform Platform, s Settings, clock buckthorndyke.Clock, logger zerolog.Logger,
+) *Tree {
+	t := &Tree{
+		drainLimit: s.DrainLimit,
+		lists:      mailer.NewFeed[buckthorndyke.Backends](),
+		logger:     logger,
+		routings:   mailer.NewFeed[buckthorndyke.Routing](),
+	}
+	terms := mailer.NewFeed[buckthorndyke.Term]()
+	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock,
+		dispatcher.WithDomain(self.Domain), dispatcher.WithLogger(logger), dispatcher.WithRetryBurst(s.RetryBurst))
+	t.loader = loader.New(self.VM, platform.Pool,
+		loader.Feeds{Lists: t.lists, Routings: t.routings, Terms: terms}, s.Lease, clock,
+		loader.WithAtOnce(s.AtOnce), loader.WithLogger(logger))
+	t.base = starter.NewBranch("base", s.DrainLimit, logger,
+		t.routings, t.lists, terms, t.dispatcher, t.loader,
+		watcher.NewRoutings(platform.Directory, t.routings, clock, logger),
+		watcher.NewBackends(platform.Directory, t.lists, clock, logger),
+		campaigner.New(platform.Election, s.Lease, terms, clock, logger),
+		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, clock, logger),
+	)
+	t.front = starter.NewBranch("front", s.DrainLimit, logger)
+	return t
+}
+
+// AddBase adds tasks that the tree needs for as long as it serves.
+func (t *Tree) AddBase(tasks ...suture.Service) {
+	for _, task := range tasks {
+		t.base.Add(task)
+	}
+}
+
+// AddFront adds the entrance, which hands requests to handler.
+func (t *Tree) AddFront(at entrance.Addresses, handler http.Handler, clock buckthorndyke.Clock) {
+	t.front.Add(entrance.New(at, handler, t.routings, t.lists, t.drainLimit, clock, t.logger))
+}
+
+// Leader returns the handler of the calls to the leading VM.
+func (t *Tree) Leader() *loader.Service { return loader.NewService(t.loader) }
+
+// Relay returns the task that takes requests to servers.
+func (t *Tree) Relay() buckthorndyke.Relay { return t.dispatcher }
+
+// Serve implements suture.Service. It serves until ctx ends and then stops
+// without cutting a request, within the drain limit.
+func (t *Tree) Serve(ctx context.Context) error {
+	t.base.Start(ctx)
+	t.front.Start(ctx)
+	<-ctx.Done()
+	t.logger.Info().EmbedObject(reporter.EventDrainBegun).Send()
+	t.logStep("close-front", t.front.End())
+	t.logStep("end-base", t.base.End())
+	t.logger.Info().EmbedObject(reporter.EventDrainEnded).Send()
+	return ctx.Err()
+}
+
+// logStep logs the end of one step of a drain.
+func (t *Tree) logStep(step string, err error) {
+	t.logger.Info().EmbedObject(reporter.EventDrainStep).Str("step", step).Err(err).Send()
+}
--- /dev/null
+++ b/supervisor/relayer/watcher/backends.go
@@ -0,0 +1,98 @@
+package watcher
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/reporter"
+)
+
+const (
+	// listEvery is the time between two reads of the list of servers.
+	listEvery = 900 * buckthorndyke.Millisecond
+	// returnGrace is how long after an outage of the list a server that is no
+	// longer listed is still held to be there: the platform lists servers that
+	// live again within that time.
+	returnGrace = 2200 * buckthorndyke.Millisecond
+)
+
+// Backends is the task that follows the list of backend servers.
+type Backends struct {
+	clock     buckthorndyke.Clock
+	directory buckthorndyke.Directory
+	feed      *mailer.Feed[buckthorndyke.Backends]
+	logger    zerolog.Logger
+}
+
+// NewBackends returns a task that publishes each list to feed.
+func NewBackends(
+	directory buckthorndyke.Directory, feed *mailer.Feed[buckthorndyke.Backends], clock buckthorndyke.Clock, logger zerolog.Logger,
+) *Backends {
+	return &Backends{clock: clock, directory: directory, feed: feed, logger: logger}
+}
+
+// Serve implements suture.Service.
+func (b *Backends) Serve(ctx context.Context) error {
+	var current buckthorndyke.Backends
+	var keepUntil buckthorndyke.Millis
+	outage := outage{logger: b.logger, name: "list of servers"}
+	for ctx.Err() == nil {
+		wait := listEvery
+		next, err := b.directory.Backends(ctx)
+		if err != nil {
+			wait = outage.failed(err)
+		} else {
+			if outage.failures > 0 {
+				keepUntil = b.clock.Now() + returnGrace
+			}
+			outage.succeeded()
+			if b.clock.Now() < keepUntil {
+				next = withKept(next, current)
+			}
+			b.logChanges(current, next)
+			current = next
+			if err := b.feed.Publish(ctx, next); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-b.clock.After(wait):
+		}
+	}
+	return ctx.Err()
+}
+
+// logChanges logs the servers that have come, begun to leave or gone.
+func (b *Backends) logChanges(old, next buckthorndyke.Backends) {
+	for id, backend := range next.Listed.All() {
+		was, ok := old.Listed.Get(id)
+		if ok && was.Leaving == backend.Leaving && was.Started == backend.Started {
+			continue
+		}
+		b.logger.Info().EmbedObject(reporter.EventServerListed).Str("server", string(id)).
+			Str("service", string(backend.Service)).Str("address", backend.Address).Bool("leaving", backend.Leaving).
+			Int("models", len(backend.Holdings)).Uint64("started", uint64(backend.Started)).Send()
+	}
+	for id := range old.Listed.All() {
+		if !next.Listed.Has(id) {
+			b.logger.Info().EmbedObject(reporter.EventServerGone).Str("server", string(id)).Send()
+		}
+	}
+	if next.Malformed != old.Malformed {
+		b.logger.Warn().EmbedObject(reporter.EventServersMalformed).Int("entries", next.Malformed).Send()
+	}
+}
+
+// withKept returns next with the servers of old that it lacks.
+func withKept(next, old buckthorndyke.Backends) buckthorndyke.Backends {
+	for id, backend := range old.Listed.All() {
+		if !next.Listed.Has(id) {
+			next.Listed = next.Listed.With(id, backend)
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/supervisor/relayer/watcher/outage.go
@@ -0,0 +1,37 @@
+package watcher
+
+import (
+	"github.com/rs/zerolog"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/reporter"
+)
+
+// outage tracks the failures of calls to one dependency. It logs the first one
+// and the return.
+type outage struct {
+	failures int
+	logger   zerolog.Logger
+	name     string
+	wait     buckthorndyke.Millis
+}
+
+// failed records a failure and returns how long to wait before the next call.
+func (o *outage) failed(err error) buckthorndyke.Millis {
+	if o.failures == 0 {
+		o.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", o.name).Err(err).Send()
+		o.wait = retryFirst
+	}
+	o.failures++
+	wait := o.wait
+	o.wait = min(2*o.wait, retryLimit)
+	return wait
+}
+
+// succeeded records a success.
+func (o *outage) succeeded() {
+	if o.failures > 0 {
+		o.logger.Info().EmbedObject(reporter.EventDependencyBack).Str("dependency", o.name).Int("failures", o.failures).Send()
+	}
+	o.failures = 0
+}
--- a/supervisor/responder/responder.go
+++ b/supervisor/responder/responder.go
@@ -26,10 +26,9 @@
 // Responder is the task that answers peers.
 type Responder struct {
 	address  string
+	handler  http.Handler
 	key      string
 	listener net.Listener
-	peer     buckthorndyke.Peer
-	encoder  buckthorndyke.Encoder
 }
 
 // Option configures a Responder.
@@ -43,7 +42,19 @@
 // New returns a responder that serves at address, lets in peers that hold key
 // and passes their calls on to peer.
 func New(address, key string, peer buckthorndyke.Peer, encoder buckthorndyke.Encoder, opts ...Option) *Responder {
-	r := &Responder{address: address, encoder: encoder, key: key, peer: peer}
+	_, handler := wireconnect.NewPeerServiceHandler(
+		&service{encoder: encoder, peer: peer}, connect.WithReadMaxBytes(messageLimit))
+	return newResponder(address, key, handler, opts)
+}
+
+// NewLeader returns a responder that serves the calls to the leading VM.
+func NewLeader(address, key string, leader wireconnect.LeaderServiceHandler, opts ...Option) *Responder {
+	_, handler := wireconnect.NewLeaderServiceHandler(leader, connect.WithReadMaxBytes(messageLimit))
+	return newResponder(address, key, handler, opts)
+}
+
+func newResponder(address, key string, handler http.Handler, opts []Option) *Responder {
+	r := &Responder{address: address, handler: handler, key: key}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -52,12 +63,7 @@
 
 // Handler returns the HTTP handler of the peer interface.
 func (r *Responder) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(wireconnect.NewPeerServiceHandler(
-		&service{encoder: r.encoder, peer: r.peer},
-		connect.WithReadMaxBytes(messageLimit),
-	))
-	return r.authenticate(mux)
+	return r.authenticate(r.handler)
 }
 
 // Serve implements suture.Service.
--- a/supervisor/tree.go
+++ b/supervisor/tree.go
@@ -10,6 +10,7 @@
 	"github.com/buckthorndyke/buckthorndyke/arbiter"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
+	"github.com/buckthorndyke/buckthorndyke/starter"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/claimer"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/follower"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/gatekeeper"
@@ -27,7 +28,7 @@
 // follows the log and the members, the work owns runners and carries requests,
 // and the front lets callers in. They start in that order and stop in reverse.
 type Tree struct {
-	base, front, work *branch
+	base, front, work *starter.Branch
 	drainLimit        buckthorndyke.Millis
 	drains            *mailer.Mailbox[struct{}]
 	follower          *follower.Follower
@@ -122,21 +123,21 @@
 	}
 	t.addBase(self, platform, a, encoder, clock, cfg)
 	t.addWork(self, platform, clock, cfg)
-	t.front = newBranch("front", cfg.drainLimit, cfg.logger)
+	t.front = starter.NewBranch("front", cfg.drainLimit, cfg.logger)
 	return t
 }
 
 // AddFront adds tasks that let callers in. They stop first.
 func (t *Tree) AddFront(tasks ...suture.Service) {
 	for _, task := range tasks {
-		t.front.add(task)
+		t.front.Add(task)
 	}
 }
 
 // AddWork adds tasks that serve peers and operators.
 func (t *Tree) AddWork(tasks ...suture.Service) {
 	for _, task := range tasks {
-		t.work.add(task)
+		t.work.Add(task)
 	}
 }
 
@@ -164,9 +165,9 @@
 // the platform reclaims the VM, and then stops without cutting a request, within
 // the drain limit.
 func (t *Tree) Serve(ctx context.Context) error {
-	t.base.start(ctx)
-	t.work.start(ctx)
-	t.front.start(ctx)
+	t.base.Start(ctx)
+	t.work.Start(ctx)
+	t.front.Start(ctx)
 	t.awaitEnd(ctx)
 	t.stop(context.WithoutCancel(ctx))
 	return ctx.Err()
@@ -204,7 +205,7 @@
 	t.prober = prober.New(platform.Peers, platform.VMList, t.proposer, t.follower, self, clock, cfg.prober...)
 	plans := append([]planner.Option{planner.WithLiveness(t.prober)}, cfg.planner...)
 	plan := planner.New(t.follower, t.proposer, self, clock, plans...)
-	t.base = newBranch("base", cfg.drainLimit, cfg.logger, t.follower, t.prober, plan)
+	t.base = starter.NewBranch("base", cfg.drainLimit, cfg.logger, t.follower, t.prober, plan)
 }
 
 // addWork makes the branch that owns runners and carries requests.
@@ -219,7 +220,7 @@
 	routes := append([]router.Option{router.WithLocal(self.VM, t.peer)}, cfg.router...)
 	t.router = router.New(self, t.follower, t.proposer, platform.Peers, platform.Engines, platform.Service,
 		claims, platform.VMList, clock, routes...)
-	t.work = newBranch("work", cfg.drainLimit, cfg.logger, gate, gates, t.owner, claims, t.router)
+	t.work = starter.NewBranch("work", cfg.drainLimit, cfg.logger, gate, gates, t.owner, claims, t.router)
 }
 
 // stop drains the branches in order. What a step cannot do in time is left to
@@ -229,11 +230,11 @@
 	defer cancel()
 	t.logger.Info().EmbedObject(reporter.EventDrainBegun).Send()
 	t.logStep("mark-leaving", t.prober.Drain(ctx))
-	t.logStep("close-front", t.front.end())
+	t.logStep("close-front", t.front.End())
 	t.logStep("hand-over", t.owner.Drain(ctx))
-	t.logStep("end-work", t.work.end())
+	t.logStep("end-work", t.work.End())
 	t.logStep("leave", t.prober.Leave(ctx))
-	t.logStep("end-base", t.base.end())
+	t.logStep("end-base", t.base.End())
 	t.logger.Info().EmbedObject(reporter.EventDrainEnded).Send()
 }
 
--- /dev/null
+++ b/translator/demand.go
@@ -0,0 +1,72 @@
+package translator
+
+import (
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/wire"
+)
+
+// DemandFromWire returns the demand in m.
+func DemandFromWire(m *wire.DemandRequest) []buckthorndyke.DemandLine {
+	lines := make([]buckthorndyke.DemandLine, 0, len(m.Demand))
+	for _, l := range m.Demand {
+		lines = append(lines, buckthorndyke.DemandLine{
+			Arrivals: int(l.Arrivals),
+			Due:      buckthorndyke.Millis(l.DueMs),
+			Key: buckthorndyke.ModelKey{
+				Adapter: l.Adapter, Model: buckthorndyke.ModelID(l.Model), Service: buckthorndyke.ServiceID(l.Service),
+			},
+			Running: int(l.Running),
+			Waiting: int(l.Waiting),
+		})
+	}
+	return lines
+}
+
+// DemandToWire returns the message that reports the demand that vm sees.
+func DemandToWire(vm buckthorndyke.VMID, lines []buckthorndyke.DemandLine) *wire.DemandRequest {
+	out := &wire.DemandRequest{Vm: string(vm)}
+	for _, l := range lines {
+		out.Demand = append(out.Demand, &wire.DemandLine{
+			Adapter:  l.Key.Adapter,
+			Arrivals: int32(l.Arrivals),
+			DueMs:    int64(l.Due),
+			Model:    string(l.Key.Model),
+			Running:  int32(l.Running),
+			Service:  string(l.Key.Service),
+			Waiting:  int32(l.Waiting),
+		})
+	}
+	return out
+}
+
+// DemandReplyFromWire returns the leader's answer in m.
+func DemandReplyFromWire(m *wire.DemandResponse) buckthorndyke.DemandReply {
+	out := buckthorndyke.DemandReply{Leading: m.Leading}
+	for _, r := range m.Residences {
+		in := buckthorndyke.Residence{
+			Closed:  fromStrings[buckthorndyke.ModelID](r.Closed),
+			Runner:  buckthorndyke.RunnerID(r.Runner),
+			Started: buckthorndyke.Incarnation(r.Started),
+		}
+		for _, h := range r.Holdings {
+			in.Holdings = append(in.Holdings, buckthorndyke.Holding{Adapters: h.Adapters, Model: buckthorndyke.ModelID(h.Model)})
+		}
+		out.Residences = append(out.Residences, in)
+	}
+	return out
+}
+
+// DemandReplyToWire returns the message that carries the leader's answer.
+func DemandReplyToWire(r buckthorndyke.DemandReply) *wire.DemandResponse {
+	out := &wire.DemandResponse{Leading: r.Leading}
+	for _, in := range r.Residences {
+		m := &wire.Residence{
+			Closed: toStrings(in.Closed), Runner: string(in.Runner), Started: uint64(in.Started),
+		}
+		for _, h := range in.Holdings {
+			m.Holdings = append(m.Holdings, &wire.Holding{Adapters: h.Adapters, Model: string(h.Model)})
+		}
+		out.Residences = append(out.Residences, m)
+	}
+	return out
+}
