fix(stager): take what a runner holds from its reports alone

Cause: the list's entries are older by an unknown time (old writes come again, and a runner writes none for an adapter), so that an order could be based on a holding that no longer was; a report of a busy runner hid what the order under way would add. Orders now need a report of a runner that is not busy.

--- a/backend.go
+++ b/backend.go
@@ -19,6 +19,8 @@
 type Backend struct {
 	// Address is the IP address and port of the server.
 	Address string
+	// Beat counts the server's own writes to the list in its life.
+	Beat int64
 	// Copies gives the tier of checkpoints that are closer than TierRemote.
 	Copies map[ModelID]Tier
 	Domain DomainID
@@ -61,6 +63,17 @@
 	Malformed int
 }
 
+// WithNewest returns a list in which each server stands as in its newest write:
+// that of b or, if b holds an older one of the same life, that of earlier.
+func (b Backends) WithNewest(earlier Backends) Backends {
+	for id, now := range b.Listed.All() {
+		if was, ok := earlier.Listed.Get(id); ok && was.Started == now.Started && was.Beat > now.Beat {
+			b.Listed = b.Listed.With(id, was)
+		}
+	}
+	return b
+}
+
 // Of returns the servers of a service, those that are leaving included.
 func (b Backends) Of(service ServiceID) []Backend {
 	var of []Backend
--- a/stager/floor.go
+++ b/stager/floor.go
@@ -44,6 +44,18 @@
 	return s.orders, ok && s.orders != unknown
 }
 
+// Doubtful returns the runners whose reports are needed before an order.
+func (f Floor) Doubtful() []buckthorndyke.RunnerID {
+	var out []buckthorndyke.RunnerID
+	for id, s := range f.stages.All() {
+		service, _ := f.routing.Services.Get(s.backend.Service)
+		if s.orders == unknown && s.order == nil && service.Engine != nil {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Backend returns a runner as the leader knows it.
 func (f Floor) Backend(id buckthorndyke.RunnerID) (buckthorndyke.Backend, bool) {
 	s, ok := f.stages.Get(id)
@@ -98,11 +110,13 @@
 		switch {
 		case !ok:
 			s = stage{backend: b, orders: unknown}
-		case s.order != nil || s.changed > 0 && now < s.changed+ownLife:
-			s.backend.Leaving = b.Leaving
-			s.backend.Copies = b.Copies
 		default:
-			s.backend = b
+			// What the runner holds is taken from its reports: entries of the list are
+			// older by an unknown time.
+			if s.order == nil && now >= s.changed+ownLife && !sameModels(s.backend, b) {
+				s.orders = unknown
+			}
+			s.backend.Address, s.backend.Leaving = b.Address, b.Leaving
 		}
 		f.stages = f.stages.With(id, s)
 	}
@@ -182,6 +196,11 @@
 	s.backend.Leaving = leaving
 	s.changed = now
 	s.orders = r.Orders
+	if s.order == nil && (r.Busy || r.Coming > 0) {
+		// Another leader's order is being carried out: what it changes would not
+		// show in the number of orders.
+		s.orders = unknown
+	}
 	if o := s.order; o != nil && !r.Busy {
 		switch {
 		case o.settled(r.Backend):
@@ -201,6 +220,19 @@
 	return f
 }
 
+// sameModels reports whether two descriptions of a runner name the same models.
+func sameModels(a, b buckthorndyke.Backend) bool {
+	if len(a.Holdings) != len(b.Holdings) {
+		return false
+	}
+	for _, h := range a.Holdings {
+		if _, ok := b.Holding(h.Model); !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // loadsSince returns the instants of the loads from the weight store after an
 // instant.
 func (f Floor) loadsSince(after buckthorndyke.Millis) []buckthorndyke.Millis {
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -99,7 +99,7 @@
 // finishGoals goes on with what earlier plans have begun.
 func (p *planner) finishGoals() {
 	for id, s := range p.stages.All() {
-		if s.goal == "" || s.order != nil || p.now < s.retryAt {
+		if s.goal == "" || s.order != nil || p.now < s.retryAt || s.orders == unknown {
 			continue
 		}
 		key := buckthorndyke.ModelKey{Model: s.goal, Service: s.backend.Service}
@@ -136,7 +136,7 @@
 	var bestWay way
 	found := false
 	for _, s := range p.stages.All() {
-		if s.backend.Service != w.key.Service || s.backend.Leaving || s.order != nil || s.goal != "" || p.now < s.retryAt || s.holds(w.key) {
+		if s.backend.Service != w.key.Service || s.backend.Leaving || s.order != nil || s.goal != "" || p.now < s.retryAt || s.orders == unknown || s.holds(w.key) {
 			continue
 		}
 		way, ok := p.way(s, facts, w.key, worth)
@@ -155,7 +155,7 @@
 	var best stage
 	found := false
 	for _, s := range p.stages.All() {
-		if s.backend.Service != w.key.Service || s.backend.Leaving || s.order != nil || p.now < s.retryAt || !s.holds(w.key.Base()) {
+		if s.backend.Service != w.key.Service || s.backend.Leaving || s.order != nil || p.now < s.retryAt || s.orders == unknown || !s.holds(w.key.Base()) {
 			continue
 		}
 		if !found || s.adapters() < best.adapters() {
--- a/supervisor/relayer/loader/messages.go
+++ b/supervisor/relayer/loader/messages.go
@@ -12,6 +12,11 @@
 }
 
 type (
+	// adapterSettled says that an order for an adapter has been carried out.
+	adapterSettled struct {
+		intent stager.Intent
+	}
+
 	// demandReported brings the demand of one VM.
 	demandReported struct {
 		lines []buckthorndyke.DemandLine
@@ -35,6 +40,9 @@
 	}
 )
 
+func (m adapterSettled) apply(t *task) {
+	t.floor = t.floor.WithDone(m.intent.Runner, t.clock.Now())
+}
 func (m demandReported) apply(t *task) { t.takeDemand(m) }
 func (m orderAnswered) apply(t *task)  { t.takeAnswer(m) }
 func (m runnerReported) apply(t *task) { t.takeReport(m) }
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// adapterTime is how long an adapter takes to be loaded, from the deployments'
+	// sheets: 10 ms, and some for the way.
+	adapterTime = 14 * buckthorndyke.Millisecond
 	// orderMargin is how long before the end of its grant a leader stops giving
 	// orders, so that none is on its way when the next leader begins.
 	orderMargin = 700 * buckthorndyke.Millisecond
@@ -18,6 +21,9 @@
 	// pollEvery is the time between two looks at a runner with an outstanding
 	// order.
 	pollEvery = 200 * buckthorndyke.Millisecond
+	// surveyEvery is the time between two looks at runners whose reports are
+	// needed.
+	surveyEvery = 400 * buckthorndyke.Millisecond
 	// tick is the time between two decisions without a message.
 	tick = 100 * buckthorndyke.Millisecond
 )
@@ -41,7 +47,9 @@
 	polling map[buckthorndyke.RunnerID]bool
 	// since is the instant at which the VM began to lead.
 	since buckthorndyke.Millis
-	term  buckthorndyke.Term
+	// surveyed is the instant of the last look at runners without a report.
+	surveyed buckthorndyke.Millis
+	term     buckthorndyke.Term
 }
 
 // run handles messages until ctx ends.
@@ -146,6 +154,13 @@
 		}
 		t.ask(id)
 	}
+	if now < t.surveyed+surveyEvery {
+		return
+	}
+	t.surveyed = now
+	for _, id := range t.floor.Doubtful() {
+		t.ask(id)
+	}
 }
 
 // ask asks a runner for its report.
@@ -191,6 +206,9 @@
 	switch m.outcome {
 	case buckthorndyke.ModelOrderAccepted:
 		t.floor = t.floor.WithAccepted(m.intent.Runner, m.expect+1)
+		if m.intent.Adapter != "" {
+			t.settleAdapter(m.intent)
+		}
 	case buckthorndyke.ModelOrderDone:
 		if m.intent.Adapter != "" && m.intent.Kind == buckthorndyke.OrderUnload {
 			t.floor = t.floor.WithAccepted(m.intent.Runner, m.expect+1)
@@ -205,6 +223,18 @@
 	}
 }
 
+// settleAdapter holds an accepted order for an adapter to be carried out after
+// the time that this takes: the runner's reports lag behind by far more.
+func (t *task) settleAdapter(i stager.Intent) {
+	go func() {
+		select {
+		case <-t.life.Done():
+		case <-t.clock.After(adapterTime):
+			_ = t.box.Send(t.life, adapterSettled{intent: i})
+		}
+	}()
+}
+
 // takeDemand takes over the demand of one VM.
 func (t *task) takeDemand(m demandReported) {
 	now := t.clock.Now()
--- a/supervisor/relayer/watcher/backends.go
+++ b/supervisor/relayer/watcher/backends.go
@@ -49,6 +49,7 @@
 				keepUntil = b.clock.Now() + returnGrace
 			}
 			outage.succeeded()
+			next = next.WithNewest(current)
 			if b.clock.Now() < keepUntil {
 				next = withKept(next, current)
 			}
