--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -49,9 +49,13 @@
 	due buckthorndyke.Millis
 	// excluded are the servers that the request does not go to again.
 	excluded []buckthorndyke.RunnerID
-	key      buckthorndyke.ModelKey
-	request  buckthorndyke.RelayRequest
-	route    buckthorndyke.Route
+	// first is the time from the arrival to the first event.
+	first buckthorndyke.Millis
+	key   buckthorndyke.ModelKey
+	// queued is the time that the request has waited for servers.
+	queued  buckthorndyke.Millis
+	request buckthorndyke.RelayRequest
+	route   buckthorndyke.Route
 	// runs is the number of servers that may have run the request.
 	runs int
 	seed uint64
@@ -148,6 +152,7 @@
 	}
 	select {
 	case g := <-m.reply.Receive():
+		j.queued += j.clock.Now() - now
 		return g.backend, g.err
 	case <-ctx.Done():
 	}
--- a/supervisor/relayer/dispatcher/stream.go
+++ b/supervisor/relayer/dispatcher/stream.go
@@ -96,6 +96,7 @@
 func (j *job) handOn(a buckthorndyke.DispatchAnswer, events []byte) error {
 	if !j.stream.begun {
 		j.stream.begun = true
+		j.first = j.clock.Now() - j.request.Arrived
 		if err := j.w.Begin(a.Status, a.Header); err != nil {
 			return errCallerGone
 		}
@@ -114,14 +115,14 @@
 
 // log writes one line on the end of a request.
 func (d *Dispatcher) log(r buckthorndyke.RelayRequest, j *job, err error) {
-	line := d.logger.Debug().EmbedObject(reporter.EventRequestServed)
+	line := d.logger.Info().EmbedObject(reporter.EventRequestServed)
 	if err != nil {
 		line = d.logger.Info().EmbedObject(reporter.EventRequestFailed).Err(err).
 			Str("verdict", buckthorndyke.VerdictOf(err).String()).Str("code", string(buckthorndyke.RefusalOf(err).Code()))
 	}
 	line.Str("request", string(r.ID)).Str("route", j.route.Name).Str("service", string(j.key.Service)).
 		Str("model", string(j.key.Model)).Str("adapter", j.key.Adapter).
-		Int64("ms", int64(d.clock.Now()-r.Arrived)).Str("attempts", j.trailText()).Send()
+		Int64("queue-ms", int64(j.queued)).Int64("first-ms", int64(j.first)).Int64("ms", int64(d.clock.Now()-r.Arrived)).Str("attempts", j.trailText()).Send()
 }
 
 // note adds an attempt to the trail.
