feat(loader): a new leader asks the one before for its last order

Cause: without an order for the group's 3 s and the lease of 3 s after a leader was cut off, models that demand had moved to waited. A grant now lasts 1.5 s; a successor waits the lease from the last order of its predecessor, which it asks, and not at all where that is out of contact and the runners check fences. While no VM leads, a request for an absent model is held for 15 in 100 of its time instead of 60.

--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -22,6 +22,9 @@
 	bodyLimit = 8 << 20
 	// electionGroup names the group of the VMs that may give orders.
 	electionGroup = "buckthorndyke"
+	// grantTime is how long a grant to lead lasts without a renewal. The platform
+	// allows no less than a second.
+	grantTime = 1500 * buckthorndyke.Millisecond
 	// logBacklog bounds the lines of the log that wait to be written.
 	logBacklog = 4096
 )
@@ -45,13 +48,13 @@
 	runners := platform.NewRunners(clock)
 	outside := relayer.Platform{
 		Directory: platform.NewDirectory(store, clock),
-		Election:  platform.NewElection(store, electionGroup, self, s.Lease, clock),
+		Election:  platform.NewElection(store, electionGroup, self, grantTime, clock),
 		Leaders:   connector.NewConnectLeaders(s.Peers.Key.Text),
-		Observer:  platform.NewElection(store, electionGroup, self, s.Lease, clock),
+		Observer:  platform.NewElection(store, electionGroup, self, grantTime, clock),
 		Pool:      runners,
 	}
 	tree := relayer.New(self, outside, relayer.Settings{
-		AtOnce: s.LoadsAtOnce, DrainLimit: s.DrainLimit, Lease: s.Lease, RetryBurst: s.RetryBurst,
+		AtOnce: s.LoadsAtOnce, ChecksFence: s.ChecksFence, DrainLimit: s.DrainLimit, Grant: grantTime, Lease: s.Lease, RetryBurst: s.RetryBurst,
 	}, clock, logger)
 	tree.AddBase(runners, responder.NewLeader(s.Peers.Address, s.Peers.Key.Text, tree.Leader()))
 	tree.AddFront(entrance.Addresses{Clients: s.ClientsAddress, Readiness: s.ReadinessAddress},
--- a/configurer/relay.go
+++ b/configurer/relay.go
@@ -13,6 +13,8 @@
 // Relay holds the settings of an entry VM that relays requests on a platform
 // with a metadata store. It is immutable.
 type Relay struct {
+	// ChecksFence is set if the runners refuse orders with an old fencing number.
+	ChecksFence bool
 	// ClientsAddress is where clients' requests are served.
 	ClientsAddress string
 	Domain         buckthorndyke.DomainID
@@ -39,8 +41,10 @@
 func ParseRelay(data []byte) (Relay, error) {
 	d := &document{data: data}
 	root := d.parse()
+	runners := root.object("runners", false)
 	weights := root.object("weight-store", false)
 	s := Relay{
+		ChecksFence:      runners.boolean("check-fence", false),
 		ClientsAddress:   root.platform("clients"),
 		Domain:           buckthorndyke.DomainID(root.name("failure-domain")),
 		DrainLimit:       buckthorndyke.Millis(root.integer("drain-limit-s", defaultRelayDrainS, 1, maxRelayDrainS)) * buckthorndyke.Second,
@@ -53,6 +57,7 @@
 		StoreAddress:     root.platform("store"),
 		VM:               buckthorndyke.VMID(root.name("vm")),
 	}
+	runners.close()
 	weights.close()
 	root.close()
 	if err := buckthorndyke.NewFaults(d.faults); err != nil {
--- a/connector/connectleaders.go
+++ b/connector/connectleaders.go
@@ -8,6 +8,7 @@
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/translator"
+	"github.com/buckthorndyke/buckthorndyke/wire"
 	"github.com/buckthorndyke/buckthorndyke/wire/wireconnect"
 )
 
@@ -33,3 +34,13 @@
 	}
 	return translator.DemandReplyFromWire(out), nil
 }
+
+// Yield implements buckthorndyke.Leaders.
+func (l *ConnectLeaders) Yield(ctx context.Context, address string, fence int64) (buckthorndyke.Millis, error) {
+	client := wireconnect.NewLeaderServiceClient(l.client, "http://"+address)
+	out, err := client.Yield(ctx, &wire.YieldRequest{Fence: fence})
+	if err != nil {
+		return 0, errors.Wrap(err, "ask the previous leader to yield")
+	}
+	return buckthorndyke.Millis(out.QuietMs), nil
+}
--- a/demand.go
+++ b/demand.go
@@ -45,10 +45,17 @@
 	Residences []Residence
 }
 
-// Leaders reaches the leading VM.
+// NeverOrdered stands for the time since the last order of a VM that has given
+// none.
+const NeverOrdered Millis = -1
+
+// Leaders reaches the leading VM and those that led before.
 type Leaders interface {
 	// Report tells the VM at address the demand that vm sees.
 	Report(ctx context.Context, address string, vm VMID, demand []DemandLine) (DemandReply, error)
+	// Yield asks the VM at address to give no more orders with a fencing number
+	// below fence. It returns the time since the last one, or NeverOrdered.
+	Yield(ctx context.Context, address string, fence int64) (Millis, error)
 }
 
 // DemandSource yields the demand that the VM sees.
@@ -59,4 +66,6 @@
 	Pressing() <-chan struct{}
 	// Residences takes over what the leader knows.
 	Residences(ctx context.Context, list []Residence) error
+	// Unled says that no leader answers.
+	Unled(ctx context.Context) error
 }
--- a/supervisor/relayer/demander/demander.go
+++ b/supervisor/relayer/demander/demander.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 )
 
@@ -19,7 +20,7 @@
 	// reportTimeout bounds one report. The leader answers within a part of it.
 	reportTimeout = 700 * buckthorndyke.Millisecond
 	// searchEvery is the least time between two searches for the leader.
-	searchEvery = 400 * buckthorndyke.Millisecond
+	searchEvery = 500 * buckthorndyke.Millisecond
 )
 
 // Demander is the task that talks to the leader.
@@ -27,6 +28,7 @@
 	clock    buckthorndyke.Clock
 	election buckthorndyke.Election
 	leaders  buckthorndyke.Leaders
+	found    *mailer.Feed[string]
 	logger   zerolog.Logger
 	self     buckthorndyke.VMID
 	source   buckthorndyke.DemandSource
@@ -36,12 +38,15 @@
 	searched buckthorndyke.Millis
 }
 
-// New returns a demander for the VM self.
+// New returns a demander for the VM self. It publishes to found where the leader
+// answers.
 func New(
 	self buckthorndyke.VMID, source buckthorndyke.DemandSource, election buckthorndyke.Election, leaders buckthorndyke.Leaders,
-	clock buckthorndyke.Clock, logger zerolog.Logger,
+	found *mailer.Feed[string], clock buckthorndyke.Clock, logger zerolog.Logger,
 ) *Demander {
-	return &Demander{clock: clock, election: election, leaders: leaders, logger: logger, self: self, source: source}
+	return &Demander{
+		clock: clock, election: election, found: found, leaders: leaders, logger: logger, self: self, source: source,
+	}
 }
 
 // Serve implements suture.Service.
@@ -68,6 +73,7 @@
 // report sends lines to the leader, if there is one.
 func (d *Demander) report(ctx context.Context, lines []buckthorndyke.DemandLine) {
 	if d.address == "" && !d.search(ctx) {
+		d.unled(ctx)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout.Duration())
@@ -77,6 +83,7 @@
 		d.logger.Info().EmbedObject(reporter.EventDependencyLost).Str("dependency", "leader").
 			Str("address", d.address).Err(err).Send()
 		d.address = ""
+		d.unled(ctx)
 		return
 	}
 	if err := d.source.Residences(ctx, reply.Residences); err != nil {
@@ -97,6 +104,16 @@
 		return false
 	}
 	d.address = address
+	if err := d.found.Publish(ctx, address); err != nil {
+		return false
+	}
 	d.logger.Info().EmbedObject(reporter.EventLeaderFound).Str("address", address).Send()
 	return true
 }
+
+// unled tells the source that no leader answers.
+func (d *Demander) unled(ctx context.Context) {
+	if err := d.source.Unled(ctx); err != nil && ctx.Err() == nil {
+		d.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
+	}
+}
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -100,3 +100,8 @@
 func (d *Dispatcher) Serve(ctx context.Context) error {
 	return newTask(d).run(ctx)
 }
+
+// Unled implements buckthorndyke.DemandSource.
+func (d *Dispatcher) Unled(ctx context.Context) error {
+	return d.box.Send(ctx, unledTold{})
+}
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -24,9 +24,16 @@
 	// prefixTokens is the size of a shared beginning of a prompt from which on it
 	// matters which runner has read it.
 	prefixTokens = 500
+	// returnLimit bounds the time after which a client is asked to come back.
+	returnLimit = 3 * buckthorndyke.Second
+	// returnParts is the part of the time that a client has left after which it is
+	// asked to come back; clients wait for up to a third.
+	returnParts = 4
 	// sendLimit bounds the servers that one request is sent to, those that did not
 	// run it included.
 	sendLimit = 5
+	// unledShare is the same part for a model while no VM gives orders.
+	unledShare = 150
 	// urgencyLimit is the least urgency that an engine knows.
 	urgencyLimit = 9
 	// urgencyStep is the distance in urgency between two priorities.
@@ -143,9 +150,10 @@
 		query: selector.Query{
 			Excluded: j.excluded, Key: j.key, Prefix: j.prefix(), Seed: j.seed + uint64(j.sends),
 		},
-		reply: mailer.NewReply[grant](),
-		retry: j.sends > 0,
-		until: max(now, j.request.Arrived+(j.due-j.request.Arrived)*holdShare/1000),
+		reply:      mailer.NewReply[grant](),
+		retry:      j.sends > 0,
+		until:      max(now, j.request.Arrived+(j.due-j.request.Arrived)*holdShare/1000),
+		unledUntil: max(now, j.request.Arrived+(j.due-j.request.Arrived)*unledShare/1000),
 	}
 	if err := j.box.Send(ctx, m); err != nil {
 		return buckthorndyke.Backend{}, errCallerGone
@@ -153,7 +161,10 @@
 	select {
 	case g := <-m.reply.Receive():
 		j.queued += j.clock.Now() - now
-		return g.backend, g.err
+		if g.err != nil {
+			return g.backend, j.withReturn(g.err)
+		}
+		return g.backend, nil
 	case <-ctx.Done():
 	}
 	j.abandon(m)
@@ -292,6 +303,13 @@
 	return refusal
 }
 
+// withReturn returns a refusal that asks the client to come back while enough of
+// its time is left.
+func (j *job) withReturn(err error) error {
+	left := j.due - j.clock.Now()
+	return buckthorndyke.RefusalOf(err).WithRetryAfter(min(max(left/returnParts, retryAfter), returnLimit))
+}
+
 // least returns the shortest of the times that are set.
 func least(times ...buckthorndyke.Millis) buckthorndyke.Millis {
 	out := defaultDeadline
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -43,6 +43,8 @@
 		retry bool
 		// until is the instant until which the request may wait.
 		until buckthorndyke.Millis
+		// unledUntil is the same for a model while no VM gives orders.
+		unledUntil buckthorndyke.Millis
 	}
 
 	// admitLeft says that a request no longer waits.
@@ -74,6 +76,9 @@
 		list []buckthorndyke.Residence
 	}
 
+	// unledTold says that no leader answers.
+	unledTold struct{}
+
 	// routingAsked asks for the configuration.
 	routingAsked struct {
 		reply mailer.Reply[buckthorndyke.Routing]
@@ -85,4 +90,5 @@
 func (m attemptEnded) apply(t *task)   { t.endAttempt(m) }
 func (m demandAsked) apply(t *task)    { m.reply.Answer(t.demand()) }
 func (m residencesTold) apply(t *task) { t.takeResidences(m.list) }
+func (m unledTold) apply(t *task)      { t.led = false }
 func (m routingAsked) apply(t *task)   { m.reply.Answer(t.routing) }
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -30,9 +30,11 @@
 	*Dispatcher
 	arrivals map[buckthorndyke.ModelKey]int
 	board    selector.Board
-	budgets  map[buckthorndyke.ServiceID]chooser.Budget
-	routing  buckthorndyke.Routing
-	running  map[buckthorndyke.ModelKey]int
+	// led is set while some VM gives orders to the runners.
+	led     bool
+	budgets map[buckthorndyke.ServiceID]chooser.Budget
+	routing buckthorndyke.Routing
+	running map[buckthorndyke.ModelKey]int
 	// waiting holds the requests without a server in the order of their arrival.
 	waiting []admitAsked
 }
@@ -195,7 +197,7 @@
 	for _, m := range t.waiting {
 		switch {
 		case t.offer(m):
-		case now >= m.until:
+		case now >= t.until(m):
 			m.reply.Answer(grant{err: errNoServer})
 		default:
 			kept = append(kept, m)
@@ -206,16 +208,25 @@
 
 // takeResidences takes over a leader's word.
 func (t *task) takeResidences(list []buckthorndyke.Residence) {
+	t.led = true
 	t.board = t.board.WithResidences(list, t.clock.Now())
 	t.retryWaiting()
 }
 
+// until returns the instant until which a request may wait.
+func (t *task) until(m admitAsked) buckthorndyke.Millis {
+	if m.query.Key.Model != "" && !t.led {
+		return m.unledUntil
+	}
+	return m.until
+}
+
 // wake returns the time until the next waiting request has waited too long.
 func (t *task) wake() buckthorndyke.Millis {
 	now := t.clock.Now()
 	wake := idleWake
 	for _, m := range t.waiting {
-		wake = min(wake, max(m.until-now, 1))
+		wake = min(wake, max(t.until(m)-now, 1))
 	}
 	return wake
 }
--- a/supervisor/relayer/loader/loader.go
+++ b/supervisor/relayer/loader/loader.go
@@ -23,20 +23,26 @@
 
 // Loader is the task that leads.
 type Loader struct {
-	atOnce   int
-	box      *mailer.Mailbox[message]
-	clock    buckthorndyke.Clock
-	lease    buckthorndyke.Millis
-	lists    *mailer.Feed[buckthorndyke.Backends]
-	logger   zerolog.Logger
-	pool     buckthorndyke.BackendPool
-	routings *mailer.Feed[buckthorndyke.Routing]
-	self     buckthorndyke.VMID
-	terms    *mailer.Feed[buckthorndyke.Term]
+	atOnce int
+	box    *mailer.Mailbox[message]
+	// checksFence is set if the runners refuse orders with an old fencing number.
+	checksFence bool
+	clock       buckthorndyke.Clock
+	found       *mailer.Feed[string]
+	leaders     buckthorndyke.Leaders
+	lease       buckthorndyke.Millis
+	lists       *mailer.Feed[buckthorndyke.Backends]
+	logger      zerolog.Logger
+	pool        buckthorndyke.BackendPool
+	routings    *mailer.Feed[buckthorndyke.Routing]
+	self        buckthorndyke.Self
+	terms       *mailer.Feed[buckthorndyke.Term]
 }
 
 // Feeds are what a loader follows.
 type Feeds struct {
+	// Found brings where the leader answers, as this VM sees it.
+	Found    *mailer.Feed[string]
 	Lists    *mailer.Feed[buckthorndyke.Backends]
 	Routings *mailer.Feed[buckthorndyke.Routing]
 	Terms    *mailer.Feed[buckthorndyke.Term]
@@ -51,21 +57,28 @@
 	return func(l *Loader) { l.atOnce = n }
 }
 
+// WithFenceChecks says that the runners refuse orders with an old fencing number.
+func WithFenceChecks(checks bool) Option {
+	return func(l *Loader) { l.checksFence = checks }
+}
+
 // WithLogger logs orders to l.
 func WithLogger(logger zerolog.Logger) Option {
 	return func(l *Loader) { l.logger = logger }
 }
 
-// New returns a loader for the VM self. A new leader waits for lease before its
-// first order.
+// New returns a loader for the VM self. A new leader gives its first order no
+// sooner than lease after the last one of a previous leader that may still act.
 func New(
-	self buckthorndyke.VMID, pool buckthorndyke.BackendPool, feeds Feeds, lease buckthorndyke.Millis,
+	self buckthorndyke.Self, pool buckthorndyke.BackendPool, leaders buckthorndyke.Leaders, feeds Feeds, lease buckthorndyke.Millis,
 	clock buckthorndyke.Clock, opts ...Option,
 ) *Loader {
 	l := &Loader{
 		atOnce:   defaultAtOnce,
 		box:      mailer.NewMailbox[message](mailer.WithCapacity(backlog)),
 		clock:    clock,
+		found:    feeds.Found,
+		leaders:  leaders,
 		lease:    lease,
 		lists:    feeds.Lists,
 		logger:   zerolog.Nop(),
@@ -95,3 +108,11 @@
 	t := &task{Loader: l, floor: stager.NewFloor(l.atOnce), life: ctx, polling: make(map[buckthorndyke.RunnerID]bool)}
 	return t.run(ctx)
 }
+
+// Yield gives up leading if fence is higher than the VM's own, and returns the
+// time since its last order.
+func (l *Loader) Yield(ctx context.Context, fence int64) (buckthorndyke.Millis, error) {
+	return mailer.Ask(ctx, l.box, func(reply mailer.Reply[buckthorndyke.Millis]) message {
+		return yieldAsked{fence: fence, reply: reply}
+	})
+}
--- a/supervisor/relayer/loader/messages.go
+++ b/supervisor/relayer/loader/messages.go
@@ -32,6 +32,20 @@
 		outcome buckthorndyke.ModelOrderOutcome
 	}
 
+	// predecessorAnswered brings the time since the last order of the previous
+	// leader.
+	predecessorAnswered struct {
+		err   error
+		fence int64
+		quiet buckthorndyke.Millis
+	}
+
+	// yieldAsked asks the VM to stop leading.
+	yieldAsked struct {
+		fence int64
+		reply mailer.Reply[buckthorndyke.Millis]
+	}
+
 	// runnerReported brings a runner's report.
 	runnerReported struct {
 		err    error
@@ -45,4 +59,8 @@
 }
 func (m demandReported) apply(t *task) { t.takeDemand(m) }
 func (m orderAnswered) apply(t *task)  { t.takeAnswer(m) }
+func (m predecessorAnswered) apply(t *task) {
+	t.takePredecessor(m)
+}
+func (m yieldAsked) apply(t *task)     { t.yield(m) }
 func (m runnerReported) apply(t *task) { t.takeReport(m) }
--- a/supervisor/relayer/loader/service.go
+++ b/supervisor/relayer/loader/service.go
@@ -26,3 +26,12 @@
 	}
 	return translator.DemandReplyToWire(reply), nil
 }
+
+// Yield implements wireconnect.LeaderServiceHandler.
+func (s *Service) Yield(ctx context.Context, in *wire.YieldRequest) (*wire.YieldResponse, error) {
+	quiet, err := s.loader.Yield(ctx, in.Fence)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.YieldResponse{QuietMs: int64(quiet)}, nil
+}
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -15,12 +15,14 @@
 	adapterTime = 14 * buckthorndyke.Millisecond
 	// orderMargin is how long before the end of its grant a leader stops giving
 	// orders, so that none is on its way when the next leader begins.
-	orderMargin = 700 * buckthorndyke.Millisecond
+	orderMargin = 300 * buckthorndyke.Millisecond
 	// parkLimit is how long a report of demand waits for something to change.
 	parkLimit = 250 * buckthorndyke.Millisecond
 	// pollEvery is the time between two looks at a runner with an outstanding
 	// order.
 	pollEvery = 200 * buckthorndyke.Millisecond
+	// yieldTimeout bounds the question to the previous leader.
+	yieldTimeout = 300 * buckthorndyke.Millisecond
 	// surveyEvery is the time between two looks at runners whose reports are
 	// needed.
 	surveyEvery = 400 * buckthorndyke.Millisecond
@@ -37,16 +39,22 @@
 // task is the state of one run of a loader. Only its goroutine touches it.
 type task struct {
 	*Loader
-	floor stager.Floor
-	life  context.Context
+	// fenced is the highest fencing number that was refused or given up.
+	fenced int64
+	floor  stager.Floor
+	// from is the instant from which the VM may give orders.
+	from buckthorndyke.Millis
+	// leader is where the leader last answered, as this VM saw it.
+	leader string
+	life   context.Context
+	// ordered is the instant of the last order, or 0.
+	ordered buckthorndyke.Millis
 	// parked are the reports of demand that wait for something to change.
 	parked []parked
 	// polled is the instant of the last look at the runners.
 	polled buckthorndyke.Millis
 	// polling holds the runners whose report was asked for.
 	polling map[buckthorndyke.RunnerID]bool
-	// since is the instant at which the VM began to lead.
-	since buckthorndyke.Millis
 	// surveyed is the instant of the last look at runners without a report.
 	surveyed buckthorndyke.Millis
 	term     buckthorndyke.Term
@@ -57,6 +65,7 @@
 	routings := t.routings.Subscribe(ctx)
 	lists := t.lists.Subscribe(ctx)
 	terms := t.terms.Subscribe(ctx)
+	found := t.found.Subscribe(ctx)
 	for {
 		wait := buckthorndyke.Minute
 		if t.term.Leading {
@@ -71,6 +80,8 @@
 			t.floor = t.floor.WithRouting(r)
 		case l := <-lists:
 			t.floor = t.floor.WithBackends(l, t.clock.Now())
+		case address := <-found:
+			t.leader = address
 		case term := <-terms:
 			t.changeTerm(term)
 		case <-t.clock.After(wait):
@@ -101,20 +112,36 @@
 // changeTerm takes over the VM's standing.
 func (t *task) changeTerm(term buckthorndyke.Term) {
 	if term.Leading && (!t.term.Leading || term.Fence != t.term.Fence) {
-		t.since = t.clock.Now()
+		t.from = t.clock.Now() + t.lease
+		t.askPredecessor(term.Fence)
 	}
 	t.term = term
 }
 
+// askPredecessor asks the previous leader, if one is known, when it gave its last
+// order.
+func (t *task) askPredecessor(fence int64) {
+	address := t.leader
+	if address == "" || address == t.self.PeerAddress {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(t.life, yieldTimeout.Duration())
+		defer cancel()
+		quiet, err := t.leaders.Yield(ctx, address, fence)
+		_ = t.box.Send(t.life, predecessorAnswered{err: err, fence: fence, quiet: quiet})
+	}()
+}
+
 // leads reports whether the VM leads.
 func (t *task) leads(now buckthorndyke.Millis) bool {
-	return t.term.Leading && now < t.term.Until
+	return t.term.Leading && now < t.term.Until && t.term.Fence > t.fenced
 }
 
 // mayOrder reports whether the VM may give orders: it leads, its grant lasts,
 // and the lease of a previous leader has ended.
 func (t *task) mayOrder(now buckthorndyke.Millis) bool {
-	return t.term.Leading && now < t.term.Until-orderMargin && now >= t.since+t.lease
+	return t.leads(now+orderMargin) && now >= t.from
 }
 
 // order sends an order.
@@ -128,9 +155,11 @@
 		t.ask(i.Runner)
 		return
 	}
-	t.floor = t.floor.WithOrder(i, t.clock.Now())
+	now := t.clock.Now()
+	t.floor = t.floor.WithOrder(i, now)
+	t.ordered = now
 	o := buckthorndyke.ModelOrder{
-		Adapter: i.Adapter, Backend: backend, Expect: orders, Fence: t.term.Fence, Holder: t.self,
+		Adapter: i.Adapter, Backend: backend, Expect: orders, Fence: t.term.Fence, Holder: t.self.VM,
 		Kind: i.Kind, Model: i.Model,
 	}
 	t.logger.Info().EmbedObject(reporter.EventOrderSent).Str("runner", string(i.Runner)).Str("kind", string(i.Kind)).
@@ -216,7 +245,7 @@
 		t.floor = t.floor.WithDone(m.intent.Runner, now)
 	case buckthorndyke.ModelOrderFenced:
 		t.floor = t.floor.WithFailed(m.intent.Runner, now)
-		t.term.Leading = false
+		t.fenced = t.term.Fence
 	case buckthorndyke.ModelOrderRefused:
 		t.floor = t.floor.WithFailed(m.intent.Runner, now)
 		t.ask(m.intent.Runner)
@@ -250,6 +279,25 @@
 	t.parked = append(t.parked, parked{demandReported: m, until: now + parkLimit})
 }
 
+// takePredecessor takes over what the previous leader said. One that does not
+// answer is not in contact: runners that check fencing numbers refuse its orders.
+func (t *task) takePredecessor(m predecessorAnswered) {
+	if m.fence != t.term.Fence {
+		return
+	}
+	now := t.clock.Now()
+	switch {
+	case m.err == nil && m.quiet == buckthorndyke.NeverOrdered:
+		t.from = now
+	case m.err == nil:
+		t.from = now + max(t.lease-m.quiet, 0)
+	case t.checksFence:
+		t.from = now
+	}
+	t.logger.Info().EmbedObject(reporter.EventTermChanged).Bool("leading", true).Int64("fence", m.fence).
+		Int64("order-in-ms", int64(t.from-now)).Err(m.err).Send()
+}
+
 // takeReport takes over a runner's report.
 func (t *task) takeReport(m runnerReported) {
 	delete(t.polling, m.runner)
@@ -260,3 +308,15 @@
 	}
 	t.floor = t.floor.WithReport(m.report, t.clock.Now())
 }
+
+// yield gives up leading if a successor has a higher fencing number.
+func (t *task) yield(m yieldAsked) {
+	if m.fence > t.term.Fence {
+		t.fenced = max(t.fenced, t.term.Fence)
+	}
+	quiet := buckthorndyke.NeverOrdered
+	if t.ordered > 0 {
+		quiet = t.clock.Now() - t.ordered
+	}
+	m.reply.Answer(quiet)
+}
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -34,8 +34,13 @@
 // Settings are the tree's limits.
 type Settings struct {
 	// AtOnce is the number of loads that the weight store allows at full speed.
-	AtOnce     int
-	DrainLimit buckthorndyke.Millis
+	AtOnce int
+	// ChecksFence is set if the runners refuse orders with an old fencing number.
+	ChecksFence bool
+	DrainLimit  buckthorndyke.Millis
+	// Grant is how long the platform's grant to lead lasts without a renewal.
+	Grant buckthorndyke.Millis
+	// Lease is the time between the orders of two leaders.
 	Lease      buckthorndyke.Millis
 	RetryBurst int
 }
@@ -67,15 +72,16 @@
 	terms := mailer.NewFeed[buckthorndyke.Term]()
 	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock,
 		dispatcher.WithDomain(self.Domain), dispatcher.WithLogger(logger), dispatcher.WithRetryBurst(s.RetryBurst))
-	t.loader = loader.New(self.VM, platform.Pool,
-		loader.Feeds{Lists: t.lists, Routings: t.routings, Terms: terms}, s.Lease, clock,
-		loader.WithAtOnce(s.AtOnce), loader.WithLogger(logger))
+	found := mailer.NewFeed[string]()
+	t.loader = loader.New(self, platform.Pool, platform.Leaders,
+		loader.Feeds{Found: found, Lists: t.lists, Routings: t.routings, Terms: terms}, s.Lease, clock,
+		loader.WithAtOnce(s.AtOnce), loader.WithFenceChecks(s.ChecksFence), loader.WithLogger(logger))
 	t.base = starter.NewBranch("base", s.DrainLimit, logger,
-		t.routings, t.lists, terms, t.dispatcher, t.loader,
+		t.routings, t.lists, terms, found, t.dispatcher, t.loader,
 		watcher.NewRoutings(platform.Directory, t.routings, clock, logger),
 		watcher.NewBackends(platform.Directory, t.lists, clock, logger),
-		campaigner.New(platform.Election, s.Lease, terms, clock, logger),
-		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, clock, logger),
+		campaigner.New(platform.Election, s.Grant, terms, clock, logger),
+		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, found, clock, logger),
 	)
 	t.front = starter.NewBranch("front", s.DrainLimit, logger)
 	return t
--- a/wire/wireconnect/demand.connect.go
+++ b/wire/wireconnect/demand.connect.go
@@ -35,6 +35,8 @@
 const (
 	// LeaderServiceReportProcedure is the fully-qualified name of the LeaderService's Report RPC.
 	LeaderServiceReportProcedure = "/buckthorndyke.wire.LeaderService/Report"
+	// LeaderServiceYieldProcedure is the fully-qualified name of the LeaderService's Yield RPC.
+	LeaderServiceYieldProcedure = "/buckthorndyke.wire.LeaderService/Yield"
 )
 
 // LeaderServiceClient is a client for the buckthorndyke.wire.LeaderService service.
@@ -42,6 +44,9 @@
 	// Report tells the demand for models that one entry VM sees. It is answered
 	// once something that waits can be served, or after a short while.
 	Report(context.Context, *wire.DemandRequest) (*wire.DemandResponse, error)
+	// Yield asks a leader that was succeeded to stop, and when it gave its last
+	// order.
+	Yield(context.Context, *wire.YieldRequest) (*wire.YieldResponse, error)
 }
 
 // NewLeaderServiceClient constructs a client for the buckthorndyke.wire.LeaderService service. By
@@ -61,12 +66,19 @@
 			connect.WithSchema(leaderServiceMethods.ByName("Report")),
 			connect.WithClientOptions(opts...),
 		),
+		yield: connect.NewClient[wire.YieldRequest, wire.YieldResponse](
+			httpClient,
+			baseURL+LeaderServiceYieldProcedure,
+			connect.WithSchema(leaderServiceMethods.ByName("Yield")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // leaderServiceClient implements LeaderServiceClient.
 type leaderServiceClient struct {
 	report *connect.Client[wire.DemandRequest, wire.DemandResponse]
+	yield  *connect.Client[wire.YieldRequest, wire.YieldResponse]
 }
 
 // Report calls buckthorndyke.wire.LeaderService.Report.
@@ -78,11 +90,23 @@
 	return nil, err
 }
 
+// Yield calls buckthorndyke.wire.LeaderService.Yield.
+func (c *leaderServiceClient) Yield(ctx context.Context, req *wire.YieldRequest) (*wire.YieldResponse, error) {
+	response, err := c.yield.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // LeaderServiceHandler is an implementation of the buckthorndyke.wire.LeaderService service.
 type LeaderServiceHandler interface {
 	// Report tells the demand for models that one entry VM sees. It is answered
 	// once something that waits can be served, or after a short while.
 	Report(context.Context, *wire.DemandRequest) (*wire.DemandResponse, error)
+	// Yield asks a leader that was succeeded to stop, and when it gave its last
+	// order.
+	Yield(context.Context, *wire.YieldRequest) (*wire.YieldResponse, error)
 }
 
 // NewLeaderServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -98,10 +122,18 @@
 		connect.WithSchema(leaderServiceMethods.ByName("Report")),
 		connect.WithHandlerOptions(opts...),
 	)
+	leaderServiceYieldHandler := connect.NewUnaryHandlerSimple(
+		LeaderServiceYieldProcedure,
+		svc.Yield,
+		connect.WithSchema(leaderServiceMethods.ByName("Yield")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/buckthorndyke.wire.LeaderService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case LeaderServiceReportProcedure:
 			leaderServiceReportHandler.ServeHTTP(w, r)
+		case LeaderServiceYieldProcedure:
+			leaderServiceYieldHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -114,3 +146,7 @@
 func (UnimplementedLeaderServiceHandler) Report(context.Context, *wire.DemandRequest) (*wire.DemandResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthorndyke.wire.LeaderService.Report is not implemented"))
 }
+
+func (UnimplementedLeaderServiceHandler) Yield(context.Context, *wire.YieldRequest) (*wire.YieldResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthorndyke.wire.LeaderService.Yield is not implemented"))
+}
