--- /dev/null
+++ b/selector/board_test.go
@@ -0,0 +1,155 @@
+package selector_test
+
+import (
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/selector"
+)
+
+const (
+	engines = buckthorndyke.ServiceID("engines")
+	desk    = buckthorndyke.ServiceID("desk")
+	hall    = buckthorndyke.ModelID("hall")
+	now     = 100 * buckthorndyke.Second
+)
+
+var hallKey = buckthorndyke.ModelKey{Model: hall, Service: engines}
+
+func TestChoose(t *testing.T) {
+	t.Run("a request goes to a runner that holds its model", func(t *testing.T) {
+		b := boardOf(runner("a"), runner("b", hall), runner("c"))
+		assertChosen(t, b, selector.Query{Key: hallKey, Now: now}, "b")
+	})
+	t.Run("an adapter has to be loaded too", func(t *testing.T) {
+		with := runner("b", hall)
+		with.Holdings[0].Adapters = []string{"a3"}
+		b := boardOf(runner("a", hall), with)
+		key := hallKey
+		key.Adapter = "a3"
+		assertChosen(t, b, selector.Query{Key: key, Now: now}, "b")
+		key.Adapter = "a4"
+		assertNone(t, b, selector.Query{Key: key, Now: now})
+	})
+	t.Run("a leaving server gets nothing", func(t *testing.T) {
+		leaving := runner("a", hall)
+		leaving.Leaving = true
+		assertNone(t, boardOf(leaving), selector.Query{Key: hallKey, Now: now})
+	})
+	t.Run("an excluded server gets nothing", func(t *testing.T) {
+		b := boardOf(runner("a", hall))
+		assertNone(t, b, selector.Query{Excluded: []buckthorndyke.RunnerID{"a"}, Key: hallKey, Now: now})
+	})
+	t.Run("the least loaded server is taken", func(t *testing.T) {
+		b := boardOf(server("a"), server("b"), server("c"))
+		b = b.WithLoad("a", selector.Load{Requests: 1}).WithLoad("c", selector.Load{Requests: 2})
+		assertChosen(t, b, selector.Query{Key: buckthorndyke.ModelKey{Service: desk}, Now: now}, "b")
+		b = b.WithLoad("b", selector.Load{Requests: 3})
+		assertChosen(t, b, selector.Query{Key: buckthorndyke.ModelKey{Service: desk}, Now: now}, "a")
+	})
+	t.Run("equal servers share the requests", func(t *testing.T) {
+		b := boardOf(server("a"), server("b"), server("c"))
+		seen := make(map[buckthorndyke.RunnerID]bool)
+		for seed := range uint64(64) {
+			got, _ := b.Choose(selector.Query{Key: buckthorndyke.ModelKey{Service: desk}, Now: now, Seed: seed})
+			seen[got.ID] = true
+		}
+		asserter.Equal(t, len(seen), 3)
+	})
+	t.Run("requests with the same beginning go to the same runner", func(t *testing.T) {
+		b := boardOf(runner("a", hall), runner("b", hall), runner("c", hall))
+		first, _ := b.Choose(selector.Query{Key: hallKey, Now: now, Prefix: 77, Seed: 1})
+		for seed := range uint64(16) {
+			assertChosen(t, b, selector.Query{Key: hallKey, Now: now, Prefix: 77, Seed: seed}, first.ID)
+		}
+		full := b.WithLoad(first.ID, selector.Load{Requests: 20})
+		other, _ := full.Choose(selector.Query{Key: hallKey, Now: now, Prefix: 77})
+		asserter.True(t, other.ID != first.ID, "a loaded runner was taken for its prefix cache")
+	})
+}
+
+func TestFailures(t *testing.T) {
+	query := selector.Query{Key: buckthorndyke.ModelKey{Service: desk}, Now: now}
+	t.Run("a server that failed is avoided for a while", func(t *testing.T) {
+		b := boardOf(server("a"), server("b")).WithFailure("a", now)
+		for seed := range uint64(16) {
+			query.Seed = seed
+			assertChosen(t, b, query, "b")
+		}
+	})
+	t.Run("a server that failed is taken if there is no other", func(t *testing.T) {
+		assertChosen(t, boardOf(server("a")).WithFailure("a", now), query, "a")
+	})
+	t.Run("an answer ends the avoidance", func(t *testing.T) {
+		b := boardOf(server("a"), server("b")).WithFailure("a", now).WithSuccess("a").WithLoad("b", selector.Load{Requests: 1})
+		assertChosen(t, b, query, "a")
+	})
+	t.Run("a model that a runner said not to hold is not asked for there", func(t *testing.T) {
+		b := boardOf(runner("a", hall)).WithMissing("a", hallKey, now)
+		assertNone(t, b, selector.Query{Key: hallKey, Now: now})
+		assertChosen(t, b, selector.Query{Key: hallKey, Now: now + 5*buckthorndyke.Second}, "a")
+	})
+}
+
+func TestResidences(t *testing.T) {
+	loaded := buckthorndyke.Residence{Holdings: []buckthorndyke.Holding{{Model: hall}}, Runner: "a", Started: 1}
+	t.Run("a leader's word counts before the list", func(t *testing.T) {
+		b := boardOf(runner("a")).WithResidences([]buckthorndyke.Residence{loaded}, now)
+		assertChosen(t, b, selector.Query{Key: hallKey, Now: now}, "a")
+	})
+	t.Run("a model that is about to be unloaded gets nothing", func(t *testing.T) {
+		closed := loaded
+		closed.Closed = []buckthorndyke.ModelID{hall}
+		b := boardOf(runner("a", hall)).WithResidences([]buckthorndyke.Residence{closed}, now)
+		assertNone(t, b, selector.Query{Key: hallKey, Now: now})
+	})
+	t.Run("a leader's word on an earlier life does not count", func(t *testing.T) {
+		again := runner("a")
+		again.Started = 2
+		b := boardOf(again).WithResidences([]buckthorndyke.Residence{loaded}, now)
+		assertNone(t, b, selector.Query{Key: hallKey, Now: now})
+	})
+	t.Run("a leader's word grows old", func(t *testing.T) {
+		b := boardOf(runner("a")).WithResidences([]buckthorndyke.Residence{loaded}, now)
+		assertNone(t, b, selector.Query{Key: hallKey, Now: now + 10*buckthorndyke.Second})
+	})
+}
+
+// assertChosen reports an error unless the board chooses the server want.
+func assertChosen(t *testing.T, b selector.Board, q selector.Query, want buckthorndyke.RunnerID) {
+	t.Helper()
+	got, ok := b.Choose(q)
+	asserter.True(t, ok, "no server was chosen")
+	asserter.Equal(t, got.ID, want)
+}
+
+// assertNone reports an error if the board chooses a server.
+func assertNone(t *testing.T, b selector.Board, q selector.Query) {
+	t.Helper()
+	got, ok := b.Choose(q)
+	asserter.True(t, !ok, "chose "+string(got.ID))
+}
+
+// boardOf returns a board on which just the given servers are listed.
+func boardOf(servers ...buckthorndyke.Backend) selector.Board {
+	var list buckthorndyke.Backends
+	for _, s := range servers {
+		list.Listed = list.Listed.With(s.ID, s)
+	}
+	return selector.Board{}.WithBackends(list)
+}
+
+// runner returns a runner that holds models.
+func runner(id buckthorndyke.RunnerID, models ...buckthorndyke.ModelID) buckthorndyke.Backend {
+	b := buckthorndyke.Backend{ID: id, Service: engines, Slots: 8, Started: 1}
+	for _, m := range models {
+		b.Holdings = append(b.Holdings, buckthorndyke.Holding{Model: m})
+	}
+	return b
+}
+
+// server returns a plain server.
+func server(id buckthorndyke.RunnerID) buckthorndyke.Backend {
+	return buckthorndyke.Backend{ID: id, Service: desk, Slots: 6, Started: 1}
+}
--- /dev/null
+++ b/stager/floor_test.go
@@ -0,0 +1,283 @@
+package stager_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/stager"
+)
+
+const (
+	engines = buckthorndyke.ServiceID("engines")
+	now     = 100 * buckthorndyke.Second
+	// memoryMB is the memory of a runner; three models fit.
+	memoryMB = 200_000
+	modelMB  = 65_000
+	models   = 12
+	vm       = buckthorndyke.VMID("vm")
+)
+
+func TestPlan(t *testing.T) {
+	t.Run("a model that requests wait for is loaded where there is room", func(t *testing.T) {
+		f := floorOf(runner("a", 0, 1, 2), runner("b", 3))
+		assertIntents(t, wanting(f, 5), "load m5 at b from remote")
+	})
+	t.Run("a copy on a runner's disk is preferred", func(t *testing.T) {
+		near := runner("b", 3)
+		near.Copies = map[buckthorndyke.ModelID]buckthorndyke.Tier{"m5": buckthorndyke.TierDisk}
+		f := floorOf(runner("a"), near, runner("c"))
+		assertIntents(t, wanting(f, 5), "load m5 at b from disk")
+	})
+	t.Run("a full runner first unloads what is wanted least", func(t *testing.T) {
+		f := floorOf(withCopies(runner("a", 0, 1, 2)))
+		f = f.WithDemand(vm, []buckthorndyke.DemandLine{
+			{Arrivals: 9, Key: key(0)}, {Arrivals: 9, Key: key(2)}, {Due: buckthorndyke.Second, Key: key(5), Waiting: 1},
+		}, now)
+		assertIntents(t, f, "unload m1 at a from memory")
+	})
+	t.Run("what runs or waits elsewhere is not unloaded for less", func(t *testing.T) {
+		f := floorOf(runner("a", 0, 1, 2))
+		f = f.WithDemand(vm, []buckthorndyke.DemandLine{
+			{Key: key(0), Running: 9}, {Key: key(1), Running: 9}, {Key: key(2), Running: 9},
+			{Due: buckthorndyke.Second, Key: key(5), Waiting: 1},
+		}, now)
+		assertIntents(t, f)
+	})
+	t.Run("a model is loaded once for all that wait", func(t *testing.T) {
+		f := floorOf(runner("a"), runner("b"))
+		f = wanting(f, 5)
+		for _, i := range f.Plan(now) {
+			f = f.WithOrder(i, now)
+		}
+		assertIntents(t, f.WithDemand("other", []buckthorndyke.DemandLine{{Key: key(5), Waiting: 3}}, now))
+	})
+	t.Run("a runner that has not reported gets no order", func(t *testing.T) {
+		f := stager.NewFloor(4).WithRouting(routing()).WithBackends(listOf(runner("a")), now)
+		assertIntents(t, wanting(f, 5))
+		asserter.Equal(t, f.Doubtful(), []buckthorndyke.RunnerID{"a"})
+	})
+	t.Run("a runner that carries out an order of another leader gets none", func(t *testing.T) {
+		b := runner("a")
+		f := stager.NewFloor(4).WithRouting(routing()).WithBackends(listOf(b), now)
+		f = f.WithReport(buckthorndyke.ModelReport{Backend: b, Busy: true, Orders: 6}, now)
+		assertIntents(t, wanting(f, 5))
+	})
+	t.Run("the weight store gets no more loads than at full speed", func(t *testing.T) {
+		f := floorOf(runner("a"), runner("b"), runner("c"), runner("d"), runner("e"), runner("f"))
+		asserter.Equal(t, len(wanting(f, 1, 2, 3, 4, 5, 6).Plan(now)), 4)
+	})
+	t.Run("a model whose runner is nearly full gets another replica", func(t *testing.T) {
+		f := floorOf(runner("a", 0), runner("b", 1))
+		f = f.WithDemand(vm, []buckthorndyke.DemandLine{{Arrivals: 60, Key: key(0), Running: 30}}, now)
+		assertIntents(t, f, "load m0 at b from remote")
+	})
+	t.Run("an adapter goes to the runner with the fewest", func(t *testing.T) {
+		a, b := runner("a", 0), runner("b", 0)
+		a.Holdings[0].Adapters = []string{"a1"}
+		k := key(0)
+		k.Adapter = "a2"
+		f := floorOf(a, b).WithDemand(vm, []buckthorndyke.DemandLine{{Key: k, Waiting: 1}}, now)
+		assertIntents(t, f, "load m0/a2 at b from remote")
+	})
+	t.Run("an adapter that is not in use makes room for another", func(t *testing.T) {
+		a := runner("a", 0)
+		a.Holdings[0].Adapters = []string{"a1", "a2"}
+		k, used := key(0), key(0)
+		k.Adapter, used.Adapter = "a3", "a1"
+		f := floorOf(a).WithDemand(vm, []buckthorndyke.DemandLine{
+			{Key: k, Waiting: 1}, {Arrivals: 4, Key: used, Running: 1},
+		}, now)
+		assertIntents(t, f, "unload m0/a2 at a from memory")
+	})
+}
+
+func TestReports(t *testing.T) {
+	t.Run("an entry of the list that is older than an order is not believed", func(t *testing.T) {
+		listed := runner("a", 0, 1, 2)
+		f := floorOf(listed)
+		f = f.WithOrder(stager.Intent{Kind: buckthorndyke.OrderUnload, Model: "m2", Runner: "a"}, now)
+		f = f.WithAccepted("a", 1).WithDone("a", now)
+		f = f.WithOrder(stager.Intent{Kind: buckthorndyke.OrderLoad, Model: "m5", Runner: "a"}, now)
+		f = f.WithAccepted("a", 2).WithDone("a", now)
+		// The list returns after an outage with the entry from before both orders.
+		f = f.WithBackends(listOf(listed), now+9*buckthorndyke.Second)
+		assertIntents(t, wanting(f, 6))
+		asserter.Equal(t, f.Doubtful(), []buckthorndyke.RunnerID{"a"})
+	})
+	t.Run("a report ends an order that it shows to be carried out", func(t *testing.T) {
+		f := floorOf(runner("a"))
+		f = f.WithOrder(stager.Intent{Kind: buckthorndyke.OrderLoad, Model: "m5", Runner: "a"}, now).WithAccepted("a", 1)
+		f = f.WithReport(buckthorndyke.ModelReport{Backend: runner("a"), Busy: true, Orders: 1}, now)
+		asserter.Equal(t, len(f.Pending()), 1)
+		f = f.WithReport(buckthorndyke.ModelReport{Backend: runner("a", 5), Orders: 1}, now)
+		asserter.Equal(t, len(f.Pending()), 0)
+		asserter.True(t, f.Serves(key(5)), "the model is not served")
+	})
+	t.Run("a report from before an order changes nothing", func(t *testing.T) {
+		f := floorOf(runner("a"))
+		f = f.WithOrder(stager.Intent{Kind: buckthorndyke.OrderLoad, Model: "m5", Runner: "a"}, now).WithAccepted("a", 1)
+		f = f.WithDone("a", now)
+		f = f.WithReport(buckthorndyke.ModelReport{Backend: runner("a"), Orders: 0}, now)
+		asserter.True(t, f.Serves(key(5)), "the model is not served")
+	})
+	t.Run("an order without effect is given up", func(t *testing.T) {
+		f := floorOf(runner("a"))
+		f = f.WithOrder(stager.Intent{Kind: buckthorndyke.OrderLoad, Model: "m5", Runner: "a"}, now)
+		f = f.WithReport(buckthorndyke.ModelReport{Backend: runner("a"), Orders: 0}, now+5*buckthorndyke.Second)
+		asserter.Equal(t, len(f.Pending()), 0)
+	})
+	t.Run("a new life of a runner is a new runner", func(t *testing.T) {
+		again := runner("a")
+		again.Started = 2
+		f := floorOf(runner("a", 0)).WithBackends(listOf(again), now)
+		asserter.True(t, !f.Serves(key(0)), "a restarted runner still serves")
+		asserter.Equal(t, f.Doubtful(), []buckthorndyke.RunnerID{"a"})
+	})
+}
+
+// TestRoom checks for random demand that no runner is ordered to hold more than
+// it has room for, and that a runner has one order at a time.
+func TestRoom(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	parameters.MinSuccessfulTests = 200
+	properties := gopter.NewProperties(parameters)
+	properties.Property("memory and adapter slots are kept", prop.ForAll(func(wants []int) string {
+		f := floorOf(runner("a", 0, 1), runner("b", 2, 3, 4), runner("c"))
+		at := now
+		for step, want := range wants {
+			at += 300
+			k := key(want % models)
+			if step%3 == 2 {
+				k.Adapter = fmt.Sprintf("a%d", want)
+			}
+			f = f.WithDemand(vm, []buckthorndyke.DemandLine{{Arrivals: 1, Key: k, Waiting: 1}}, at)
+			for _, i := range f.Plan(at) {
+				if _, ok := f.Pending()[i.Runner]; ok {
+					return "a second order for " + string(i.Runner)
+				}
+				f = f.WithOrder(i, at)
+				if fault := overfull(f, i); fault != "" {
+					return fault
+				}
+			}
+			if step%2 == 1 {
+				for id := range f.Pending() {
+					f = f.WithDone(id, at)
+				}
+			}
+		}
+		return ""
+	}, gen.SliceOfN(60, gen.IntRange(0, 40))))
+	properties.TestingRun(t)
+}
+
+// assertIntents reports an error unless the floor plans just the orders in want.
+func assertIntents(t *testing.T, f stager.Floor, want ...string) {
+	t.Helper()
+	var got []string
+	for _, i := range f.Plan(now) {
+		name := string(i.Model)
+		if i.Adapter != "" {
+			name += "/" + i.Adapter
+		}
+		tier := buckthorndyke.TierMemory
+		if i.Kind == buckthorndyke.OrderLoad {
+			tier = i.Tier
+		}
+		got = append(got, fmt.Sprintf("%s %s at %s from %s", i.Kind, name, i.Runner, tier))
+	}
+	asserter.Equal(t, got, want)
+}
+
+// floorOf returns a floor whose runners have reported what they hold.
+func floorOf(runners ...buckthorndyke.Backend) stager.Floor {
+	f := stager.NewFloor(4).WithRouting(routing()).WithBackends(listOf(runners...), now-20*buckthorndyke.Second)
+	for _, r := range runners {
+		f = f.WithReport(buckthorndyke.ModelReport{Backend: r}, now-20*buckthorndyke.Second)
+	}
+	return f
+}
+
+// key returns the key of the model with number n.
+func key(n int) buckthorndyke.ModelKey {
+	return buckthorndyke.ModelKey{Model: buckthorndyke.ModelID(fmt.Sprintf("m%d", n)), Service: engines}
+}
+
+// listOf returns a list of just the given servers.
+func listOf(servers ...buckthorndyke.Backend) buckthorndyke.Backends {
+	var list buckthorndyke.Backends
+	for _, s := range servers {
+		list.Listed = list.Listed.With(s.ID, s)
+	}
+	return list
+}
+
+// overfull returns what is wrong with the runner of an order, or nothing.
+func overfull(f stager.Floor, i stager.Intent) string {
+	if i.Kind != buckthorndyke.OrderLoad {
+		return ""
+	}
+	b, _ := f.Backend(i.Runner)
+	used, adapters := 0, 0
+	for _, h := range b.Holdings {
+		used += modelMB + 40*len(h.Adapters)
+		adapters += len(h.Adapters)
+	}
+	if i.Adapter != "" {
+		used, adapters = used+40, adapters+1
+	} else {
+		used += modelMB
+	}
+	if used > memoryMB || adapters > 2 {
+		return fmt.Sprintf("%s holds %d MB and %d adapters", i.Runner, used, adapters)
+	}
+	return ""
+}
+
+// routing returns a configuration whose runners hold two adapters.
+func routing() buckthorndyke.Routing {
+	facts := &buckthorndyke.EngineFacts{AdapterSlots: 2, LoadsPerSecond: 4, MemoryMB: memoryMB, Slots: 64}
+	for n := range models {
+		facts.Models = facts.Models.With(key(n).Model, buckthorndyke.ModelFacts{
+			AdapterMB: 40, Adapters: 41, MemoryMB: modelMB,
+			LoadTimes: map[buckthorndyke.Tier]buckthorndyke.Millis{
+				buckthorndyke.TierDisk: buckthorndyke.Second, buckthorndyke.TierMemory: 400,
+				buckthorndyke.TierRemote: 6 * buckthorndyke.Second,
+			},
+		})
+	}
+	return buckthorndyke.Routing{Version: 1}.WithService(buckthorndyke.BackendService{Engine: facts, ID: engines})
+}
+
+// runner returns a runner that holds the models with the given numbers.
+func runner(id buckthorndyke.RunnerID, held ...int) buckthorndyke.Backend {
+	b := buckthorndyke.Backend{ID: id, Service: engines, Slots: 64, Started: 1}
+	for _, n := range held {
+		b.Holdings = append(b.Holdings, buckthorndyke.Holding{Model: key(n).Model})
+	}
+	return b
+}
+
+// wanting returns a floor on which one request waits for each of the models.
+func wanting(f stager.Floor, wanted ...int) stager.Floor {
+	var lines []buckthorndyke.DemandLine
+	for _, n := range wanted {
+		lines = append(lines, buckthorndyke.DemandLine{Arrivals: 1, Due: buckthorndyke.Second, Key: key(n), Waiting: 1})
+	}
+	return f.WithDemand(vm, lines, now)
+}
+
+// withCopies returns b with copies on disk of all that it holds.
+func withCopies(b buckthorndyke.Backend) buckthorndyke.Backend {
+	b.Copies = make(map[buckthorndyke.ModelID]buckthorndyke.Tier)
+	for _, h := range b.Holdings {
+		b.Copies[h.Model] = buckthorndyke.TierDisk
+	}
+	return b
+}
