--- a/stager/floor_test.go
+++ b/stager/floor_test.go
@@ -16,9 +16,8 @@
 const (
 	engines = buckthorndyke.ServiceID("engines")
 	now     = 100 * buckthorndyke.Second
-	// memoryMB is the memory of a runner; three models fit.
+	// memoryMB is the memory of a runner; three of most models fit.
 	memoryMB = 200_000
-	modelMB  = 65_000
 	models   = 12
 	vm       = buckthorndyke.VMID("vm")
 )
@@ -226,13 +225,13 @@
 	b, _ := f.Backend(i.Runner)
 	used, adapters := 0, 0
 	for _, h := range b.Holdings {
-		used += modelMB + 40*len(h.Adapters)
+		used += sizeOf(h.Model) + 40*len(h.Adapters)
 		adapters += len(h.Adapters)
 	}
 	if i.Adapter != "" {
 		used, adapters = used+40, adapters+1
 	} else {
-		used += modelMB
+		used += sizeOf(i.Model)
 	}
 	if used > memoryMB || adapters > 2 {
 		return fmt.Sprintf("%s holds %d MB and %d adapters", i.Runner, used, adapters)
@@ -245,7 +244,7 @@
 	facts := &buckthorndyke.EngineFacts{AdapterSlots: 2, LoadsPerSecond: 4, MemoryMB: memoryMB, Slots: 64}
 	for n := range models {
 		facts.Models = facts.Models.With(key(n).Model, buckthorndyke.ModelFacts{
-			AdapterMB: 40, Adapters: 41, MemoryMB: modelMB,
+			AdapterMB: 40, Adapters: 41, MemoryMB: sizeOf(key(n).Model),
 			LoadTimes: map[buckthorndyke.Tier]buckthorndyke.Millis{
 				buckthorndyke.TierDisk: buckthorndyke.Second, buckthorndyke.TierMemory: 400,
 				buckthorndyke.TierRemote: 6 * buckthorndyke.Second,
@@ -264,6 +263,16 @@
 	return b
 }
 
+// sizeOf returns the memory of a model in megabytes.
+func sizeOf(model buckthorndyke.ModelID) int {
+	for n := range models {
+		if key(n).Model == model && n >= 7 {
+			return 20_000 + 10_000*n
+		}
+	}
+	return 65_000
+}
+
 // wanting returns a floor on which one request waits for each of the models.
 func wanting(f stager.Floor, wanted ...int) stager.Floor {
 	var lines []buckthorndyke.DemandLine
