--- /dev/null
+++ b/supervisor/relayer/loader/loader_test.go
@@ -0,0 +1,286 @@
+package loader_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/loader"
+	"github.com/buckthorndyke/buckthorndyke/timekeeper"
+)
+
+const (
+	engines = buckthorndyke.ServiceID("engines")
+	hall    = buckthorndyke.ModelID("hall")
+	lease   = 3 * buckthorndyke.Second
+	self    = buckthorndyke.VMID("vm-1")
+)
+
+var hallKey = buckthorndyke.ModelKey{Model: hall, Service: engines}
+
+func TestLeading(t *testing.T) {
+	t.Run("a VM that does not lead gives no order", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			reply := s.want(hallKey)
+			asserter.True(t, !reply.Leading, "the VM says that it leads")
+			s.wait(5 * buckthorndyke.Second)
+			asserter.Equal(t, len(s.pool.sent()), 0)
+		})
+	})
+	t.Run("a leader without a known predecessor waits for the lease", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.lead(7)
+			s.wait(lease - 400)
+			s.want(hallKey)
+			asserter.Equal(t, len(s.pool.sent()), 0)
+			s.wait(400)
+			s.want(hallKey)
+			asserter.Equal(t, s.pool.sent()[0].Fence, int64(7))
+		})
+	})
+	t.Run("a leader waits from its predecessor's last order", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.leaders.quiet = lease - buckthorndyke.Second
+			s.found("10.0.0.2:1")
+			s.lead(7)
+			s.wait(300)
+			s.want(hallKey)
+			asserter.Equal(t, len(s.pool.sent()), 0)
+			s.wait(600)
+			s.want(hallKey)
+			asserter.Equal(t, len(s.pool.sent()), 1)
+		})
+	})
+	t.Run("a predecessor out of contact is not waited for where fences are checked", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.leaders.err = errors.New("no answer")
+			s.found("10.0.0.2:1")
+			s.lead(7)
+			s.wait(200)
+			s.want(hallKey)
+			asserter.Equal(t, len(s.pool.sent()), 1)
+		}, loader.WithFenceChecks(true))
+	})
+	t.Run("a predecessor out of contact is waited for where fences are ignored", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.leaders.err = errors.New("no answer")
+			s.found("10.0.0.2:1")
+			s.lead(7)
+			s.wait(lease - 400)
+			s.want(hallKey)
+			asserter.Equal(t, len(s.pool.sent()), 0)
+		})
+	})
+	t.Run("a leader whose grant ends gives no order", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.leadFor(7, lease+buckthorndyke.Second)
+			s.wait(lease + 900)
+			s.want(hallKey)
+			asserter.Equal(t, len(s.pool.sent()), 0)
+		})
+	})
+	t.Run("a leader that was fenced gives no more orders", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.pool.outcome = buckthorndyke.ModelOrderFenced
+			s.lead(7)
+			s.wait(lease + 100)
+			s.want(hallKey)
+			s.wait(buckthorndyke.Second)
+			reply := s.want(hallKey)
+			asserter.True(t, !reply.Leading, "the VM says that it leads")
+			asserter.Equal(t, len(s.pool.sent()), 1)
+		})
+	})
+	t.Run("a leader yields to a higher fencing number and says when it last ordered", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.lead(7)
+			s.wait(lease + 100)
+			s.want(hallKey)
+			s.wait(400)
+			quiet, err := s.loader.Yield(s.ctx, 8)
+			asserter.NoError(t, err)
+			asserter.True(t, quiet >= 400 && quiet < buckthorndyke.Second, "the time since the last order is wrong")
+			asserter.True(t, !s.want(hallKey).Leading, "the VM says that it leads")
+		})
+	})
+}
+
+func TestAdapters(t *testing.T) {
+	key := func(adapter string) buckthorndyke.ModelKey {
+		return buckthorndyke.ModelKey{Adapter: adapter, Model: hall, Service: engines}
+	}
+	t.Run("an adapter that is still in use keeps its slot", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.pool.holdings = []buckthorndyke.Holding{{Adapters: []string{"a1", "a2"}, Model: hall}}
+			s.lead(7)
+			s.wait(lease + 500)
+			s.want(key("a3"))
+			asserter.Equal(t, s.pool.sent()[0].Kind, buckthorndyke.OrderUnload)
+			// The runner unloads it only once its requests have ended.
+			s.wait(buckthorndyke.Second)
+			s.want(key("a3"))
+			asserter.Equal(t, len(s.pool.sent()), 1)
+		})
+	})
+	t.Run("a loaded adapter is told before the runner's report shows it", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.pool.holdings = []buckthorndyke.Holding{{Model: hall}}
+			s.lead(7)
+			s.wait(lease + 500)
+			reply := s.want(key("a3"))
+			asserter.Equal(t, len(reply.Residences), 1)
+			asserter.True(t, reply.Residences[0].Holdings[0].Has("a3"), "the adapter is not told")
+		})
+	})
+}
+
+// site is a loader in a bubble, with one runner.
+type site struct {
+	cancel  context.CancelFunc
+	clock   buckthorndyke.Clock
+	ctx     context.Context
+	feeds   loader.Feeds
+	leaders *leaders
+	loader  *loader.Loader
+	pool    *pool
+	t       *testing.T
+}
+
+// inSite runs test with a loader that knows a configuration and a runner.
+func inSite(t *testing.T, test func(s *site), opts ...loader.Option) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &site{
+			cancel: cancel, clock: timekeeper.NewRealClock(), ctx: ctx,
+			feeds: loader.Feeds{
+				Found: mailer.NewFeed[string](), Lists: mailer.NewFeed[buckthorndyke.Backends](),
+				Routings: mailer.NewFeed[buckthorndyke.Routing](), Terms: mailer.NewFeed[buckthorndyke.Term](),
+			},
+			leaders: &leaders{}, pool: newPool(ctx), t: t,
+		}
+		s.loader = loader.New(buckthorndyke.Self{PeerAddress: "10.0.0.1:1", VM: self}, s.pool, s.leaders, s.feeds, lease, s.clock, opts...)
+		for _, serve := range []func(context.Context) error{
+			s.feeds.Found.Serve, s.feeds.Lists.Serve, s.feeds.Routings.Serve, s.feeds.Terms.Serve, s.pool.serve, s.loader.Serve,
+		} {
+			go func() { _ = serve(ctx) }()
+		}
+		asserter.NoError(t, s.feeds.Routings.Publish(ctx, routing()))
+		var list buckthorndyke.Backends
+		list.Listed = list.Listed.With("r", buckthorndyke.Backend{ID: "r", Service: engines, Started: 1})
+		asserter.NoError(t, s.feeds.Lists.Publish(ctx, list))
+		synctest.Wait()
+		test(s)
+	})
+}
+
+// found tells the loader where the leader answers.
+func (s *site) found(address string) {
+	s.t.Helper()
+	asserter.NoError(s.t, s.feeds.Found.Publish(s.ctx, address))
+	synctest.Wait()
+}
+
+// lead makes the VM the leader.
+func (s *site) lead(fence int64) { s.leadFor(fence, buckthorndyke.Hour) }
+
+// leadFor makes the VM the leader for a time.
+func (s *site) leadFor(fence int64, d buckthorndyke.Millis) {
+	s.t.Helper()
+	asserter.NoError(s.t, s.feeds.Terms.Publish(s.ctx, buckthorndyke.Term{Fence: fence, Leading: true, Until: s.clock.Now() + d}))
+	synctest.Wait()
+}
+
+func (s *site) wait(d buckthorndyke.Millis) {
+	<-s.clock.After(d)
+	synctest.Wait()
+}
+
+// want reports that a request waits for key.
+func (s *site) want(key buckthorndyke.ModelKey) buckthorndyke.DemandReply {
+	s.t.Helper()
+	reply, err := s.loader.Report(s.ctx, "vm-2", []buckthorndyke.DemandLine{{Due: buckthorndyke.Second, Key: key, Waiting: 1}})
+	asserter.NoError(s.t, err)
+	return reply
+}
+
+// leaders answers the question to the previous leader.
+type leaders struct {
+	buckthorndyke.Leaders
+	err   error
+	quiet buckthorndyke.Millis
+}
+
+// Yield implements buckthorndyke.Leaders.
+func (l *leaders) Yield(context.Context, string, int64) (buckthorndyke.Millis, error) {
+	return l.quiet, l.err
+}
+
+// pool is one runner that accepts orders and whose report never changes.
+type pool struct {
+	buckthorndyke.BackendPool
+	ctx      context.Context
+	holdings []buckthorndyke.Holding
+	orders   *mailer.Mailbox[buckthorndyke.ModelOrder]
+	outcome  buckthorndyke.ModelOrderOutcome
+	reads    *mailer.Mailbox[mailer.Reply[[]buckthorndyke.ModelOrder]]
+}
+
+func newPool(ctx context.Context) *pool {
+	return &pool{
+		ctx:    ctx,
+		orders: mailer.NewMailbox[buckthorndyke.ModelOrder](), outcome: buckthorndyke.ModelOrderAccepted,
+		reads: mailer.NewMailbox[mailer.Reply[[]buckthorndyke.ModelOrder]](),
+	}
+}
+
+// Order implements buckthorndyke.BackendPool.
+func (p *pool) Order(ctx context.Context, o buckthorndyke.ModelOrder) (buckthorndyke.ModelOrderOutcome, error) {
+	return p.outcome, p.orders.Send(ctx, o)
+}
+
+// Report implements buckthorndyke.BackendPool.
+func (p *pool) Report(_ context.Context, b buckthorndyke.Backend) (buckthorndyke.ModelReport, error) {
+	b.Holdings = p.holdings
+	return buckthorndyke.ModelReport{Backend: b, Orders: int64(len(p.sent()))}, nil
+}
+
+// sent returns the orders that were sent.
+func (p *pool) sent() []buckthorndyke.ModelOrder {
+	orders, _ := mailer.Ask(p.ctx, p.reads,
+		func(reply mailer.Reply[[]buckthorndyke.ModelOrder]) mailer.Reply[[]buckthorndyke.ModelOrder] {
+			return reply
+		})
+	return orders
+}
+
+// serve keeps the orders.
+func (p *pool) serve(ctx context.Context) error {
+	var sent []buckthorndyke.ModelOrder
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case o := <-p.orders.Receive():
+			sent = append(sent, o)
+		case reply := <-p.reads.Receive():
+			reply.Answer(append([]buckthorndyke.ModelOrder(nil), sent...))
+		}
+	}
+}
+
+// routing returns a configuration whose runners hold two adapters.
+func routing() buckthorndyke.Routing {
+	facts := &buckthorndyke.EngineFacts{AdapterSlots: 2, LoadsPerSecond: 4, MemoryMB: 100_000, Slots: 64}
+	facts.Models = facts.Models.With(hall, buckthorndyke.ModelFacts{
+		AdapterMB: 40, Adapters: 9, MemoryMB: 60_000,
+		LoadTimes: map[buckthorndyke.Tier]buckthorndyke.Millis{buckthorndyke.TierRemote: 6 * buckthorndyke.Second},
+	})
+	return buckthorndyke.Routing{Version: 1}.WithService(buckthorndyke.BackendService{Engine: facts, ID: engines})
+}
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -235,7 +235,9 @@
 	switch m.outcome {
 	case buckthorndyke.ModelOrderAccepted:
 		t.floor = t.floor.WithAccepted(m.intent.Runner, m.expect+1)
-		if m.intent.Adapter != "" {
+		if m.intent.Adapter != "" && m.intent.Kind == buckthorndyke.OrderLoad {
+			// An accepted unload waits for the adapter's requests: only a report shows
+			// its end.
 			t.settleAdapter(m.intent)
 		}
 	case buckthorndyke.ModelOrderDone:
--- a/supervisor/relayer/watcher/backends.go
+++ b/supervisor/relayer/watcher/backends.go
@@ -12,7 +12,7 @@
 
 const (
 	// listEvery is the time between two reads of the list of servers.
-	listEvery = 900 * buckthorndyke.Millisecond
+	listEvery = 1300 * buckthorndyke.Millisecond
 	// returnGrace is how long after an outage of the list a server that is no
 	// longer listed is still held to be there: the platform lists servers that
 	// live again within that time.
--- a/supervisor/relayer/watcher/routings.go
+++ b/supervisor/relayer/watcher/routings.go
@@ -13,7 +13,7 @@
 const (
 	// changeWait is how long one call waits for a change of the configuration. A
 	// connection that has gone silent is noticed that much later.
-	changeWait = 1200 * buckthorndyke.Millisecond
+	changeWait = 2200 * buckthorndyke.Millisecond
 	// retryFirst and retryLimit bound the time between two calls that fail.
 	retryFirst = 50 * buckthorndyke.Millisecond
 	retryLimit = 400 * buckthorndyke.Millisecond
