test(dispatcher): what may be sent again, what a refusal says, streams, waiting

Found by its test: a client that left while its request waited kept a goroutine for a second that guessed whether a server had been granted. The task now answers that message, so that the grant is known. The messages that give a place back are bounded in time.

--- /dev/null
+++ b/supervisor/relayer/dispatcher/dispatcher_test.go
@@ -0,0 +1,240 @@
+package dispatcher_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+)
+
+func TestPlainCalls(t *testing.T) {
+	t.Run("the answer is handed on", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.pool.lay(reply{body: "booked", status: http.StatusCreated})
+			got, err := s.relay(request("/unsafe/x"))
+			asserter.NoError(t, err)
+			asserter.Equal(t, got.status, http.StatusCreated)
+			asserter.Equal(t, got.body, "booked")
+			sent := s.pool.sent()
+			asserter.Equal(t, len(sent), 1)
+			asserter.Equal(t, sent[0].TimeLeft, 2*buckthorndyke.Second)
+		})
+	})
+	t.Run("an unsafe call that may have run is not sent again", func(t *testing.T) {
+		for _, r := range []reply{{err: lost}, {body: "half", broken: true}, {bare: true}} {
+			inSite(t, func(s *site) {
+				s.pool.lay(r)
+				got, err := s.relay(request("/unsafe/x"))
+				asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
+				asserter.Equal(t, got.status, 0)
+				asserter.Equal(t, len(s.pool.sent()), 1)
+			})
+		}
+	})
+	t.Run("an unsafe call that has not run is sent to another server", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.pool.lay(reply{notRun: true, status: http.StatusServiceUnavailable}, reply{err: unreachable})
+			got, err := s.relay(request("/unsafe/x"))
+			asserter.NoError(t, err)
+			asserter.Equal(t, got.body, "well")
+			assertDistinct(t, s.pool.sent(), 3)
+		})
+	})
+	t.Run("a call that no server ran is refused as not run", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.pool.lay(reply{err: unreachable}, reply{err: unreachable}, reply{err: unreachable})
+			_, err := s.relay(request("/unsafe/x"))
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
+		})
+	})
+	t.Run("a safe call goes to no more servers than its route allows", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			fail := reply{status: http.StatusInternalServerError}
+			s.pool.lay(fail, fail, fail)
+			got, err := s.relay(request("/safe/x"))
+			asserter.NoError(t, err)
+			asserter.Equal(t, got.status, http.StatusInternalServerError)
+			assertDistinct(t, s.pool.sent(), 2)
+		})
+	})
+	t.Run("a safe call whose answer was lost is sent again", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.pool.lay(reply{err: lost})
+			got, err := s.relay(request("/safe/x"))
+			asserter.NoError(t, err)
+			asserter.Equal(t, got.body, "well")
+			assertDistinct(t, s.pool.sent(), 2)
+		})
+	})
+	t.Run("a safe call that may have run is not said to be not run", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.pool.lay(reply{err: lost}, reply{notRun: true, status: http.StatusServiceUnavailable}, reply{err: unreachable})
+			_, err := s.relay(request("/safe/x"))
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
+		})
+	})
+	t.Run("a call ends at its route's time", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.pool.lay(reply{hang: true})
+			began := s.clock.Now()
+			_, err := s.relay(request("/unsafe/x"))
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Code(t, err, buckthorndyke.CodeDeadline)
+			asserter.Equal(t, s.clock.Now()-began, 2*buckthorndyke.Second)
+		})
+	})
+	t.Run("retries are bounded", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			var replies []reply
+			for range 200 {
+				replies = append(replies, reply{notRun: true, status: http.StatusServiceUnavailable})
+			}
+			s.pool.lay(replies...)
+			for range 20 {
+				_, err := s.relay(request("/unsafe/x"))
+				asserter.Verdict(t, err, buckthorndyke.NotRun)
+			}
+			asserter.True(t, len(s.pool.sent()) <= 20+6+2, "too many retries")
+		})
+	})
+	t.Run("an unknown route is refused, an unknown configuration too", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			_, err := s.relay(request("/elsewhere/"))
+			asserter.Refused(t, err, buckthorndyke.CodeServiceUnknown, buckthorndyke.NotRun)
+			asserter.NoError(t, s.routings.Publish(s.ctx, buckthorndyke.Routing{}))
+			synctest.Wait()
+			_, err = s.relay(request("/safe/x"))
+			asserter.Refused(t, err, buckthorndyke.CodeNotReady, buckthorndyke.NotRun)
+		})
+	})
+}
+
+func TestStreams(t *testing.T) {
+	const whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	t.Run("events are handed on", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.pool.lay(reply{body: whole})
+			got, err := s.relay(generation("/stream/x", hall))
+			asserter.NoError(t, err)
+			asserter.Equal(t, got.body, whole)
+			asserter.Equal(t, s.pool.sent()[0].Backend.ID, "r1")
+		})
+	})
+	t.Run("a broken stream that may not be resumed ends with an error after whole events", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.pool.lay(reply{body: whole + "id: 3\nda", broken: true})
+			got, err := s.relay(generation("/stream/x", hall))
+			asserter.Error(t, err)
+			asserter.Equal(t, got.body, whole)
+			asserter.Equal(t, len(s.pool.sent()), 1)
+		})
+	})
+	t.Run("a broken stream is carried on by another runner after its last whole event", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.list(runner("r1", hall), runner("r2", hall))
+			s.pool.lay(reply{body: whole + "id: 3\nda", broken: true}, reply{body: "id: 3\ndata: c\n\n"})
+			got, err := s.relay(generation("/resumable/x", hall))
+			asserter.NoError(t, err)
+			asserter.Equal(t, got.body, whole+"id: 3\ndata: c\n\n")
+			assertDistinct(t, s.pool.sent(), 2)
+			asserter.Equal(t, s.pool.sent()[1].Request.LastEvent, "2")
+		})
+	})
+	t.Run("a client that leaves ends the attempt", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.pool.lay(reply{hang: true})
+			ctx, leave := context.WithTimeout(s.ctx, (300 * buckthorndyke.Millisecond).Duration())
+			defer leave()
+			_, err := s.relayFor(ctx, generation("/stream/x", hall))
+			asserter.Code(t, err, buckthorndyke.CodeCallerGone)
+			asserter.Equal(t, len(s.pool.sent()), 1)
+		})
+	})
+}
+
+func TestWaiting(t *testing.T) {
+	const gym = buckthorndyke.ModelID("gym")
+	t.Run("a request waits for its model and is reported as demand", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.led()
+			done := make(chan error, 1)
+			go func() {
+				_, err := s.relay(generation("/stream/x", gym))
+				done <- err
+			}()
+			synctest.Wait()
+			lines, waiting, err := s.dispatcher.Demand(s.ctx)
+			asserter.NoError(t, err)
+			asserter.True(t, waiting, "nothing waits")
+			asserter.Equal(t, lines[0].Key, buckthorndyke.ModelKey{Model: gym, Service: engines})
+			asserter.Equal(t, lines[0].Waiting, 1)
+			asserter.Equal(t, lines[0].Arrivals, 1)
+			asserter.NoError(t, s.dispatcher.Residences(s.ctx, []buckthorndyke.Residence{
+				{Holdings: []buckthorndyke.Holding{{Model: gym}}, Runner: "r2", Started: 1},
+			}))
+			asserter.NoError(t, <-done)
+			asserter.Equal(t, s.pool.sent()[0].Backend.ID, "r2")
+		})
+	})
+	t.Run("a request whose model does not come is refused and asked to return", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.led()
+			began := s.clock.Now()
+			_, err := s.relay(generation("/stream/x", gym))
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
+			asserter.True(t, buckthorndyke.RefusalOf(err).RetryAfter() > 0, "the client is not asked to return")
+			asserter.Equal(t, s.clock.Now()-began, 1200*buckthorndyke.Millisecond)
+		})
+	})
+	t.Run("a request waits for a shorter time while no VM gives orders", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			began := s.clock.Now()
+			_, err := s.relay(generation("/stream/x", gym))
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
+			asserter.Equal(t, s.clock.Now()-began, 300*buckthorndyke.Millisecond)
+		})
+	})
+	t.Run("a runner that lacks the model is not asked again at once", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.list(runner("r1", hall), runner("r2", hall))
+			s.pool.lay(reply{notRun: true, status: http.StatusMisdirectedRequest})
+			got, err := s.relay(generation("/stream/x", hall))
+			asserter.NoError(t, err)
+			asserter.Equal(t, got.body, "well")
+			assertDistinct(t, s.pool.sent(), 2)
+		})
+	})
+	t.Run("a client that leaves while it waits is no demand", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.led()
+			ctx, leave := context.WithTimeout(s.ctx, (100 * buckthorndyke.Millisecond).Duration())
+			defer leave()
+			_, err := s.relayFor(ctx, generation("/stream/x", gym))
+			asserter.Code(t, err, buckthorndyke.CodeCallerGone)
+			_, waiting, err := s.dispatcher.Demand(s.ctx)
+			asserter.NoError(t, err)
+			asserter.True(t, !waiting, "a request of a client that has left waits")
+		})
+	})
+}
+
+// assertDistinct reports an error unless n attempts went to n servers.
+func assertDistinct(t *testing.T, sent []buckthorndyke.Dispatch, n int) {
+	t.Helper()
+	seen := make(map[buckthorndyke.RunnerID]bool)
+	for _, d := range sent {
+		seen[d.Backend.ID] = true
+	}
+	asserter.Equal(t, len(sent), n)
+	asserter.Equal(t, len(seen), n)
+}
+
+// led tells the dispatcher that some VM gives orders.
+func (s *site) led() {
+	s.t.Helper()
+	asserter.NoError(s.t, s.dispatcher.Residences(s.ctx, nil))
+	synctest.Wait()
+}
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -10,6 +10,7 @@
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/selector"
 )
 
@@ -32,6 +33,8 @@
 	// sendLimit bounds the servers that one request is sent to, those that did not
 	// run it included.
 	sendLimit = 5
+	// tellLimit bounds the time in which the task takes a message.
+	tellLimit = buckthorndyke.Second
 	// unledShare is the same part for a model while no VM gives orders.
 	unledShare = 150
 	// urgencyLimit is the least urgency that an engine knows.
@@ -135,7 +138,7 @@
 		Urgency:  min(j.route.Priority*urgencyStep, urgencyLimit),
 	})
 	if err != nil {
-		return j.failed(backend, err)
+		return j.failed(ctx, backend, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	return j.answered(limit, backend, answer)
@@ -167,27 +170,28 @@
 		return g.backend, nil
 	case <-ctx.Done():
 	}
-	j.abandon(m)
+	j.abandon(ctx, m)
 	return buckthorndyke.Backend{}, errCallerGone
 }
 
 // abandon takes back a request for a server after the client has left.
-func (j *job) abandon(m admitAsked) {
-	ctx := context.Background()
-	if j.box.Send(ctx, admitLeft{job: j}) != nil {
+func (j *job) abandon(ctx context.Context, m admitAsked) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tellLimit.Duration())
+	defer cancel()
+	_, err := mailer.Ask(ctx, j.box, func(reply mailer.Reply[struct{}]) message {
+		return admitLeft{job: j, reply: reply}
+	})
+	if err != nil {
 		return
 	}
-	// The server may have been granted before the task read that.
-	go func() {
-		<-j.clock.After(buckthorndyke.Second)
-		select {
-		case g := <-m.reply.Receive():
-			if g.err == nil {
-				j.end(g.backend, resultNeutral)
-			}
-		default:
+	select {
+	case g := <-m.reply.Receive():
+		// The server was granted before the task read that the client has left.
+		if g.err == nil {
+			j.end(ctx, g.backend, resultNeutral)
 		}
-	}()
+	default:
+	}
 }
 
 // answered handles the beginning of a server's answer.
@@ -195,37 +199,37 @@
 	switch {
 	case a.NotRun:
 		j.note(backend, "not run %d", a.Status)
-		j.end(backend, resultAbsentOf(j.key))
+		j.end(ctx, backend, resultAbsentOf(j.key))
 		if j.key.Model == "" {
 			j.excluded = append(j.excluded, backend.ID)
 		}
 		return true, buckthorndyke.NewRefusal(buckthorndyke.CodeRunnerUnavailable, buckthorndyke.NotRun,
 			"the server did not run the request").WithRetryAfter(retryAfter)
 	case !a.Sealed && (a.Status < http.StatusMultipleChoices || promises(a.Status)):
-		return j.failed(backend, errors.Newf("the server answered %d without a signature", a.Status))
+		return j.failed(ctx, backend, errors.Newf("the server answered %d without a signature", a.Status))
 	case a.Status >= http.StatusInternalServerError && j.route.Kind == buckthorndyke.RouteSafe && j.runs+1 < j.route.Attempts:
 		j.note(backend, "status %d", a.Status)
 		j.runs++
-		j.end(backend, resultNeutral)
+		j.end(ctx, backend, resultNeutral)
 		j.excluded = append(j.excluded, backend.ID)
 		return true, buckthorndyke.NewRefusal(buckthorndyke.CodeServiceUnavailable, buckthorndyke.MayHaveRun,
 			"the server failed to serve the request")
 	case j.route.Kind == buckthorndyke.RouteStream && a.Status < http.StatusMultipleChoices:
 		return j.pass(ctx, backend, a)
 	default:
-		return j.copyWhole(backend, a)
+		return j.copyWhole(ctx, backend, a)
 	}
 }
 
 // copyWhole hands on an answer once it has been read to its end.
-func (j *job) copyWhole(backend buckthorndyke.Backend, a buckthorndyke.DispatchAnswer) (bool, error) {
+func (j *job) copyWhole(ctx context.Context, backend buckthorndyke.Backend, a buckthorndyke.DispatchAnswer) (bool, error) {
 	body, err := readAll(a.Body)
 	if err != nil {
-		return j.failed(backend, err)
+		return j.failed(ctx, backend, err)
 	}
 	j.note(backend, "status %d", a.Status)
 	j.runs++
-	j.end(backend, resultServed)
+	j.end(ctx, backend, resultServed)
 	a.Header.Set("Content-Length", decimal(len(body)))
 	if err := j.w.Begin(a.Status, a.Header); err != nil {
 		return false, errCallerGone
@@ -237,22 +241,26 @@
 }
 
 // end gives the server's place back.
-func (j *job) end(backend buckthorndyke.Backend, r result) {
-	m := attemptEnded{key: j.key, load: j.load(), result: r, server: backend.ID}
+func (j *job) end(ctx context.Context, backend buckthorndyke.Backend, r result) {
 	// The place has to be given back even if the client has left.
-	_ = j.box.Send(context.Background(), m)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tellLimit.Duration())
+	defer cancel()
+	err := j.box.Send(ctx, attemptEnded{key: j.key, load: j.load(), result: r, server: backend.ID})
+	if err != nil {
+		j.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
+	}
 }
 
 // failed handles an attempt that ended without an answer.
-func (j *job) failed(backend buckthorndyke.Backend, err error) (bool, error) {
+func (j *job) failed(ctx context.Context, backend buckthorndyke.Backend, err error) (bool, error) {
 	if errors.Is(err, errTimeout) || errors.Is(err, context.Canceled) {
 		j.note(backend, "ended by us")
-		j.end(backend, resultNeutral)
+		j.end(ctx, backend, resultNeutral)
 		j.runs++
 		return false, errTimeout
 	}
 	j.note(backend, "failed: %v", err)
-	j.end(backend, resultFailed)
+	j.end(ctx, backend, resultFailed)
 	j.excluded = append(j.excluded, backend.ID)
 	verdict := buckthorndyke.VerdictOf(err)
 	refusal := buckthorndyke.NewRefusal(buckthorndyke.CodeServiceUnavailable, verdict, "the server did not answer")
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -49,7 +49,8 @@
 
 	// admitLeft says that a request no longer waits.
 	admitLeft struct {
-		job *job
+		job   *job
+		reply mailer.Reply[struct{}]
 	}
 
 	// attemptEnded gives a server's place back.
@@ -86,7 +87,7 @@
 )
 
 func (m admitAsked) apply(t *task)     { t.admit(m) }
-func (m admitLeft) apply(t *task)      { t.leave(m.job) }
+func (m admitLeft) apply(t *task)      { t.leave(m) }
 func (m attemptEnded) apply(t *task)   { t.endAttempt(m) }
 func (m demandAsked) apply(t *task)    { m.reply.Answer(t.demand()) }
 func (m residencesTold) apply(t *task) { t.takeResidences(m.list) }
--- a/supervisor/relayer/dispatcher/stream.go
+++ b/supervisor/relayer/dispatcher/stream.go
@@ -45,15 +45,15 @@
 	case err == nil:
 		j.note(backend, "streamed to event %s", j.stream.last)
 		j.runs++
-		j.end(backend, resultServed)
+		j.end(ctx, backend, resultServed)
 		return false, nil
 	case errors.Is(err, errCallerGone):
-		j.end(backend, resultNeutral)
+		j.end(ctx, backend, resultNeutral)
 		return false, errCallerGone
 	case ctx.Err() != nil:
-		return j.failed(backend, context.Cause(ctx))
+		return j.failed(ctx, backend, context.Cause(ctx))
 	}
-	again, err := j.failed(backend, errors.Wrapf(err, "the stream broke after event %q", j.stream.last))
+	again, err := j.failed(ctx, backend, errors.Wrapf(err, "the stream broke after event %q", j.stream.last))
 	if j.stream.last != "" {
 		j.request = j.request.WithLastEvent(j.stream.last)
 	}
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -157,8 +157,9 @@
 }
 
 // leave forgets a request that no longer waits.
-func (t *task) leave(j *job) {
-	t.waiting = slices.DeleteFunc(t.waiting, func(m admitAsked) bool { return m.job == j })
+func (t *task) leave(left admitLeft) {
+	t.waiting = slices.DeleteFunc(t.waiting, func(m admitAsked) bool { return m.job == left.job })
+	left.reply.Answer(struct{}{})
 }
 
 // offer gives a request a server if one can take it.
