--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
 	"github.com/buckthorndyke/buckthorndyke"
@@ -13,6 +17,7 @@
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/entrance"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/reloader"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/responder"
 	"github.com/buckthorndyke/buckthorndyke/timekeeper"
 )
@@ -25,18 +30,24 @@
 	// grantTime is how long a grant to lead lasts without a renewal. The platform
 	// allows no less than a second.
 	grantTime = 1500 * buckthorndyke.Millisecond
+	// leastLogLevel is the level below which no line is ever logged.
+	leastLogLevel = "debug"
 	// logBacklog bounds the lines of the log that wait to be written.
 	logBacklog = 4096
 )
 
-// Relay runs an entry VM that relays requests until ctx ends.
-func (a *Assembler) Relay(ctx context.Context, s configurer.Relay) error {
+// Relay runs an entry VM that relays requests until ctx ends. It rereads its
+// settings with reread; of a change only the level of the log is put in force.
+func (a *Assembler) Relay(ctx context.Context, s configurer.Relay, reread func() ([]byte, error)) error {
 	output := diode.NewWriter(a.output, logBacklog, 0, nil)
 	defer func() { _ = output.Close() }()
-	logger, err := reporter.NewLogger(output, s.LogLevel, s.VM)
+	logger, err := reporter.NewLogger(output, leastLogLevel, s.VM)
 	if err != nil {
 		return err
 	}
+	if err := setLogLevel(s.LogLevel); err != nil {
+		return err
+	}
 	clock := timekeeper.NewRealClock()
 	self := buckthorndyke.Self{
 		Domain:      s.Domain,
@@ -56,7 +67,11 @@
 	tree := relayer.New(self, outside, relayer.Settings{
 		AtOnce: s.LoadsAtOnce, ChecksFence: s.ChecksFence, DrainLimit: s.DrainLimit, Grant: grantTime, Lease: s.Lease, RetryBurst: s.RetryBurst,
 	}, clock, logger)
-	tree.AddBase(runners, responder.NewLeader(s.Peers.Address, s.Peers.Key.Text, tree.Leader()))
+	asks := make(chan os.Signal, 1)
+	signal.Notify(asks, syscall.SIGHUP)
+	defer signal.Stop(asks)
+	reload := reloader.New(reread, applySettings, asks, clock, logger)
+	tree.AddBase(runners, reload, responder.NewLeader(s.Peers.Address, s.Peers.Key.Text, tree.Leader()))
 	tree.AddFront(entrance.Addresses{Clients: s.ClientsAddress, Readiness: s.ReadinessAddress},
 		platform.NewFront(tree.Relay(), bodyLimit, clock), clock)
 	logger.Info().EmbedObject(reporter.EventProcessStarted).Uint64("incarnation", uint64(self.Incarnation)).Send()
@@ -67,3 +82,23 @@
 	}
 	return err
 }
+
+// applySettings puts the level of the log of changed settings in force. All else
+// takes a restart.
+func applySettings(data []byte) error {
+	s, err := configurer.ParseRelay(data)
+	if err != nil {
+		return err
+	}
+	return setLogLevel(s.LogLevel)
+}
+
+// setLogLevel sets the least level of the lines that are logged.
+func setLogLevel(name string) error {
+	level, err := zerolog.ParseLevel(name)
+	if err != nil {
+		return errors.Wrap(err, "choose debug, info, warn or error")
+	}
+	zerolog.SetGlobalLevel(level)
+	return nil
+}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -15,11 +15,15 @@
 // Commander runs sub-commands.
 type Commander struct {
 	clock   buckthorndyke.Clock
-	relay   func(ctx context.Context, settings configurer.Relay) error
+	relay   RelayFunc
 	serve   func(ctx context.Context, settings configurer.Serve) error
 	standIn func(ctx context.Context, settings configurer.StandIn) error
 }
 
+// RelayFunc relays with the given settings until ctx ends. It rereads the file
+// that they come from with reread.
+type RelayFunc func(ctx context.Context, settings configurer.Relay, reread func() ([]byte, error)) error
+
 // Option configures a Commander.
 type Option func(*Commander)
 
@@ -30,7 +34,7 @@
 
 // WithRelay makes the sub-command relay call relay. When ctx ends, relay must
 // drain and return.
-func WithRelay(relay func(ctx context.Context, settings configurer.Relay) error) Option {
+func WithRelay(relay RelayFunc) Option {
 	return func(c *Commander) { c.relay = relay }
 }
 
--- a/commander/relay.go
+++ b/commander/relay.go
@@ -20,7 +20,10 @@
 		if err != nil {
 			return out.faulty(settings, err)
 		}
-		return runUntilStopped(ctx, c.relay, parsed)
+		run := func(ctx context.Context, s configurer.Relay) error {
+			return c.relay(ctx, s, func() ([]byte, error) { return readFile(settings) })
+		}
+		return runUntilStopped(ctx, run, parsed)
 	}
 	return cmd
 }
--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -38,6 +38,8 @@
 	EventServerGone       Event = "server-gone"
 	EventServerListed     Event = "server-listed"
 	EventServersMalformed Event = "servers-malformed"
+	EventSettingsRejected Event = "settings-rejected"
+	EventSettingsReloaded Event = "settings-reloaded"
 	EventSupervisor       Event = "supervisor-event"
 	EventTaskEnded        Event = "task-ended"
 	EventTaskPanicked     Event = "task-panicked"
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -164,7 +164,8 @@
 	}
 	t.logger.Info().EmbedObject(reporter.EventOrderSent).Str("runner", string(i.Runner)).Str("kind", string(i.Kind)).
 		Str("model", string(i.Model)).Str("adapter", i.Adapter).Int64("expect", o.Expect).Int64("fence", o.Fence).
-		Str("tier", i.Tier.String()).Str("goal", string(i.Goal)).Send()
+		Str("tier", i.Tier.String()).Str("goal", string(i.Goal)).
+		Any("holdings", backend.Holdings).Send()
 	go func() {
 		outcome, err := t.pool.Order(t.life, o)
 		_ = t.box.Send(t.life, orderAnswered{err: err, expect: o.Expect, intent: i, outcome: outcome})
