--- a/relay.go
+++ b/relay.go
@@ -92,12 +92,11 @@
 
 // ModelReport is a runner's report of itself. It lags behind the truth.
 type ModelReport struct {
-	// Backend holds what the report says in place of the platform's list.
+	// Backend holds what the report says in place of the platform's list. Adapters
+	// that are being loaded count as held.
 	Backend Backend
 	// Busy is set while an order is carried out.
 	Busy bool
-	// Coming is the number of adapters that are being loaded.
-	Coming int
 	// Orders is the number of orders that the runner has accepted in its life.
 	Orders int64
 	// Running is the number of requests in the batch.
--- a/stager/floor.go
+++ b/stager/floor.go
@@ -196,7 +196,7 @@
 	s.backend.Leaving = leaving
 	s.changed = now
 	s.orders = r.Orders
-	if s.order == nil && (r.Busy || r.Coming > 0) {
+	if s.order == nil && r.Busy {
 		// Another leader's order is being carried out: what it changes would not
 		// show in the number of orders.
 		s.orders = unknown
