test(endtoend): separate relaying processes against a stand-in of the platform

Requests of each kind, a cold load by one leader, a configuration change, a silent store, a faulty settings file with SIGHUP, a planned stop under streams, a killed leader with its fencing numbers.

--- /dev/null
+++ b/endtoend/relay_test.go
@@ -0,0 +1,370 @@
+package endtoend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/launcher"
+	"github.com/buckthorndyke/buckthorndyke/platform/imitator"
+)
+
+// relayVMs is the number of entry VMs of a relaying site.
+const relayVMs = 3
+
+// relaySite is a store and servers in this process, and entry VMs as processes
+// of their own.
+type relaySite struct {
+	addresses []string
+	ctx       context.Context
+	desks     []*imitator.Server
+	l         *launcher.Launcher
+	processes []*launcher.Process
+	runners   []*imitator.Server
+	settings  []map[string]any
+	store     *imitator.Store
+	t         *testing.T
+}
+
+// TestRelay plays the faults of one site after the other, as its start takes
+// seconds.
+func TestRelay(t *testing.T) {
+	s := startRelaySite(t)
+	for _, step := range []struct {
+		name string
+		play func(s *relaySite)
+	}{
+		{"each VM serves each kind of request", (*relaySite).serveEach},
+		{"a model that no runner holds is loaded by one leader", (*relaySite).loadCold},
+		{"a change of the configuration is in force on each VM", (*relaySite).changeRoutes},
+		{"requests go on while the store is silent", (*relaySite).silenceStore},
+		{"a changed settings file with a fault changes nothing", (*relaySite).hangUp},
+		{"a planned stop cuts no request", (*relaySite).stopOne},
+		{"a killed leader is succeeded", (*relaySite).killLeader},
+	} {
+		t.Run(step.name, func(t *testing.T) {
+			s.t = t
+			step.play(s)
+		})
+	}
+}
+
+// startRelaySite starts the stand-ins and the entry VMs.
+func startRelaySite(t *testing.T) *relaySite {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	s := &relaySite{ctx: ctx, l: launcher.New(binary, t.TempDir()), store: imitator.NewStore(), t: t}
+	t.Cleanup(func() {
+		for _, p := range s.processes {
+			p.Kill()
+		}
+	})
+	storeAddress := s.listen(s.store.Serve)
+	asserter.NoError(t, s.store.Put(ctx, imitator.ConfigTopic, imitator.ConfigKey, relayConfig(1, "/calls/")))
+	for i := range 2 {
+		s.runners = append(s.runners, s.server(fmt.Sprintf("runner-%d", i), "engines",
+			imitator.WithEvents(6, 10*time.Millisecond), imitator.WithModels(fmt.Sprintf("m%d", i)), imitator.WithLoadTime(200*time.Millisecond)))
+		s.desks = append(s.desks, s.server(fmt.Sprintf("desk-%d", i), "desk"))
+	}
+	for i := range relayVMs {
+		free, err := launcher.FreeAddresses(ctx, 3)
+		asserter.NoError(t, err)
+		s.addresses = append(s.addresses, free[0])
+		s.settings = append(s.settings, map[string]any{
+			"clients": map[string]any{"address": free[0]}, "drain-limit-s": 8, "failure-domain": "z",
+			"lease-ms": 1000, "log-level": "warn", "peers": map[string]any{"address": free[1], "key": launcher.FleetKey},
+			"readiness": map[string]any{"address": free[2]}, "runners": map[string]any{"check-fence": true},
+			"store": map[string]any{"address": storeAddress}, "vm": fmt.Sprintf("entry-%d", i),
+		})
+		s.start(i)
+	}
+	return s
+}
+
+// changeRoutes adds a route and asks for it on each VM.
+func (s *relaySite) changeRoutes() {
+	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, relayConfig(5, "/later/")))
+	for i := range relayVMs {
+		s.soon(func() bool { return s.ask(i, "/later/x", "").status == http.StatusOK })
+		asserter.Equal(s.t, s.ask(i, "/calls/x", "").status, http.StatusNotFound)
+	}
+	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, relayConfig(6, "/calls/")))
+	for i := range relayVMs {
+		s.soon(func() bool { return s.ask(i, "/calls/x", "").status == http.StatusOK })
+	}
+}
+
+// hangUp sends SIGHUP after the settings file got a fault.
+func (s *relaySite) hangUp() {
+	asserter.NoError(s.t, s.l.Rewrite(s.name(0), []byte("{")))
+	asserter.NoError(s.t, s.processes[0].Signal(syscall.SIGHUP))
+	asserter.Equal(s.t, s.ask(0, "/calls/x", "").status, http.StatusOK)
+}
+
+// killLeader kills the VM that gave the last order and asks for a cold model.
+func (s *relaySite) killLeader() {
+	leader := 0
+	for _, r := range s.runners {
+		orders, err := r.Orders(s.ctx)
+		asserter.NoError(s.t, err)
+		for _, o := range orders {
+			_, err := fmt.Sscanf(o.Holder, "entry-%d", &leader)
+			asserter.NoError(s.t, err)
+		}
+	}
+	s.processes[leader].Kill()
+	other := (leader + 1) % relayVMs
+	s.soon(func() bool { return s.ask(other, "/streams/x", "cold-2").whole(6) })
+	s.assertFences()
+}
+
+// loadCold asks for a model that no runner holds through all VMs at once.
+func (s *relaySite) loadCold() {
+	s.soon(func() bool { return s.ask(0, "/streams/x", "cold-1").whole(6) })
+	for i := range relayVMs {
+		s.soon(func() bool { return s.ask(i, "/streams/x", "cold-1").whole(6) })
+	}
+	loads := 0
+	for _, r := range s.runners {
+		orders, err := r.Orders(s.ctx)
+		asserter.NoError(s.t, err)
+		for _, o := range orders {
+			if o.Model == "cold-1" && o.Status == http.StatusAccepted {
+				loads++
+			}
+		}
+	}
+	asserter.Equal(s.t, loads, 1)
+	s.assertFences()
+}
+
+// serveEach sends a call and a stream through each VM.
+func (s *relaySite) serveEach() {
+	for i := range relayVMs {
+		got := s.ask(i, "/calls/x?a=b", "")
+		asserter.Equal(s.t, got.status, http.StatusOK)
+		asserter.Equal(s.t, got.body, "answer to "+got.id)
+		asserter.True(s.t, s.ask(i, "/streams/x", "m0").whole(6), "a stream is not whole")
+		asserter.Equal(s.t, s.ask(i, "/nowhere/", "").status, http.StatusNotFound)
+	}
+}
+
+// silenceStore sends requests while the store does not answer.
+func (s *relaySite) silenceStore() {
+	asserter.NoError(s.t, s.store.SetFaults(s.ctx, imitator.StoreFaults{Silent: true}))
+	for i := range relayVMs {
+		asserter.Equal(s.t, s.ask(i, "/calls/x", "").status, http.StatusOK)
+		asserter.True(s.t, s.ask(i, "/streams/x", "m1").whole(6), "a stream is not whole")
+	}
+	asserter.NoError(s.t, s.store.SetFaults(s.ctx, imitator.StoreFaults{}))
+}
+
+// stopOne stops a VM during streams of requests and starts it again.
+func (s *relaySite) stopOne() {
+	const streams = 4
+	stop := make(chan struct{})
+	results := make(chan int, streams)
+	for range streams {
+		go func() {
+			cut := 0
+			client := &http.Client{Transport: &http.Transport{}}
+			for {
+				select {
+				case <-stop:
+					results <- cut
+					return
+				default:
+				}
+				got := s.askWith(client, 1, "/streams/x", "m0")
+				if got.status == http.StatusOK && !got.whole(6) {
+					cut++
+				}
+			}
+		}()
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, stopTimeout)
+	defer cancel()
+	code, err := s.processes[1].Stop(ctx)
+	close(stop)
+	asserter.NoError(s.t, err)
+	asserter.Equal(s.t, code, 0)
+	for range streams {
+		asserter.Equal(s.t, <-results, 0)
+	}
+	s.start(1)
+}
+
+// relayReply is what a client of a relaying site got.
+type relayReply struct {
+	body   string
+	id     string
+	status int
+}
+
+// whole reports whether the reply is a stream of n events.
+func (r relayReply) whole(n int) bool {
+	if r.status != http.StatusOK {
+		return false
+	}
+	events := 0
+	for scan := bufio.NewScanner(strings.NewReader(r.body)); scan.Scan(); {
+		if scan.Text() == fmt.Sprintf("id: %d", events+1) {
+			events++
+		}
+	}
+	return events == n
+}
+
+// ask sends a request through a VM.
+func (s *relaySite) ask(vm int, target, model string) relayReply {
+	return s.askWith(http.DefaultClient, vm, target, model)
+}
+
+// askWith is ask for one client. A request without a whole answer has status 0.
+func (s *relaySite) askWith(client *http.Client, vm int, target, model string) relayReply {
+	ctx, cancel := context.WithTimeout(s.ctx, 10*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.addresses[vm]+target, strings.NewReader("body"))
+	if err != nil {
+		return relayReply{}
+	}
+	id := fmt.Sprintf("%x", time.Now().UnixNano())
+	r.Host = "hall.example"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Ms", "8000")
+	if model != "" {
+		r.Header.Set("Model", model)
+	}
+	w, err := client.Do(r)
+	if err != nil {
+		return relayReply{}
+	}
+	defer func() { _ = w.Body.Close() }()
+	body, err := io.ReadAll(w.Body)
+	if err != nil {
+		return relayReply{body: string(body), status: w.StatusCode}
+	}
+	return relayReply{body: string(body), id: id, status: w.StatusCode}
+}
+
+// assertFences reports an error if a runner got orders of two holders with one
+// fencing number, or a lower one after a higher one.
+func (s *relaySite) assertFences() {
+	s.t.Helper()
+	for _, r := range s.runners {
+		orders, err := r.Orders(s.ctx)
+		asserter.NoError(s.t, err)
+		holders := make(map[int64]string)
+		highest := int64(0)
+		for _, o := range orders {
+			if holder, ok := holders[o.Fence]; ok {
+				asserter.Equal(s.t, o.Holder, holder)
+			}
+			holders[o.Fence] = o.Holder
+			asserter.True(s.t, o.Fence >= highest, "the fencing number fell")
+			highest = max(highest, o.Fence)
+		}
+	}
+}
+
+// listen starts serve on a free port and returns its address.
+func (s *relaySite) listen(serve func(ctx context.Context, l net.Listener) error) string {
+	s.t.Helper()
+	l, err := new(net.ListenConfig).Listen(s.ctx, "tcp", "127.0.0.1:0")
+	asserter.NoError(s.t, err)
+	go func() { _ = serve(s.ctx, l) }()
+	return l.Addr().String()
+}
+
+// name returns the name of a VM.
+func (s *relaySite) name(vm int) string { return fmt.Sprintf("entry-%d", vm) }
+
+// server starts a server that renews its entry in the list.
+func (s *relaySite) server(id, service string, opts ...imitator.ServerOption) *imitator.Server {
+	s.t.Helper()
+	server := imitator.NewServer(id, opts...)
+	address := s.listen(server.Serve)
+	write := func() error {
+		entry, err := server.Entry(s.ctx, service, address, "z")
+		if err != nil {
+			return err
+		}
+		return s.store.Put(s.ctx, imitator.ServersTopic, id, entry)
+	}
+	asserter.NoError(s.t, write())
+	go func() {
+		for write() == nil {
+			select {
+			case <-s.ctx.Done():
+				return
+			case <-time.After(200 * time.Millisecond):
+			}
+		}
+	}()
+	return server
+}
+
+// soon reports an error if ok does not become true in time.
+func (s *relaySite) soon(ok func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	s.t.Error("it did not become true in time")
+}
+
+// start starts a VM and waits until it is ready.
+func (s *relaySite) start(vm int) {
+	s.t.Helper()
+	ready := s.settings[vm]["readiness"].(map[string]any)["address"].(string)
+	p, err := s.l.Start(s.ctx, s.name(vm), "relay", s.settings[vm], "http://"+ready+"/ready")
+	asserter.NoError(s.t, err)
+	if vm < len(s.processes) {
+		s.processes[vm] = p
+	} else {
+		s.processes = append(s.processes, p)
+	}
+}
+
+// relayConfig returns a configuration whose calls are served under prefix.
+func relayConfig(version int, prefix string) map[string]any {
+	model := func(name string) map[string]any {
+		return map[string]any{"adapterMb": 10, "adapters": 2, "diskS": 0.1, "loadS": 0.2, "name": name, "warmS": 0.1, "weightsMb": 60000}
+	}
+	return map[string]any{
+		"limits": map[string]any{"bodyBytes": 1000000, "headerBytes": 16384, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"routes": []map[string]any{
+			{
+				"host": "hall.example", "kind": "unsafe", "maxAttempts": 1, "name": "calls", "pathPrefix": prefix,
+				"service": "desk", "targetLatencyMs": 300, "timeoutMs": 4000,
+			},
+			{
+				"host": "hall.example", "kind": "streaming", "maxAttempts": 2, "name": "streams", "pathPrefix": "/streams/",
+				"resumable": true, "service": "engines", "targetLatencyMs": 2000, "timeoutMs": 8000,
+			},
+		},
+		"services": []map[string]any{
+			{"maxConns": 100, "name": "desk"},
+			{
+				"engine": map[string]any{
+					"adapterSlots": 4, "loadsPerS": 4,
+					"models": []map[string]any{model("m0"), model("m1"), model("cold-1"), model("cold-2")},
+					"slots":  64, "weightsMb": 200000,
+				},
+				"maxConns": 100, "name": "engines",
+			},
+		},
+		"version": version,
+	}
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -59,6 +59,11 @@
 	return l.Run(ctx, "rules", "apply", path, "--as", operator, "--operator", site.Entries[0].Operator, "--token-file", token)
 }
 
+// Rewrite replaces the settings file of the process called name.
+func (l *Launcher) Rewrite(name string, settings []byte) error {
+	return errors.Wrap(os.WriteFile(filepath.Join(l.folder, name+".json"), settings, 0o600), "write the settings")
+}
+
 // Run runs a sub-command to its end and returns what it printed.
 func (l *Launcher) Run(ctx context.Context, args ...string) (string, error) {
 	cmd := exec.CommandContext(ctx, l.binary, args...)
@@ -138,6 +143,11 @@
 	return p.cmd.Process.Signal(syscall.SIGCONT)
 }
 
+// Signal sends the process a signal.
+func (p *Process) Signal(s syscall.Signal) error {
+	return p.cmd.Process.Signal(s)
+}
+
 // Stop asks the process to end and returns its exit code. It fails if the
 // process has not ended when ctx does.
 func (p *Process) Stop(ctx context.Context) (int, error) {
--- a/stager/floor_test.go
+++ b/stager/floor_test.go
@@ -43,7 +43,9 @@
 	t.Run("what runs or waits elsewhere is not unloaded for less", func(t *testing.T) {
 		f := floorOf(runner("a", 0, 1, 2))
 		f = f.WithDemand(vm, []buckthorndyke.DemandLine{
-			{Key: key(0), Running: 9}, {Key: key(1), Running: 9}, {Key: key(2), Running: 9},
+			{Key: key(0), Running: 9},
+			{Key: key(1), Running: 9},
+			{Key: key(2), Running: 9},
 			{Due: buckthorndyke.Second, Key: key(5), Waiting: 1},
 		}, now)
 		assertIntents(t, f)
--- a/supervisor/relayer/reloader/reloader_test.go
+++ b/supervisor/relayer/reloader/reloader_test.go
@@ -56,7 +56,7 @@
 		go func() { done <- r.Serve(ctx) }()
 		<-clock.After(buckthorndyke.Minute)
 		cancel()
-		<-done
+		asserter.True(t, errors.Is(<-done, context.Canceled), "the task did not end")
 		out.log = log.String()
 	})
 	return out
