fix(stager): the end of an earlier order does not end a later one

Cause: the timer that ends an adapter's load after 14 ms, and a late answer, ended whatever order the runner had then; an unload still under way counted as done. The new subtest fails without the check.

--- a/stager/floor.go
+++ b/stager/floor.go
@@ -129,20 +129,23 @@
 	return f
 }
 
-// WithDone returns a floor on which the order of a runner has ended.
-func (f Floor) WithDone(id buckthorndyke.RunnerID, now buckthorndyke.Millis) Floor {
-	s, ok := f.stages.Get(id)
-	if !ok {
+// WithDone returns a floor on which an order has been carried out. It is
+// unchanged if another order is outstanding on that runner.
+func (f Floor) WithDone(i Intent, now buckthorndyke.Millis) Floor {
+	s, ok := f.stages.Get(i.Runner)
+	if !ok || s.order == nil || !s.order.is(i) {
 		return f
 	}
-	f.stages = f.stages.With(id, s.withDone(now))
+	f.stages = f.stages.With(i.Runner, s.withDone(now))
 	return f
 }
 
-// WithFailed returns a floor on which the order of a runner was not accepted.
-func (f Floor) WithFailed(id buckthorndyke.RunnerID, now buckthorndyke.Millis) Floor {
+// WithFailed returns a floor on which an order was not accepted. It is unchanged
+// if another order is outstanding on that runner.
+func (f Floor) WithFailed(i Intent, now buckthorndyke.Millis) Floor {
+	id := i.Runner
 	s, ok := f.stages.Get(id)
-	if !ok {
+	if !ok || s.order == nil || !s.order.is(i) {
 		return f
 	}
 	s.order = nil
--- a/stager/floor_test.go
+++ b/stager/floor_test.go
@@ -99,13 +99,24 @@
 }
 
 func TestReports(t *testing.T) {
+	load5 := stager.Intent{Kind: buckthorndyke.OrderLoad, Model: "m5", Runner: "a"}
+	t.Run("the end of an earlier order does not end a later one", func(t *testing.T) {
+		load := stager.Intent{Adapter: "a1", Kind: buckthorndyke.OrderLoad, Model: "m0", Runner: "a"}
+		unload := stager.Intent{Adapter: "a1", Kind: buckthorndyke.OrderUnload, Model: "m0", Runner: "a"}
+		with := runner("a", 0)
+		with.Holdings[0].Adapters = []string{"a1"}
+		f := floorOf(runner("a", 0)).WithOrder(load, now).WithAccepted("a", 1)
+		f = f.WithReport(buckthorndyke.ModelReport{Backend: with, Orders: 1}, now)
+		f = f.WithOrder(unload, now).WithAccepted("a", 2)
+		f = f.WithDone(load, now).WithFailed(load, now)
+		asserter.Equal(t, len(f.Pending()), 1)
+	})
 	t.Run("an entry of the list that is older than an order is not believed", func(t *testing.T) {
 		listed := runner("a", 0, 1, 2)
 		f := floorOf(listed)
-		f = f.WithOrder(stager.Intent{Kind: buckthorndyke.OrderUnload, Model: "m2", Runner: "a"}, now)
-		f = f.WithAccepted("a", 1).WithDone("a", now)
-		f = f.WithOrder(stager.Intent{Kind: buckthorndyke.OrderLoad, Model: "m5", Runner: "a"}, now)
-		f = f.WithAccepted("a", 2).WithDone("a", now)
+		unload := stager.Intent{Kind: buckthorndyke.OrderUnload, Model: "m2", Runner: "a"}
+		f = f.WithOrder(unload, now).WithAccepted("a", 1).WithDone(unload, now)
+		f = f.WithOrder(load5, now).WithAccepted("a", 2).WithDone(load5, now)
 		// The list returns after an outage with the entry from before both orders.
 		f = f.WithBackends(listOf(listed), now+9*buckthorndyke.Second)
 		assertIntents(t, wanting(f, 6))
@@ -113,7 +124,7 @@
 	})
 	t.Run("a report ends an order that it shows to be carried out", func(t *testing.T) {
 		f := floorOf(runner("a"))
-		f = f.WithOrder(stager.Intent{Kind: buckthorndyke.OrderLoad, Model: "m5", Runner: "a"}, now).WithAccepted("a", 1)
+		f = f.WithOrder(load5, now).WithAccepted("a", 1)
 		f = f.WithReport(buckthorndyke.ModelReport{Backend: runner("a"), Busy: true, Orders: 1}, now)
 		asserter.Equal(t, len(f.Pending()), 1)
 		f = f.WithReport(buckthorndyke.ModelReport{Backend: runner("a", 5), Orders: 1}, now)
@@ -122,14 +133,13 @@
 	})
 	t.Run("a report from before an order changes nothing", func(t *testing.T) {
 		f := floorOf(runner("a"))
-		f = f.WithOrder(stager.Intent{Kind: buckthorndyke.OrderLoad, Model: "m5", Runner: "a"}, now).WithAccepted("a", 1)
-		f = f.WithDone("a", now)
+		f = f.WithOrder(load5, now).WithAccepted("a", 1).WithDone(load5, now)
 		f = f.WithReport(buckthorndyke.ModelReport{Backend: runner("a"), Orders: 0}, now)
 		asserter.True(t, f.Serves(key(5)), "the model is not served")
 	})
 	t.Run("an order without effect is given up", func(t *testing.T) {
 		f := floorOf(runner("a"))
-		f = f.WithOrder(stager.Intent{Kind: buckthorndyke.OrderLoad, Model: "m5", Runner: "a"}, now)
+		f = f.WithOrder(load5, now)
 		f = f.WithReport(buckthorndyke.ModelReport{Backend: runner("a"), Orders: 0}, now+5*buckthorndyke.Second)
 		asserter.Equal(t, len(f.Pending()), 0)
 	})
@@ -151,6 +161,7 @@
 	properties.Property("memory and adapter slots are kept", prop.ForAll(func(wants []int) string {
 		f := floorOf(runner("a", 0, 1), runner("b", 2, 3, 4), runner("c"))
 		at := now
+		var sent []stager.Intent
 		for step, want := range wants {
 			at += 300
 			k := key(want % models)
@@ -163,14 +174,16 @@
 					return "a second order for " + string(i.Runner)
 				}
 				f = f.WithOrder(i, at)
+				sent = append(sent, i)
 				if fault := overfull(f, i); fault != "" {
 					return fault
 				}
 			}
 			if step%2 == 1 {
-				for id := range f.Pending() {
-					f = f.WithDone(id, at)
+				for _, i := range sent {
+					f = f.WithDone(i, at)
 				}
+				sent = nil
 			}
 		}
 		return ""
--- a/stager/stage.go
+++ b/stager/stage.go
@@ -20,6 +20,11 @@
 	tier buckthorndyke.Tier
 }
 
+// is reports whether o is the order that i asks for.
+func (o pending) is(i Intent) bool {
+	return o.adapter == i.Adapter && o.kind == i.Kind && o.model == i.Model
+}
+
 // settled reports whether b shows that the order was carried out.
 func (o pending) settled(b buckthorndyke.Backend) bool {
 	h, held := b.Holding(o.model)
--- a/supervisor/relayer/loader/messages.go
+++ b/supervisor/relayer/loader/messages.go
@@ -55,7 +55,7 @@
 )
 
 func (m adapterSettled) apply(t *task) {
-	t.floor = t.floor.WithDone(m.intent.Runner, t.clock.Now())
+	t.floor = t.floor.WithDone(m.intent, t.clock.Now())
 }
 func (m demandReported) apply(t *task) { t.takeDemand(m) }
 func (m orderAnswered) apply(t *task)  { t.takeAnswer(m) }
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -245,12 +245,12 @@
 		if m.intent.Adapter != "" && m.intent.Kind == buckthorndyke.OrderUnload {
 			t.floor = t.floor.WithAccepted(m.intent.Runner, m.expect+1)
 		}
-		t.floor = t.floor.WithDone(m.intent.Runner, now)
+		t.floor = t.floor.WithDone(m.intent, now)
 	case buckthorndyke.ModelOrderFenced:
-		t.floor = t.floor.WithFailed(m.intent.Runner, now)
+		t.floor = t.floor.WithFailed(m.intent, now)
 		t.fenced = t.term.Fence
 	case buckthorndyke.ModelOrderRefused:
-		t.floor = t.floor.WithFailed(m.intent.Runner, now)
+		t.floor = t.floor.WithFailed(m.intent, now)
 		t.ask(m.intent.Runner)
 	}
 }
