--- a/connector/connectleaders.go
+++ b/connector/connectleaders.go
@@ -36,11 +36,11 @@
 }
 
 // Yield implements buckthorndyke.Leaders.
-func (l *ConnectLeaders) Yield(ctx context.Context, address string, fence int64) (buckthorndyke.Millis, error) {
+func (l *ConnectLeaders) Yield(ctx context.Context, address string, fence int64) (buckthorndyke.Yielded, error) {
 	client := wireconnect.NewLeaderServiceClient(l.client, "http://"+address)
 	out, err := client.Yield(ctx, &wire.YieldRequest{Fence: fence})
 	if err != nil {
-		return 0, errors.Wrap(err, "ask the previous leader to yield")
+		return buckthorndyke.Yielded{}, errors.Wrap(err, "ask the previous leader to yield")
 	}
-	return buckthorndyke.Millis(out.QuietMs), nil
+	return buckthorndyke.Yielded{InContact: out.InContact, Quiet: buckthorndyke.Millis(out.QuietMs)}, nil
 }
--- a/demand.go
+++ b/demand.go
@@ -45,6 +45,14 @@
 	Residences []Residence
 }
 
+// Yielded is what a VM that led before says of itself.
+type Yielded struct {
+	// InContact is set if the platform still renews the VM's grants.
+	InContact bool
+	// Quiet is the time since the VM's last order, or NeverOrdered.
+	Quiet Millis
+}
+
 // NeverOrdered stands for the time since the last order of a VM that has given
 // none.
 const NeverOrdered Millis = -1
@@ -54,8 +62,8 @@
 	// Report tells the VM at address the demand that vm sees.
 	Report(ctx context.Context, address string, vm VMID, demand []DemandLine) (DemandReply, error)
 	// Yield asks the VM at address to give no more orders with a fencing number
-	// below fence. It returns the time since the last one, or NeverOrdered.
-	Yield(ctx context.Context, address string, fence int64) (Millis, error)
+	// below fence.
+	Yield(ctx context.Context, address string, fence int64) (Yielded, error)
 }
 
 // DemandSource yields the demand that the VM sees.
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -13,10 +13,13 @@
 	coldCopy = 0.2
 	// fullBatch is the share of a runner's batch, in thousandths, from which on
 	// another replica of a model is wanted.
-	fullBatch = 120
+	fullBatch = 70
 	// spareReplica is the cost of evicting a model that other runners hold too, in
 	// requests a second.
 	spareReplica = 0.1
+	// copyWorth is the worth of a first copy of a model near the runners, in requests
+	// a second.
+	copyWorth = 0.15
 	// waitWorth is the worth of a waiting request in requests a second.
 	waitWorth = 2.0
 )
@@ -49,6 +52,7 @@
 	p.finishGoals()
 	p.serveWaiting()
 	p.addReplicas()
+	p.copyAhead()
 	return p.intents
 }
 
@@ -205,6 +209,46 @@
 	return oldest, adapter, found
 }
 
+// copyAhead loads a model that no runner has a copy of, while nothing waits: its
+// first request then finds it on a disk.
+func (p *planner) copyAhead() {
+	for _, w := range p.wants {
+		if w.waiting > 0 {
+			return
+		}
+	}
+	copied := p.copied()
+	for id, service := range p.routing.Services.All() {
+		if service.Engine == nil {
+			continue
+		}
+		for model := range service.Engine.Models.All() {
+			key := buckthorndyke.ModelKey{Model: model, Service: id}
+			if copied[key] || p.coming(key) {
+				continue
+			}
+			if !p.mayLoadRemote(*service.Engine) {
+				break
+			}
+			p.place(want{key: key}, *service.Engine, copyWorth)
+		}
+	}
+}
+
+// copied returns the models of which some runner has a copy.
+func (p *planner) copied() map[buckthorndyke.ModelKey]bool {
+	out := make(map[buckthorndyke.ModelKey]bool)
+	for _, s := range p.stages.All() {
+		for model := range s.backend.Copies {
+			out[buckthorndyke.ModelKey{Model: model, Service: s.backend.Service}] = true
+		}
+		for _, h := range s.backend.Holdings {
+			out[buckthorndyke.ModelKey{Model: h.Model, Service: s.backend.Service}] = true
+		}
+	}
+	return out
+}
+
 // count counts the holders of all models and adapters.
 func (p *planner) count() {
 	for _, s := range p.stages.All() {
--- a/supervisor/relayer/loader/loader.go
+++ b/supervisor/relayer/loader/loader.go
@@ -109,10 +109,9 @@
 	return t.run(ctx)
 }
 
-// Yield gives up leading if fence is higher than the VM's own, and returns the
-// time since its last order.
-func (l *Loader) Yield(ctx context.Context, fence int64) (buckthorndyke.Millis, error) {
-	return mailer.Ask(ctx, l.box, func(reply mailer.Reply[buckthorndyke.Millis]) message {
+// Yield gives up leading if fence is higher than the VM's own.
+func (l *Loader) Yield(ctx context.Context, fence int64) (buckthorndyke.Yielded, error) {
+	return mailer.Ask(ctx, l.box, func(reply mailer.Reply[buckthorndyke.Yielded]) message {
 		return yieldAsked{fence: fence, reply: reply}
 	})
 }
--- a/supervisor/relayer/loader/messages.go
+++ b/supervisor/relayer/loader/messages.go
@@ -32,18 +32,17 @@
 		outcome buckthorndyke.ModelOrderOutcome
 	}
 
-	// predecessorAnswered brings the time since the last order of the previous
-	// leader.
+	// predecessorAnswered brings what the previous leader says of itself.
 	predecessorAnswered struct {
 		err   error
 		fence int64
-		quiet buckthorndyke.Millis
+		said  buckthorndyke.Yielded
 	}
 
 	// yieldAsked asks the VM to stop leading.
 	yieldAsked struct {
 		fence int64
-		reply mailer.Reply[buckthorndyke.Millis]
+		reply mailer.Reply[buckthorndyke.Yielded]
 	}
 
 	// runnerReported brings a runner's report.
--- a/supervisor/relayer/loader/service.go
+++ b/supervisor/relayer/loader/service.go
@@ -29,9 +29,9 @@
 
 // Yield implements wireconnect.LeaderServiceHandler.
 func (s *Service) Yield(ctx context.Context, in *wire.YieldRequest) (*wire.YieldResponse, error) {
-	quiet, err := s.loader.Yield(ctx, in.Fence)
+	said, err := s.loader.Yield(ctx, in.Fence)
 	if err != nil {
 		return nil, err
 	}
-	return &wire.YieldResponse{QuietMs: int64(quiet)}, nil
+	return &wire.YieldResponse{InContact: said.InContact, QuietMs: int64(said.Quiet)}, nil
 }
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -130,8 +130,8 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(t.life, yieldTimeout.Duration())
 		defer cancel()
-		quiet, err := t.leaders.Yield(ctx, address, fence)
-		_ = t.box.Send(t.life, predecessorAnswered{err: err, fence: fence, quiet: quiet})
+		said, err := t.leaders.Yield(ctx, address, fence)
+		_ = t.box.Send(t.life, predecessorAnswered{err: err, fence: fence, said: said})
 	}()
 }
 
@@ -286,19 +286,20 @@
 }
 
 // takePredecessor takes over what the previous leader said. One that does not
-// answer is not in contact: runners that check fencing numbers refuse its orders.
+// answer, or that the platform does not renew, need not be waited for where
+// runners check fencing numbers: they refuse its orders.
 func (t *task) takePredecessor(m predecessorAnswered) {
 	if m.fence != t.term.Fence {
 		return
 	}
 	now := t.clock.Now()
 	switch {
-	case m.err == nil && m.quiet == buckthorndyke.NeverOrdered:
+	case m.err == nil && m.said.Quiet == buckthorndyke.NeverOrdered:
 		t.from = now
-	case m.err == nil:
-		t.from = now + max(t.lease-m.quiet, 0)
-	case t.checksFence:
+	case t.checksFence && (m.err != nil || !m.said.InContact):
 		t.from = now
+	case m.err == nil:
+		t.from = now + max(t.lease-m.said.Quiet, 0)
 	}
 	t.logger.Info().EmbedObject(reporter.EventTermChanged).Bool("leading", true).Int64("fence", m.fence).
 		Int64("order-in-ms", int64(t.from-now)).Err(m.err).Send()
@@ -320,9 +321,10 @@
 	if m.fence > t.term.Fence {
 		t.fenced = max(t.fenced, t.term.Fence)
 	}
-	quiet := buckthorndyke.NeverOrdered
+	now := t.clock.Now()
+	said := buckthorndyke.Yielded{InContact: now < t.term.Until, Quiet: buckthorndyke.NeverOrdered}
 	if t.ordered > 0 {
-		quiet = t.clock.Now() - t.ordered
+		said.Quiet = now - t.ordered
 	}
-	m.reply.Answer(quiet)
+	m.reply.Answer(said)
 }
