--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -68,7 +68,7 @@
 		Pool:      runners,
 	}
 	tree := relayer.New(self, outside, relayer.Settings{
-		AtOnce: s.LoadsAtOnce, ChecksFence: s.ChecksFence, DrainLimit: s.DrainLimit, Grant: grantTime, Lease: s.Lease, Reserve: s.CPUShare < leaderShare, RetryBurst: s.RetryBurst,
+		AtOnce: s.LoadsAtOnce, ChangeLimit: s.ChangeLimit, ChecksFence: s.ChecksFence, DrainLimit: s.DrainLimit, Grant: grantTime, Lease: s.Lease, LeaveLimit: s.LeaveLimit, Reserve: s.CPUShare < leaderShare, RetryBurst: s.RetryBurst,
 	}, clock, logger)
 	asks := make(chan os.Signal, 1)
 	signal.Notify(asks, syscall.SIGHUP)
--- a/configurer/relay.go
+++ b/configurer/relay.go
@@ -4,6 +4,9 @@
 
 // Defaults and ranges of the settings of a relaying entry VM.
 const (
+	defaultChangeLimit = 2 * buckthorndyke.Second
+	maxChangeLimit     = buckthorndyke.Minute
+	minChangeLimit     = 200 * buckthorndyke.Millisecond
 	defaultRelayDrainS = 8
 	defaultRetryBurst  = 6
 	maxRelayDrainS     = 600
@@ -13,6 +16,8 @@
 // Relay holds the settings of an entry VM that relays requests on a platform
 // with a metadata store. It is immutable.
 type Relay struct {
+	// ChangeLimit is the time in which a configuration has to be in force.
+	ChangeLimit buckthorndyke.Millis
 	// ChecksFence is set if the runners refuse orders with an old fencing number.
 	ChecksFence bool
 	// ClientsAddress is where clients' requests are served.
@@ -22,6 +27,8 @@
 	Domain   buckthorndyke.DomainID
 	// DrainLimit bounds the time that the process takes to stop.
 	DrainLimit buckthorndyke.Millis
+	// LeaveLimit is the time after which a leaving server gets no new work.
+	LeaveLimit buckthorndyke.Millis
 	// Lease is how long a grant to give orders lasts.
 	Lease buckthorndyke.Millis
 	// LoadsAtOnce is the number of loads that the weight store allows at full
@@ -46,11 +53,13 @@
 	runners := root.object("runners", false)
 	weights := root.object("weight-store", false)
 	s := Relay{
+		ChangeLimit:      root.millis("change-limit-ms", defaultChangeLimit, minChangeLimit, maxChangeLimit),
 		ChecksFence:      runners.boolean("check-fence", false),
 		ClientsAddress:   root.platform("clients"),
 		CPUShare:         root.fraction("cpu-share", 1),
 		Domain:           buckthorndyke.DomainID(root.name("failure-domain")),
 		DrainLimit:       buckthorndyke.Millis(root.integer("drain-limit-s", defaultRelayDrainS, 1, maxRelayDrainS)) * buckthorndyke.Second,
+		LeaveLimit:       root.millis("leave-limit-ms", defaultChangeLimit, minChangeLimit, maxChangeLimit),
 		Lease:            root.millis("lease-ms", defaultLease, minLease, maxLease),
 		LoadsAtOnce:      weights.integer("model-loads-at-once", defaultModelLoads, 1, maxLoads),
 		LogLevel:         root.choice("log-level", "info", "debug", "warn", "error"),
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -13,7 +13,7 @@
 	coldCopy = 0.2
 	// fullBatch is the share of a runner's batch, in thousandths, from which on
 	// another replica of a model is wanted.
-	fullBatch = 70
+	fullBatch = 120
 	// spareReplica is the cost of evicting a model that other runners hold too, in
 	// requests a second.
 	spareReplica = 0.1
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -35,6 +35,8 @@
 type Settings struct {
 	// AtOnce is the number of loads that the weight store allows at full speed.
 	AtOnce int
+	// ChangeLimit is the time in which a configuration has to be in force.
+	ChangeLimit buckthorndyke.Millis
 	// ChecksFence is set if the runners refuse orders with an old fencing number.
 	ChecksFence bool
 	DrainLimit  buckthorndyke.Millis
@@ -42,6 +44,8 @@
 	Grant buckthorndyke.Millis
 	// Lease is the time between the orders of two leaders.
 	Lease buckthorndyke.Millis
+	// LeaveLimit is the time after which a leaving server gets no new work.
+	LeaveLimit buckthorndyke.Millis
 	// Reserve is set if the VM leads only if no other does.
 	Reserve    bool
 	RetryBurst int
@@ -80,8 +84,8 @@
 		loader.WithAtOnce(s.AtOnce), loader.WithFenceChecks(s.ChecksFence), loader.WithLogger(logger))
 	t.base = starter.NewBranch("base", s.DrainLimit, logger,
 		t.routings, t.lists, terms, found, t.dispatcher, t.loader,
-		watcher.NewRoutings(platform.Directory, t.routings, clock, logger),
-		watcher.NewBackends(platform.Directory, t.lists, clock, logger),
+		watcher.NewRoutings(platform.Directory, t.routings, s.ChangeLimit, clock, logger),
+		watcher.NewBackends(platform.Directory, t.lists, s.LeaveLimit, clock, logger),
 		campaigner.New(platform.Election, s.Grant, terms, clock, logger, campaigner.WithReserve(s.Reserve)),
 		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, found, clock, logger),
 	)
--- a/supervisor/relayer/watcher/backends.go
+++ b/supervisor/relayer/watcher/backends.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// listEvery is the time between two reads of the list of servers.
-	listEvery = 1300 * buckthorndyke.Millisecond
+	// listParts is the part of the limit for new work at a leaving server after
+	// which the list of servers is read again.
+	listParts = 2
 	// returnGrace is how long after an outage of the list a server that is no
 	// longer listed is still held to be there: the platform lists servers that
 	// live again within that time.
@@ -24,14 +25,17 @@
 	clock     buckthorndyke.Clock
 	directory buckthorndyke.Directory
 	feed      *mailer.Feed[buckthorndyke.Backends]
+	limit     buckthorndyke.Millis
 	logger    zerolog.Logger
 }
 
-// NewBackends returns a task that publishes each list to feed.
+// NewBackends returns a task that publishes each list to feed. A leaving server
+// must get no new work after limit.
 func NewBackends(
-	directory buckthorndyke.Directory, feed *mailer.Feed[buckthorndyke.Backends], clock buckthorndyke.Clock, logger zerolog.Logger,
+	directory buckthorndyke.Directory, feed *mailer.Feed[buckthorndyke.Backends], limit buckthorndyke.Millis,
+	clock buckthorndyke.Clock, logger zerolog.Logger,
 ) *Backends {
-	return &Backends{clock: clock, directory: directory, feed: feed, logger: logger}
+	return &Backends{clock: clock, directory: directory, feed: feed, limit: limit, logger: logger}
 }
 
 // Serve implements suture.Service.
@@ -40,8 +44,11 @@
 	var keepUntil buckthorndyke.Millis
 	outage := outage{logger: b.logger, name: "list of servers"}
 	for ctx.Err() == nil {
-		wait := listEvery
+		wait := b.limit / listParts
 		next, err := b.directory.Backends(ctx)
+		if ctx.Err() != nil {
+			break
+		}
 		if err != nil {
 			wait = outage.failed(err)
 		} else {
--- a/supervisor/relayer/watcher/routings.go
+++ b/supervisor/relayer/watcher/routings.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// changeWait is how long one call waits for a change of the configuration. A
-	// connection that has gone silent is noticed that much later.
-	changeWait = 2200 * buckthorndyke.Millisecond
+	// waitParts is the part of the limit for changes that one call waits for one. A
+	// connection that has gone silent is noticed that much later, and the call is
+	// then made once more.
+	waitParts = 2
 	// retryFirst and retryLimit bound the time between two calls that fail.
 	retryFirst = 50 * buckthorndyke.Millisecond
 	retryLimit = 400 * buckthorndyke.Millisecond
@@ -25,14 +26,17 @@
 	clock     buckthorndyke.Clock
 	directory buckthorndyke.Directory
 	feed      *mailer.Feed[buckthorndyke.Routing]
+	limit     buckthorndyke.Millis
 	logger    zerolog.Logger
 }
 
-// NewRoutings returns a task that publishes each configuration to feed.
+// NewRoutings returns a task that publishes each configuration to feed. A change
+// has to be in force within limit.
 func NewRoutings(
-	directory buckthorndyke.Directory, feed *mailer.Feed[buckthorndyke.Routing], clock buckthorndyke.Clock, logger zerolog.Logger,
+	directory buckthorndyke.Directory, feed *mailer.Feed[buckthorndyke.Routing], limit buckthorndyke.Millis,
+	clock buckthorndyke.Clock, logger zerolog.Logger,
 ) *Routings {
-	return &Routings{clock: clock, directory: directory, feed: feed, logger: logger}
+	return &Routings{clock: clock, directory: directory, feed: feed, limit: limit, logger: logger}
 }
 
 // Serve implements suture.Service.
@@ -40,7 +44,10 @@
 	var current buckthorndyke.Routing
 	outage := outage{logger: r.logger, name: "configuration"}
 	for ctx.Err() == nil {
-		next, changed, err := r.directory.Routing(ctx, changeWait)
+		next, changed, err := r.directory.Routing(ctx, r.limit/waitParts)
+		if ctx.Err() != nil {
+			break
+		}
 		if err != nil {
 			select {
 			case <-ctx.Done():
--- /dev/null
+++ b/supervisor/relayer/watcher/watcher_test.go
@@ -0,0 +1,178 @@
+package watcher_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+
+	"github.com/rs/zerolog"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/watcher"
+	"github.com/buckthorndyke/buckthorndyke/timekeeper"
+)
+
+const limit = 2 * buckthorndyke.Second
+
+func TestRoutings(t *testing.T) {
+	t.Run("an older configuration never replaces a newer one", func(t *testing.T) {
+		got := playRoutings(t, []int64{3, 7, 5, 7, 9}, buckthorndyke.Minute)
+		asserter.Equal(t, got.versions, []int64{3, 7, 9})
+	})
+	t.Run("a call that goes silent leaves time for another within the limit", func(t *testing.T) {
+		got := playRoutings(t, []int64{3}, buckthorndyke.Minute)
+		asserter.True(t, got.longest <= limit/2, "a call waits for more than half of the limit")
+	})
+	t.Run("a failure is logged once and the calls go on", func(t *testing.T) {
+		got := playRoutings(t, []int64{3, 0, 0, 0, 4}, buckthorndyke.Minute)
+		asserter.Equal(t, got.versions, []int64{3, 4})
+		asserter.Equal(t, bytes.Count([]byte(got.log), []byte("dependency-lost")), 1)
+		asserter.Equal(t, bytes.Count([]byte(got.log), []byte("dependency-back")), 1)
+	})
+}
+
+func TestBackends(t *testing.T) {
+	one := listOf(buckthorndyke.Backend{Beat: 4, ID: "a", Started: 1})
+	t.Run("an older write of a server does not replace a newer one", func(t *testing.T) {
+		old := listOf(buckthorndyke.Backend{Beat: 3, ID: "a", Leaving: true, Started: 1})
+		got := playBackends(t, one, old)
+		a, _ := got[1].Listed.Get("a")
+		asserter.True(t, !a.Leaving, "an older write counts")
+	})
+	t.Run("a new life of a server counts at once", func(t *testing.T) {
+		again := listOf(buckthorndyke.Backend{Beat: 1, ID: "a", Started: 2})
+		got := playBackends(t, one, again)
+		a, _ := got[1].Listed.Get("a")
+		asserter.Equal(t, a.Started, 2)
+	})
+	t.Run("a server that is no longer listed is gone", func(t *testing.T) {
+		asserter.Equal(t, playBackends(t, one, buckthorndyke.Backends{})[1].Listed.Len(), 0)
+	})
+	t.Run("a server that is missing just after an outage is kept for a while", func(t *testing.T) {
+		failed := buckthorndyke.Backends{Malformed: -1}
+		got := playBackends(t, one, failed, buckthorndyke.Backends{}, buckthorndyke.Backends{}, buckthorndyke.Backends{}, buckthorndyke.Backends{})
+		asserter.Equal(t, got[1].Listed.Len(), 1)
+		asserter.Equal(t, got[len(got)-1].Listed.Len(), 0)
+	})
+}
+
+// directory is a directory that plays what the test has laid down. It implements
+// buckthorndyke.Directory.
+type directory struct {
+	calls    int
+	clock    buckthorndyke.Clock
+	lists    []buckthorndyke.Backends
+	longest  buckthorndyke.Millis
+	versions []int64
+}
+
+// Backends implements buckthorndyke.Directory. A list with Malformed -1 stands
+// for a failure.
+func (d *directory) Backends(context.Context) (buckthorndyke.Backends, error) {
+	next := d.lists[min(d.calls, len(d.lists)-1)]
+	d.calls++
+	if next.Malformed < 0 {
+		return buckthorndyke.Backends{}, errors.New("down")
+	}
+	return next, nil
+}
+
+// Routing implements buckthorndyke.Directory. Version 0 stands for a failure.
+func (d *directory) Routing(ctx context.Context, wait buckthorndyke.Millis) (buckthorndyke.Routing, bool, error) {
+	d.longest = max(d.longest, wait)
+	if d.calls >= len(d.versions) {
+		select {
+		case <-ctx.Done():
+			return buckthorndyke.Routing{}, false, ctx.Err()
+		case <-d.clock.After(wait):
+			return buckthorndyke.Routing{}, false, nil
+		}
+	}
+	version := d.versions[d.calls]
+	d.calls++
+	if version == 0 {
+		return buckthorndyke.Routing{}, false, errors.New("down")
+	}
+	<-d.clock.After(10)
+	return buckthorndyke.Routing{Version: version}, true, nil
+}
+
+// outcome is what came of a play.
+type outcome struct {
+	log      string
+	longest  buckthorndyke.Millis
+	versions []int64
+}
+
+// listOf returns a list of one server.
+func listOf(b buckthorndyke.Backend) buckthorndyke.Backends {
+	var list buckthorndyke.Backends
+	list.Listed = list.Listed.With(b.ID, b)
+	return list
+}
+
+// playBackends returns the lists that are published while the directory returns
+// the given ones.
+func playBackends(t *testing.T, lists ...buckthorndyke.Backends) []buckthorndyke.Backends {
+	t.Helper()
+	var got []buckthorndyke.Backends
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		clock := timekeeper.NewRealClock()
+		feed := mailer.NewFeed[buckthorndyke.Backends]()
+		d := &directory{clock: clock, lists: lists}
+		go func() { _ = feed.Serve(ctx) }()
+		published := feed.Subscribe(ctx)
+		synctest.Wait()
+		go func() { _ = watcher.NewBackends(d, feed, limit, clock, zerolog.Nop()).Serve(ctx) }()
+		end := clock.After(limit * buckthorndyke.Millis(len(lists)))
+		for {
+			select {
+			case l := <-published:
+				got = append(got, l)
+				continue
+			case <-end:
+			}
+			break
+		}
+	})
+	return got
+}
+
+// playRoutings returns what is published while the directory returns the given
+// versions.
+func playRoutings(t *testing.T, versions []int64, d buckthorndyke.Millis) outcome {
+	t.Helper()
+	var out outcome
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var log bytes.Buffer
+		clock := timekeeper.NewRealClock()
+		feed := mailer.NewFeed[buckthorndyke.Routing]()
+		source := &directory{clock: clock, versions: versions}
+		go func() { _ = feed.Serve(ctx) }()
+		published := feed.Subscribe(ctx)
+		synctest.Wait()
+		done := make(chan error, 1)
+		go func() { done <- watcher.NewRoutings(source, feed, limit, clock, zerolog.New(&log)).Serve(ctx) }()
+		end := clock.After(d)
+		for ended := false; !ended; {
+			select {
+			case r := <-published:
+				out.versions = append(out.versions, r.Version)
+			case <-end:
+				ended = true
+			}
+		}
+		cancel()
+		asserter.Error(t, <-done)
+		out.log, out.longest = log.String(), source.longest
+	})
+	return out
+}
