--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -15,8 +15,10 @@
 	"github.com/buckthorndyke/buckthorndyke/connector"
 	"github.com/buckthorndyke/buckthorndyke/platform"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/recorder"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/entrance"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/exporter"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/reloader"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/responder"
 	"github.com/buckthorndyke/buckthorndyke/timekeeper"
@@ -59,13 +61,14 @@
 		VM:          s.VM,
 	}
 	store := platform.NewStore(s.StoreAddress)
+	metrics := reporter.NewMetrics()
 	runners := platform.NewRunners(clock)
 	outside := relayer.Platform{
-		Directory: platform.NewDirectory(store, clock),
+		Directory: recorder.NewDirectory(platform.NewDirectory(store, clock), metrics, clock),
 		Election:  platform.NewElection(store, electionGroup, self, grantTime, clock),
 		Leaders:   connector.NewConnectLeaders(s.Peers.Key.Text),
 		Observer:  platform.NewElection(store, electionGroup, self, grantTime, clock),
-		Pool:      runners,
+		Pool:      recorder.NewPool(runners, metrics, clock),
 	}
 	tree := relayer.New(self, outside, relayer.Settings{
 		AtOnce: s.LoadsAtOnce, ChangeLimit: s.ChangeLimit, ChecksFence: s.ChecksFence, DrainLimit: s.DrainLimit, Grant: grantTime, Lease: s.Lease, LeaveLimit: s.LeaveLimit, Reserve: s.CPUShare < leaderShare, RetryBurst: s.RetryBurst,
@@ -74,9 +77,9 @@
 	signal.Notify(asks, syscall.SIGHUP)
 	defer signal.Stop(asks)
 	reload := reloader.New(reread, applySettings, asks, clock, logger)
-	tree.AddBase(runners, reload, responder.NewLeader(s.Peers.Address, s.Peers.Key.Text, tree.Leader()))
+	tree.AddBase(runners, reload, exporter.New(s.MetricsAddress, metrics.Text), responder.NewLeader(s.Peers.Address, s.Peers.Key.Text, tree.Leader()))
 	tree.AddFront(entrance.Addresses{Clients: s.ClientsAddress, Readiness: s.ReadinessAddress},
-		platform.NewFront(tree.Relay(), bodyLimit, clock), clock)
+		platform.NewFront(recorder.NewRelay(tree.Relay(), metrics, clock), bodyLimit, clock), clock)
 	logger.Info().EmbedObject(reporter.EventProcessStarted).Uint64("incarnation", uint64(self.Incarnation)).Send()
 	err = tree.Serve(ctx)
 	logger.Info().EmbedObject(reporter.EventProcessStopped).Send()
--- a/commander/settingscheck.go
+++ b/commander/settingscheck.go
@@ -10,18 +10,22 @@
 	cmd := newCommand("check", "Check a settings file and report all its faults. Files of secrets are not read.",
 		"settings check entry.jsonc")
 	var path string
-	var asJSON, standIn bool
+	var asJSON, relay, standIn bool
 	cmd.flags.AddPositionalValue(&path, "FILE", 1, true, "The settings file.")
 	cmd.flags.Bool(&asJSON, "j", "json", "Print JSON.")
+	cmd.flags.Bool(&relay, "", "relay", "The file holds the settings of a relaying entry VM.")
 	cmd.flags.Bool(&standIn, "", "stand-in", "The file holds the settings of the stand-ins.")
 	cmd.run = func(_ context.Context, out printer) error {
 		data, err := readFile(path)
 		if err != nil {
 			return err
 		}
-		if standIn {
+		switch {
+		case relay:
+			_, err = configurer.ParseRelay(data)
+		case standIn:
 			_, err = configurer.ParseStandIn(data)
-		} else {
+		default:
 			_, err = configurer.ParseServe(data)
 		}
 		return out.checked(path, err, asJSON)
--- a/configurer/relay.go
+++ b/configurer/relay.go
@@ -36,7 +36,9 @@
 	LoadsAtOnce int
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
-	Peers    Peers
+	// MetricsAddress is where scrapers read the metrics.
+	MetricsAddress string
+	Peers          Peers
 	// ReadinessAddress is where the balancer asks whether the VM is ready.
 	ReadinessAddress string
 	// RetryBurst is the number of retries that the VM sends to a service at once.
@@ -63,6 +65,7 @@
 		Lease:            root.millis("lease-ms", defaultLease, minLease, maxLease),
 		LoadsAtOnce:      weights.integer("model-loads-at-once", defaultModelLoads, 1, maxLoads),
 		LogLevel:         root.choice("log-level", "info", "debug", "warn", "error"),
+		MetricsAddress:   root.platform("metrics"),
 		Peers:            root.peers(),
 		ReadinessAddress: root.platform("readiness"),
 		RetryBurst:       root.integer("retry-burst", defaultRetryBurst, 1, maxRetryBurst),
--- a/endtoend/relay_test.go
+++ b/endtoend/relay_test.go
@@ -76,12 +76,12 @@
 		s.desks = append(s.desks, s.server(fmt.Sprintf("desk-%d", i), "desk"))
 	}
 	for i := range relayVMs {
-		free, err := launcher.FreeAddresses(ctx, 3)
+		free, err := launcher.FreeAddresses(ctx, 4)
 		asserter.NoError(t, err)
 		s.addresses = append(s.addresses, free[0])
 		s.settings = append(s.settings, map[string]any{
 			"clients": map[string]any{"address": free[0]}, "drain-limit-s": 8, "failure-domain": "z",
-			"lease-ms": 1000, "log-level": "warn", "peers": map[string]any{"address": free[1], "key": launcher.FleetKey},
+			"lease-ms": 1000, "log-level": "warn", "metrics": map[string]any{"address": free[3]}, "peers": map[string]any{"address": free[1], "key": launcher.FleetKey},
 			"readiness": map[string]any{"address": free[2]}, "runners": map[string]any{"check-fence": true},
 			"store": map[string]any{"address": storeAddress}, "vm": fmt.Sprintf("entry-%d", i),
 		})
--- a/metric.go
+++ b/metric.go
@@ -2,19 +2,28 @@
 
 // Metrics.
 const (
+	MetricAttempts        Metric = "attempts"
 	MetricControlOffset   Metric = "control-offset"
 	MetricEvictions       Metric = "evictions"
+	MetricFirstByte       Metric = "first-byte-ms"
 	MetricFirstToken      Metric = "first-token-ms"
+	MetricGap             Metric = "gap-ms"
 	MetricLoads           Metric = "loads"
 	MetricLoadTime        Metric = "load-ms"
 	MetricLogDown         Metric = "log-down"
 	MetricMembers         Metric = "members"
 	MetricOrderFailures   Metric = "order-failures"
+	MetricOrders          Metric = "orders"
+	MetricOrderTime       Metric = "order-ms"
 	MetricRequestsRefused Metric = "requests-refused"
 	MetricRequestsServed  Metric = "requests-served"
 	MetricRetries         Metric = "retries"
+	MetricRoutingVersion  Metric = "routing-version"
 	MetricRulesVersion    Metric = "rules-version"
 	MetricRunnersOwned    Metric = "runners-owned"
+	MetricServers         Metric = "servers"
+	MetricStoreCalls      Metric = "store-calls"
+	MetricStoreTime       Metric = "store-call-ms"
 	MetricStreamsResumed  Metric = "streams-resumed"
 	MetricUnknownRecords  Metric = "unknown-records"
 )
--- /dev/null
+++ b/supervisor/recorder/directory.go
@@ -0,0 +1,51 @@
+package recorder
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// Directory reads by another directory and records the calls.
+type Directory struct {
+	clock     buckthorndyke.Clock
+	directory buckthorndyke.Directory
+	meter     buckthorndyke.Meter
+}
+
+// NewDirectory returns a directory that records the calls of d.
+func NewDirectory(d buckthorndyke.Directory, meter buckthorndyke.Meter, clock buckthorndyke.Clock) *Directory {
+	return &Directory{clock: clock, directory: d, meter: meter}
+}
+
+// Backends implements buckthorndyke.Directory.
+func (d *Directory) Backends(ctx context.Context) (buckthorndyke.Backends, error) {
+	began := d.clock.Now()
+	list, err := d.directory.Backends(ctx)
+	d.ended("list", began, err)
+	if err == nil {
+		d.meter.Set(buckthorndyke.MetricServers, int64(list.Listed.Len()))
+	}
+	return list, err
+}
+
+// Routing implements buckthorndyke.Directory.
+func (d *Directory) Routing(ctx context.Context, wait buckthorndyke.Millis) (buckthorndyke.Routing, bool, error) {
+	began := d.clock.Now()
+	routing, changed, err := d.directory.Routing(ctx, wait)
+	d.ended("configuration", began, err)
+	if changed {
+		d.meter.Set(buckthorndyke.MetricRoutingVersion, routing.Version)
+	}
+	return routing, changed, err
+}
+
+// ended records the end of a call.
+func (d *Directory) ended(call string, began buckthorndyke.Millis, err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	d.meter.Count(buckthorndyke.MetricStoreCalls.Of(call).Of(outcome), 1)
+	d.meter.Observe(buckthorndyke.MetricStoreTime.Of(call), d.clock.Now()-began)
+}
--- /dev/null
+++ b/supervisor/recorder/pool.go
@@ -0,0 +1,42 @@
+package recorder
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// Pool reaches servers by another pool and records the attempts and orders.
+type Pool struct {
+	buckthorndyke.BackendPool
+	clock buckthorndyke.Clock
+	meter buckthorndyke.Meter
+}
+
+// NewPool returns a pool that records the use of p.
+func NewPool(p buckthorndyke.BackendPool, meter buckthorndyke.Meter, clock buckthorndyke.Clock) *Pool {
+	return &Pool{BackendPool: p, clock: clock, meter: meter}
+}
+
+// Dispatch implements buckthorndyke.BackendPool.
+func (p *Pool) Dispatch(ctx context.Context, d buckthorndyke.Dispatch) (buckthorndyke.DispatchAnswer, error) {
+	answer, err := p.BackendPool.Dispatch(ctx, d)
+	switch {
+	case err != nil:
+		p.meter.Count(buckthorndyke.MetricAttempts.Of("failed").Of(buckthorndyke.VerdictOf(err).String()), 1)
+	case answer.NotRun:
+		p.meter.Count(buckthorndyke.MetricAttempts.Of("refused"), 1)
+	default:
+		p.meter.Count(buckthorndyke.MetricAttempts.Of("answered"), 1)
+	}
+	return answer, err
+}
+
+// Order implements buckthorndyke.BackendPool.
+func (p *Pool) Order(ctx context.Context, o buckthorndyke.ModelOrder) (buckthorndyke.ModelOrderOutcome, error) {
+	began := p.clock.Now()
+	outcome, err := p.BackendPool.Order(ctx, o)
+	p.meter.Count(buckthorndyke.MetricOrders.Of(string(o.Kind)).Of(string(outcome)), 1)
+	p.meter.Observe(buckthorndyke.MetricOrderTime, p.clock.Now()-began)
+	return outcome, err
+}
