feat(loader): a leader goes on through an outage of the store where fences are checked

No successor can be elected while the store is down; where one is elected since only this VM is cut off, it asks the leader to yield, and runners refuse orders below the highest fencing number they have seen. Ruled out: loaded models stopped serving (they did not).

--- a/supervisor/relayer/campaigner/campaigner.go
+++ b/supervisor/relayer/campaigner/campaigner.go
@@ -81,6 +81,11 @@
 		switch {
 		case ctx.Err() != nil, err == nil && !ok:
 			return
+		case err == nil:
+			// Another VM leads.
+			if c.feed.Publish(ctx, buckthorndyke.Term{}) != nil {
+				return
+			}
 		case err != nil:
 			c.logger.Info().EmbedObject(reporter.EventDependencyLost).Str("dependency", "election").Err(err).Send()
 		}
--- a/supervisor/relayer/loader/loader_test.go
+++ b/supervisor/relayer/loader/loader_test.go
@@ -103,6 +103,19 @@
 			asserter.Equal(t, len(s.pool.sent()), 0)
 		})
 	})
+	t.Run("a leader whose grant cannot be renewed goes on where fences are checked", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.leadFor(7, lease+buckthorndyke.Second)
+			s.wait(lease + 5*buckthorndyke.Second)
+			s.want(hallKey)
+			asserter.Equal(t, len(s.pool.sent()), 1)
+			_, err := s.loader.Yield(s.ctx, 8)
+			asserter.NoError(t, err)
+			s.wait(2 * buckthorndyke.Second)
+			asserter.True(t, !s.want(hallKey).Leading, "the VM says that it leads")
+			asserter.Equal(t, len(s.pool.sent()), 1)
+		}, loader.WithFenceChecks(true))
+	})
 	t.Run("a leader that was fenced gives no more orders", func(t *testing.T) {
 		inSite(t, func(s *site) {
 			s.pool.outcome = buckthorndyke.ModelOrderFenced
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -15,6 +15,9 @@
 	// orderMargin is how long before the end of its grant a leader stops giving
 	// orders, so that none is on its way when the next leader begins.
 	orderMargin = 300 * buckthorndyke.Millisecond
+	// outageLimit is how long a leader goes on whose grant cannot be renewed, where
+	// runners check fencing numbers.
+	outageLimit = 30 * buckthorndyke.Second
 	// parkLimit is how long a report of demand waits for something to change.
 	parkLimit = 250 * buckthorndyke.Millisecond
 	// pollEvery is the time between two looks at a runner with an outstanding
@@ -135,9 +138,15 @@
 	}()
 }
 
-// leads reports whether the VM leads.
+// leads reports whether the VM leads. Where runners check fencing numbers, a
+// leader whose grant cannot be renewed goes on: a successor asks it to yield, and
+// runners that a successor has given an order refuse its own.
 func (t *task) leads(now buckthorndyke.Millis) bool {
-	return t.term.Leading && now < t.term.Until && t.term.Fence > t.fenced
+	until := t.term.Until
+	if t.checksFence {
+		until += outageLimit
+	}
+	return t.term.Leading && now < until && t.term.Fence > t.fenced
 }
 
 // mayOrder reports whether the VM may give orders: it leads, its grant lasts,
