--- a/stager/floor.go
+++ b/stager/floor.go
@@ -11,10 +11,14 @@
 	// the platform's list, which lags by two heartbeats and a read.
 	ownLife = 4 * buckthorndyke.Second
 	// orderPatience is how long an order may stay without effect on a runner that
-	// carries out none, before it is held to be lost. A lost order that arrives
+	// carries out none, before it is held to be lost. Reports lag by some hundred
+	// milliseconds. A lost order that arrives
 	// later is refused, since the runner then expects another number of orders, or
 	// has the same effect.
-	orderPatience = 2 * buckthorndyke.Second
+	orderPatience = 800 * buckthorndyke.Millisecond
+	// acceptedPatience is the same for an order that the runner has accepted: an
+	// unload waits for the requests of what it unloads.
+	acceptedPatience = 4 * buckthorndyke.Second
 	// refusedPause is how long a runner that has refused an order gets no other.
 	refusedPause = 150 * buckthorndyke.Millisecond
 	// loadWindow is the span in which the loads from the weight store are counted.
@@ -192,6 +196,11 @@
 		return f
 	}
 	s.orders = orders
+	if s.order != nil {
+		o := *s.order
+		o.accepted = true
+		s.order = &o
+	}
 	f.stages = f.stages.With(id, s)
 	return f
 }
@@ -218,7 +227,7 @@
 		switch {
 		case o.settled(r.Backend):
 			s = s.withDone(now)
-		case now >= o.sent+orderPatience:
+		case now >= o.sent+o.patience():
 			s.order = nil
 			s.goal = ""
 		}
--- a/stager/stage.go
+++ b/stager/stage.go
@@ -11,6 +11,8 @@
 
 // pending is an order whose end is not known yet.
 type pending struct {
+	// accepted is set once the runner has answered that it carries the order out.
+	accepted bool
 	adapter string
 	kind    buckthorndyke.OrderKind
 	model   buckthorndyke.ModelID
@@ -25,6 +27,14 @@
 	return o.adapter == i.Adapter && o.kind == i.Kind && o.model == i.Model
 }
 
+// patience returns how long the order may stay without effect.
+func (o pending) patience() buckthorndyke.Millis {
+	if o.accepted {
+		return acceptedPatience
+	}
+	return orderPatience
+}
+
 // settled reports whether b shows that the order was carried out.
 func (o pending) settled(b buckthorndyke.Backend) bool {
 	h, held := b.Holding(o.model)
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -78,6 +78,11 @@
 	return answer.lines, answer.waiting, err
 }
 
+// Drain lets requests wait for a server for at most wait from now on.
+func (d *Dispatcher) Drain(ctx context.Context, wait buckthorndyke.Millis) error {
+	return d.box.Send(ctx, drainBegun{until: d.clock.Now() + wait})
+}
+
 // Pressing implements buckthorndyke.DemandSource.
 func (d *Dispatcher) Pressing() <-chan struct{} { return d.pressing }
 
--- a/supervisor/relayer/dispatcher/dispatcher_test.go
+++ b/supervisor/relayer/dispatcher/dispatcher_test.go
@@ -189,6 +189,16 @@
 			asserter.Equal(t, s.clock.Now()-began, 1200*buckthorndyke.Millisecond)
 		})
 	})
+	t.Run("a request that waits when a planned stop begins is refused in time", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.led()
+			began := s.clock.Now()
+			asserter.NoError(t, s.dispatcher.Drain(s.ctx, 500))
+			_, err := s.relay(generation("/stream/x", gym))
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
+			asserter.Equal(t, s.clock.Now()-began, 500*buckthorndyke.Millisecond)
+		})
+	})
 	t.Run("a request waits for a shorter time while no VM gives orders", func(t *testing.T) {
 		inSite(t, func(s *site) {
 			began := s.clock.Now()
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -72,6 +72,11 @@
 		waiting bool
 	}
 
+	// drainBegun says that no request may wait for a server after an instant.
+	drainBegun struct {
+		until buckthorndyke.Millis
+	}
+
 	// residencesTold brings a leader's word.
 	residencesTold struct {
 		list []buckthorndyke.Residence
@@ -90,6 +95,7 @@
 func (m admitLeft) apply(t *task)      { t.leave(m) }
 func (m attemptEnded) apply(t *task)   { t.endAttempt(m) }
 func (m demandAsked) apply(t *task)    { m.reply.Answer(t.demand()) }
+func (m drainBegun) apply(t *task)     { t.drainUntil = m.until }
 func (m residencesTold) apply(t *task) { t.takeResidences(m.list) }
 func (m unledTold) apply(t *task)      { t.led = false }
 func (m routingAsked) apply(t *task)   { m.reply.Answer(t.routing) }
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -30,6 +30,8 @@
 	*Dispatcher
 	arrivals map[buckthorndyke.ModelKey]int
 	board    selector.Board
+	// drainUntil is the instant after which no request waits, or 0.
+	drainUntil buckthorndyke.Millis
 	// led is set while some VM gives orders to the runners.
 	led     bool
 	budgets map[buckthorndyke.ServiceID]chooser.Budget
@@ -216,10 +218,14 @@
 
 // until returns the instant until which a request may wait.
 func (t *task) until(m admitAsked) buckthorndyke.Millis {
+	until := m.until
 	if m.query.Key.Model != "" && !t.led {
-		return m.unledUntil
+		until = m.unledUntil
 	}
-	return m.until
+	if t.drainUntil > 0 {
+		until = min(until, t.drainUntil)
+	}
+	return until
 }
 
 // wake returns the time until the next waiting request has waited too long.
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -21,6 +21,10 @@
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/watcher"
 )
 
+// waitParts is the part of the drain limit for which requests may still wait for
+// a server.
+const waitParts = 2
+
 // Platform is what the tree needs from outside of its process.
 type Platform struct {
 	Directory buckthorndyke.Directory
@@ -118,6 +122,8 @@
 	t.front.Start(ctx)
 	<-ctx.Done()
 	t.logger.Info().EmbedObject(reporter.EventDrainBegun).Send()
+	// What waits for a server has to be answered while the front still serves.
+	t.logStep("end-waiting", t.dispatcher.Drain(context.WithoutCancel(ctx), t.drainLimit/waitParts))
 	t.logStep("close-front", t.front.End())
 	t.logStep("end-base", t.base.End())
 	t.logger.Info().EmbedObject(reporter.EventDrainEnded).Send()
