--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/configurer"
@@ -37,14 +36,13 @@
 	leaderShare = 0.35
 	// leastLogLevel is the level below which no line is ever logged.
 	leastLogLevel = "debug"
-	// logBacklog bounds the lines of the log that wait to be written.
-	logBacklog = 4096
 )
 
 // Relay runs an entry VM that relays requests until ctx ends. It rereads its
 // settings with reread; of a change only the level of the log is put in force.
 func (a *Assembler) Relay(ctx context.Context, s configurer.Relay, reread func() ([]byte, error)) error {
-	output := diode.NewWriter(a.output, logBacklog, 0, nil)
+	metrics := reporter.NewMetrics()
+	output := reporter.NewQueue(a.output, func(lines int) { metrics.Count(buckthorndyke.MetricLinesDropped, int64(lines)) })
 	defer func() { _ = output.Close() }()
 	logger, err := reporter.NewLogger(output, leastLogLevel, s.VM)
 	if err != nil {
@@ -61,7 +59,6 @@
 		VM:          s.VM,
 	}
 	store := platform.NewStore(s.StoreAddress)
-	metrics := reporter.NewMetrics()
 	runners := platform.NewRunners(clock)
 	outside := relayer.Platform{
 		Directory: recorder.NewDirectory(platform.NewDirectory(store, clock), metrics, clock),
--- a/metric.go
+++ b/metric.go
@@ -8,6 +8,7 @@
 	MetricFirstByte       Metric = "first-byte-ms"
 	MetricFirstToken      Metric = "first-token-ms"
 	MetricGap             Metric = "gap-ms"
+	MetricLinesDropped    Metric = "lines-dropped"
 	MetricLoads           Metric = "loads"
 	MetricLoadTime        Metric = "load-ms"
 	MetricLogDown         Metric = "log-down"
--- /dev/null
+++ b/reporter/queue_test.go
@@ -0,0 +1,36 @@
+package reporter_test
+
+import (
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/reporter"
+)
+
+// lines is the number of lines that are written, more than wait.
+const lines = 20_000
+
+func TestQueue(t *testing.T) {
+	t.Run("a reader that has stopped holds up no writer, and drops are told", func(t *testing.T) {
+		stopped := &stoppedWriter{goOn: make(chan struct{})}
+		dropped := make(chan int, lines)
+		q := reporter.NewQueue(stopped, func(n int) { dropped <- n })
+		for range lines {
+			_, err := q.Write([]byte("line\n"))
+			asserter.NoError(t, err)
+		}
+		close(stopped.goOn)
+		asserter.True(t, <-dropped > 0, "no drop was told")
+	})
+}
+
+// stoppedWriter is a reader of the log that stops until goOn is closed.
+type stoppedWriter struct {
+	goOn chan struct{}
+}
+
+// Write implements io.Writer.
+func (w *stoppedWriter) Write(p []byte) (int, error) {
+	<-w.goOn
+	return len(p), nil
+}
