--- a/endtoend/relay_test.go
+++ b/endtoend/relay_test.go
@@ -1,13 +1,10 @@
 package endtoend
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -69,7 +66,7 @@
 		}
 	})
 	storeAddress := s.listen(s.store.Serve)
-	asserter.NoError(t, s.store.Put(ctx, imitator.ConfigTopic, imitator.ConfigKey, relayConfig(1, "/calls/")))
+	asserter.NoError(t, s.store.Put(ctx, imitator.ConfigTopic, imitator.ConfigKey, imitator.Config(1, "/calls/")))
 	for i := range 2 {
 		s.runners = append(s.runners, s.server(fmt.Sprintf("runner-%d", i), "engines",
 			imitator.WithEvents(6, 10*time.Millisecond), imitator.WithModels(fmt.Sprintf("m%d", i)), imitator.WithLoadTime(200*time.Millisecond)))
@@ -92,14 +89,14 @@
 
 // changeRoutes adds a route and asks for it on each VM.
 func (s *relaySite) changeRoutes() {
-	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, relayConfig(5, "/later/")))
+	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, imitator.Config(5, "/later/")))
 	for i := range relayVMs {
-		s.soon(func() bool { return s.ask(i, "/later/x", "").status == http.StatusOK })
-		asserter.Equal(s.t, s.ask(i, "/calls/x", "").status, http.StatusNotFound)
+		s.soon(func() bool { return s.ask(i, "/later/x", "").Status == http.StatusOK })
+		asserter.Equal(s.t, s.ask(i, "/calls/x", "").Status, http.StatusNotFound)
 	}
-	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, relayConfig(6, "/calls/")))
+	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, imitator.Config(6, "/calls/")))
 	for i := range relayVMs {
-		s.soon(func() bool { return s.ask(i, "/calls/x", "").status == http.StatusOK })
+		s.soon(func() bool { return s.ask(i, "/calls/x", "").Status == http.StatusOK })
 	}
 }
 
@@ -107,7 +104,7 @@
 func (s *relaySite) hangUp() {
 	asserter.NoError(s.t, s.l.Rewrite(s.name(0), []byte("{")))
 	asserter.NoError(s.t, s.processes[0].Signal(syscall.SIGHUP))
-	asserter.Equal(s.t, s.ask(0, "/calls/x", "").status, http.StatusOK)
+	asserter.Equal(s.t, s.ask(0, "/calls/x", "").Status, http.StatusOK)
 }
 
 // killLeader kills the VM that gave the last order and asks for a cold model.
@@ -123,15 +120,15 @@
 	}
 	s.processes[leader].Kill()
 	other := (leader + 1) % relayVMs
-	s.soon(func() bool { return s.ask(other, "/streams/x", "cold-2").whole(6) })
+	s.soon(func() bool { return s.ask(other, "/streams/x", "cold-2").Whole(6) })
 	s.assertFences()
 }
 
 // loadCold asks for a model that no runner holds through all VMs at once.
 func (s *relaySite) loadCold() {
-	s.soon(func() bool { return s.ask(0, "/streams/x", "cold-1").whole(6) })
+	s.soon(func() bool { return s.ask(0, "/streams/x", "cold-1").Whole(6) })
 	for i := range relayVMs {
-		s.soon(func() bool { return s.ask(i, "/streams/x", "cold-1").whole(6) })
+		s.soon(func() bool { return s.ask(i, "/streams/x", "cold-1").Whole(6) })
 	}
 	loads := 0
 	for _, r := range s.runners {
@@ -151,10 +148,10 @@
 func (s *relaySite) serveEach() {
 	for i := range relayVMs {
 		got := s.ask(i, "/calls/x?a=b", "")
-		asserter.Equal(s.t, got.status, http.StatusOK)
-		asserter.Equal(s.t, got.body, "answer to "+got.id)
-		asserter.True(s.t, s.ask(i, "/streams/x", "m0").whole(6), "a stream is not whole")
-		asserter.Equal(s.t, s.ask(i, "/nowhere/", "").status, http.StatusNotFound)
+		asserter.Equal(s.t, got.Status, http.StatusOK)
+		asserter.Equal(s.t, got.Body, "answer to "+got.ID)
+		asserter.True(s.t, s.ask(i, "/streams/x", "m0").Whole(6), "a stream is not whole")
+		asserter.Equal(s.t, s.ask(i, "/nowhere/", "").Status, http.StatusNotFound)
 	}
 }
 
@@ -162,8 +159,8 @@
 func (s *relaySite) silenceStore() {
 	asserter.NoError(s.t, s.store.SetFaults(s.ctx, imitator.StoreFaults{Silent: true}))
 	for i := range relayVMs {
-		asserter.Equal(s.t, s.ask(i, "/calls/x", "").status, http.StatusOK)
-		asserter.True(s.t, s.ask(i, "/streams/x", "m1").whole(6), "a stream is not whole")
+		asserter.Equal(s.t, s.ask(i, "/calls/x", "").Status, http.StatusOK)
+		asserter.True(s.t, s.ask(i, "/streams/x", "m1").Whole(6), "a stream is not whole")
 	}
 	asserter.NoError(s.t, s.store.SetFaults(s.ctx, imitator.StoreFaults{}))
 }
@@ -185,7 +182,7 @@
 				default:
 				}
 				got := s.askWith(client, 1, "/streams/x", "m0")
-				if got.status == http.StatusOK && !got.whole(6) {
+				if got.Status == http.StatusOK && !got.Whole(6) {
 					cut++
 				}
 			}
@@ -203,57 +200,16 @@
 	s.start(1)
 }
 
-// relayReply is what a client of a relaying site got.
-type relayReply struct {
-	body   string
-	id     string
-	status int
-}
-
-// whole reports whether the reply is a stream of n events.
-func (r relayReply) whole(n int) bool {
-	if r.status != http.StatusOK {
-		return false
-	}
-	events := 0
-	for scan := bufio.NewScanner(strings.NewReader(r.body)); scan.Scan(); {
-		if scan.Text() == fmt.Sprintf("id: %d", events+1) {
-			events++
-		}
-	}
-	return events == n
-}
-
 // ask sends a request through a VM.
-func (s *relaySite) ask(vm int, target, model string) relayReply {
+func (s *relaySite) ask(vm int, target, model string) imitator.Reply {
 	return s.askWith(http.DefaultClient, vm, target, model)
 }
 
-// askWith is ask for one client. A request without a whole answer has status 0.
-func (s *relaySite) askWith(client *http.Client, vm int, target, model string) relayReply {
+// askWith is ask for one client.
+func (s *relaySite) askWith(client *http.Client, vm int, target, model string) imitator.Reply {
 	ctx, cancel := context.WithTimeout(s.ctx, 10*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.addresses[vm]+target, strings.NewReader("body"))
-	if err != nil {
-		return relayReply{}
-	}
-	id := fmt.Sprintf("%x", time.Now().UnixNano())
-	r.Host = "hall.example"
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", "8000")
-	if model != "" {
-		r.Header.Set("Model", model)
-	}
-	w, err := client.Do(r)
-	if err != nil {
-		return relayReply{}
-	}
-	defer func() { _ = w.Body.Close() }()
-	body, err := io.ReadAll(w.Body)
-	if err != nil {
-		return relayReply{body: string(body), status: w.StatusCode}
-	}
-	return relayReply{body: string(body), id: id, status: w.StatusCode}
+	return imitator.Ask(ctx, client, s.addresses[vm], target, model)
 }
 
 // assertFences reports an error if a runner got orders of two holders with one
@@ -336,35 +292,3 @@
 		s.processes = append(s.processes, p)
 	}
 }
-
-// relayConfig returns a configuration whose calls are served under prefix.
-func relayConfig(version int, prefix string) map[string]any {
-	model := func(name string) map[string]any {
-		return map[string]any{"adapterMb": 10, "adapters": 2, "diskS": 0.1, "loadS": 0.2, "name": name, "warmS": 0.1, "weightsMb": 60000}
-	}
-	return map[string]any{
-		"limits": map[string]any{"bodyBytes": 1000000, "headerBytes": 16384, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"routes": []map[string]any{
-			{
-				"host": "hall.example", "kind": "unsafe", "maxAttempts": 1, "name": "calls", "pathPrefix": prefix,
-				"service": "desk", "targetLatencyMs": 300, "timeoutMs": 4000,
-			},
-			{
-				"host": "hall.example", "kind": "streaming", "maxAttempts": 2, "name": "streams", "pathPrefix": "/streams/",
-				"resumable": true, "service": "engines", "targetLatencyMs": 2000, "timeoutMs": 8000,
-			},
-		},
-		"services": []map[string]any{
-			{"maxConns": 100, "name": "desk"},
-			{
-				"engine": map[string]any{
-					"adapterSlots": 4, "loadsPerS": 4,
-					"models": []map[string]any{model("m0"), model("m1"), model("cold-1"), model("cold-2")},
-					"slots":  64, "weightsMb": 200000,
-				},
-				"maxConns": 100, "name": "engines",
-			},
-		},
-		"version": version,
-	}
-}
