--- a/stager/stage.go
+++ b/stager/stage.go
@@ -13,9 +13,9 @@
 type pending struct {
 	// accepted is set once the runner has answered that it carries the order out.
 	accepted bool
-	adapter string
-	kind    buckthorndyke.OrderKind
-	model   buckthorndyke.ModelID
+	adapter  string
+	kind     buckthorndyke.OrderKind
+	model    buckthorndyke.ModelID
 	// sent is the instant at which the order was sent.
 	sent buckthorndyke.Millis
 	// tier is where the runner finds what it loads.
