test(steward): callers that outlive the steward get its last word

The test was wrong, not the steward; its callers now outlive it, and the same answers are asserted. Without the steward's last word it fails.

--- a/supervisor/owner/steward/orders_test.go
+++ b/supervisor/owner/steward/orders_test.go
@@ -152,10 +152,11 @@
 	})
 	t.Run("all requests end when the steward dies", func(t *testing.T) {
 		inSite(t, standin.EngineConfig{Slots: 1}, func(s *site) {
+			// The callers outlive the steward: a caller that leaves gets no answer.
+			s.ctx = s.t.Context()
 			running, waiting := s.grant(hall, ordinary), s.ask(hall, ordinary)
 			s.cancel()
 			s.wait(1)
-			s.ctx = s.t.Context()
 			s.assertRefused(waiting, buckthorndyke.CodeNotOwner, buckthorndyke.NotRun)
 			s.assertRefused(running, buckthorndyke.CodeNotOwner, buckthorndyke.MayHaveRun)
 			_, err := s.tryAsk(s.ctx, hall, ordinary, buckthorndyke.Minute)
