refactor: one piece of code for what stood twice, and no state that nothing reads

Read again as a whole. Removed: last uses of adapters, which no decision read; Board.Holders and Backends.Of without a caller; a check for an unexpected end that io.EOF never is. Mended: relay without its function panicked where serve says that the program lacks it.

--- a/asserter/asserter.go
+++ b/asserter/asserter.go
@@ -4,12 +4,16 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/buckthorndyke/buckthorndyke"
 )
 
+// pollEvery is the time between two looks of Soon.
+const pollEvery = 5 * time.Millisecond
+
 // Code reports an error unless err is a refusal with the given code.
 func Code(t testing.TB, err error, want buckthorndyke.Code) {
 	t.Helper()
@@ -70,6 +74,18 @@
 	}
 }
 
+// Soon reports an error if ok does not become true within limit. It polls, for what
+// happens on real sockets and in other processes.
+func Soon(t testing.TB, limit time.Duration, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(pollEvery) {
+		if ok() {
+			return
+		}
+	}
+	t.Error("it did not become true in time")
+}
+
 // True reports an error with the given description if ok is false.
 func True(t testing.TB, ok bool, description string) {
 	t.Helper()
--- a/backend.go
+++ b/backend.go
@@ -73,14 +73,3 @@
 	}
 	return b
 }
-
-// Of returns the servers of a service, those that are leaving included.
-func (b Backends) Of(service ServiceID) []Backend {
-	var of []Backend
-	for _, backend := range b.Listed.All() {
-		if backend.Service == service {
-			of = append(of, backend)
-		}
-	}
-	return of
-}
--- a/commander/relay.go
+++ b/commander/relay.go
@@ -20,8 +20,11 @@
 		if err != nil {
 			return out.faulty(settings, err)
 		}
-		run := func(ctx context.Context, s configurer.Relay) error {
-			return c.relay(ctx, s, func() ([]byte, error) { return readFile(settings) })
+		var run func(ctx context.Context, s configurer.Relay) error
+		if c.relay != nil {
+			run = func(ctx context.Context, s configurer.Relay) error {
+				return c.relay(ctx, s, func() ([]byte, error) { return readFile(settings) })
+			}
 		}
 		return runUntilStopped(ctx, run, parsed)
 	}
--- a/endtoend/relay_test.go
+++ b/endtoend/relay_test.go
@@ -91,12 +91,12 @@
 func (s *relaySite) changeRoutes() {
 	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, imitator.Config(5, "/later/")))
 	for i := range relayVMs {
-		s.soon(func() bool { return s.ask(i, "/later/x", "").Status == http.StatusOK })
+		asserter.Soon(s.t, patience, func() bool { return s.ask(i, "/later/x", "").Status == http.StatusOK })
 		asserter.Equal(s.t, s.ask(i, "/calls/x", "").Status, http.StatusNotFound)
 	}
 	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, imitator.Config(6, "/calls/")))
 	for i := range relayVMs {
-		s.soon(func() bool { return s.ask(i, "/calls/x", "").Status == http.StatusOK })
+		asserter.Soon(s.t, patience, func() bool { return s.ask(i, "/calls/x", "").Status == http.StatusOK })
 	}
 }
 
@@ -120,15 +120,15 @@
 	}
 	s.processes[leader].Kill()
 	other := (leader + 1) % relayVMs
-	s.soon(func() bool { return s.ask(other, "/streams/x", "cold-2").Whole(6) })
+	asserter.Soon(s.t, patience, func() bool { return s.ask(other, "/streams/x", "cold-2").Whole(6) })
 	s.assertFences()
 }
 
 // loadCold asks for a model that no runner holds through all VMs at once.
 func (s *relaySite) loadCold() {
-	s.soon(func() bool { return s.ask(0, "/streams/x", "cold-1").Whole(6) })
+	asserter.Soon(s.t, patience, func() bool { return s.ask(0, "/streams/x", "cold-1").Whole(6) })
 	for i := range relayVMs {
-		s.soon(func() bool { return s.ask(i, "/streams/x", "cold-1").Whole(6) })
+		asserter.Soon(s.t, patience, func() bool { return s.ask(i, "/streams/x", "cold-1").Whole(6) })
 	}
 	loads := 0
 	for _, r := range s.runners {
@@ -269,17 +269,6 @@
 	return server
 }
 
-// soon reports an error if ok does not become true in time.
-func (s *relaySite) soon(ok func() bool) {
-	s.t.Helper()
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		if ok() {
-			return
-		}
-	}
-	s.t.Error("it did not become true in time")
-}
-
 // start starts a VM and waits until it is ready.
 func (s *relaySite) start(vm int) {
 	s.t.Helper()
--- a/selector/choose.go
+++ b/selector/choose.go
@@ -54,12 +54,6 @@
 	return best.backend, true
 }
 
-// Holders returns the number of servers that could take requests for key.
-func (b Board) Holders(key buckthorndyke.ModelKey, now buckthorndyke.Millis) int {
-	sound, doubtful := b.candidates(Query{Key: key, Now: now})
-	return len(sound) + len(doubtful)
-}
-
 // candidate is a server that can take a request.
 type candidate struct {
 	backend buckthorndyke.Backend
--- a/stager/floor.go
+++ b/stager/floor.go
@@ -12,9 +12,8 @@
 	ownLife = 4 * buckthorndyke.Second
 	// orderPatience is how long an order may stay without effect on a runner that
 	// carries out none, before it is held to be lost. Reports lag by some hundred
-	// milliseconds. A lost order that arrives
-	// later is refused, since the runner then expects another number of orders, or
-	// has the same effect.
+	// milliseconds. A lost order that arrives later is refused, since the runner then
+	// expects another number of orders, or has the same effect.
 	orderPatience = 800 * buckthorndyke.Millisecond
 	// acceptedPatience is the same for an order that the runner has accepted: an
 	// unload waits for the requests of what it unloads.
@@ -121,17 +120,16 @@
 	}
 	for id, b := range list.Listed.All() {
 		s, ok := f.stages.Get(id)
-		switch {
-		case !ok:
-			s = stage{backend: b, orders: unknown}
-		default:
-			// What the runner holds is taken from its reports: entries of the list are
-			// older by an unknown time.
-			if s.order == nil && now >= s.changed+ownLife && !sameModels(s.backend, b) {
-				s.orders = unknown
-			}
-			s.backend.Address, s.backend.Leaving = b.Address, b.Leaving
+		if !ok {
+			f.stages = f.stages.With(id, stage{backend: b, orders: unknown})
+			continue
+		}
+		// What the runner holds is taken from its reports: entries of the list are
+		// older by an unknown time.
+		if s.order == nil && now >= s.changed+ownLife && !sameModels(s.backend, b) {
+			s.orders = unknown
 		}
+		s.backend.Address, s.backend.Leaving = b.Address, b.Leaving
 		f.stages = f.stages.With(id, s)
 	}
 	return f
@@ -179,8 +177,6 @@
 	s.order = &pending{adapter: o.Adapter, kind: o.Kind, model: o.Model, sent: now, tier: o.Tier}
 	if o.Adapter == "" {
 		s.goal = o.Goal
-	} else {
-		s = s.withUse(o.Model, o.Adapter, now)
 	}
 	f.stages = f.stages.With(o.Runner, s)
 	if o.Remote() {
@@ -266,14 +262,3 @@
 	}
 	return out
 }
-
-// withUse returns the stage after a use of an adapter.
-func (s stage) withUse(model buckthorndyke.ModelID, adapter string, now buckthorndyke.Millis) stage {
-	used := make(map[string]buckthorndyke.Millis, len(s.used)+1)
-	for k, v := range s.used {
-		used[k] = v
-	}
-	used[string(model)+"/"+adapter] = now
-	s.used = used
-	return s
-}
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -146,7 +146,7 @@
 	var bestWay way
 	found := false
 	for _, s := range p.stages.All() {
-		if s.backend.Service != w.key.Service || s.backend.Leaving || s.order != nil || s.goal != "" || p.now < s.retryAt || s.orders == unknown || s.holds(w.key) {
+		if !s.canTake(w.key.Service, p.now) || s.goal != "" || s.holds(w.key) {
 			continue
 		}
 		way, ok := p.way(s, facts, w.key, worth)
@@ -165,7 +165,7 @@
 	var best stage
 	found := false
 	for _, s := range p.stages.All() {
-		if s.backend.Service != w.key.Service || s.backend.Leaving || s.order != nil || p.now < s.retryAt || s.orders == unknown || !s.holds(w.key.Base()) {
+		if !s.canTake(w.key.Service, p.now) || !s.holds(w.key.Base()) {
 			continue
 		}
 		if !found || s.adapters() < best.adapters() {
--- a/stager/stage.go
+++ b/stager/stage.go
@@ -63,8 +63,6 @@
 	orders int64
 	// retryAt is the instant from which the runner may be given another order.
 	retryAt buckthorndyke.Millis
-	// used holds the last use of each adapter.
-	used map[string]buckthorndyke.Millis
 }
 
 // adapters returns the number of adapters that the runner holds.
@@ -76,6 +74,12 @@
 	return n
 }
 
+// canTake reports whether the runner serves service and may be given an order at
+// now.
+func (s stage) canTake(service buckthorndyke.ServiceID, now buckthorndyke.Millis) bool {
+	return s.backend.Service == service && !s.backend.Leaving && s.order == nil && now >= s.retryAt && s.orders != unknown
+}
+
 // closed returns the models that take no more requests.
 func (s stage) closed() []buckthorndyke.ModelID {
 	if s.order != nil && s.order.kind == buckthorndyke.OrderUnload && s.order.adapter == "" {
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -230,7 +231,7 @@
 	j.note(backend, "status %d", a.Status)
 	j.runs++
 	j.end(ctx, backend, resultServed)
-	a.Header.Set("Content-Length", decimal(len(body)))
+	a.Header.Set("Content-Length", strconv.Itoa(len(body)))
 	if err := j.w.Begin(a.Status, a.Header); err != nil {
 		return false, errCallerGone
 	}
--- a/supervisor/relayer/dispatcher/stream.go
+++ b/supervisor/relayer/dispatcher/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"strconv"
 
 	"github.com/cockroachdb/errors"
 
@@ -67,7 +66,7 @@
 	for {
 		n, err := a.Body.Read(buffer)
 		held = append(held, buffer[:n]...)
-		ended := errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
+		ended := errors.Is(err, io.EOF)
 		whole := bytes.LastIndex(held, eventEnd) + len(eventEnd)
 		if whole < len(eventEnd) {
 			whole = 0
@@ -131,11 +130,6 @@
 	j.trail = append(j.trail, fmt.Sprintf("%s at %d ms ", backend.ID, at)+fmt.Sprintf(format, args...))
 }
 
-// decimal returns n in decimal.
-func decimal(n int) string {
-	return strconv.Itoa(n)
-}
-
 // lastID returns the id of the last event in events that has one.
 func lastID(events []byte) (string, bool) {
 	id, found := "", false
