fix(make): run tests of synctest bubbles on one processor

All timers of a testing/synctest bubble share one race context (runtime/time.go, unlockAndRun); the lock of the timers is released while a timer runs, so that two threads may use the context at a time, and the race detector's own runtime stops.

Packages without bubbles keep all processors, and all keep the race detector.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,12 @@
 PROTOC_GEN_GO_VERSION = v1.36.12
 
 TOOLS = $(CURDIR)/tools/bin
-# Without asynchronous preemption: with it the race detector's own runtime crashes
-# now and then in long testing/synctest runs of Go 1.26.
-GO_TEST = GODEBUG=asyncpreemptoff=1 go test -race -count=1
+GO_TEST = go test -race -count=1
+# Packages whose tests run in bubbles of testing/synctest. In Go 1.26 all timers of
+# a bubble share one race context: when two threads run timers of one bubble at a
+# time, the race detector's own runtime crashes (tsan_rtl.cpp:346).
+PACKAGES = $(shell go list ./...)
+BUBBLED = $(shell go list -f '{{.ImportPath}} {{.Imports}} {{.TestImports}} {{.XTestImports}}' ./... | awk '/testing\/synctest/ {print $$1}')
 
 export GOFLAGS = -buildvcs=false
 
@@ -53,7 +56,8 @@
 	go run ./measurer examples
 
 test:
-	$(GO_TEST) ./...
+	$(GO_TEST) $(filter-out $(BUBBLED),$(PACKAGES))
+	$(GO_TEST) -cpu 1 $(BUBBLED)
 
 tools:
 	GOBIN=$(TOOLS) go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
