feat(loader,dispatcher): a new leader hears the VMs first; requests wait by what is expected

Now VMs keep their arrivals as decaying rates and tell a new leader all recent ones; until 1.3 s after it began to lead it loads only where there is room. The leader tells when what waits is expected. A request whose model comes before its client leaves waits that long; one whose model comes later is asked to return when it is there; one whose model is not being loaded waits until its target, 0.6 s at least.

Ruled out: reports with all rates each time (their size grows with the models).

--- a/demand.go
+++ b/demand.go
@@ -18,7 +18,8 @@
 
 // DemandLine is what one VM sees of the demand for a model or adapter.
 type DemandLine struct {
-	// Arrivals is the number of requests since the last message.
+	// Arrivals is the number of requests since the last message, or of all recent
+	// ones if the leader asked for them.
 	Arrivals int
 	// Due is how long the request that has to begin first can wait.
 	Due Millis
@@ -38,8 +39,21 @@
 	Started  Incarnation
 }
 
+// Expectation says when a runner is going to hold what requests wait for.
+type Expectation struct {
+	// In is the time until then.
+	In  Millis
+	Key ModelKey
+}
+
 // DemandReply is the leader's answer to a report of demand.
 type DemandReply struct {
+	// AskRecent is set if the leader lacks the VM's arrivals before the report: the
+	// next one has to hold all recent ones.
+	AskRecent bool
+	// Expected tells when what the VM's requests wait for is going to be held. What
+	// it lacks is not being loaded.
+	Expected []Expectation
 	// Leading is not set if the VM that was asked is not the leader.
 	Leading    bool
 	Residences []Residence
@@ -68,12 +82,13 @@
 
 // DemandSource yields the demand that the VM sees.
 type DemandSource interface {
-	// Demand returns the demand since the last call, and whether something waits.
-	Demand(ctx context.Context) (lines []DemandLine, waiting bool, err error)
+	// Demand returns the demand since the last call, or with all recent arrivals,
+	// and whether something waits.
+	Demand(ctx context.Context, recent bool) (lines []DemandLine, waiting bool, err error)
+	// Led takes over the leader's answer.
+	Led(ctx context.Context, reply DemandReply) error
 	// Pressing receives a value once something begins to wait.
 	Pressing() <-chan struct{}
-	// Residences takes over what the leader knows.
-	Residences(ctx context.Context, list []Residence) error
 	// Unled says that no leader answers.
 	Unled(ctx context.Context) error
 }
--- a/stager/demand.go
+++ b/stager/demand.go
@@ -1,35 +1,18 @@
 package stager
 
-import (
-	"math"
+import "github.com/buckthorndyke/buckthorndyke"
 
-	"github.com/buckthorndyke/buckthorndyke"
-)
-
-const (
-	// reportLife is how long a VM's report of waiting and running requests stands.
-	reportLife = 2500 * buckthorndyke.Millisecond
-	// rateSpan is the span over which arrivals are averaged.
-	rateSpan = 12 * buckthorndyke.Second
-)
+// reportLife is how long a VM's report of waiting and running requests stands.
+const reportLife = 2500 * buckthorndyke.Millisecond
 
 // Demand is what all VMs report of the demand for models. It is immutable.
 type Demand struct {
-	rates   buckthorndyke.Table[string, rate]
+	// heard holds the VMs whose arrivals are counted.
+	heard   buckthorndyke.Table[buckthorndyke.VMID, struct{}]
+	rates   buckthorndyke.Table[string, buckthorndyke.Rate]
 	reports buckthorndyke.Table[buckthorndyke.VMID, report]
 }
 
-// rate is an average of arrivals that decays with time.
-type rate struct {
-	at    buckthorndyke.Millis
-	perMs float64
-}
-
-// decayed returns the arrivals in a millisecond as averaged at now.
-func (r rate) decayed(now buckthorndyke.Millis) float64 {
-	return r.perMs * math.Exp(-float64(now-r.at)/float64(rateSpan))
-}
-
 // report is the last message of one VM.
 type report struct {
 	at    buckthorndyke.Millis
@@ -44,16 +27,22 @@
 	waiting int
 }
 
+// Heard reports whether vm has reported before.
+func (d Demand) Heard(vm buckthorndyke.VMID) bool { return d.heard.Has(vm) }
+
 // PerSecond returns the arrivals a second of requests for key.
 func (d Demand) PerSecond(key buckthorndyke.ModelKey, now buckthorndyke.Millis) float64 {
 	r, _ := d.rates.Get(textOf(key))
-	return r.decayed(now) * float64(buckthorndyke.Second)
+	return r.PerSecond(now)
 }
 
-// WithReport returns a demand that holds the report of vm at now.
+// WithReport returns a demand that holds the report of vm at now. The arrivals in
+// its first report are left out: the next one holds them with all recent ones.
 func (d Demand) WithReport(vm buckthorndyke.VMID, lines []buckthorndyke.DemandLine, now buckthorndyke.Millis) Demand {
+	heard := d.heard.Has(vm)
+	d.heard = d.heard.With(vm, struct{}{})
 	for _, line := range lines {
-		if line.Arrivals == 0 {
+		if !heard || line.Arrivals == 0 {
 			continue
 		}
 		d = d.withArrivals(line.Key, line.Arrivals, now)
@@ -103,7 +92,7 @@
 // withArrivals returns a demand with n more arrivals for key.
 func (d Demand) withArrivals(key buckthorndyke.ModelKey, n int, now buckthorndyke.Millis) Demand {
 	r, _ := d.rates.Get(textOf(key))
-	d.rates = d.rates.With(textOf(key), rate{at: now, perMs: r.decayed(now) + float64(n)/float64(rateSpan)})
+	d.rates = d.rates.With(textOf(key), r.WithArrivals(n, now))
 	return d
 }
 
--- a/stager/floor.go
+++ b/stager/floor.go
@@ -20,6 +20,13 @@
 	acceptedPatience = 4 * buckthorndyke.Second
 	// refusedPause is how long a runner that has refused an order gets no other.
 	refusedPause = 150 * buckthorndyke.Millisecond
+	// hearTime is how long a new leader unloads nothing: by then the VMs have found
+	// it and told it their demand.
+	hearTime = 1300 * buckthorndyke.Millisecond
+	// unloadTime is about how long an unload takes until a report shows it.
+	unloadTime = 500 * buckthorndyke.Millisecond
+	// reportLag is about how much later than a load ends a report shows it.
+	reportLag = 300 * buckthorndyke.Millisecond
 	// loadWindow is the span in which the loads from the weight store are counted.
 	loadWindow = 5 * buckthorndyke.Second
 )
@@ -30,6 +37,9 @@
 	// atOnce is the number of loads that the weight store allows at full speed.
 	atOnce int
 	demand Demand
+	// hearUntil is the instant until which the demand is not known well enough to
+	// unload anything.
+	hearUntil buckthorndyke.Millis
 	// remote holds the instants of the latest loads from the weight store.
 	remote  []buckthorndyke.Millis
 	routing buckthorndyke.Routing
@@ -67,6 +77,24 @@
 	return s.backend, ok
 }
 
+// Expected returns when runners are going to hold what requests in lines wait
+// for, as far as that is being loaded.
+func (f Floor) Expected(lines []buckthorndyke.DemandLine, now buckthorndyke.Millis) []buckthorndyke.Expectation {
+	var out []buckthorndyke.Expectation
+	for _, l := range lines {
+		if l.Waiting == 0 {
+			continue
+		}
+		if in, ok := f.expected(l.Key, now); ok {
+			out = append(out, buckthorndyke.Expectation{In: in, Key: l.Key})
+		}
+	}
+	return out
+}
+
+// Heard reports whether vm has reported its demand before.
+func (f Floor) Heard(vm buckthorndyke.VMID) bool { return f.demand.Heard(vm) }
+
 // Pending returns the runners with an outstanding order, and since when.
 func (f Floor) Pending() map[buckthorndyke.RunnerID]buckthorndyke.Millis {
 	out := make(map[buckthorndyke.RunnerID]buckthorndyke.Millis)
@@ -238,6 +266,34 @@
 	return f
 }
 
+// WithTerm returns a floor whose leader begins to lead at now: it knows no
+// demand.
+func (f Floor) WithTerm(now buckthorndyke.Millis) Floor {
+	f.demand = Demand{}
+	f.hearUntil = now + hearTime
+	return f
+}
+
+// expected returns the time until a runner is going to hold what key names.
+func (f Floor) expected(key buckthorndyke.ModelKey, now buckthorndyke.Millis) (buckthorndyke.Millis, bool) {
+	service, _ := f.routing.Services.Get(key.Service)
+	if service.Engine == nil {
+		return 0, false
+	}
+	facts, _ := service.Engine.Models.Get(key.Model)
+	var least buckthorndyke.Millis
+	found := false
+	for _, s := range f.stages.All() {
+		if s.backend.Service != key.Service {
+			continue
+		}
+		if in, ok := s.expected(key, facts, now); ok && (!found || in < least) {
+			least, found = in, true
+		}
+	}
+	return least, found
+}
+
 // sameModels reports whether two descriptions of a runner name the same models.
 func sameModels(a, b buckthorndyke.Backend) bool {
 	if len(a.Holdings) != len(b.Holdings) {
--- a/stager/floor_test.go
+++ b/stager/floor_test.go
@@ -106,6 +106,52 @@
 	})
 }
 
+func TestTerms(t *testing.T) {
+	full := floorOf(withCopies(runner("a", 0, 1, 2)))
+	t.Run("a new leader unloads nothing before the VMs have told their demand", func(t *testing.T) {
+		f := wanting(full.WithTerm(now), 5)
+		assertIntents(t, f)
+		asserter.Equal(t, len(wanting(f, 5).Plan(now+1400)), 1)
+	})
+	t.Run("a new leader loads where there is room", func(t *testing.T) {
+		assertIntents(t, wanting(floorOf(runner("b", 3)).WithTerm(now), 5), "load m5 at b from remote")
+	})
+	t.Run("a new leader knows no demand of its earlier term", func(t *testing.T) {
+		f := full.WithDemand(vm, []buckthorndyke.DemandLine{{Arrivals: 90, Key: key(2)}}, now)
+		asserter.True(t, f.Heard(vm), "the VM was not heard")
+		asserter.True(t, !f.WithTerm(now).Heard(vm), "the VM was heard in this term")
+	})
+	t.Run("the arrivals of a first report are left to the next one", func(t *testing.T) {
+		line := []buckthorndyke.DemandLine{{Arrivals: 60, Key: key(0)}}
+		d := stager.Demand{}.WithReport(vm, line, now)
+		asserter.Equal(t, d.PerSecond(key(0), now), 0.0)
+		asserter.Equal(t, d.WithReport(vm, line, now).PerSecond(key(0), now), 5.0)
+	})
+}
+
+func TestExpected(t *testing.T) {
+	waiting := []buckthorndyke.DemandLine{{Key: key(5), Waiting: 1}}
+	load := stager.Intent{Goal: "m5", Kind: buckthorndyke.OrderLoad, Model: "m5", Runner: "a", Tier: buckthorndyke.TierRemote}
+	unload := stager.Intent{Goal: "m5", Kind: buckthorndyke.OrderUnload, Model: "m2", Runner: "a"}
+	full := floorOf(withCopies(runner("a", 0, 1, 2)))
+	t.Run("a model that is being loaded is expected", func(t *testing.T) {
+		got := floorOf(runner("a")).WithOrder(load, now).Expected(waiting, now+buckthorndyke.Second)
+		asserter.Equal(t, got, []buckthorndyke.Expectation{{In: 5300, Key: key(5)}})
+	})
+	t.Run("a model that room is made for is expected later", func(t *testing.T) {
+		got := full.WithOrder(unload, now).Expected(waiting, now)
+		asserter.Equal(t, len(got), 1)
+		asserter.True(t, got[0].In > 500, "the unload takes no time")
+	})
+	t.Run("a model that nobody loads is not expected", func(t *testing.T) {
+		asserter.Equal(t, len(full.Expected(waiting, now)), 0)
+	})
+	t.Run("what does not wait is not told", func(t *testing.T) {
+		got := full.WithOrder(load, now).Expected([]buckthorndyke.DemandLine{{Key: key(5), Running: 1}}, now)
+		asserter.Equal(t, len(got), 0)
+	})
+}
+
 func TestReports(t *testing.T) {
 	load5 := stager.Intent{Kind: buckthorndyke.OrderLoad, Model: "m5", Runner: "a"}
 	t.Run("the end of an earlier order does not end a later one", func(t *testing.T) {
@@ -223,7 +269,8 @@
 	for _, r := range runners {
 		f = f.WithReport(buckthorndyke.ModelReport{Backend: r}, now-20*buckthorndyke.Second)
 	}
-	return f
+	// A VM's first report is asked for once more with all recent arrivals.
+	return f.WithDemand(vm, nil, now-20*buckthorndyke.Second)
 }
 
 // key returns the key of the model with number n.
--- a/stager/stage.go
+++ b/stager/stage.go
@@ -88,6 +88,23 @@
 	return nil
 }
 
+// expected returns the time until the runner is going to hold what key names, if
+// it holds or loads its model.
+func (s stage) expected(
+	key buckthorndyke.ModelKey, facts buckthorndyke.ModelFacts, now buckthorndyke.Millis,
+) (buckthorndyke.Millis, bool) {
+	switch {
+	case s.holds(key.Base()):
+		return 0, true
+	case s.loads(key.Base()) && s.order != nil && s.order.kind == buckthorndyke.OrderLoad && s.order.model == key.Model:
+		return max(s.order.sent+facts.LoadTimes[s.order.tier]-now, 0) + reportLag, true
+	case s.loads(key.Base()):
+		return unloadTime + facts.LoadTimes[s.backend.Tier(key.Model)] + reportLag, true
+	default:
+		return 0, false
+	}
+}
+
 // freeMB returns the memory that is not taken, in megabytes.
 func (s stage) freeMB(facts buckthorndyke.EngineFacts) int {
 	free := facts.MemoryMB
--- a/stager/way.go
+++ b/stager/way.go
@@ -25,6 +25,9 @@
 	out.cost = float64(model.LoadTimes[out.tier]) / float64(buckthorndyke.Second)
 	free := s.freeMB(facts)
 	gone := make(map[buckthorndyke.ModelID]bool)
+	if free < model.MemoryMB && p.now < p.hearUntil {
+		return way{}, false
+	}
 	for free < model.MemoryMB {
 		victim, lost, ok := p.victim(s, gone)
 		if !ok || lost >= worth {
--- a/supervisor/relayer/demander/demander.go
+++ b/supervisor/relayer/demander/demander.go
@@ -53,12 +53,15 @@
 
 // Serve implements suture.Service.
 func (d *Demander) Serve(ctx context.Context) error {
+	recent := false
 	for ctx.Err() == nil {
-		lines, waiting, err := d.source.Demand(ctx)
+		lines, waiting, err := d.source.Demand(ctx, recent)
 		if err != nil {
 			return err
 		}
-		d.report(ctx, lines)
+		if recent = d.report(ctx, lines); recent {
+			continue
+		}
 		wait := calmEvery
 		if waiting {
 			wait = pressingEvery
@@ -74,11 +77,12 @@
 	return ctx.Err()
 }
 
-// report sends lines to the leader, if there is one.
-func (d *Demander) report(ctx context.Context, lines []buckthorndyke.DemandLine) {
+// report sends lines to the leader, if there is one. It reports whether the
+// leader asks for all recent arrivals.
+func (d *Demander) report(ctx context.Context, lines []buckthorndyke.DemandLine) bool {
 	if d.address == "" && !d.search(ctx) {
 		d.unled(ctx)
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout.Duration())
 	defer cancel()
@@ -88,11 +92,13 @@
 			Str("address", d.address).Err(err).Send()
 		d.address = ""
 		d.unled(ctx)
-		return
+		return false
 	}
-	if err := d.source.Residences(ctx, reply.Residences); err != nil {
+	if err := d.source.Led(ctx, reply); err != nil {
 		d.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
+		return false
 	}
+	return reply.AskRecent
 }
 
 // search looks for the leader, unless that was done just now.
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -71,9 +71,9 @@
 }
 
 // Demand implements buckthorndyke.DemandSource.
-func (d *Dispatcher) Demand(ctx context.Context) ([]buckthorndyke.DemandLine, bool, error) {
+func (d *Dispatcher) Demand(ctx context.Context, recent bool) ([]buckthorndyke.DemandLine, bool, error) {
 	answer, err := mailer.Ask(ctx, d.box, func(reply mailer.Reply[demandAnswer]) message {
-		return demandAsked{reply: reply}
+		return demandAsked{recent: recent, reply: reply}
 	})
 	return answer.lines, answer.waiting, err
 }
@@ -83,6 +83,11 @@
 	return d.box.Send(ctx, drainBegun{until: d.clock.Now() + wait})
 }
 
+// Led implements buckthorndyke.DemandSource.
+func (d *Dispatcher) Led(ctx context.Context, reply buckthorndyke.DemandReply) error {
+	return d.box.Send(ctx, leaderAnswered{reply: reply})
+}
+
 // Pressing implements buckthorndyke.DemandSource.
 func (d *Dispatcher) Pressing() <-chan struct{} { return d.pressing }
 
@@ -96,11 +101,6 @@
 	return err
 }
 
-// Residences implements buckthorndyke.DemandSource.
-func (d *Dispatcher) Residences(ctx context.Context, list []buckthorndyke.Residence) error {
-	return d.box.Send(ctx, residencesTold{list: list})
-}
-
 // Serve implements suture.Service.
 func (d *Dispatcher) Serve(ctx context.Context) error {
 	return newTask(d).run(ctx)
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -20,24 +20,22 @@
 	attemptMargin = 20 * buckthorndyke.Millisecond
 	// defaultDeadline bounds a request whose client and route set no time.
 	defaultDeadline = 30 * buckthorndyke.Second
-	// holdShare is the part of a request's time, in thousandths, for which it may
-	// wait for a server.
-	holdShare = 600
 	// prefixTokens is the size of a shared beginning of a prompt from which on it
 	// matters which runner has read it.
 	prefixTokens = 500
 	// returnLimit bounds the time after which a client is asked to come back.
 	returnLimit = 3 * buckthorndyke.Second
+	// returnMost is the part of the time that a client has left for which it waits
+	// at most before it comes back, from the platform's description of its clients.
+	returnMost = 3
 	// returnParts is the part of the time that a client has left after which it is
-	// asked to come back; clients wait for up to a third.
+	// asked to come back if no server is expected.
 	returnParts = 4
 	// sendLimit bounds the servers that one request is sent to, those that did not
 	// run it included.
 	sendLimit = 5
 	// tellLimit bounds the time in which the task takes a message.
 	tellLimit = buckthorndyke.Second
-	// unledShare is the same part for a model while no VM gives orders.
-	unledShare = 150
 	// urgencyLimit is the least urgency that an engine knows.
 	urgencyLimit = 9
 	// urgencyStep is the distance in urgency between two priorities.
@@ -154,10 +152,9 @@
 		query: selector.Query{
 			Excluded: j.excluded, Key: j.key, Prefix: j.prefix(), Seed: j.seed + uint64(j.sends),
 		},
-		reply:      mailer.NewReply[grant](),
-		retry:      j.sends > 0,
-		until:      max(now, j.request.Arrived+(j.due-j.request.Arrived)*holdShare/1000),
-		unledUntil: max(now, j.request.Arrived+(j.due-j.request.Arrived)*unledShare/1000),
+		patience: newPatience(j.route, j.request.Arrived, j.due),
+		reply:    mailer.NewReply[grant](),
+		retry:    j.sends > 0,
 	}
 	if err := j.box.Send(ctx, m); err != nil {
 		return buckthorndyke.Backend{}, errCallerGone
@@ -166,7 +163,7 @@
 	case g := <-m.reply.Receive():
 		j.queued += j.clock.Now() - now
 		if g.err != nil {
-			return g.backend, j.withReturn(g.err)
+			return g.backend, j.withReturn(g)
 		}
 		return g.backend, nil
 	case <-ctx.Done():
@@ -312,11 +309,16 @@
 	return refusal
 }
 
-// withReturn returns a refusal that asks the client to come back while enough of
-// its time is left.
-func (j *job) withReturn(err error) error {
-	left := j.due - j.clock.Now()
-	return buckthorndyke.RefusalOf(err).WithRetryAfter(min(max(left/returnParts, retryAfter), returnLimit))
+// withReturn returns a refusal that asks the client to come back once a server is
+// expected, while enough of its time is left.
+func (j *job) withReturn(g grant) error {
+	now := j.clock.Now()
+	left := j.due - now
+	wait := left / returnParts
+	if g.expected > now {
+		wait = min(g.expected-now, left/returnMost)
+	}
+	return buckthorndyke.RefusalOf(g.err).WithRetryAfter(min(max(wait, retryAfter), returnLimit))
 }
 
 // least returns the shortest of the times that are set.
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -30,21 +30,21 @@
 type grant struct {
 	backend buckthorndyke.Backend
 	err     error
+	// expected is the instant at which a server is expected after all, or 0.
+	expected buckthorndyke.Millis
 }
 
 type (
 	// admitAsked asks for a server.
 	admitAsked struct {
-		job   *job
-		load  selector.Load
-		query selector.Query
-		reply mailer.Reply[grant]
+		job  *job
+		load selector.Load
+		// patience says how long the request may wait.
+		patience patience
+		query    selector.Query
+		reply    mailer.Reply[grant]
 		// retry is set if a server has seen the request before.
 		retry bool
-		// until is the instant until which the request may wait.
-		until buckthorndyke.Millis
-		// unledUntil is the same for a model while no VM gives orders.
-		unledUntil buckthorndyke.Millis
 	}
 
 	// admitLeft says that a request no longer waits.
@@ -63,7 +63,9 @@
 
 	// demandAsked asks for the demand since the last time.
 	demandAsked struct {
-		reply mailer.Reply[demandAnswer]
+		// recent is set if all recent arrivals are asked for.
+		recent bool
+		reply  mailer.Reply[demandAnswer]
 	}
 
 	// demandAnswer is the demand since the last time.
@@ -77,9 +79,9 @@
 		until buckthorndyke.Millis
 	}
 
-	// residencesTold brings a leader's word.
-	residencesTold struct {
-		list []buckthorndyke.Residence
+	// leaderAnswered brings a leader's word.
+	leaderAnswered struct {
+		reply buckthorndyke.DemandReply
 	}
 
 	// unledTold says that no leader answers.
@@ -94,8 +96,8 @@
 func (m admitAsked) apply(t *task)     { t.admit(m) }
 func (m admitLeft) apply(t *task)      { t.leave(m) }
 func (m attemptEnded) apply(t *task)   { t.endAttempt(m) }
-func (m demandAsked) apply(t *task)    { m.reply.Answer(t.demand()) }
+func (m demandAsked) apply(t *task)    { m.reply.Answer(t.demand(m.recent)) }
 func (m drainBegun) apply(t *task)     { t.drainUntil = m.until }
-func (m residencesTold) apply(t *task) { t.takeResidences(m.list) }
+func (m leaderAnswered) apply(t *task) { t.takeLeader(m.reply) }
 func (m unledTold) apply(t *task)      { t.led = false }
 func (m routingAsked) apply(t *task)   { m.reply.Answer(t.routing) }
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -28,13 +28,19 @@
 // task is the state of one run of a dispatcher. Only its goroutine touches it.
 type task struct {
 	*Dispatcher
+	// arrivals counts the requests since the last report of demand.
 	arrivals map[buckthorndyke.ModelKey]int
 	board    selector.Board
 	// drainUntil is the instant after which no request waits, or 0.
 	drainUntil buckthorndyke.Millis
+	budgets    map[buckthorndyke.ServiceID]chooser.Budget
+	// expected holds when a runner is going to hold what requests wait for, as the
+	// leader said last.
+	expected map[buckthorndyke.ModelKey]buckthorndyke.Millis
 	// led is set while some VM gives orders to the runners.
-	led     bool
-	budgets map[buckthorndyke.ServiceID]chooser.Budget
+	led bool
+	// rates averages the arrivals.
+	rates   map[buckthorndyke.ModelKey]buckthorndyke.Rate
 	routing buckthorndyke.Routing
 	running map[buckthorndyke.ModelKey]int
 	// waiting holds the requests without a server in the order of their arrival.
@@ -46,6 +52,7 @@
 		Dispatcher: d,
 		arrivals:   make(map[buckthorndyke.ModelKey]int),
 		budgets:    make(map[buckthorndyke.ServiceID]chooser.Budget),
+		rates:      make(map[buckthorndyke.ModelKey]buckthorndyke.Rate),
 		running:    make(map[buckthorndyke.ModelKey]int),
 	}
 }
@@ -78,6 +85,7 @@
 		t.budgets[key.Service] = t.budget(key.Service).WithRequest()
 		if key.Model != "" {
 			t.arrivals[key]++
+			t.rates[key] = t.rates[key].WithArrivals(1, t.clock.Now())
 		}
 	} else if !t.budget(key.Service).Allows() {
 		m.reply.Answer(grant{err: errBudget})
@@ -100,8 +108,11 @@
 	return chooser.NewBudget(chooser.WithBurst(t.retryBurst))
 }
 
-// demand returns the demand since the last call.
-func (t *task) demand() demandAnswer {
+// demand returns the demand since the last call, or with all recent arrivals.
+func (t *task) demand(recent bool) demandAnswer {
+	if recent {
+		t.recall()
+	}
 	lines := make(map[buckthorndyke.ModelKey]buckthorndyke.DemandLine)
 	change := func(key buckthorndyke.ModelKey, change func(l *buckthorndyke.DemandLine)) {
 		line := lines[key]
@@ -123,7 +134,7 @@
 		}
 		answer.waiting = true
 		change(m.query.Key, func(l *buckthorndyke.DemandLine) {
-			if due := max(m.until-now, 0); l.Waiting == 0 || due < l.Due {
+			if due := max(m.patience.coming-now, 0); l.Waiting == 0 || due < l.Due {
 				l.Due = due
 			}
 			l.Waiting++
@@ -192,6 +203,19 @@
 	}
 }
 
+// recall counts all recent arrivals as new ones.
+func (t *task) recall() {
+	now := t.clock.Now()
+	for key, rate := range t.rates {
+		n := rate.Recent(now)
+		if n == 0 {
+			delete(t.rates, key)
+			continue
+		}
+		t.arrivals[key] = max(n, t.arrivals[key])
+	}
+}
+
 // retryWaiting offers servers to the waiting requests and refuses those that
 // have waited too long.
 func (t *task) retryWaiting() {
@@ -201,7 +225,7 @@
 		switch {
 		case t.offer(m):
 		case now >= t.until(m):
-			m.reply.Answer(grant{err: errNoServer})
+			m.reply.Answer(grant{err: errNoServer, expected: t.expected[m.query.Key]})
 		default:
 			kept = append(kept, m)
 		}
@@ -209,23 +233,21 @@
 	t.waiting = kept
 }
 
-// takeResidences takes over a leader's word.
-func (t *task) takeResidences(list []buckthorndyke.Residence) {
+// takeLeader takes over a leader's word.
+func (t *task) takeLeader(reply buckthorndyke.DemandReply) {
+	now := t.clock.Now()
 	t.led = true
-	t.board = t.board.WithResidences(list, t.clock.Now())
+	t.expected = make(map[buckthorndyke.ModelKey]buckthorndyke.Millis, len(reply.Expected))
+	for _, e := range reply.Expected {
+		t.expected[e.Key] = now + e.In
+	}
+	t.board = t.board.WithResidences(reply.Residences, now)
 	t.retryWaiting()
 }
 
 // until returns the instant until which a request may wait.
 func (t *task) until(m admitAsked) buckthorndyke.Millis {
-	until := m.until
-	if m.query.Key.Model != "" && !t.led {
-		until = m.unledUntil
-	}
-	if t.drainUntil > 0 {
-		until = min(until, t.drainUntil)
-	}
-	return until
+	return m.patience.WithDrain(t.drainUntil).Until(m.query.Key, t.led, t.expected[m.query.Key])
 }
 
 // wake returns the time until the next waiting request has waited too long.
--- a/supervisor/relayer/loader/messages.go
+++ b/supervisor/relayer/loader/messages.go
@@ -19,6 +19,8 @@
 
 	// demandReported brings the demand of one VM.
 	demandReported struct {
+		// first is set if the VM has not reported to this leader before.
+		first bool
 		lines []buckthorndyke.DemandLine
 		reply mailer.Reply[buckthorndyke.DemandReply]
 		vm    buckthorndyke.VMID
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -111,13 +111,20 @@
 
 // answer answers a report of demand.
 func (t *task) answer(m demandReported, now buckthorndyke.Millis) {
-	m.reply.Answer(buckthorndyke.DemandReply{Leading: t.leads(now), Residences: t.floor.Residences(m.lines, now)})
+	m.reply.Answer(buckthorndyke.DemandReply{
+		AskRecent:  m.first,
+		Expected:   t.floor.Expected(m.lines, now),
+		Leading:    t.leads(now),
+		Residences: t.floor.Residences(m.lines, now),
+	})
 }
 
 // changeTerm takes over the VM's standing.
 func (t *task) changeTerm(term buckthorndyke.Term) {
 	if term.Leading && (!t.term.Leading || term.Fence != t.term.Fence) {
-		t.from = t.clock.Now() + t.lease
+		now := t.clock.Now()
+		t.floor = t.floor.WithTerm(now)
+		t.from = now + t.lease
 		t.askPredecessor(term.Fence)
 	}
 	t.term = term
@@ -282,12 +289,13 @@
 // takeDemand takes over the demand of one VM.
 func (t *task) takeDemand(m demandReported) {
 	now := t.clock.Now()
+	m.first = !t.floor.Heard(m.vm)
 	t.floor = t.floor.WithDemand(m.vm, m.lines, now)
 	waits := false
 	for _, l := range m.lines {
 		waits = waits || l.Waiting > 0
 	}
-	if !t.leads(now) || !waits || t.served(m.lines) {
+	if !t.leads(now) || !waits || m.first || t.served(m.lines) {
 		t.answer(m, now)
 		return
 	}
--- a/translator/demand.go
+++ b/translator/demand.go
@@ -12,11 +12,9 @@
 		lines = append(lines, buckthorndyke.DemandLine{
 			Arrivals: int(l.Arrivals),
 			Due:      buckthorndyke.Millis(l.DueMs),
-			Key: buckthorndyke.ModelKey{
-				Adapter: l.Adapter, Model: buckthorndyke.ModelID(l.Model), Service: buckthorndyke.ServiceID(l.Service),
-			},
-			Running: int(l.Running),
-			Waiting: int(l.Waiting),
+			Key:      modelKeyFromWire(l),
+			Running:  int(l.Running),
+			Waiting:  int(l.Waiting),
 		})
 	}
 	return lines
@@ -41,7 +39,12 @@
 
 // DemandReplyFromWire returns the leader's answer in m.
 func DemandReplyFromWire(m *wire.DemandResponse) buckthorndyke.DemandReply {
-	out := buckthorndyke.DemandReply{Leading: m.Leading}
+	out := buckthorndyke.DemandReply{AskRecent: m.AskRecent, Leading: m.Leading}
+	for _, e := range m.Expected {
+		out.Expected = append(out.Expected, buckthorndyke.Expectation{
+			In: buckthorndyke.Millis(e.InMs), Key: modelKeyFromWire(e),
+		})
+	}
 	for _, r := range m.Residences {
 		in := buckthorndyke.Residence{
 			Closed:  fromStrings[buckthorndyke.ModelID](r.Closed),
@@ -58,7 +61,12 @@
 
 // DemandReplyToWire returns the message that carries the leader's answer.
 func DemandReplyToWire(r buckthorndyke.DemandReply) *wire.DemandResponse {
-	out := &wire.DemandResponse{Leading: r.Leading}
+	out := &wire.DemandResponse{AskRecent: r.AskRecent, Leading: r.Leading}
+	for _, e := range r.Expected {
+		out.Expected = append(out.Expected, &wire.Expectation{
+			Adapter: e.Key.Adapter, InMs: int64(e.In), Model: string(e.Key.Model), Service: string(e.Key.Service),
+		})
+	}
 	for _, in := range r.Residences {
 		m := &wire.Residence{
 			Closed: toStrings(in.Closed), Runner: string(in.Runner), Started: uint64(in.Started),
@@ -70,3 +78,15 @@
 	}
 	return out
 }
+
+// modelKeyFromWire returns the key in m.
+func modelKeyFromWire(m interface {
+	GetAdapter() string
+	GetModel() string
+	GetService() string
+},
+) buckthorndyke.ModelKey {
+	return buckthorndyke.ModelKey{
+		Adapter: m.GetAdapter(), Model: buckthorndyke.ModelID(m.GetModel()), Service: buckthorndyke.ServiceID(m.GetService()),
+	}
+}
