feat(platform,campaigner): elect the leader by one record of the store

The store deals a group's partitions anew at each change of its members and at times without one, so that each stop, start or freeze of any VM moved the lead. Each successor waited the lease of 3 s and knew no demand; the busiest model had one replica for 25 s and 734 of its 972 requests began late.

Now the leader is one record of a keyed topic, written only if the topic still ends where the writer saw it end. A leader writes it anew each 0.5 s; another VM takes the lead once it has seen the same record for 1.5 s, and looks only when the leader does not answer. The record names the predecessor, so that a successor always knows whom to ask for its last order; one that has not ordered yet passes on when the leader before it has. The fencing number is the offset at which the lead was taken.

Ruled out: a group with one member (a vacancy is joined by all, and who gets the partition changes as they leave again).

--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -26,8 +26,6 @@
 const (
 	// bodyLimit bounds the body of a relayed request, in bytes.
 	bodyLimit = 8 << 20
-	// electionGroup names the group of the VMs that may give orders.
-	electionGroup = "buckthorndyke"
 	// grantTime is how long a grant to lead lasts without a renewal. The platform
 	// allows no less than a second.
 	grantTime = 1500 * buckthorndyke.Millisecond
@@ -62,9 +60,9 @@
 	runners := platform.NewRunners(clock)
 	outside := relayer.Platform{
 		Directory: recorder.NewDirectory(platform.NewDirectory(store, clock), metrics, clock),
-		Election:  platform.NewElection(store, electionGroup, self, grantTime, clock),
+		Election:  platform.NewElection(store, self, grantTime, clock),
 		Leaders:   connector.NewConnectLeaders(s.Peers.Key.Text),
-		Observer:  platform.NewElection(store, electionGroup, self, grantTime, clock),
+		Observer:  platform.NewElection(store, self, grantTime, clock),
 		Pool:      recorder.NewPool(runners, metrics, clock),
 	}
 	tree := relayer.New(self, outside, relayer.Settings{
--- a/supervisor/relayer/campaigner/campaigner.go
+++ b/supervisor/relayer/campaigner/campaigner.go
@@ -13,44 +13,49 @@
 )
 
 const (
-	// lookFirst and lookLimit bound the time between two looks whether there is a
-	// leader, of a VM that does not take part.
-	lookFirst = 700 * buckthorndyke.Millisecond
-	lookLimit = 6 * buckthorndyke.Second
+	// calmEvery is the time between two looks at the leader's grant while the leader
+	// answers.
+	calmEvery = 6 * buckthorndyke.Second
+	// contestLeases is the number of leases for which a VM looks at the grant of a
+	// leader that has not answered.
+	contestLeases = 2
+	// reserveWait is how long a VM in reserve leaves the lead to others.
+	reserveWait = buckthorndyke.Second
 	// resignTimeout bounds the call that gives the grant back.
 	resignTimeout = 500 * buckthorndyke.Millisecond
-	// stayOut is how long a new VM does not take part while there is a leader:
-	// each change of the members may move the lead.
-	stayOut = 30 * buckthorndyke.Second
 	// renewals is the number of renewals in a lease.
 	renewals = 3
 )
 
-// Campaigner is the task that renews the VM's grant.
+// Campaigner is the task that renews the VM's grant, or takes the lead from a
+// leader that no longer answers.
 type Campaigner struct {
 	clock    buckthorndyke.Clock
 	election buckthorndyke.Election
 	feed     *mailer.Feed[buckthorndyke.Term]
 	lease    buckthorndyke.Millis
 	logger   zerolog.Logger
-	// reserve is set if the VM takes part only if there is no leader.
+	// losses brings the instants at which the leader did not answer.
+	losses *mailer.Feed[buckthorndyke.Millis]
+	// reserve is set if the VM leaves the lead to others if it can.
 	reserve bool
 }
 
 // Option configures a Campaigner.
 type Option func(*Campaigner)
 
-// WithReserve makes the VM take part only once there is no leader.
+// WithReserve makes the VM leave the lead to others if it can.
 func WithReserve(reserve bool) Option {
 	return func(c *Campaigner) { c.reserve = reserve }
 }
 
-// New returns a campaigner that publishes the VM's standing to feed.
+// New returns a campaigner that publishes the VM's standing to feed. It takes part
+// at the start and after each of losses.
 func New(
-	election buckthorndyke.Election, lease buckthorndyke.Millis, feed *mailer.Feed[buckthorndyke.Term],
-	clock buckthorndyke.Clock, logger zerolog.Logger, opts ...Option,
+	election buckthorndyke.Election, lease buckthorndyke.Millis, losses *mailer.Feed[buckthorndyke.Millis],
+	feed *mailer.Feed[buckthorndyke.Term], clock buckthorndyke.Clock, logger zerolog.Logger, opts ...Option,
 ) *Campaigner {
-	c := &Campaigner{clock: clock, election: election, feed: feed, lease: lease, logger: logger}
+	c := &Campaigner{clock: clock, election: election, feed: feed, lease: lease, logger: logger, losses: losses}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -59,77 +64,71 @@
 
 // Serve implements suture.Service. It resigns when ctx ends.
 func (c *Campaigner) Serve(ctx context.Context) error {
-	reserve := c.reserve
-	for ctx.Err() == nil {
-		c.awaitVacancy(ctx, reserve)
-		if err := c.campaign(ctx); err != nil {
-			return err
-		}
-		// A VM that was out of contact would only unseat the leader.
-		reserve = true
-	}
-	return ctx.Err()
-}
-
-// awaitVacancy waits until there is no leader or, unless the VM is in reserve,
-// for some time at most.
-func (c *Campaigner) awaitVacancy(ctx context.Context, reserve bool) {
-	limit := c.clock.Now() + stayOut
-	wait := lookFirst
-	for reserve || c.clock.Now() < limit {
-		_, ok, err := c.election.Leader(ctx)
-		switch {
-		case ctx.Err() != nil, err == nil && !ok:
-			return
-		case err == nil:
-			// Another VM leads.
-			if c.feed.Publish(ctx, buckthorndyke.Term{}) != nil {
-				return
-			}
-		case err != nil:
-			c.logger.Info().EmbedObject(reporter.EventDependencyLost).Str("dependency", "election").Err(err).Send()
-		}
-		select {
-		case <-ctx.Done():
-		case <-c.clock.After(wait):
-		}
-		wait = min(2*wait, lookLimit)
-	}
-}
-
-// campaign renews the VM's grant until ctx ends or no renewal has succeeded for
-// the time of a grant.
-func (c *Campaigner) campaign(ctx context.Context) error {
 	defer c.resign(context.WithoutCancel(ctx))
-	current := buckthorndyke.Term{Until: c.clock.Now() + c.lease}
+	losses := c.losses.Subscribe(ctx)
+	var current buckthorndyke.Term
+	contestUntil := c.clock.Now() + contestLeases*c.lease
+	if c.reserve {
+		c.pause(ctx, reserveWait)
+	}
 	for ctx.Err() == nil {
-		term, err := c.election.Campaign(ctx)
+		next, err := c.election.Campaign(ctx)
 		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
 		case err != nil:
 			// A grant that is not renewed ends by itself.
 			c.logger.Warn().EmbedObject(reporter.EventTermChanged).Bool("leading", current.Leading).
 				Int64("left-ms", int64(current.Until-c.clock.Now())).Err(err).Send()
-			if c.clock.Now() >= current.Until+c.lease {
-				return nil
-			}
-		case term.Leading != current.Leading || term.Fence != current.Fence:
-			c.logger.Info().EmbedObject(reporter.EventTermChanged).Bool("leading", term.Leading).
-				Int64("fence", term.Fence).Send()
-			fallthrough
 		default:
-			current = term
-			if err := c.feed.Publish(ctx, term); err != nil {
+			c.logChange(current, next)
+			current = next
+			if err := c.feed.Publish(ctx, next); err != nil {
 				return err
 			}
 		}
+		wait := calmEvery
+		if err != nil || current.Leading || c.clock.Now() < contestUntil {
+			wait = c.lease / renewals
+		}
 		select {
 		case <-ctx.Done():
-		case <-c.clock.After(c.lease / renewals):
+		case <-losses:
+			contestUntil = c.clock.Now() + contestLeases*c.lease
+			c.contest(ctx, current.Leading)
+		case <-c.clock.After(wait):
 		}
 	}
 	return ctx.Err()
 }
 
+// contest waits before the VM looks at a grant after a loss: for others if it is
+// in reserve, and in any case no less than between two looks.
+func (c *Campaigner) contest(ctx context.Context, leading bool) {
+	wait := c.lease / renewals / 2
+	if c.reserve && !leading {
+		wait = reserveWait
+	}
+	c.pause(ctx, wait)
+}
+
+// logChange logs a change of the VM's standing.
+func (c *Campaigner) logChange(old, next buckthorndyke.Term) {
+	if next.Leading == old.Leading && next.Fence == old.Fence {
+		return
+	}
+	c.logger.Info().EmbedObject(reporter.EventTermChanged).Bool("leading", next.Leading).
+		Int64("fence", next.Fence).Str("previous", next.Previous).Send()
+}
+
+// pause waits for d or until ctx ends.
+func (c *Campaigner) pause(ctx context.Context, d buckthorndyke.Millis) {
+	select {
+	case <-ctx.Done():
+	case <-c.clock.After(d):
+	}
+}
+
 // resign gives the grant back, so that a successor need not wait for its end.
 func (c *Campaigner) resign(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, resignTimeout.Duration())
--- a/supervisor/relayer/demander/demander.go
+++ b/supervisor/relayer/demander/demander.go
@@ -30,24 +30,25 @@
 	clock    buckthorndyke.Clock
 	election buckthorndyke.Election
 	leaders  buckthorndyke.Leaders
-	found    *mailer.Feed[string]
 	logger   zerolog.Logger
-	self     buckthorndyke.VMID
-	source   buckthorndyke.DemandSource
+	// losses takes the instants at which the leader did not answer.
+	losses *mailer.Feed[buckthorndyke.Millis]
+	self   buckthorndyke.VMID
+	source buckthorndyke.DemandSource
 	// address is where the leader answers, or empty.
 	address string
 	// searched is the instant of the last search for the leader.
 	searched buckthorndyke.Millis
 }
 
-// New returns a demander for the VM self. It publishes to found where the leader
-// answers.
+// New returns a demander for the VM self. It publishes to losses when there is no
+// leader that answers.
 func New(
 	self buckthorndyke.VMID, source buckthorndyke.DemandSource, election buckthorndyke.Election, leaders buckthorndyke.Leaders,
-	found *mailer.Feed[string], clock buckthorndyke.Clock, logger zerolog.Logger,
+	losses *mailer.Feed[buckthorndyke.Millis], clock buckthorndyke.Clock, logger zerolog.Logger,
 ) *Demander {
 	return &Demander{
-		clock: clock, election: election, found: found, leaders: leaders, logger: logger, self: self, source: source,
+		clock: clock, election: election, leaders: leaders, logger: logger, losses: losses, self: self, source: source,
 	}
 }
 
@@ -77,6 +78,13 @@
 	return ctx.Err()
 }
 
+// ask sends lines to the leader and returns its answer.
+func (d *Demander) ask(ctx context.Context, lines []buckthorndyke.DemandLine) (buckthorndyke.DemandReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout.Duration())
+	defer cancel()
+	return d.leaders.Report(ctx, d.address, d.self, lines)
+}
+
 // report sends lines to the leader, if there is one. It reports whether the
 // leader asks for all recent arrivals.
 func (d *Demander) report(ctx context.Context, lines []buckthorndyke.DemandLine) bool {
@@ -84,9 +92,7 @@
 		d.unled(ctx)
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout.Duration())
-	defer cancel()
-	reply, err := d.leaders.Report(ctx, d.address, d.self, lines)
+	reply, err := d.ask(ctx, lines)
 	if err != nil || !reply.Leading {
 		d.logger.Info().EmbedObject(reporter.EventDependencyLost).Str("dependency", "leader").
 			Str("address", d.address).Err(err).Send()
@@ -114,15 +120,15 @@
 		return false
 	}
 	d.address = address
-	if err := d.found.Publish(ctx, address); err != nil {
-		return false
-	}
 	d.logger.Info().EmbedObject(reporter.EventLeaderFound).Str("address", address).Send()
 	return true
 }
 
-// unled tells the source that no leader answers.
+// unled tells the source and the campaigner that no leader answers.
 func (d *Demander) unled(ctx context.Context) {
+	if err := d.losses.Publish(ctx, d.clock.Now()); err != nil {
+		return
+	}
 	if err := d.source.Unled(ctx); err != nil && ctx.Err() == nil {
 		d.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
 	}
--- a/supervisor/relayer/loader/loader.go
+++ b/supervisor/relayer/loader/loader.go
@@ -28,7 +28,6 @@
 	// checksFence is set if the runners refuse orders with an old fencing number.
 	checksFence bool
 	clock       buckthorndyke.Clock
-	found       *mailer.Feed[string]
 	leaders     buckthorndyke.Leaders
 	lease       buckthorndyke.Millis
 	lists       *mailer.Feed[buckthorndyke.Backends]
@@ -41,8 +40,6 @@
 
 // Feeds are what a loader follows.
 type Feeds struct {
-	// Found brings where the leader answers, as this VM sees it.
-	Found    *mailer.Feed[string]
 	Lists    *mailer.Feed[buckthorndyke.Backends]
 	Routings *mailer.Feed[buckthorndyke.Routing]
 	Terms    *mailer.Feed[buckthorndyke.Term]
@@ -77,7 +74,6 @@
 		atOnce:   defaultAtOnce,
 		box:      mailer.NewMailbox[message](mailer.WithCapacity(backlog)),
 		clock:    clock,
-		found:    feeds.Found,
 		leaders:  leaders,
 		lease:    lease,
 		lists:    feeds.Lists,
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -47,9 +47,7 @@
 	floor  stager.Floor
 	// from is the instant from which the VM may give orders.
 	from buckthorndyke.Millis
-	// leader is where the leader last answered, as this VM saw it.
-	leader string
-	life   context.Context
+	life context.Context
 	// ordered is the instant of the last order, or 0.
 	ordered buckthorndyke.Millis
 	// parked are the reports of demand that wait for something to change.
@@ -70,7 +68,6 @@
 	routings := t.routings.Subscribe(ctx)
 	lists := t.lists.Subscribe(ctx)
 	terms := t.terms.Subscribe(ctx)
-	found := t.found.Subscribe(ctx)
 	for {
 		wait := buckthorndyke.Minute
 		if t.term.Leading {
@@ -85,8 +82,6 @@
 			t.floor = t.floor.WithRouting(r)
 		case l := <-lists:
 			t.floor = t.floor.WithBackends(l, t.clock.Now())
-		case address := <-found:
-			t.leader = address
 		case term := <-terms:
 			t.changeTerm(term)
 		case <-t.clock.After(wait):
@@ -124,19 +119,19 @@
 	if term.Leading && (!t.term.Leading || term.Fence != t.term.Fence) {
 		now := t.clock.Now()
 		t.floor = t.floor.WithTerm(now)
-		t.from = now + t.lease
-		t.askPredecessor(term.Fence)
+		t.from = now
+		if term.Previous != "" || !t.checksFence {
+			t.from = now + t.lease
+		}
+		if term.Previous != "" {
+			t.askPredecessor(term.Previous, term.Fence)
+		}
 	}
 	t.term = term
 }
 
-// askPredecessor asks the previous leader, if one is known, when it gave its last
-// order.
-func (t *task) askPredecessor(fence int64) {
-	address := t.leader
-	if address == "" || address == t.self.PeerAddress {
-		return
-	}
+// askPredecessor asks the previous leader when it gave its last order.
+func (t *task) askPredecessor(address string, fence int64) {
 	go func() {
 		ctx, cancel := context.WithTimeout(t.life, yieldTimeout.Duration())
 		defer cancel()
@@ -224,6 +219,19 @@
 	}()
 }
 
+// quiet returns the time since the VM's last order or, while it still waits out
+// the lease of the leader before, since that one's.
+func (t *task) quiet(now buckthorndyke.Millis) buckthorndyke.Millis {
+	switch {
+	case now < t.from:
+		return max(t.lease-(t.from-now), 0)
+	case t.ordered > 0:
+		return now - t.ordered
+	default:
+		return buckthorndyke.NeverOrdered
+	}
+}
+
 // served reports whether something that lines wait for can be served.
 func (t *task) served(lines []buckthorndyke.DemandLine) bool {
 	for _, l := range lines {
@@ -339,9 +347,5 @@
 		t.fenced = max(t.fenced, t.term.Fence)
 	}
 	now := t.clock.Now()
-	said := buckthorndyke.Yielded{InContact: now < t.term.Until, Quiet: buckthorndyke.NeverOrdered}
-	if t.ordered > 0 {
-		said.Quiet = now - t.ordered
-	}
-	m.reply.Answer(said)
+	m.reply.Answer(buckthorndyke.Yielded{InContact: now < t.term.Until, Quiet: t.quiet(now)})
 }
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -82,16 +82,16 @@
 	terms := mailer.NewFeed[buckthorndyke.Term]()
 	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock,
 		dispatcher.WithDomain(self.Domain), dispatcher.WithLogger(logger), dispatcher.WithRetryBurst(s.RetryBurst))
-	found := mailer.NewFeed[string]()
+	losses := mailer.NewFeed[buckthorndyke.Millis]()
 	t.loader = loader.New(self, platform.Pool, platform.Leaders,
-		loader.Feeds{Found: found, Lists: t.lists, Routings: t.routings, Terms: terms}, s.Lease, clock,
+		loader.Feeds{Lists: t.lists, Routings: t.routings, Terms: terms}, s.Lease, clock,
 		loader.WithAtOnce(s.AtOnce), loader.WithFenceChecks(s.ChecksFence), loader.WithLogger(logger))
 	t.base = starter.NewBranch("base", s.DrainLimit, logger,
-		t.routings, t.lists, terms, found, t.dispatcher, t.loader,
+		t.routings, t.lists, terms, losses, t.dispatcher, t.loader,
 		watcher.NewRoutings(platform.Directory, t.routings, s.ChangeLimit, clock, logger),
 		watcher.NewBackends(platform.Directory, t.lists, s.LeaveLimit, clock, logger),
-		campaigner.New(platform.Election, s.Grant, terms, clock, logger, campaigner.WithReserve(s.Reserve)),
-		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, found, clock, logger),
+		campaigner.New(platform.Election, s.Grant, losses, terms, clock, logger, campaigner.WithReserve(s.Reserve)),
+		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, losses, clock, logger),
 	)
 	t.front = starter.NewBranch("front", s.DrainLimit, logger)
 	return t
