--- a/stager/floor_test.go
+++ b/stager/floor_test.go
@@ -110,7 +110,9 @@
 	t.Run("a replica that the others can do without is unloaded first", func(t *testing.T) {
 		f := floorOf(withCopies(runner("a", 0, 1)), withCopies(runner("b", 0, 2, 3)))
 		f = f.WithDemand(vm, []buckthorndyke.DemandLine{
-			{Arrivals: 30, Key: key(0), Running: 1}, {Arrivals: 1, Key: key(2)}, {Arrivals: 1, Key: key(3)},
+			{Arrivals: 30, Key: key(0), Running: 1},
+			{Arrivals: 1, Key: key(2)},
+			{Arrivals: 1, Key: key(3)},
 			{Due: 900, Key: key(5), Waiting: 1},
 		}, now)
 		assertIntents(t, f, "load m5 at a from disk")
@@ -119,7 +121,9 @@
 	t.Run("a replica that carries load is not unloaded", func(t *testing.T) {
 		f := withoutRoom(floorOf(withCopies(runner("a", 0, 1)), withCopies(runner("b", 0, 2, 3))))
 		f = f.WithDemand(vm, []buckthorndyke.DemandLine{
-			{Arrivals: 90, Key: key(0), Running: 14}, {Arrivals: 1, Key: key(2)}, {Key: key(3)},
+			{Arrivals: 90, Key: key(0), Running: 14},
+			{Arrivals: 1, Key: key(2)},
+			{Key: key(3)},
 			{Due: 900, Key: key(5), Waiting: 1},
 		}, now)
 		asserter.True(t, f.Plan(now)[0].Model != key(0).Model, "the replica is unloaded")
