feat(stager,loader): a runner that does not answer is held to be gone

Runners that are held to serve what requests wait for are asked too, so that a VM's failed connections become known to the leader by its waiting requests.

--- a/stager/demand.go
+++ b/stager/demand.go
@@ -1,6 +1,11 @@
 package stager
 
-import "github.com/buckthorndyke/buckthorndyke"
+import (
+	"maps"
+	"slices"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
 
 // reportLife is how long a VM's report of waiting and running requests stands.
 const reportLife = 2500 * buckthorndyke.Millisecond
@@ -89,6 +94,19 @@
 	return out
 }
 
+// waiting returns the keys that requests wait for.
+func (d Demand) waiting() []buckthorndyke.ModelKey {
+	seen := make(map[buckthorndyke.ModelKey]bool)
+	for _, r := range d.reports.All() {
+		for _, l := range r.lines {
+			if l.Waiting > 0 {
+				seen[l.Key] = true
+			}
+		}
+	}
+	return slices.Collect(maps.Keys(seen))
+}
+
 // withArrivals returns a demand with n more arrivals for key.
 func (d Demand) withArrivals(key buckthorndyke.ModelKey, n int, now buckthorndyke.Millis) Demand {
 	r, _ := d.rates.Get(textOf(key))
--- a/stager/floor.go
+++ b/stager/floor.go
@@ -59,12 +59,17 @@
 	return s.orders, ok && s.orders != unknown
 }
 
-// Doubtful returns the runners whose reports are needed before an order.
+// Doubtful returns the runners whose reports are needed: before an order, to see
+// whether they are back, or since requests wait for what they are held to serve.
 func (f Floor) Doubtful() []buckthorndyke.RunnerID {
 	var out []buckthorndyke.RunnerID
+	wanted := f.demand.waiting()
 	for id, s := range f.stages.All() {
 		service, _ := f.routing.Services.Get(s.backend.Service)
-		if s.orders == unknown && s.order == nil && service.Engine != nil {
+		if service.Engine == nil || s.order != nil && !s.down() {
+			continue
+		}
+		if s.orders == unknown || s.down() || slices.ContainsFunc(wanted, s.holds) {
 			out = append(out, id)
 		}
 	}
@@ -95,11 +100,12 @@
 // Heard reports whether vm has reported its demand before.
 func (f Floor) Heard(vm buckthorndyke.VMID) bool { return f.demand.Heard(vm) }
 
-// Pending returns the runners with an outstanding order, and since when.
+// Pending returns the runners that answer and have an outstanding order, and since
+// when.
 func (f Floor) Pending() map[buckthorndyke.RunnerID]buckthorndyke.Millis {
 	out := make(map[buckthorndyke.RunnerID]buckthorndyke.Millis)
 	for id, s := range f.stages.All() {
-		if s.order != nil {
+		if s.order != nil && !s.down() {
 			out[id] = s.order.sent
 		}
 	}
@@ -139,6 +145,13 @@
 	return false
 }
 
+// Silent reports whether a runner is held to be gone, although the platform lists
+// it.
+func (f Floor) Silent(id buckthorndyke.RunnerID) bool {
+	s, ok := f.stages.Get(id)
+	return ok && s.down()
+}
+
 // WithBackends returns a floor with the runners of the platform's list.
 func (f Floor) WithBackends(list buckthorndyke.Backends, now buckthorndyke.Millis) Floor {
 	for id, s := range f.stages.All() {
@@ -241,6 +254,7 @@
 	s.backend = r.Backend
 	s.backend.Leaving = leaving
 	s.changed = now
+	s.silent = 0
 	s.orders = r.Orders
 	s.busy = s.order == nil && r.Busy
 	if s.busy {
@@ -267,6 +281,16 @@
 	return f
 }
 
+// WithSilence returns a floor on which a runner has not answered the question for
+// its report.
+func (f Floor) WithSilence(id buckthorndyke.RunnerID) Floor {
+	if s, ok := f.stages.Get(id); ok {
+		s.silent++
+		f.stages = f.stages.With(id, s)
+	}
+	return f
+}
+
 // WithTerm returns a floor whose leader begins to lead at now: it knows no
 // demand.
 func (f Floor) WithTerm(now buckthorndyke.Millis) Floor {
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -126,7 +126,7 @@
 // finishGoals goes on with what earlier plans have begun.
 func (p *planner) finishGoals() {
 	for id, s := range p.stages.All() {
-		if s.goal == "" || s.order != nil || p.now < s.retryAt || s.orders == unknown {
+		if s.goal == "" || s.order != nil || s.down() || p.now < s.retryAt || s.orders == unknown {
 			continue
 		}
 		key := buckthorndyke.ModelKey{Model: s.goal, Service: s.backend.Service}
@@ -278,7 +278,7 @@
 // count counts the holders of all models and adapters.
 func (p *planner) count() {
 	for _, s := range p.stages.All() {
-		if s.backend.Leaving {
+		if s.backend.Leaving || s.down() {
 			continue
 		}
 		closed := s.closed()
--- a/stager/stage.go
+++ b/stager/stage.go
@@ -6,6 +6,10 @@
 	"github.com/buckthorndyke/buckthorndyke"
 )
 
+// silentReports is the number of reports in a row without an answer after which a
+// runner is held to be gone.
+const silentReports = 2
+
 // unknown stands for a number of orders that the runner has not reported.
 const unknown = -1
 
@@ -64,6 +68,8 @@
 	order *pending
 	// orders is the number of orders that the runner has accepted, or unknown.
 	orders int64
+	// silent counts the reports in a row that the runner has not answered.
+	silent int
 	// retryAt is the instant from which the runner may be given another order.
 	retryAt buckthorndyke.Millis
 }
@@ -80,7 +86,7 @@
 // canTake reports whether the runner serves service and may be given an order at
 // now.
 func (s stage) canTake(service buckthorndyke.ServiceID, now buckthorndyke.Millis) bool {
-	return s.backend.Service == service && !s.backend.Leaving && s.order == nil && now >= s.retryAt && s.orders != unknown
+	return s.backend.Service == service && !s.backend.Leaving && !s.down() && s.order == nil && now >= s.retryAt && s.orders != unknown
 }
 
 // closed returns the models that take no more requests.
@@ -91,6 +97,10 @@
 	return nil
 }
 
+// down reports whether the runner is held to be gone, although the platform lists
+// it.
+func (s stage) down() bool { return s.silent >= silentReports }
+
 // expected returns the time until the runner is going to hold what key names, if
 // it holds or loads its model.
 func (s stage) expected(
@@ -129,11 +139,14 @@
 // holds reports whether the runner holds what key names and keeps it.
 func (s stage) holds(key buckthorndyke.ModelKey) bool {
 	h, ok := s.backend.Holding(key.Model)
-	return ok && h.Has(key.Adapter) && !slices.Contains(s.closed(), key.Model)
+	return ok && !s.down() && h.Has(key.Adapter) && !slices.Contains(s.closed(), key.Model)
 }
 
 // loads reports whether the runner is loading what key names.
 func (s stage) loads(key buckthorndyke.ModelKey) bool {
+	if s.down() {
+		return false
+	}
 	if s.goal == key.Model && key.Adapter == "" {
 		return true
 	}
@@ -145,7 +158,10 @@
 // may do so on the order of another leader.
 func (s stage) loadsRemote() bool {
 	o := s.order
-	if o == nil {
+	switch {
+	case s.down():
+		return false
+	case o == nil:
 		return s.busy
 	}
 	return o.kind == buckthorndyke.OrderLoad && o.adapter == "" && o.tier == buckthorndyke.TierRemote
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -334,6 +334,10 @@
 func (t *task) takeReport(m runnerReported) {
 	delete(t.polling, m.runner)
 	if m.err != nil {
+		if t.floor.Silent(m.runner) {
+			return
+		}
+		t.floor = t.floor.WithSilence(m.runner)
 		t.logger.Info().EmbedObject(reporter.EventOrderEnded).Str("runner", string(m.runner)).Str("outcome", "no-report").
 			Err(m.err).Send()
 		return
