feat(watcher,loader): the leader vouches for the list and the configuration

Now the leader reads both four times within their limits and tells in each reply to a report of demand what it has seen, as a mark, and how long ago. A VM whose own knowledge has that mark need not read; one that lacks a change reads it at once; one that is told nothing for 0.7 of the limit reads by itself as before. The list is read in full each 5 s for the models that the runners hold, and the leader tells every VM the runners that have changed since its last answer. The two watchers share one frame.

Ruled out: sending the configuration itself through the leader (90 kB with 438 routes to 62 VMs over a link of 10 Mbit/s takes longer than the limit), and a longer wait for changes (a connection that falls silent would exceed the limit).

Calls that fail are repeated after 1.6 s at most in place of 0.4 s: when the leader vouches again, a VM that lacks a change reads at once.

--- a/demand.go
+++ b/demand.go
@@ -55,8 +55,12 @@
 	// it lacks is not being loaded.
 	Expected []Expectation
 	// Leading is not set if the VM that was asked is not the leader.
-	Leading    bool
+	Leading bool
+	// List and Routing are the leader's word on the list of servers and on the
+	// configuration.
+	List       Notice
 	Residences []Residence
+	Routing    Notice
 }
 
 // Yielded is what a VM that led before says of itself.
--- /dev/null
+++ b/notice_test.go
@@ -0,0 +1,43 @@
+package buckthorndyke_test
+
+import (
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+)
+
+func TestMark(t *testing.T) {
+	a := buckthorndyke.Backend{Address: "10.0.0.1:1", ID: "a", Service: "x", Started: 1}
+	b := buckthorndyke.Backend{Address: "10.0.0.2:1", ID: "b", Service: "x", Started: 1}
+	list := func(all ...buckthorndyke.Backend) buckthorndyke.Backends {
+		var l buckthorndyke.Backends
+		for _, b := range all {
+			l.Listed = l.Listed.With(b.ID, b)
+		}
+		return l
+	}
+	assertDiffers := func(t *testing.T, change func(b *buckthorndyke.Backend)) {
+		t.Helper()
+		changed := b
+		change(&changed)
+		asserter.True(t, list(a, b).Mark() != list(a, changed).Mark(), "the mark is the same")
+	}
+	t.Run("the order of the servers does not count", func(t *testing.T) {
+		asserter.Equal(t, list(a, b).Mark(), list(b, a).Mark())
+	})
+	t.Run("what a server holds and its heartbeats do not count", func(t *testing.T) {
+		other := b
+		other.Beat, other.Holdings = 7, []buckthorndyke.Holding{{Model: "m"}}
+		asserter.Equal(t, list(a, b).Mark(), list(a, other).Mark())
+	})
+	t.Run("a server that comes, leaves or begins anew counts", func(t *testing.T) {
+		asserter.True(t, list(a, b).Mark() != list(a).Mark(), "the mark is the same")
+		assertDiffers(t, func(b *buckthorndyke.Backend) { b.Leaving = true })
+		assertDiffers(t, func(b *buckthorndyke.Backend) { b.Started = 2 })
+		assertDiffers(t, func(b *buckthorndyke.Backend) { b.Address = "10.0.0.3:1" })
+	})
+	t.Run("an empty list has a mark", func(t *testing.T) {
+		asserter.True(t, list().Mark() != 0, "the mark is that of nothing")
+	})
+}
--- a/selector/board.go
+++ b/selector/board.go
@@ -8,8 +8,8 @@
 
 const (
 	// residenceLife is how long a leader's word on a runner stands against the
-	// platform's list, which lags by two heartbeats and a read.
-	residenceLife = 4 * buckthorndyke.Second
+	// platform's list, which lags by two heartbeats and the time between two reads.
+	residenceLife = 8 * buckthorndyke.Second
 	// missingLife is how long a model is held to be absent from a runner that
 	// said so, until the list or the leader says otherwise.
 	missingLife = 1500 * buckthorndyke.Millisecond
--- a/stager/floor.go
+++ b/stager/floor.go
@@ -27,6 +27,12 @@
 	unloadTime = 500 * buckthorndyke.Millisecond
 	// reportLag is about how much later than a load ends a report shows it.
 	reportLag = 300 * buckthorndyke.Millisecond
+	// toldLife bounds how far back a VM that was not answered lately is told of
+	// changes: the platform's list shows them by then.
+	toldLife = 4 * buckthorndyke.Second
+	// toldMargin is how much more than since its last answer a VM is told of, in case
+	// that was lost.
+	toldMargin = buckthorndyke.Second
 	// loadWindow is the span in which the loads from the weight store are counted.
 	loadWindow = 5 * buckthorndyke.Second
 )
@@ -113,19 +119,13 @@
 }
 
 // Residences returns what the leader knows at now ahead of the platform's list of
-// runners that lose a model or hold one that lines name.
-func (f Floor) Residences(lines []buckthorndyke.DemandLine, now buckthorndyke.Millis) []buckthorndyke.Residence {
-	named := make(map[buckthorndyke.ModelID]bool, len(lines))
-	for _, l := range lines {
-		named[l.Key.Model] = true
-	}
+// the runners that have changed since an instant or that lose a model.
+func (f Floor) Residences(since, now buckthorndyke.Millis) []buckthorndyke.Residence {
+	since = max(since-toldMargin, now-toldLife)
 	var out []buckthorndyke.Residence
 	for id, s := range f.stages.All() {
 		closed := s.closed()
-		if len(closed) == 0 && (s.changed == 0 || now >= s.changed+ownLife) {
-			continue
-		}
-		if len(closed) == 0 && !slices.ContainsFunc(s.backend.Holdings, func(h buckthorndyke.Holding) bool { return named[h.Model] }) {
+		if len(closed) == 0 && (s.changed == 0 || s.changed < since) {
 			continue
 		}
 		out = append(out, buckthorndyke.Residence{
--- a/supervisor/relayer/demander/demander.go
+++ b/supervisor/relayer/demander/demander.go
@@ -35,20 +35,28 @@
 	losses *mailer.Feed[buckthorndyke.Millis]
 	self   buckthorndyke.VMID
 	source buckthorndyke.DemandSource
+	told   Told
 	// address is where the leader answers, or empty.
 	address string
 	// searched is the instant of the last search for the leader.
 	searched buckthorndyke.Millis
 }
 
+// Told takes the leader's word on the platform's records.
+type Told struct {
+	Lists    *mailer.Feed[buckthorndyke.Sighting]
+	Routings *mailer.Feed[buckthorndyke.Sighting]
+}
+
 // New returns a demander for the VM self. It publishes to losses when there is no
 // leader that answers.
 func New(
 	self buckthorndyke.VMID, source buckthorndyke.DemandSource, election buckthorndyke.Election, leaders buckthorndyke.Leaders,
-	losses *mailer.Feed[buckthorndyke.Millis], clock buckthorndyke.Clock, logger zerolog.Logger,
+	losses *mailer.Feed[buckthorndyke.Millis], told Told, clock buckthorndyke.Clock, logger zerolog.Logger,
 ) *Demander {
 	return &Demander{
 		clock: clock, election: election, leaders: leaders, logger: logger, losses: losses, self: self, source: source,
+		told: told,
 	}
 }
 
@@ -104,6 +112,10 @@
 		d.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
 		return false
 	}
+	now := d.clock.Now()
+	if d.told.Lists.Publish(ctx, reply.List.Sighting(now)) != nil || d.told.Routings.Publish(ctx, reply.Routing.Sighting(now)) != nil {
+		return false
+	}
 	return reply.AskRecent
 }
 
--- a/supervisor/relayer/loader/loader.go
+++ b/supervisor/relayer/loader/loader.go
@@ -28,21 +28,22 @@
 	// checksFence is set if the runners refuse orders with an old fencing number.
 	checksFence bool
 	clock       buckthorndyke.Clock
+	feeds       Feeds
 	leaders     buckthorndyke.Leaders
 	lease       buckthorndyke.Millis
-	lists       *mailer.Feed[buckthorndyke.Backends]
 	logger      zerolog.Logger
 	pool        buckthorndyke.BackendPool
-	routings    *mailer.Feed[buckthorndyke.Routing]
 	self        buckthorndyke.Self
-	terms       *mailer.Feed[buckthorndyke.Term]
 }
 
 // Feeds are what a loader follows.
 type Feeds struct {
 	Lists    *mailer.Feed[buckthorndyke.Backends]
 	Routings *mailer.Feed[buckthorndyke.Routing]
-	Terms    *mailer.Feed[buckthorndyke.Term]
+	// SeenList and SeenRouting bring what this VM has read of the platform's records.
+	SeenList    *mailer.Feed[buckthorndyke.Sighting]
+	SeenRouting *mailer.Feed[buckthorndyke.Sighting]
+	Terms       *mailer.Feed[buckthorndyke.Term]
 }
 
 // Option configures a Loader.
@@ -71,17 +72,15 @@
 	clock buckthorndyke.Clock, opts ...Option,
 ) *Loader {
 	l := &Loader{
-		atOnce:   defaultAtOnce,
-		box:      mailer.NewMailbox[message](mailer.WithCapacity(backlog)),
-		clock:    clock,
-		leaders:  leaders,
-		lease:    lease,
-		lists:    feeds.Lists,
-		logger:   zerolog.Nop(),
-		pool:     pool,
-		routings: feeds.Routings,
-		self:     self,
-		terms:    feeds.Terms,
+		atOnce:  defaultAtOnce,
+		box:     mailer.NewMailbox[message](mailer.WithCapacity(backlog)),
+		clock:   clock,
+		feeds:   feeds,
+		leaders: leaders,
+		lease:   lease,
+		logger:  zerolog.Nop(),
+		pool:    pool,
+		self:    self,
 	}
 	for _, opt := range opts {
 		opt(l)
@@ -101,7 +100,7 @@
 
 // Serve implements suture.Service.
 func (l *Loader) Serve(ctx context.Context) error {
-	t := &task{Loader: l, floor: stager.NewFloor(l.atOnce), life: ctx, polling: make(map[buckthorndyke.RunnerID]bool)}
+	t := &task{Loader: l, floor: stager.NewFloor(l.atOnce), life: ctx, polling: make(map[buckthorndyke.RunnerID]bool), told: make(map[buckthorndyke.VMID]buckthorndyke.Millis)}
 	return t.run(ctx)
 }
 
--- a/supervisor/relayer/loader/loader_test.go
+++ b/supervisor/relayer/loader/loader_test.go
@@ -232,13 +232,14 @@
 			cancel: cancel, clock: timekeeper.NewRealClock(), ctx: ctx,
 			feeds: loader.Feeds{
 				Lists:    mailer.NewFeed[buckthorndyke.Backends](),
-				Routings: mailer.NewFeed[buckthorndyke.Routing](), Terms: mailer.NewFeed[buckthorndyke.Term](),
+				Routings: mailer.NewFeed[buckthorndyke.Routing](), SeenList: mailer.NewFeed[buckthorndyke.Sighting](),
+				SeenRouting: mailer.NewFeed[buckthorndyke.Sighting](), Terms: mailer.NewFeed[buckthorndyke.Term](),
 			},
 			leaders: &leaders{}, pool: newPool(ctx), t: t,
 		}
 		s.loader = loader.New(buckthorndyke.Self{PeerAddress: "10.0.0.1:1", VM: self}, s.pool, s.leaders, s.feeds, lease, s.clock, opts...)
 		for _, serve := range []func(context.Context) error{
-			s.feeds.Lists.Serve, s.feeds.Routings.Serve, s.feeds.Terms.Serve, s.pool.serve, s.loader.Serve,
+			s.feeds.Lists.Serve, s.feeds.Routings.Serve, s.feeds.SeenList.Serve, s.feeds.SeenRouting.Serve, s.feeds.Terms.Serve, s.pool.serve, s.loader.Serve,
 		} {
 			go func() { _ = serve(ctx) }()
 		}
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -58,16 +58,21 @@
 	polled buckthorndyke.Millis
 	// polling holds the runners whose report was asked for.
 	polling map[buckthorndyke.RunnerID]bool
+	// seenList and seenRouting are what this VM has read last.
+	seenList, seenRouting buckthorndyke.Sighting
 	// surveyed is the instant of the last look at runners without a report.
 	surveyed buckthorndyke.Millis
 	term     buckthorndyke.Term
+	// told holds when each VM was last answered.
+	told map[buckthorndyke.VMID]buckthorndyke.Millis
 }
 
 // run handles messages until ctx ends.
 func (t *task) run(ctx context.Context) error {
-	routings := t.routings.Subscribe(ctx)
-	lists := t.lists.Subscribe(ctx)
-	terms := t.terms.Subscribe(ctx)
+	routings := t.feeds.Routings.Subscribe(ctx)
+	lists := t.feeds.Lists.Subscribe(ctx)
+	seenList, seenRouting := t.feeds.SeenList.Subscribe(ctx), t.feeds.SeenRouting.Subscribe(ctx)
+	terms := t.feeds.Terms.Subscribe(ctx)
 	for {
 		wait := buckthorndyke.Minute
 		if t.term.Leading {
@@ -82,6 +87,8 @@
 			t.floor = t.floor.WithRouting(r)
 		case l := <-lists:
 			t.floor = t.floor.WithBackends(l, t.clock.Now())
+		case t.seenList = <-seenList:
+		case t.seenRouting = <-seenRouting:
 		case term := <-terms:
 			t.changeTerm(term)
 		case <-t.clock.After(wait):
@@ -110,8 +117,11 @@
 		AskRecent:  m.first,
 		Expected:   t.floor.Expected(m.lines, now),
 		Leading:    t.leads(now),
-		Residences: t.floor.Residences(m.lines, now),
+		List:       buckthorndyke.NoticeOf(t.seenList, now),
+		Residences: t.floor.Residences(t.told[m.vm], now),
+		Routing:    buckthorndyke.NoticeOf(t.seenRouting, now),
 	})
+	t.told[m.vm] = now
 }
 
 // changeTerm takes over the VM's standing.
@@ -119,6 +129,7 @@
 	if term.Leading && (!t.term.Leading || term.Fence != t.term.Fence) {
 		now := t.clock.Now()
 		t.floor = t.floor.WithTerm(now)
+		clear(t.told)
 		t.from = now
 		if term.Previous != "" || !t.checksFence {
 			t.from = now + t.lease
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -83,20 +83,30 @@
 	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock,
 		dispatcher.WithDomain(self.Domain), dispatcher.WithLogger(logger), dispatcher.WithRetryBurst(s.RetryBurst))
 	losses := mailer.NewFeed[buckthorndyke.Millis]()
+	lists, routings := newWatchFeeds(terms), newWatchFeeds(terms)
 	t.loader = loader.New(self, platform.Pool, platform.Leaders,
-		loader.Feeds{Lists: t.lists, Routings: t.routings, Terms: terms}, s.Lease, clock,
+		loader.Feeds{Lists: t.lists, Routings: t.routings, SeenList: lists.Seen, SeenRouting: routings.Seen, Terms: terms},
+		s.Lease, clock,
 		loader.WithAtOnce(s.AtOnce), loader.WithFenceChecks(s.ChecksFence), loader.WithLogger(logger))
 	t.base = starter.NewBranch("base", s.DrainLimit, logger,
-		t.routings, t.lists, terms, losses, t.dispatcher, t.loader,
-		watcher.NewRoutings(platform.Directory, t.routings, s.ChangeLimit, clock, logger),
-		watcher.NewBackends(platform.Directory, t.lists, s.LeaveLimit, clock, logger),
+		t.routings, t.lists, terms, losses, lists.Seen, lists.Told, routings.Seen, routings.Told, t.dispatcher, t.loader,
+		watcher.NewRoutings(platform.Directory, t.routings, routings, s.ChangeLimit, clock, logger),
+		watcher.NewBackends(platform.Directory, t.lists, lists, s.LeaveLimit, clock, logger),
 		campaigner.New(platform.Election, s.Grant, losses, terms, clock, logger, campaigner.WithReserve(s.Reserve)),
-		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, losses, clock, logger),
+		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, losses,
+			demander.Told{Lists: lists.Told, Routings: routings.Told}, clock, logger),
 	)
 	t.front = starter.NewBranch("front", s.DrainLimit, logger)
 	return t
 }
 
+// newWatchFeeds returns the feeds of a watcher that follows terms.
+func newWatchFeeds(terms *mailer.Feed[buckthorndyke.Term]) watcher.Feeds {
+	return watcher.Feeds{
+		Seen: mailer.NewFeed[buckthorndyke.Sighting](), Terms: terms, Told: mailer.NewFeed[buckthorndyke.Sighting](),
+	}
+}
+
 // AddBase adds tasks that the tree needs for as long as it serves.
 func (t *Tree) AddBase(tasks ...suture.Service) {
 	for _, task := range tasks {
--- a/supervisor/relayer/watcher/backends.go
+++ b/supervisor/relayer/watcher/backends.go
@@ -10,21 +10,17 @@
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 )
 
-const (
-	// listParts is the part of the limit for new work at a leaving server after
-	// which the list of servers is read again.
-	listParts = 2
-	// returnGrace is how long after an outage of the list a server that is no
-	// longer listed is still held to be there: the platform lists servers that
-	// live again within that time.
-	returnGrace = 2200 * buckthorndyke.Millisecond
-)
+// returnGrace is how long after an outage of the list a server that is no longer
+// listed is still held to be there: the platform lists servers that live again
+// within that time.
+const returnGrace = 2200 * buckthorndyke.Millisecond
 
 // Backends is the task that follows the list of backend servers.
 type Backends struct {
 	clock     buckthorndyke.Clock
 	directory buckthorndyke.Directory
 	feed      *mailer.Feed[buckthorndyke.Backends]
+	feeds     Feeds
 	limit     buckthorndyke.Millis
 	logger    zerolog.Logger
 }
@@ -32,44 +28,45 @@
 // NewBackends returns a task that publishes each list to feed. A leaving server
 // must get no new work after limit.
 func NewBackends(
-	directory buckthorndyke.Directory, feed *mailer.Feed[buckthorndyke.Backends], limit buckthorndyke.Millis,
+	directory buckthorndyke.Directory, feed *mailer.Feed[buckthorndyke.Backends], feeds Feeds, limit buckthorndyke.Millis,
 	clock buckthorndyke.Clock, logger zerolog.Logger,
 ) *Backends {
-	return &Backends{clock: clock, directory: directory, feed: feed, limit: limit, logger: logger}
+	return &Backends{clock: clock, directory: directory, feed: feed, feeds: feeds, limit: limit, logger: logger}
 }
 
 // Serve implements suture.Service.
 func (b *Backends) Serve(ctx context.Context) error {
+	w := newWatch(ctx, "list of servers", b.feeds, b.limit, b.clock, b.logger)
 	var current buckthorndyke.Backends
+	// keepUntil is the instant until which servers are kept that are no longer
+	// listed.
 	var keepUntil buckthorndyke.Millis
-	outage := outage{logger: b.logger, name: "list of servers"}
 	for ctx.Err() == nil {
-		wait := b.limit / listParts
+		began := b.clock.Now()
 		next, err := b.directory.Backends(ctx)
-		if ctx.Err() != nil {
-			break
-		}
-		if err != nil {
-			wait = outage.failed(err)
-		} else {
-			if outage.failures > 0 {
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err != nil:
+			w.failed(err)
+		default:
+			if w.outage.failures > 0 {
 				keepUntil = b.clock.Now() + returnGrace
 			}
-			outage.succeeded()
 			next = next.WithNewest(current)
 			if b.clock.Now() < keepUntil {
 				next = withKept(next, current)
 			}
 			b.logChanges(current, next)
 			current = next
+			if err := w.succeeded(ctx, began, next.Mark()); err != nil {
+				return err
+			}
 			if err := b.feed.Publish(ctx, next); err != nil {
 				return err
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-b.clock.After(wait):
-		}
+		w.hear(ctx, func() buckthorndyke.Millis { return w.pace.Due() })
 	}
 	return ctx.Err()
 }
--- a/supervisor/relayer/watcher/routings.go
+++ b/supervisor/relayer/watcher/routings.go
@@ -17,7 +17,7 @@
 	waitParts = 2
 	// retryFirst and retryLimit bound the time between two calls that fail.
 	retryFirst = 50 * buckthorndyke.Millisecond
-	retryLimit = 400 * buckthorndyke.Millisecond
+	retryLimit = 1600 * buckthorndyke.Millisecond
 )
 
 // Routings is the task that follows the configuration. It never goes back to an
@@ -26,6 +26,7 @@
 	clock     buckthorndyke.Clock
 	directory buckthorndyke.Directory
 	feed      *mailer.Feed[buckthorndyke.Routing]
+	feeds     Feeds
 	limit     buckthorndyke.Millis
 	logger    zerolog.Logger
 }
@@ -33,36 +34,42 @@
 // NewRoutings returns a task that publishes each configuration to feed. A change
 // has to be in force within limit.
 func NewRoutings(
-	directory buckthorndyke.Directory, feed *mailer.Feed[buckthorndyke.Routing], limit buckthorndyke.Millis,
+	directory buckthorndyke.Directory, feed *mailer.Feed[buckthorndyke.Routing], feeds Feeds, limit buckthorndyke.Millis,
 	clock buckthorndyke.Clock, logger zerolog.Logger,
 ) *Routings {
-	return &Routings{clock: clock, directory: directory, feed: feed, limit: limit, logger: logger}
+	return &Routings{clock: clock, directory: directory, feed: feed, feeds: feeds, limit: limit, logger: logger}
 }
 
-// Serve implements suture.Service.
+// Serve implements suture.Service. A VM for whose knowledge the leader vouches
+// reads only what has changed; the leader, and a VM that it does not reach, wait
+// for changes.
 func (r *Routings) Serve(ctx context.Context) error {
+	w := newWatch(ctx, "configuration", r.feeds, r.limit, r.clock, r.logger)
 	var current buckthorndyke.Routing
-	outage := outage{logger: r.logger, name: "configuration"}
 	for ctx.Err() == nil {
-		next, changed, err := r.directory.Routing(ctx, r.limit/waitParts)
-		if ctx.Err() != nil {
-			break
+		var wait buckthorndyke.Millis
+		if lacks := w.hear(ctx, func() buckthorndyke.Millis { return w.pace.Vouched() }); !lacks {
+			wait = r.limit / waitParts
 		}
-		if err != nil {
-			select {
-			case <-ctx.Done():
-			case <-r.clock.After(outage.failed(err)):
-			}
-			continue
+		if w.pace.leading {
+			wait = r.limit / leaderParts
 		}
-		outage.succeeded()
-		if !changed || next.Version <= current.Version {
+		next, changed, err := r.directory.Routing(ctx, wait)
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err != nil:
+			w.failed(err)
 			continue
+		case changed && next.Version > current.Version:
+			current = next
+			r.logger.Info().EmbedObject(reporter.EventRoutingInForce).
+				Int64("version", next.Version).Int("routes", next.Routes()).Send()
+			if err := r.feed.Publish(ctx, next); err != nil {
+				return err
+			}
 		}
-		current = next
-		r.logger.Info().EmbedObject(reporter.EventRoutingInForce).
-			Int64("version", next.Version).Int("routes", next.Routes()).Send()
-		if err := r.feed.Publish(ctx, next); err != nil {
+		if err := w.succeeded(ctx, r.clock.Now(), current.Mark()); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/supervisor/relayer/watcher/watch.go
@@ -0,0 +1,104 @@
+package watcher
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+// Feeds connect a watcher with the tasks that share what VMs see of a record.
+type Feeds struct {
+	// Seen takes what this VM reads.
+	Seen *mailer.Feed[buckthorndyke.Sighting]
+	// Terms brings whether this VM leads.
+	Terms *mailer.Feed[buckthorndyke.Term]
+	// Told brings the leader's word.
+	Told *mailer.Feed[buckthorndyke.Sighting]
+}
+
+// watch is the part of the state of a watcher's run that does not depend on the
+// record.
+type watch struct {
+	clock  buckthorndyke.Clock
+	outage outage
+	pace   pace
+	// retryAt is the instant of the next read after one that has failed.
+	retryAt buckthorndyke.Millis
+	seen    *mailer.Feed[buckthorndyke.Sighting]
+	terms   <-chan buckthorndyke.Term
+	told    <-chan buckthorndyke.Sighting
+}
+
+// newWatch returns the state of a run that ends with ctx. The record called name
+// has to be known within limit.
+func newWatch(
+	ctx context.Context, name string, feeds Feeds, limit buckthorndyke.Millis, clock buckthorndyke.Clock, logger zerolog.Logger,
+) *watch {
+	return &watch{
+		clock: clock, outage: outage{logger: logger, name: name}, pace: pace{limit: limit}, seen: feeds.Seen,
+		terms: feeds.Terms.Subscribe(ctx), told: feeds.Told.Subscribe(ctx),
+	}
+}
+
+// failed takes over that a read has failed.
+func (w *watch) failed(err error) {
+	w.retryAt = w.clock.Now() + w.outage.failed(err)
+}
+
+// hear takes over what comes until due, or what has come if due is over. It
+// returns early, and true, if the leader knows a change that this VM does not.
+func (w *watch) hear(ctx context.Context, due func() buckthorndyke.Millis) bool {
+	for {
+		wait := due()
+		if w.outage.failures > 0 {
+			wait = w.retryAt
+		}
+		wait -= w.clock.Now()
+		if wait <= 0 {
+			select {
+			case term := <-w.terms:
+				w.pace = w.pace.WithLeading(term.Leading)
+			case s := <-w.told:
+				if w.take(s) {
+					return true
+				}
+			default:
+				return false
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case term := <-w.terms:
+			w.pace = w.pace.WithLeading(term.Leading)
+		case s := <-w.told:
+			if w.take(s) {
+				return true
+			}
+		case <-w.clock.After(wait):
+		}
+	}
+}
+
+// succeeded takes over that a read that began at an instant has found mark.
+func (w *watch) succeeded(ctx context.Context, at buckthorndyke.Millis, mark uint64) error {
+	w.outage.succeeded()
+	w.pace = w.pace.WithRead(at, mark)
+	return w.seen.Publish(ctx, buckthorndyke.Sighting{At: at, Mark: mark})
+}
+
+// take takes over the leader's word, and reports whether the VM lacks a change.
+func (w *watch) take(s buckthorndyke.Sighting) bool {
+	vouched := w.pace.vouched
+	var lacks bool
+	w.pace, lacks = w.pace.WithTold(s)
+	if w.pace.vouched > vouched {
+		// The leader reads the record, and it is as this VM knows it.
+		w.outage.succeeded()
+	}
+	return lacks
+}
--- a/supervisor/relayer/watcher/watcher_test.go
+++ b/supervisor/relayer/watcher/watcher_test.go
@@ -35,6 +35,24 @@
 	})
 }
 
+func TestLeadersWord(t *testing.T) {
+	const version = 3
+	seen := func(mark uint64) func(clock buckthorndyke.Clock) buckthorndyke.Sighting {
+		return func(clock buckthorndyke.Clock) buckthorndyke.Sighting {
+			return buckthorndyke.Sighting{At: clock.Now() - 300, Mark: mark}
+		}
+	}
+	t.Run("a VM for which the leader vouches does not wait for changes", func(t *testing.T) {
+		alone := playTold(t, nil)
+		told := playTold(t, seen(version))
+		asserter.True(t, alone >= 20, "a VM alone does not follow the configuration")
+		asserter.True(t, told <= 3, "a VM for which the leader vouches asks all the same")
+	})
+	t.Run("a VM that lacks a change reads it at once", func(t *testing.T) {
+		asserter.True(t, playTold(t, seen(version+1)) >= 20, "the change is not read")
+	})
+}
+
 func TestBackends(t *testing.T) {
 	one := listOf(buckthorndyke.Backend{Beat: 4, ID: "a", Started: 1})
 	t.Run("an older write of a server does not replace a newer one", func(t *testing.T) {
@@ -63,6 +81,8 @@
 // directory is a directory that plays what the test has laid down. It implements
 // buckthorndyke.Directory.
 type directory struct {
+	// asked counts the calls for the configuration.
+	asked    int
 	calls    int
 	clock    buckthorndyke.Clock
 	lists    []buckthorndyke.Backends
@@ -83,6 +103,7 @@
 
 // Routing implements buckthorndyke.Directory. Version 0 stands for a failure.
 func (d *directory) Routing(ctx context.Context, wait buckthorndyke.Millis) (buckthorndyke.Routing, bool, error) {
+	d.asked++
 	d.longest = max(d.longest, wait)
 	if d.calls >= len(d.versions) {
 		select {
@@ -108,6 +129,18 @@
 	versions []int64
 }
 
+// feeds returns feeds that nobody else uses.
+func feeds(ctx context.Context) watcher.Feeds {
+	out := watcher.Feeds{
+		Seen: mailer.NewFeed[buckthorndyke.Sighting](), Terms: mailer.NewFeed[buckthorndyke.Term](),
+		Told: mailer.NewFeed[buckthorndyke.Sighting](),
+	}
+	for _, serve := range []func(context.Context) error{out.Seen.Serve, out.Terms.Serve, out.Told.Serve} {
+		go func() { _ = serve(ctx) }()
+	}
+	return out
+}
+
 // listOf returns a list of one server.
 func listOf(b buckthorndyke.Backend) buckthorndyke.Backends {
 	var list buckthorndyke.Backends
@@ -129,7 +162,7 @@
 		go func() { _ = feed.Serve(ctx) }()
 		published := feed.Subscribe(ctx)
 		synctest.Wait()
-		go func() { _ = watcher.NewBackends(d, feed, limit, clock, zerolog.Nop()).Serve(ctx) }()
+		go func() { _ = watcher.NewBackends(d, feed, feeds(ctx), limit, clock, zerolog.Nop()).Serve(ctx) }()
 		end := clock.After(limit * buckthorndyke.Millis(len(lists)))
 		for {
 			select {
@@ -144,6 +177,35 @@
 	return got
 }
 
+// playTold returns the number of calls for the configuration in 30 s in which the
+// leader says the given word each 0.8 s.
+func playTold(t *testing.T, word func(clock buckthorndyke.Clock) buckthorndyke.Sighting) int {
+	t.Helper()
+	calls := 0
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		clock := timekeeper.NewRealClock()
+		feed, between := mailer.NewFeed[buckthorndyke.Routing](), feeds(ctx)
+		source := &directory{clock: clock, versions: []int64{3}}
+		go func() { _ = feed.Serve(ctx) }()
+		done := make(chan error, 1)
+		go func() {
+			done <- watcher.NewRoutings(source, feed, between, limit, clock, zerolog.Nop()).Serve(ctx)
+		}()
+		for range 37 {
+			if word != nil {
+				asserter.NoError(t, between.Told.Publish(ctx, word(clock)))
+			}
+			<-clock.After(800)
+		}
+		cancel()
+		asserter.Error(t, <-done)
+		calls = source.asked
+	})
+	return calls
+}
+
 // playRoutings returns what is published while the directory returns the given
 // versions.
 func playRoutings(t *testing.T, versions []int64, d buckthorndyke.Millis) outcome {
@@ -160,7 +222,9 @@
 		published := feed.Subscribe(ctx)
 		synctest.Wait()
 		done := make(chan error, 1)
-		go func() { done <- watcher.NewRoutings(source, feed, limit, clock, zerolog.New(&log)).Serve(ctx) }()
+		go func() {
+			done <- watcher.NewRoutings(source, feed, feeds(ctx), limit, clock, zerolog.New(&log)).Serve(ctx)
+		}()
 		end := clock.After(d)
 		for ended := false; !ended; {
 			select {
--- a/translator/demand.go
+++ b/translator/demand.go
@@ -39,7 +39,9 @@
 
 // DemandReplyFromWire returns the leader's answer in m.
 func DemandReplyFromWire(m *wire.DemandResponse) buckthorndyke.DemandReply {
-	out := buckthorndyke.DemandReply{AskRecent: m.AskRecent, Leading: m.Leading}
+	out := buckthorndyke.DemandReply{
+		AskRecent: m.AskRecent, Leading: m.Leading, List: noticeFromWire(m.List), Routing: noticeFromWire(m.Routing),
+	}
 	for _, e := range m.Expected {
 		out.Expected = append(out.Expected, buckthorndyke.Expectation{
 			In: buckthorndyke.Millis(e.InMs), Key: modelKeyFromWire(e),
@@ -61,7 +63,9 @@
 
 // DemandReplyToWire returns the message that carries the leader's answer.
 func DemandReplyToWire(r buckthorndyke.DemandReply) *wire.DemandResponse {
-	out := &wire.DemandResponse{AskRecent: r.AskRecent, Leading: r.Leading}
+	out := &wire.DemandResponse{
+		AskRecent: r.AskRecent, Leading: r.Leading, List: noticeToWire(r.List), Routing: noticeToWire(r.Routing),
+	}
 	for _, e := range r.Expected {
 		out.Expected = append(out.Expected, &wire.Expectation{
 			Adapter: e.Key.Adapter, InMs: int64(e.In), Model: string(e.Key.Model), Service: string(e.Key.Service),
@@ -90,3 +94,13 @@
 		Adapter: m.GetAdapter(), Model: buckthorndyke.ModelID(m.GetModel()), Service: buckthorndyke.ServiceID(m.GetService()),
 	}
 }
+
+// noticeFromWire returns the notice in m.
+func noticeFromWire(m *wire.Notice) buckthorndyke.Notice {
+	return buckthorndyke.Notice{Age: buckthorndyke.Millis(m.GetAgeMs()), Mark: m.GetMark()}
+}
+
+// noticeToWire returns the message that carries n.
+func noticeToWire(n buckthorndyke.Notice) *wire.Notice {
+	return &wire.Notice{AgeMs: int64(n.Age), Mark: n.Mark}
+}
