--- a/supervisor/relayer/watcher/watch.go
+++ b/supervisor/relayer/watcher/watch.go
@@ -48,8 +48,9 @@
 	w.retryAt = w.clock.Now() + w.outage.failed(err)
 }
 
-// hear takes over what comes until due, or what has come if due is over. It
-// returns early, and true, if the leader knows a change that this VM does not.
+// hear takes over what comes until due, or what has come if due is over; after a
+// failure until the next try. It returns early, and true, if the leader knows a
+// change that this VM does not.
 func (w *watch) hear(ctx context.Context, due func() buckthorndyke.Millis) bool {
 	for {
 		wait := due()
@@ -62,7 +63,7 @@
 			case term := <-w.terms:
 				w.pace = w.pace.WithLeading(term.Leading)
 			case s := <-w.told:
-				if w.take(s) {
+				if w.take(s) && w.outage.failures == 0 {
 					return true
 				}
 			default:
@@ -76,7 +77,7 @@
 		case term := <-w.terms:
 			w.pace = w.pace.WithLeading(term.Leading)
 		case s := <-w.told:
-			if w.take(s) {
+			if w.take(s) && w.outage.failures == 0 {
 				return true
 			}
 		case <-w.clock.After(wait):
