feat(stager): learn what the weight store allows at once; copies by demand

The configuration does not say how many loads are allowed at once; four was held for all sites.

Now a load that takes 1.3 times its time teaches what it has shared the store with, one that takes its time beside as many as are allowed teaches one more. Copies ahead of need begin with the models that were asked for most, also while others wait. A model that only a taken weight store has is told as expected after those under way, so that requests that cannot wait so long are refused early. Requests log their prompt tokens.

--- a/stager/floor.go
+++ b/stager/floor.go
@@ -1,6 +1,7 @@
 package stager
 
 import (
+	"math"
 	"slices"
 
 	"github.com/buckthorndyke/buckthorndyke"
@@ -27,6 +28,12 @@
 	unloadTime = 500 * buckthorndyke.Millisecond
 	// reportLag is about how much later than a load ends a report shows it.
 	reportLag = 300 * buckthorndyke.Millisecond
+	// atOnceLimit bounds what is learnt of the loads that the weight store allows at
+	// full speed: the deployments' sheets say 2 and 4.
+	atOnceLimit = 8
+	// slowLoad is the share of its time at full speed, in thousandths, from which on a
+	// load from the weight store is held to have shared that with too many others.
+	slowLoad = 1300
 	// toldLife bounds how far back a VM that was not answered lately is told of
 	// changes: the platform's list shows them by then.
 	toldLife = 4 * buckthorndyke.Second
@@ -89,14 +96,18 @@
 }
 
 // Expected returns when runners are going to hold what requests in lines wait
-// for, as far as that is being loaded.
+// for, as far as that is being loaded or waits for the weight store.
 func (f Floor) Expected(lines []buckthorndyke.DemandLine, now buckthorndyke.Millis) []buckthorndyke.Expectation {
 	var out []buckthorndyke.Expectation
 	for _, l := range lines {
 		if l.Waiting == 0 {
 			continue
 		}
-		if in, ok := f.expected(l.Key, now); ok {
+		in, ok := f.expected(l.Key, now)
+		if !ok {
+			in, ok = f.backlog(l.Key)
+		}
+		if ok {
 			out = append(out, buckthorndyke.Expectation{In: in, Key: l.Key})
 		}
 	}
@@ -189,6 +200,7 @@
 	if !ok || s.order == nil || !s.order.is(i) {
 		return f
 	}
+	f = f.withLoadTime(s, now)
 	f.stages = f.stages.With(i.Runner, s.withDone(now))
 	return f
 }
@@ -216,6 +228,9 @@
 		return f
 	}
 	s.order = &pending{adapter: o.Adapter, kind: o.Kind, model: o.Model, sent: now, tier: o.Tier}
+	if o.Remote() {
+		s.order.beside = f.remoteLoads() + 1
+	}
 	if o.Adapter == "" {
 		s.goal = o.Goal
 	}
@@ -265,6 +280,7 @@
 	if o := s.order; o != nil && !r.Busy {
 		switch {
 		case o.settled(r.Backend):
+			f = f.withLoadTime(s, now)
 			s = s.withDone(now)
 		case now >= o.sent+o.patience():
 			s.order = nil
@@ -299,6 +315,28 @@
 	return f
 }
 
+// backlog returns the time until a model that only the weight store has can be
+// held, if the store is taken.
+func (f Floor) backlog(key buckthorndyke.ModelKey) (buckthorndyke.Millis, bool) {
+	service, _ := f.routing.Services.Get(key.Service)
+	if service.Engine == nil {
+		return 0, false
+	}
+	for _, s := range f.stages.All() {
+		if s.backend.Service == key.Service && !s.down() && s.backend.Tier(key.Model) != buckthorndyke.TierRemote {
+			return 0, false
+		}
+	}
+	under := f.remoteLoads()
+	if under < f.atOnce {
+		return 0, false
+	}
+	facts, _ := service.Engine.Models.Get(key.Model)
+	full := facts.LoadTimes[buckthorndyke.TierRemote]
+	// One of those under way ends first; then this one takes its time.
+	return full/buckthorndyke.Millis(under+1) + full + reportLag, true
+}
+
 // expected returns the time until a runner is going to hold what key names.
 func (f Floor) expected(key buckthorndyke.ModelKey, now buckthorndyke.Millis) (buckthorndyke.Millis, bool) {
 	service, _ := f.routing.Services.Get(key.Service)
@@ -332,6 +370,42 @@
 	return true
 }
 
+// remoteLoads returns the number of loads from the weight store that are under way.
+func (f Floor) remoteLoads() int {
+	n := 0
+	for _, s := range f.stages.All() {
+		if s.loadsRemote() {
+			n++
+		}
+	}
+	return n
+}
+
+// withLoadTime returns a floor that has learnt from the end of a load how many
+// loads at once the weight store allows at full speed: beyond these, each takes
+// longer in proportion.
+func (f Floor) withLoadTime(s stage, now buckthorndyke.Millis) Floor {
+	o := s.order
+	if o == nil || o.beside == 0 || !o.accepted {
+		return f
+	}
+	service, _ := f.routing.Services.Get(s.backend.Service)
+	if service.Engine == nil {
+		return f
+	}
+	facts, _ := service.Engine.Models.Get(o.model)
+	full := facts.LoadTimes[buckthorndyke.TierRemote]
+	took := now - o.sent - reportLag
+	switch slow := full > 0 && took*1000 > full*slowLoad; {
+	case slow:
+		shared := int(math.Round(float64(o.beside) * float64(full) / float64(took)))
+		f.atOnce = max(min(shared, f.atOnce), f.atOnce/2, 1)
+	case o.beside >= f.atOnce:
+		f.atOnce = min(f.atOnce+1, atOnceLimit)
+	}
+	return f
+}
+
 // loadsSince returns the instants of the loads from the weight store after an
 // instant.
 func (f Floor) loadsSince(after buckthorndyke.Millis) []buckthorndyke.Millis {
--- a/stager/floor_test.go
+++ b/stager/floor_test.go
@@ -90,6 +90,11 @@
 		}
 		assertIntents(t, wanting(f, 5))
 	})
+	t.Run("copies of models that were asked for come first, also while others wait", func(t *testing.T) {
+		f := floorOf(runner("a", 0, 1), runner("b", 2, 3))
+		f = f.WithDemand(vm, []buckthorndyke.DemandLine{{Arrivals: 2, Key: key(6)}, {Due: 900, Key: key(0), Waiting: 1}}, now)
+		assertIntents(t, f, "load m6 at a from remote")
+	})
 	t.Run("copies ahead of need leave more room", func(t *testing.T) {
 		f := floorOf(runner("a"), runner("b"), runner("c"), runner("d"), runner("e"))
 		asserter.Equal(t, len(f.Plan(now)), 2)
@@ -184,6 +189,45 @@
 	})
 }
 
+func TestLoadTimes(t *testing.T) {
+	// loaded returns a floor on which n loads from the weight store, sent together,
+	// have each taken a time.
+	loaded := func(n int, took buckthorndyke.Millis) stager.Floor {
+		var runners []buckthorndyke.Backend
+		for i := range 9 {
+			runners = append(runners, runner(buckthorndyke.RunnerID(rune('a'+i))))
+		}
+		f := floorOf(runners...)
+		var sent []stager.Intent
+		for i := range n {
+			load := stager.Intent{Kind: buckthorndyke.OrderLoad, Model: key(i).Model, Runner: runners[i].ID, Tier: buckthorndyke.TierRemote}
+			f = f.WithOrder(load, now-took).WithAccepted(load.Runner, 1)
+			sent = append(sent, load)
+		}
+		for _, load := range sent {
+			f = f.WithDone(load, now)
+		}
+		return f
+	}
+	// atOnce returns the loads that are given at once to models that requests wait
+	// for, with the one that is left to hot models.
+	atOnce := func(f stager.Floor) int {
+		return len(wanting(f, 4, 5, 6, 7, 8, 9, 10, 11).Plan(now)) + 1
+	}
+	t.Run("loads that take their time change nothing", func(t *testing.T) {
+		asserter.Equal(t, atOnce(loaded(3, 6300)), 4)
+	})
+	t.Run("loads that share the weight store teach what it allows", func(t *testing.T) {
+		asserter.Equal(t, atOnce(loaded(4, 12300)), 2)
+	})
+	t.Run("one slow load does not stop the others", func(t *testing.T) {
+		asserter.Equal(t, atOnce(loaded(1, buckthorndyke.Minute)), 2)
+	})
+	t.Run("more loads that take their time teach that the weight store allows more", func(t *testing.T) {
+		asserter.Equal(t, atOnce(loaded(4, 6300)), 5)
+	})
+}
+
 func TestExpected(t *testing.T) {
 	waiting := []buckthorndyke.DemandLine{{Key: key(5), Waiting: 1}}
 	load := stager.Intent{Goal: "m5", Kind: buckthorndyke.OrderLoad, Model: "m5", Runner: "a", Tier: buckthorndyke.TierRemote}
@@ -201,6 +245,15 @@
 	t.Run("a model that nobody loads is not expected", func(t *testing.T) {
 		asserter.Equal(t, len(full.Expected(waiting, now)), 0)
 	})
+	t.Run("a model that only the weight store has is expected after those under way", func(t *testing.T) {
+		f := floorOf(runner("a"), runner("b"), runner("c"), runner("d"), runner("e"))
+		for i, id := range []buckthorndyke.RunnerID{"a", "b", "c", "d"} {
+			f = f.WithOrder(stager.Intent{Kind: buckthorndyke.OrderLoad, Model: key(i).Model, Runner: id, Tier: buckthorndyke.TierRemote}, now)
+		}
+		got := f.Expected(waiting, now)
+		asserter.Equal(t, len(got), 1)
+		asserter.True(t, got[0].In > 7*buckthorndyke.Second, "the loads under way do not count")
+	})
 	t.Run("what does not wait is not told", func(t *testing.T) {
 		got := full.WithOrder(load, now).Expected([]buckthorndyke.DemandLine{{Key: key(5), Running: 1}}, now)
 		asserter.Equal(t, len(got), 0)
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/buckthorndyke/buckthorndyke"
@@ -156,14 +157,8 @@
 	case w.waiting == 0:
 		atOnce = max(p.atOnce/2, 1)
 	}
-	running := 0
-	for _, s := range p.stages.All() {
-		if s.loadsRemote() {
-			running++
-		}
-	}
 	ceiling := int(facts.LoadsPerSecond * float64(loadWindow) / float64(buckthorndyke.Second))
-	return running < atOnce && len(p.loadsSince(p.now-loadWindow)) < max(ceiling, 1)
+	return p.remoteLoads() < atOnce && len(p.loadsSince(p.now-loadWindow)) < max(ceiling, 1)
 }
 
 // place gives the order that brings the model of w to the best runner.
@@ -235,32 +230,50 @@
 	return oldest, adapter, found
 }
 
-// copyAhead loads a model that no runner has a copy of, while nothing waits: its
-// first request then finds it on a disk.
+// copyAhead loads models that no runner has a copy of: their next requests then
+// find them on a disk. While something waits it loads those that were asked for.
 func (p *planner) copyAhead() {
-	for _, w := range p.wants {
-		if w.waiting > 0 {
-			return
-		}
-	}
+	waits := slices.ContainsFunc(slices.Collect(maps.Values(p.wants)), func(w want) bool { return w.waiting > 0 })
 	copied := p.copied()
 	for id, service := range p.routing.Services.All() {
 		if service.Engine == nil {
 			continue
 		}
-		for model := range service.Engine.Models.All() {
-			key := buckthorndyke.ModelKey{Model: model, Service: id}
-			if copied[key] || p.coming(key) {
-				continue
-			}
-			if !p.mayLoadRemote(*service.Engine, key) {
+		for _, key := range p.uncopied(id, *service.Engine, copied) {
+			if waits && p.worth(key) == 0 || !p.mayLoadRemote(*service.Engine, key) {
 				break
 			}
-			p.place(want{key: key}, *service.Engine, copyWorth)
+			p.place(want{key: key}, *service.Engine, copyWorth+p.worth(key))
 		}
 	}
 }
 
+// uncopied returns the models of a service of which no runner has a copy or gets
+// one, those that were asked for most first.
+func (p *planner) uncopied(
+	id buckthorndyke.ServiceID, facts buckthorndyke.EngineFacts, copied map[buckthorndyke.ModelKey]bool,
+) []buckthorndyke.ModelKey {
+	type wanted struct {
+		key   buckthorndyke.ModelKey
+		worth float64
+	}
+	var list []wanted
+	for model := range facts.Models.All() {
+		key := buckthorndyke.ModelKey{Model: model, Service: id}
+		if !copied[key] && !p.coming(key) {
+			list = append(list, wanted{key: key, worth: p.worth(key)})
+		}
+	}
+	slices.SortFunc(list, func(a, b wanted) int {
+		return cmp.Or(cmp.Compare(b.worth, a.worth), cmp.Compare(a.key.Model, b.key.Model))
+	})
+	out := make([]buckthorndyke.ModelKey, len(list))
+	for i, w := range list {
+		out[i] = w.key
+	}
+	return out
+}
+
 // copied returns the models of which some runner has a copy.
 func (p *planner) copied() map[buckthorndyke.ModelKey]bool {
 	out := make(map[buckthorndyke.ModelKey]bool)
--- a/stager/stage.go
+++ b/stager/stage.go
@@ -18,8 +18,11 @@
 	// accepted is set once the runner has answered that it carries the order out.
 	accepted bool
 	adapter  string
-	kind     buckthorndyke.OrderKind
-	model    buckthorndyke.ModelID
+	// beside is the number of loads from the weight store at once, this one included,
+	// when it was sent.
+	beside int
+	kind   buckthorndyke.OrderKind
+	model  buckthorndyke.ModelID
 	// sent is the instant at which the order was sent.
 	sent buckthorndyke.Millis
 	// tier is where the runner finds what it loads.
--- a/supervisor/relayer/dispatcher/stream.go
+++ b/supervisor/relayer/dispatcher/stream.go
@@ -120,7 +120,7 @@
 			Str("verdict", buckthorndyke.VerdictOf(err).String()).Str("code", string(buckthorndyke.RefusalOf(err).Code()))
 	}
 	line.Str("request", string(r.ID)).Str("route", j.route.Name).Str("service", string(j.key.Service)).
-		Str("model", string(j.key.Model)).Str("adapter", j.key.Adapter).
+		Str("model", string(j.key.Model)).Str("adapter", j.key.Adapter).Int("prompt-tokens", r.PromptTokens).
 		Int64("queue-ms", int64(j.queued)).Int64("first-ms", int64(j.first)).Int64("ms", int64(d.clock.Now()-r.Arrived)).Str("attempts", j.trailText()).Send()
 }
 
