--- a/connector/connectleaders.go
+++ b/connector/connectleaders.go
@@ -25,7 +25,7 @@
 
 // Report implements buckthorndyke.Leaders.
 func (l *ConnectLeaders) Report(
-	ctx context.Context, address string, vm buckthorndyke.VMID, demand []buckthorndyke.DemandLine,
+	ctx context.Context, address string, vm buckthorndyke.VMID, demand buckthorndyke.DemandReport,
 ) (buckthorndyke.DemandReply, error) {
 	client := wireconnect.NewLeaderServiceClient(l.client, "http://"+address)
 	out, err := client.Report(ctx, translator.DemandToWire(vm, demand))
--- a/demand.go
+++ b/demand.go
@@ -30,6 +30,21 @@
 	Waiting int
 }
 
+// ServerLoad is the number of requests that VMs have at a server.
+type ServerLoad struct {
+	Requests int
+	Server   RunnerID
+}
+
+// DemandReport is what one VM tells the leader.
+type DemandReport struct {
+	Lines []DemandLine
+	// Loads are the VM's requests at servers.
+	Loads []ServerLoad
+	// Waiting is set if some request waits for a server.
+	Waiting bool
+}
+
 // Residence says what the leader knows of a runner ahead of the platform's list.
 type Residence struct {
 	// Closed lists the models that are about to be unloaded.
@@ -54,6 +69,8 @@
 	// Expected tells when what the VM's requests wait for is going to be held. What
 	// it lacks is not being loaded.
 	Expected []Expectation
+	// Loads are the requests that the other VMs have at servers.
+	Loads []ServerLoad
 	// Leading is not set if the VM that was asked is not the leader.
 	Leading bool
 	// List and Routing are the leader's word on the list of servers and on the
@@ -78,7 +95,7 @@
 // Leaders reaches the leading VM and those that led before.
 type Leaders interface {
 	// Report tells the VM at address the demand that vm sees.
-	Report(ctx context.Context, address string, vm VMID, demand []DemandLine) (DemandReply, error)
+	Report(ctx context.Context, address string, vm VMID, demand DemandReport) (DemandReply, error)
 	// Yield asks the VM at address to give no more orders with a fencing number
 	// below fence.
 	Yield(ctx context.Context, address string, fence int64) (Yielded, error)
@@ -86,9 +103,8 @@
 
 // DemandSource yields the demand that the VM sees.
 type DemandSource interface {
-	// Demand returns the demand since the last call, or with all recent arrivals,
-	// and whether something waits.
-	Demand(ctx context.Context, recent bool) (lines []DemandLine, waiting bool, err error)
+	// Demand returns the demand since the last call, or with all recent arrivals.
+	Demand(ctx context.Context, recent bool) (DemandReport, error)
 	// Led takes over the leader's answer.
 	Led(ctx context.Context, reply DemandReply) error
 	// Pressing receives a value once something begins to wait.
--- a/selector/board.go
+++ b/selector/board.go
@@ -10,6 +10,8 @@
 	// residenceLife is how long a leader's word on a runner stands against the
 	// platform's list, which lags by two heartbeats and the time between two reads.
 	residenceLife = 8 * buckthorndyke.Second
+	// othersLife is how long a leader's word on the load of the other VMs stands.
+	othersLife = 2500 * buckthorndyke.Millisecond
 	// missingLife is how long a model is held to be absent from a runner that
 	// said so, until the list or the leader says otherwise.
 	missingLife = 1500 * buckthorndyke.Millisecond
@@ -24,11 +26,15 @@
 // Board is what one entry VM knows of the backend servers. It is immutable.
 type Board struct {
 	// busy is the load of the VM's own requests by server.
-	busy       buckthorndyke.Table[buckthorndyke.RunnerID, Load]
-	list       buckthorndyke.Backends
-	missing    buckthorndyke.Table[string, buckthorndyke.Millis]
-	residences buckthorndyke.Table[buckthorndyke.RunnerID, residence]
-	setbacks   buckthorndyke.Table[buckthorndyke.RunnerID, setback]
+	busy buckthorndyke.Table[buckthorndyke.RunnerID, Load]
+	list buckthorndyke.Backends
+	// others are the requests of the other VMs by server, as the leader said last.
+	others buckthorndyke.Table[buckthorndyke.RunnerID, int]
+	// othersUntil is the instant until which that stands.
+	othersUntil buckthorndyke.Millis
+	missing     buckthorndyke.Table[string, buckthorndyke.Millis]
+	residences  buckthorndyke.Table[buckthorndyke.RunnerID, residence]
+	setbacks    buckthorndyke.Table[buckthorndyke.RunnerID, setback]
 }
 
 // Load is the work that a VM has at a server.
@@ -62,6 +68,15 @@
 // List returns the platform's list.
 func (b Board) List() buckthorndyke.Backends { return b.list }
 
+// Loads returns the VM's own requests by server.
+func (b Board) Loads() []buckthorndyke.ServerLoad {
+	var out []buckthorndyke.ServerLoad
+	for id, load := range b.busy.All() {
+		out = append(out, buckthorndyke.ServerLoad{Requests: load.Requests, Server: id})
+	}
+	return out
+}
+
 // WithBackends returns a board with another list.
 func (b Board) WithBackends(list buckthorndyke.Backends) Board {
 	b.list = list
@@ -98,6 +113,20 @@
 	return b
 }
 
+// WithOthers returns a board with a leader's word of now on the requests of the
+// other VMs.
+func (b Board) WithOthers(list []buckthorndyke.ServerLoad, now buckthorndyke.Millis) Board {
+	b.others = buckthorndyke.Table[buckthorndyke.RunnerID, int]{}
+	for _, l := range list {
+		b.others = b.others.With(l.Server, l.Requests)
+	}
+	b.othersUntil = 0
+	if len(list) > 0 {
+		b.othersUntil = now + othersLife
+	}
+	return b
+}
+
 // WithResidences returns a board with a leader's word of now.
 func (b Board) WithResidences(list []buckthorndyke.Residence, now buckthorndyke.Millis) Board {
 	for _, r := range list {
--- a/selector/board_test.go
+++ b/selector/board_test.go
@@ -48,6 +48,24 @@
 		b = b.WithLoad("b", selector.Load{Requests: 3})
 		assertChosen(t, b, selector.Query{Key: buckthorndyke.ModelKey{Service: desk}, Now: now}, "a")
 	})
+	t.Run("servers are taken by the load that other VMs have there", func(t *testing.T) {
+		b := boardOf(server("a"), server("b")).WithOthers([]buckthorndyke.ServerLoad{{Requests: 9, Server: "a"}, {Requests: 1, Server: "b"}}, now)
+		taken := make(map[buckthorndyke.RunnerID]int)
+		for seed := range uint64(1200) {
+			got, _ := b.Choose(selector.Query{Key: buckthorndyke.ModelKey{Service: desk}, Now: now, Seed: seed})
+			taken[got.ID]++
+		}
+		asserter.True(t, taken["b"] > 900 && taken["b"] < 1100, "the load of the other VMs does not count as it should")
+	})
+	t.Run("an old word on the other VMs does not count", func(t *testing.T) {
+		b := boardOf(server("a"), server("b")).WithOthers([]buckthorndyke.ServerLoad{{Requests: 90, Server: "a"}}, now)
+		seen := make(map[buckthorndyke.RunnerID]bool)
+		for seed := range uint64(64) {
+			got, _ := b.Choose(selector.Query{Key: buckthorndyke.ModelKey{Service: desk}, Now: now + 3*buckthorndyke.Second, Seed: seed})
+			seen[got.ID] = true
+		}
+		asserter.Equal(t, len(seen), 2)
+	})
 	t.Run("equal servers share the requests", func(t *testing.T) {
 		b := boardOf(server("a"), server("b"), server("c"))
 		seen := make(map[buckthorndyke.RunnerID]bool)
--- a/selector/choose.go
+++ b/selector/choose.go
@@ -1,6 +1,7 @@
 package selector
 
 import (
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,11 @@
 	// otherDomain is the load in units that a server in another failure domain is
 	// held to have more.
 	otherDomain = 150
+	// otherDomainWeight is the factor by which a server in another failure domain is
+	// held to be more loaded, if the load of all VMs is known.
+	otherDomainWeight = 1.5
+	// uniformShift leaves the bits of a hash that a float64 holds exactly.
+	uniformShift = 11
 	// requestUnits is the load of one request.
 	requestUnits = 1000
 	// tokensPerUnit is the number of prompt tokens that weigh one unit.
@@ -57,8 +63,8 @@
 // candidate is a server that can take a request.
 type candidate struct {
 	backend buckthorndyke.Backend
-	// draw breaks ties at random.
-	draw uint64
+	// draw breaks ties at random; the lowest is taken.
+	draw float64
 	// near is the highest for the server that probably caches the prefix.
 	near uint64
 	// units is the server's load.
@@ -96,7 +102,10 @@
 		if listed.Service != q.Key.Service || listed.Leaving || slices.Contains(q.Excluded, id) || !b.holds(listed, q) {
 			continue
 		}
-		c := candidate{backend: listed, draw: hashOf(id, q.Seed), units: b.units(listed, q.Domain)}
+		c := candidate{backend: listed, draw: float64(hashOf(id, q.Seed)), units: b.units(listed, q.Domain)}
+		if q.Now < b.othersUntil {
+			c.draw, c.units = b.weigh(listed, q), b.ownUnits(listed)
+		}
 		if q.Prefix != 0 {
 			c.near = hashOf(id, q.Prefix)
 		}
@@ -124,16 +133,35 @@
 	return ok && h.Has(q.Key.Adapter)
 }
 
+// ownUnits returns the VM's own load at a server.
+func (b Board) ownUnits(listed buckthorndyke.Backend) int {
+	load := b.Busy(listed.ID)
+	return load.Requests*requestUnits + load.Tokens/tokensPerUnit
+}
+
 // units returns the load of a server as seen from domain.
 func (b Board) units(listed buckthorndyke.Backend, domain buckthorndyke.DomainID) int {
-	load := b.Busy(listed.ID)
-	units := load.Requests*requestUnits + load.Tokens/tokensPerUnit
+	units := b.ownUnits(listed)
 	if domain != "" && listed.Domain != domain {
 		units += otherDomain
 	}
 	return units
 }
 
+// weigh returns a random number that is the lowest for a server with a likelihood
+// that falls with the load that the other VMs have there. The leader's word is old
+// and the same for all VMs: if each took the least loaded server, all would take
+// the same.
+func (b Board) weigh(listed buckthorndyke.Backend, q Query) float64 {
+	others, _ := b.others.Get(listed.ID)
+	weight := float64(1 + others)
+	if q.Domain != "" && listed.Domain != q.Domain {
+		weight *= otherDomainWeight
+	}
+	uniform := (float64(hashOf(listed.ID, q.Seed)>>uniformShift) + 0.5) / (1 << (64 - uniformShift))
+	return -math.Log(uniform) * weight
+}
+
 // hashOf returns a number that depends on a server and a seed.
 func hashOf(id buckthorndyke.RunnerID, seed uint64) uint64 {
 	d := xxhash.New()
--- /dev/null
+++ b/stager/loads.go
@@ -0,0 +1,53 @@
+package stager
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// fleetFrom is the number of VMs from which on each has too few requests to judge
+// the load of servers by its own.
+const fleetFrom = 16
+
+// Loads is what all VMs report of the requests that they have at servers. It is
+// immutable.
+type Loads struct {
+	reports buckthorndyke.Table[buckthorndyke.VMID, loadReport]
+}
+
+// loadReport is the last word of one VM.
+type loadReport struct {
+	at   buckthorndyke.Millis
+	list []buckthorndyke.ServerLoad
+}
+
+// Others returns the requests that all VMs but vm have at servers, as reported
+// lately, or nothing in a small fleet.
+func (l Loads) Others(vm buckthorndyke.VMID, now buckthorndyke.Millis) []buckthorndyke.ServerLoad {
+	if l.reports.Len() < fleetFrom {
+		return nil
+	}
+	sums := make(map[buckthorndyke.RunnerID]int)
+	for id, r := range l.reports.All() {
+		if id == vm || now >= r.at+reportLife {
+			continue
+		}
+		for _, s := range r.list {
+			sums[s.Server] += s.Requests
+		}
+	}
+	out := make([]buckthorndyke.ServerLoad, 0, len(sums))
+	for id, n := range sums {
+		out = append(out, buckthorndyke.ServerLoad{Requests: n, Server: id})
+	}
+	slices.SortFunc(out, func(a, b buckthorndyke.ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
+	return out
+}
+
+// WithReport returns loads that hold the word of vm at now.
+func (l Loads) WithReport(vm buckthorndyke.VMID, list []buckthorndyke.ServerLoad, now buckthorndyke.Millis) Loads {
+	l.reports = l.reports.With(vm, loadReport{at: now, list: list})
+	return l
+}
--- /dev/null
+++ b/stager/loads_test.go
@@ -0,0 +1,37 @@
+package stager_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/stager"
+)
+
+func TestLoads(t *testing.T) {
+	at := func(server buckthorndyke.RunnerID, n int) buckthorndyke.ServerLoad {
+		return buckthorndyke.ServerLoad{Requests: n, Server: server}
+	}
+	l := stager.Loads{}.
+		WithReport("vm-1", []buckthorndyke.ServerLoad{at("a", 2), at("b", 1)}, now).
+		WithReport("vm-2", []buckthorndyke.ServerLoad{at("a", 3)}, now)
+	small := l
+	for n := range 16 {
+		l = l.WithReport(buckthorndyke.VMID(fmt.Sprintf("idle-%d", n)), nil, now)
+	}
+	t.Run("a small fleet is told nothing", func(t *testing.T) {
+		asserter.Equal(t, len(small.Others("vm-3", now)), 0)
+	})
+	t.Run("the requests of the other VMs are added up", func(t *testing.T) {
+		asserter.Equal(t, l.Others("vm-3", now), []buckthorndyke.ServerLoad{at("a", 5), at("b", 1)})
+		asserter.Equal(t, l.Others("vm-1", now), []buckthorndyke.ServerLoad{at("a", 3)})
+	})
+	t.Run("a VM's last word counts", func(t *testing.T) {
+		got := l.WithReport("vm-2", nil, now).Others("vm-1", now)
+		asserter.Equal(t, len(got), 0)
+	})
+	t.Run("an old word does not count", func(t *testing.T) {
+		asserter.Equal(t, len(l.Others("vm-3", now+3*buckthorndyke.Second)), 0)
+	})
+}
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -61,7 +61,10 @@
 // runner without an outstanding one.
 func (f Floor) Plan(now buckthorndyke.Millis) []Intent {
 	f.demand = f.demand.WithoutOld(now)
-	p := planner{Floor: f, holders: make(map[buckthorndyke.ModelKey]int), now: now, wants: f.demand.wants()}
+	p := planner{
+		Floor: f, arriving: make(map[buckthorndyke.ModelKey]bool), holders: make(map[buckthorndyke.ModelKey]int), now: now,
+		rates: make(map[buckthorndyke.ModelKey]float64), wants: f.demand.wants(),
+	}
 	p.count()
 	p.finishGoals()
 	p.addReplicas(overloadedBatch)
@@ -74,11 +77,19 @@
 // planner is the state of one plan.
 type planner struct {
 	Floor
+	// arriving holds what some runner is loading.
+	arriving map[buckthorndyke.ModelKey]bool
+	// free are the runners that may be given an order.
+	free []buckthorndyke.RunnerID
 	// holders is the number of runners that hold what a key names and keep it.
 	holders map[buckthorndyke.ModelKey]int
 	intents []Intent
 	now     buckthorndyke.Millis
-	wants   map[buckthorndyke.ModelKey]want
+	// rates holds the arrivals a second that were asked for.
+	rates map[buckthorndyke.ModelKey]float64
+	// remote is the number of loads from the weight store that are under way.
+	remote int
+	wants  map[buckthorndyke.ModelKey]want
 }
 
 // addReplicas asks for replicas of models whose runners' batches are taken to
@@ -90,7 +101,7 @@
 			continue
 		}
 		replicas := p.replicas(w.key)
-		hot := replicas == 1 && share == fullBatch && p.demand.PerSecond(w.key, p.now) >= hotRate
+		hot := replicas == 1 && share == fullBatch && p.rate(w.key) >= hotRate
 		full := w.running*1000 >= replicas*facts.Slots*share
 		if replicas == 0 || !hot && !full || p.coming(w.key) {
 			continue
@@ -103,20 +114,24 @@
 func (p *planner) add(i Intent) {
 	p.intents = append(p.intents, i)
 	p.Floor = p.WithOrder(i, p.now)
+	p.free = slices.DeleteFunc(p.free, func(id buckthorndyke.RunnerID) bool { return id == i.Runner })
+	if i.Remote() {
+		p.remote++
+	}
+	service := p.service(i.Runner)
+	if i.Goal != "" {
+		p.arriving[buckthorndyke.ModelKey{Model: i.Goal, Service: service}] = true
+	}
+	if i.Kind == buckthorndyke.OrderLoad {
+		p.arriving[buckthorndyke.ModelKey{Adapter: i.Adapter, Model: i.Model, Service: service}] = true
+	}
 	if i.Kind == buckthorndyke.OrderUnload {
-		p.holders[buckthorndyke.ModelKey{Adapter: i.Adapter, Model: i.Model, Service: p.service(i.Runner)}]--
+		p.holders[buckthorndyke.ModelKey{Adapter: i.Adapter, Model: i.Model, Service: service}]--
 	}
 }
 
 // coming reports whether some runner is loading what key names.
-func (p *planner) coming(key buckthorndyke.ModelKey) bool {
-	for _, s := range p.stages.All() {
-		if s.backend.Service == key.Service && s.loads(key) {
-			return true
-		}
-	}
-	return false
-}
+func (p *planner) coming(key buckthorndyke.ModelKey) bool { return p.arriving[key] }
 
 // facts returns what the configuration says of a service's runners, or nil.
 func (p *planner) facts(id buckthorndyke.ServiceID) *buckthorndyke.EngineFacts {
@@ -152,13 +167,13 @@
 func (p *planner) mayLoadRemote(facts buckthorndyke.EngineFacts, key buckthorndyke.ModelKey) bool {
 	atOnce := max(p.atOnce-hotReserve, 1)
 	switch w := p.wants[key]; {
-	case p.demand.PerSecond(key, p.now) >= hotRate:
+	case p.rate(key) >= hotRate:
 		atOnce = p.atOnce * hotLoads
 	case w.waiting == 0:
 		atOnce = max(p.atOnce/2, 1)
 	}
 	ceiling := int(facts.LoadsPerSecond * float64(loadWindow) / float64(buckthorndyke.Second))
-	return p.remoteLoads() < atOnce && len(p.loadsSince(p.now-loadWindow)) < max(ceiling, 1)
+	return p.remote < atOnce && len(p.loadsSince(p.now-loadWindow)) < max(ceiling, 1)
 }
 
 // place gives the order that brings the model of w to the best runner.
@@ -166,8 +181,9 @@
 	var best stage
 	var bestWay way
 	found := false
-	for _, s := range p.stages.All() {
-		if !s.canTake(w.key.Service, p.now) || s.goal != "" || s.holds(w.key) {
+	for _, id := range p.free {
+		s, _ := p.stages.Get(id)
+		if s.backend.Service != w.key.Service || s.goal != "" || s.holds(w.key) {
 			continue
 		}
 		way, ok := p.way(s, facts, w.key, worth)
@@ -185,8 +201,9 @@
 func (p *planner) placeAdapter(w want, facts buckthorndyke.EngineFacts) {
 	var best stage
 	found := false
-	for _, s := range p.stages.All() {
-		if !s.canTake(w.key.Service, p.now) || !s.holds(w.key.Base()) {
+	for _, id := range p.free {
+		s, _ := p.stages.Get(id)
+		if s.backend.Service != w.key.Service || !s.holds(w.key.Base()) {
 			continue
 		}
 		if !found || s.adapters() < best.adapters() {
@@ -222,7 +239,7 @@
 			if w := p.wants[key]; w.running > 0 || w.waiting > 0 {
 				continue
 			}
-			if r := p.demand.PerSecond(key, p.now); !found || r < least {
+			if r := p.rate(key); !found || r < least {
 				oldest, adapter, least, found = h.Model, a, r, true
 			}
 		}
@@ -288,9 +305,19 @@
 	return out
 }
 
-// count counts the holders of all models and adapters.
+// count counts the holders of all models and adapters, what is being loaded and
+// the runners that may be given an order.
 func (p *planner) count() {
-	for _, s := range p.stages.All() {
+	for id, s := range p.stages.All() {
+		if s.canTake(p.now) {
+			p.free = append(p.free, id)
+		}
+		if s.loadsRemote() {
+			p.remote++
+		}
+		for _, key := range s.arriving() {
+			p.arriving[key] = true
+		}
 		if s.backend.Leaving || s.down() {
 			continue
 		}
@@ -309,6 +336,16 @@
 	}
 }
 
+// rate returns the arrivals a second of requests for key.
+func (p *planner) rate(key buckthorndyke.ModelKey) float64 {
+	r, ok := p.rates[key]
+	if !ok {
+		r = p.demand.PerSecond(key, p.now)
+		p.rates[key] = r
+	}
+	return r
+}
+
 // replicas returns the number of runners that hold what key names.
 func (p *planner) replicas(key buckthorndyke.ModelKey) int {
 	return p.holders[key]
@@ -364,5 +401,5 @@
 // worth returns what it is worth to hold the model of key, in requests a second.
 func (p *planner) worth(key buckthorndyke.ModelKey) float64 {
 	w := p.wants[key]
-	return p.demand.PerSecond(key, p.now) + waitWorth*float64(w.waiting)
+	return p.rate(key) + waitWorth*float64(w.waiting)
 }
--- a/stager/stage.go
+++ b/stager/stage.go
@@ -86,10 +86,24 @@
 	return n
 }
 
-// canTake reports whether the runner serves service and may be given an order at
-// now.
-func (s stage) canTake(service buckthorndyke.ServiceID, now buckthorndyke.Millis) bool {
-	return s.backend.Service == service && !s.backend.Leaving && !s.down() && s.order == nil && now >= s.retryAt && s.orders != unknown
+// arriving returns what the runner is loading.
+func (s stage) arriving() []buckthorndyke.ModelKey {
+	if s.down() {
+		return nil
+	}
+	var out []buckthorndyke.ModelKey
+	if s.goal != "" {
+		out = append(out, buckthorndyke.ModelKey{Model: s.goal, Service: s.backend.Service})
+	}
+	if s.order != nil && s.order.kind == buckthorndyke.OrderLoad {
+		out = append(out, buckthorndyke.ModelKey{Adapter: s.order.adapter, Model: s.order.model, Service: s.backend.Service})
+	}
+	return out
+}
+
+// canTake reports whether the runner may be given an order at now.
+func (s stage) canTake(now buckthorndyke.Millis) bool {
+	return !s.backend.Leaving && !s.down() && s.order == nil && now >= s.retryAt && s.orders != unknown
 }
 
 // closed returns the models that take no more requests.
@@ -147,14 +161,7 @@
 
 // loads reports whether the runner is loading what key names.
 func (s stage) loads(key buckthorndyke.ModelKey) bool {
-	if s.down() {
-		return false
-	}
-	if s.goal == key.Model && key.Adapter == "" {
-		return true
-	}
-	return s.order != nil && s.order.kind == buckthorndyke.OrderLoad &&
-		s.order.model == key.Model && s.order.adapter == key.Adapter
+	return slices.Contains(s.arriving(), key)
 }
 
 // loadsRemote reports whether the runner takes a model from the weight store, or
--- a/supervisor/relayer/demander/demander.go
+++ b/supervisor/relayer/demander/demander.go
@@ -64,15 +64,15 @@
 func (d *Demander) Serve(ctx context.Context) error {
 	recent := false
 	for ctx.Err() == nil {
-		lines, waiting, err := d.source.Demand(ctx, recent)
+		demand, err := d.source.Demand(ctx, recent)
 		if err != nil {
 			return err
 		}
-		if recent = d.report(ctx, lines); recent {
+		if recent = d.report(ctx, demand); recent {
 			continue
 		}
 		wait := calmEvery
-		if waiting {
+		if demand.Waiting {
 			wait = pressingEvery
 		}
 		select {
@@ -86,21 +86,21 @@
 	return ctx.Err()
 }
 
-// ask sends lines to the leader and returns its answer.
-func (d *Demander) ask(ctx context.Context, lines []buckthorndyke.DemandLine) (buckthorndyke.DemandReply, error) {
+// ask sends demand to the leader and returns its answer.
+func (d *Demander) ask(ctx context.Context, demand buckthorndyke.DemandReport) (buckthorndyke.DemandReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout.Duration())
 	defer cancel()
-	return d.leaders.Report(ctx, d.address, d.self, lines)
+	return d.leaders.Report(ctx, d.address, d.self, demand)
 }
 
-// report sends lines to the leader, if there is one. It reports whether the
+// report sends demand to the leader, if there is one. It reports whether the
 // leader asks for all recent arrivals.
-func (d *Demander) report(ctx context.Context, lines []buckthorndyke.DemandLine) bool {
+func (d *Demander) report(ctx context.Context, demand buckthorndyke.DemandReport) bool {
 	if d.address == "" && !d.search(ctx) {
 		d.unled(ctx)
 		return false
 	}
-	reply, err := d.ask(ctx, lines)
+	reply, err := d.ask(ctx, demand)
 	if err != nil || !reply.Leading {
 		d.logger.Info().EmbedObject(reporter.EventDependencyLost).Str("dependency", "leader").
 			Str("address", d.address).Err(err).Send()
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -71,11 +71,10 @@
 }
 
 // Demand implements buckthorndyke.DemandSource.
-func (d *Dispatcher) Demand(ctx context.Context, recent bool) ([]buckthorndyke.DemandLine, bool, error) {
-	answer, err := mailer.Ask(ctx, d.box, func(reply mailer.Reply[demandAnswer]) message {
+func (d *Dispatcher) Demand(ctx context.Context, recent bool) (buckthorndyke.DemandReport, error) {
+	return mailer.Ask(ctx, d.box, func(reply mailer.Reply[buckthorndyke.DemandReport]) message {
 		return demandAsked{recent: recent, reply: reply}
 	})
-	return answer.lines, answer.waiting, err
 }
 
 // Drain lets requests wait for a server for at most wait from now on.
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -65,13 +65,7 @@
 	demandAsked struct {
 		// recent is set if all recent arrivals are asked for.
 		recent bool
-		reply  mailer.Reply[demandAnswer]
-	}
-
-	// demandAnswer is the demand since the last time.
-	demandAnswer struct {
-		lines   []buckthorndyke.DemandLine
-		waiting bool
+		reply  mailer.Reply[buckthorndyke.DemandReport]
 	}
 
 	// drainBegun says that no request may wait for a server after an instant.
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -109,7 +109,7 @@
 }
 
 // demand returns the demand since the last call, or with all recent arrivals.
-func (t *task) demand(recent bool) demandAnswer {
+func (t *task) demand(recent bool) buckthorndyke.DemandReport {
 	if recent {
 		t.recall()
 	}
@@ -127,12 +127,12 @@
 		change(key, func(l *buckthorndyke.DemandLine) { l.Running = n })
 	}
 	now := t.clock.Now()
-	answer := demandAnswer{}
+	answer := buckthorndyke.DemandReport{Loads: t.board.Loads()}
 	for _, m := range t.waiting {
 		if m.query.Key.Model == "" {
 			continue
 		}
-		answer.waiting = true
+		answer.Waiting = true
 		change(m.query.Key, func(l *buckthorndyke.DemandLine) {
 			if due := max(m.patience.coming-now, 0); l.Waiting == 0 || due < l.Due {
 				l.Due = due
@@ -142,9 +142,9 @@
 	}
 	clear(t.arrivals)
 	for _, line := range lines {
-		answer.lines = append(answer.lines, line)
+		answer.Lines = append(answer.Lines, line)
 	}
-	slices.SortFunc(answer.lines, func(a, b buckthorndyke.DemandLine) int {
+	slices.SortFunc(answer.Lines, func(a, b buckthorndyke.DemandLine) int {
 		return cmp.Or(cmp.Compare(a.Key.Model, b.Key.Model), cmp.Compare(a.Key.Adapter, b.Key.Adapter))
 	})
 	return answer
@@ -241,7 +241,7 @@
 	for _, e := range reply.Expected {
 		t.expected[e.Key] = now + e.In
 	}
-	t.board = t.board.WithResidences(reply.Residences, now)
+	t.board = t.board.WithResidences(reply.Residences, now).WithOthers(reply.Loads, now)
 	t.retryWaiting()
 }
 
--- a/supervisor/relayer/loader/loader.go
+++ b/supervisor/relayer/loader/loader.go
@@ -91,10 +91,10 @@
 // Report takes a VM's demand and returns what the leader knows, once something
 // that waits can be served or after a short while.
 func (l *Loader) Report(
-	ctx context.Context, vm buckthorndyke.VMID, lines []buckthorndyke.DemandLine,
+	ctx context.Context, vm buckthorndyke.VMID, demand buckthorndyke.DemandReport,
 ) (buckthorndyke.DemandReply, error) {
 	return mailer.Ask(ctx, l.box, func(reply mailer.Reply[buckthorndyke.DemandReply]) message {
-		return demandReported{lines: lines, reply: reply, vm: vm}
+		return demandReported{demand: demand, reply: reply, vm: vm}
 	})
 }
 
--- a/supervisor/relayer/loader/loader_test.go
+++ b/supervisor/relayer/loader/loader_test.go
@@ -290,7 +290,9 @@
 // report reports once that a request waits for key.
 func (s *site) report(key buckthorndyke.ModelKey) buckthorndyke.DemandReply {
 	s.t.Helper()
-	reply, err := s.loader.Report(s.ctx, "vm-2", []buckthorndyke.DemandLine{{Due: buckthorndyke.Second, Key: key, Waiting: 1}})
+	reply, err := s.loader.Report(s.ctx, "vm-2", buckthorndyke.DemandReport{
+		Lines: []buckthorndyke.DemandLine{{Due: buckthorndyke.Second, Key: key, Waiting: 1}}, Waiting: true,
+	})
 	asserter.NoError(s.t, err)
 	return reply
 }
--- a/supervisor/relayer/loader/messages.go
+++ b/supervisor/relayer/loader/messages.go
@@ -19,9 +19,9 @@
 
 	// demandReported brings the demand of one VM.
 	demandReported struct {
+		demand buckthorndyke.DemandReport
 		// first is set if the VM has not reported to this leader before.
 		first bool
-		lines []buckthorndyke.DemandLine
 		reply mailer.Reply[buckthorndyke.DemandReply]
 		vm    buckthorndyke.VMID
 	}
@@ -57,6 +57,7 @@
 
 func (m adapterSettled) apply(t *task) {
 	t.floor = t.floor.WithDone(m.intent, t.clock.Now())
+	t.changed = true
 }
 func (m demandReported) apply(t *task) { t.takeDemand(m) }
 func (m orderAnswered) apply(t *task)  { t.takeAnswer(m) }
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -28,6 +28,9 @@
 	// planEvery is the least time between two plans, whose cost grows with the
 	// fleet while messages come from all of it.
 	planEvery = 30 * buckthorndyke.Millisecond
+	// planRest is how many times as long as a plan the time until the next one is at
+	// least, so that a slow VM has time for its peers.
+	planRest = 5
 	// surveyEvery is the time between two looks at runners whose reports are
 	// needed.
 	surveyEvery = 400 * buckthorndyke.Millisecond
@@ -42,18 +45,23 @@
 // task is the state of one run of a loader. Only its goroutine touches it.
 type task struct {
 	*Loader
+	// changed is set if runners may hold more than when the parked reports were last
+	// looked at.
+	changed bool
 	// fenced is the highest fencing number that was refused or given up.
 	fenced int64
 	floor  stager.Floor
 	// from is the instant from which the VM may give orders.
 	from buckthorndyke.Millis
 	life context.Context
+	// loads are the requests that the VMs have at servers.
+	loads stager.Loads
 	// ordered is the instant of the last order, or 0.
 	ordered buckthorndyke.Millis
 	// parked are the reports of demand that wait for something to change.
 	parked []parked
-	// planned is the instant of the last plan.
-	planned buckthorndyke.Millis
+	// planAt is the instant of the next plan.
+	planAt buckthorndyke.Millis
 	// polled is the instant of the last look at the runners.
 	polled buckthorndyke.Millis
 	// polling holds the runners whose report was asked for.
@@ -87,6 +95,7 @@
 			t.floor = t.floor.WithRouting(r)
 		case l := <-lists:
 			t.floor = t.floor.WithBackends(l, t.clock.Now())
+			t.changed = true
 		case t.seenList = <-seenList:
 		case t.seenRouting = <-seenRouting:
 		case term := <-terms:
@@ -102,12 +111,13 @@
 func (t *task) answerParked(now buckthorndyke.Millis) {
 	var kept []parked
 	for _, p := range t.parked {
-		if now < p.until && !t.served(p.lines) {
+		if now < p.until && (!t.changed || !t.served(p.demand.Lines)) {
 			kept = append(kept, p)
 			continue
 		}
 		t.answer(p.demandReported, now)
 	}
+	t.changed = false
 	t.parked = kept
 }
 
@@ -115,9 +125,10 @@
 func (t *task) answer(m demandReported, now buckthorndyke.Millis) {
 	m.reply.Answer(buckthorndyke.DemandReply{
 		AskRecent:  m.first,
-		Expected:   t.floor.Expected(m.lines, now),
+		Expected:   t.floor.Expected(m.demand.Lines, now),
 		Leading:    t.leads(now),
 		List:       buckthorndyke.NoticeOf(t.seenList, now),
+		Loads:      t.loads.Others(m.vm, now),
 		Residences: t.floor.Residences(t.told[m.vm], now),
 		Routing:    buckthorndyke.NoticeOf(t.seenRouting, now),
 	})
@@ -255,12 +266,13 @@
 
 // step does what the state calls for at now.
 func (t *task) step(now buckthorndyke.Millis) {
-	if t.mayOrder(now) && now >= t.planned+planEvery {
-		t.planned = now
+	if t.mayOrder(now) && now >= t.planAt {
 		for _, i := range t.floor.Plan(now) {
 			t.order(i)
 		}
 		t.poll(now)
+		took := t.clock.Now() - now
+		t.planAt = now + max(planEvery, took*planRest)
 	}
 	t.answerParked(now)
 }
@@ -268,6 +280,7 @@
 // takeAnswer takes over a runner's answer to an order.
 func (t *task) takeAnswer(m orderAnswered) {
 	now := t.clock.Now()
+	t.changed = true
 	t.logger.Info().EmbedObject(reporter.EventOrderEnded).Str("runner", string(m.intent.Runner)).
 		Str("kind", string(m.intent.Kind)).Str("model", string(m.intent.Model)).Str("adapter", m.intent.Adapter).
 		Str("outcome", string(m.outcome)).Err(m.err).Send()
@@ -309,12 +322,9 @@
 func (t *task) takeDemand(m demandReported) {
 	now := t.clock.Now()
 	m.first = !t.floor.Heard(m.vm)
-	t.floor = t.floor.WithDemand(m.vm, m.lines, now)
-	waits := false
-	for _, l := range m.lines {
-		waits = waits || l.Waiting > 0
-	}
-	if !t.leads(now) || !waits || m.first || t.served(m.lines) {
+	t.floor = t.floor.WithDemand(m.vm, m.demand.Lines, now)
+	t.loads = t.loads.WithReport(m.vm, m.demand.Loads, now)
+	if !t.leads(now) || !m.demand.Waiting || m.first || t.served(m.demand.Lines) {
 		t.answer(m, now)
 		return
 	}
@@ -354,6 +364,7 @@
 		return
 	}
 	t.floor = t.floor.WithReport(m.report, t.clock.Now())
+	t.changed = true
 }
 
 // yield gives up leading if a successor has a higher fencing number.
--- a/translator/demand.go
+++ b/translator/demand.go
@@ -6,10 +6,11 @@
 )
 
 // DemandFromWire returns the demand in m.
-func DemandFromWire(m *wire.DemandRequest) []buckthorndyke.DemandLine {
-	lines := make([]buckthorndyke.DemandLine, 0, len(m.Demand))
+func DemandFromWire(m *wire.DemandRequest) buckthorndyke.DemandReport {
+	out := buckthorndyke.DemandReport{Loads: loadsFromWire(m.Loads)}
 	for _, l := range m.Demand {
-		lines = append(lines, buckthorndyke.DemandLine{
+		out.Waiting = out.Waiting || l.Waiting > 0
+		out.Lines = append(out.Lines, buckthorndyke.DemandLine{
 			Arrivals: int(l.Arrivals),
 			Due:      buckthorndyke.Millis(l.DueMs),
 			Key:      modelKeyFromWire(l),
@@ -17,13 +18,13 @@
 			Waiting:  int(l.Waiting),
 		})
 	}
-	return lines
+	return out
 }
 
 // DemandToWire returns the message that reports the demand that vm sees.
-func DemandToWire(vm buckthorndyke.VMID, lines []buckthorndyke.DemandLine) *wire.DemandRequest {
-	out := &wire.DemandRequest{Vm: string(vm)}
-	for _, l := range lines {
+func DemandToWire(vm buckthorndyke.VMID, r buckthorndyke.DemandReport) *wire.DemandRequest {
+	out := &wire.DemandRequest{Loads: loadsToWire(r.Loads), Vm: string(vm)}
+	for _, l := range r.Lines {
 		out.Demand = append(out.Demand, &wire.DemandLine{
 			Adapter:  l.Key.Adapter,
 			Arrivals: int32(l.Arrivals),
@@ -40,7 +41,8 @@
 // DemandReplyFromWire returns the leader's answer in m.
 func DemandReplyFromWire(m *wire.DemandResponse) buckthorndyke.DemandReply {
 	out := buckthorndyke.DemandReply{
-		AskRecent: m.AskRecent, Leading: m.Leading, List: noticeFromWire(m.List), Routing: noticeFromWire(m.Routing),
+		AskRecent: m.AskRecent, Leading: m.Leading, List: noticeFromWire(m.List), Loads: loadsFromWire(m.Loads),
+		Routing: noticeFromWire(m.Routing),
 	}
 	for _, e := range m.Expected {
 		out.Expected = append(out.Expected, buckthorndyke.Expectation{
@@ -64,7 +66,8 @@
 // DemandReplyToWire returns the message that carries the leader's answer.
 func DemandReplyToWire(r buckthorndyke.DemandReply) *wire.DemandResponse {
 	out := &wire.DemandResponse{
-		AskRecent: r.AskRecent, Leading: r.Leading, List: noticeToWire(r.List), Routing: noticeToWire(r.Routing),
+		AskRecent: r.AskRecent, Leading: r.Leading, List: noticeToWire(r.List), Loads: loadsToWire(r.Loads),
+		Routing: noticeToWire(r.Routing),
 	}
 	for _, e := range r.Expected {
 		out.Expected = append(out.Expected, &wire.Expectation{
@@ -104,3 +107,21 @@
 func noticeToWire(n buckthorndyke.Notice) *wire.Notice {
 	return &wire.Notice{AgeMs: int64(n.Age), Mark: n.Mark}
 }
+
+// loadsFromWire returns the loads in list.
+func loadsFromWire(list []*wire.ServerLoad) []buckthorndyke.ServerLoad {
+	var out []buckthorndyke.ServerLoad
+	for _, l := range list {
+		out = append(out, buckthorndyke.ServerLoad{Requests: int(l.Requests), Server: buckthorndyke.RunnerID(l.Server)})
+	}
+	return out
+}
+
+// loadsToWire returns the messages that carry list.
+func loadsToWire(list []buckthorndyke.ServerLoad) []*wire.ServerLoad {
+	var out []*wire.ServerLoad
+	for _, l := range list {
+		out = append(out, &wire.ServerLoad{Requests: int32(l.Requests), Server: string(l.Server)})
+	}
+	return out
+}
