--- a/supervisor/relayer/campaigner/campaigner.go
+++ b/supervisor/relayer/campaigner/campaigner.go
@@ -91,14 +91,17 @@
 			}
 		}
 		wait := calmEvery
-		if err != nil || current.Leading || c.clock.Now() < contestUntil {
+		switch {
+		case err != nil && !current.Leading:
+			wait = c.lease
+		case current.Leading || c.clock.Now() < contestUntil:
 			wait = c.lease / renewals
 		}
 		select {
 		case <-ctx.Done():
 		case <-losses:
 			contestUntil = c.clock.Now() + contestLeases*c.lease
-			c.contest(ctx, current.Leading)
+			c.contest(ctx, current.Leading, err != nil)
 		case <-c.clock.After(wait):
 		}
 	}
@@ -106,10 +109,15 @@
 }
 
 // contest waits before the VM looks at a grant after a loss: for others if it is
-// in reserve, and in any case no less than between two looks.
-func (c *Campaigner) contest(ctx context.Context, leading bool) {
+// in reserve, longer if the election does not answer, and in any case no less than
+// between two looks.
+func (c *Campaigner) contest(ctx context.Context, leading, failing bool) {
 	wait := c.lease / renewals / 2
-	if c.reserve && !leading {
+	switch {
+	case leading:
+	case failing:
+		wait = c.lease
+	case c.reserve:
 		wait = reserveWait
 	}
 	c.pause(ctx, wait)
--- a/supervisor/relayer/demander/demander.go
+++ b/supervisor/relayer/demander/demander.go
@@ -21,6 +21,9 @@
 	pressingFirst = 15 * buckthorndyke.Millisecond
 	// reportTimeout bounds one report. The leader answers within a part of it.
 	reportTimeout = 700 * buckthorndyke.Millisecond
+	// outagePause is how much later than else a search is repeated if the election
+	// does not answer.
+	outagePause = buckthorndyke.Second
 	// searchEvery is the least time between two searches for the leader.
 	searchEvery = 500 * buckthorndyke.Millisecond
 )
@@ -127,6 +130,9 @@
 	}
 	d.searched = now
 	address, ok, err := d.election.Leader(ctx)
+	if err != nil {
+		d.searched += outagePause
+	}
 	if err != nil || !ok {
 		d.logger.Info().EmbedObject(reporter.EventDependencyLost).Str("dependency", "leader").Err(err).Send()
 		return false
