--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 export GOFLAGS = -buildvcs=false
 
-.PHONY: bench build capacity check-generated demo format generate lint matrix measure test tools
+.PHONY: bench build capacity check-generated demo format generate lint matrix measure soak test tools
 
 bench: build
 	go build -o bin/bencher ./bencher
@@ -55,6 +55,12 @@
 measure:
 	go run ./measurer examples
 
+# Fresh seeds of the fault soak: make soak SEEDS=50 FIRST=100
+SEEDS = 20
+FIRST = $(shell date +%s)
+soak:
+	go test -count=1 -timeout 60m -v -run TestSoak ./endtoend -soak.seeds $(SEEDS) -soak.first $(FIRST)
+
 test:
 	$(GO_TEST) $(filter-out $(BUBBLED),$(PACKAGES))
 	$(GO_TEST) -cpu 1 $(BUBBLED)
--- /dev/null
+++ b/supervisor/relayer/demander/demander_test.go
@@ -0,0 +1,165 @@
+package demander_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+
+	"github.com/rs/zerolog"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/demander"
+	"github.com/buckthorndyke/buckthorndyke/timekeeper"
+)
+
+const span = 4 * buckthorndyke.Second
+
+func TestDemander(t *testing.T) {
+	led := func(d *double) { d.reply.Leading, d.leader = true, "10.0.0.2:1" }
+	t.Run("the demand is reported, and the answer passed on", func(t *testing.T) {
+		got := play(t, led)
+		asserter.True(t, got.reports >= 4 && got.reports <= 7, "the demand is not reported at its pace")
+		asserter.Equal(t, got.answers, got.reports)
+		asserter.Equal(t, got.losses, 0)
+	})
+	t.Run("a leader that asks for all recent arrivals gets them at once", func(t *testing.T) {
+		got := play(t, func(d *double) {
+			led(d)
+			d.askRecent = 1
+		})
+		asserter.Equal(t, got.recent, 1)
+	})
+	t.Run("the leader's word on the records is passed on", func(t *testing.T) {
+		got := play(t, func(d *double) {
+			led(d)
+			d.reply.List = buckthorndyke.Notice{Age: 300, Mark: 7}
+		})
+		asserter.Equal(t, got.told.Mark, 7)
+	})
+	t.Run("a VM without a leader says so", func(t *testing.T) {
+		got := play(t, func(*double) {})
+		asserter.True(t, got.losses > 0 && got.unled > 0, "nobody is told")
+		asserter.Equal(t, got.reports, 0)
+	})
+	t.Run("a leader that does not answer is a loss", func(t *testing.T) {
+		got := play(t, func(d *double) {
+			led(d)
+			d.err = errors.New("no answer")
+		})
+		asserter.True(t, got.losses > 0 && got.unled > 0, "nobody is told")
+	})
+	t.Run("a VM that no longer leads is no leader", func(t *testing.T) {
+		got := play(t, func(d *double) { d.leader = "10.0.0.2:1" })
+		asserter.True(t, got.losses > 0, "nobody is told")
+		asserter.Equal(t, got.answers, 0)
+	})
+	t.Run("an election that does not answer is asked less often", func(t *testing.T) {
+		calm := play(t, func(*double) {})
+		got := play(t, func(d *double) { d.lookErr = errors.New("down") })
+		asserter.True(t, got.looks < calm.looks, "it is asked as often")
+	})
+}
+
+// double is the dispatcher, the leader and the election of a demander, and what
+// they have seen.
+type double struct {
+	// askRecent is the number of answers that ask for all recent arrivals.
+	askRecent int
+	err       error
+	leader    string
+	lookErr   error
+	reply     buckthorndyke.DemandReply
+
+	answers, looks, losses, recent, reports, unled int
+	told                                           buckthorndyke.Sighting
+}
+
+// Campaign implements buckthorndyke.Election.
+func (d *double) Campaign(context.Context) (buckthorndyke.Term, error) {
+	return buckthorndyke.Term{}, nil
+}
+
+// Demand implements buckthorndyke.DemandSource.
+func (d *double) Demand(_ context.Context, recent bool) (buckthorndyke.DemandReport, error) {
+	if recent {
+		d.recent++
+	}
+	return buckthorndyke.DemandReport{}, nil
+}
+
+// Leader implements buckthorndyke.Election.
+func (d *double) Leader(context.Context) (string, bool, error) {
+	d.looks++
+	return d.leader, d.leader != "", d.lookErr
+}
+
+// Led implements buckthorndyke.DemandSource.
+func (d *double) Led(context.Context, buckthorndyke.DemandReply) error {
+	d.answers++
+	return nil
+}
+
+// Pressing implements buckthorndyke.DemandSource.
+func (d *double) Pressing() <-chan struct{} { return nil }
+
+// Report implements buckthorndyke.Leaders.
+func (d *double) Report(context.Context, string, buckthorndyke.VMID, buckthorndyke.DemandReport) (buckthorndyke.DemandReply, error) {
+	d.reports++
+	reply := d.reply
+	reply.AskRecent = d.reports <= d.askRecent
+	return reply, d.err
+}
+
+// Resign implements buckthorndyke.Election.
+func (d *double) Resign(context.Context) error { return nil }
+
+// Unled implements buckthorndyke.DemandSource.
+func (d *double) Unled(context.Context) error {
+	d.unled++
+	return nil
+}
+
+// Yield implements buckthorndyke.Leaders.
+func (d *double) Yield(context.Context, string, int64) (buckthorndyke.Yielded, error) {
+	return buckthorndyke.Yielded{}, nil
+}
+
+// play runs a demander for span with a double that set has prepared.
+func play(t *testing.T, set func(d *double)) *double {
+	t.Helper()
+	d := &double{}
+	set(d)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		clock := timekeeper.NewRealClock()
+		losses := mailer.NewFeed[buckthorndyke.Millis]()
+		told := demander.Told{
+			Lists: mailer.NewFeed[buckthorndyke.Sighting](), Routings: mailer.NewFeed[buckthorndyke.Sighting](),
+		}
+		for _, serve := range []func(context.Context) error{losses.Serve, told.Lists.Serve, told.Routings.Serve} {
+			go func() { _ = serve(ctx) }()
+		}
+		lost, lists := losses.Subscribe(ctx), told.Lists.Subscribe(ctx)
+		synctest.Wait()
+		done := make(chan error, 1)
+		go func() { done <- demander.New("vm-1", d, d, d, losses, told, clock, zerolog.Nop()).Serve(ctx) }()
+		for end := clock.After(span); ; {
+			select {
+			case <-lost:
+				d.losses++
+				continue
+			case d.told = <-lists:
+				continue
+			case <-end:
+			}
+			break
+		}
+		cancel()
+		asserter.Error(t, <-done)
+	})
+	return d
+}
