refactor(stager): one file a concern; methods in order

floor.go had grown to 419 lines and plan.go to 405: what changes a floor, what is expected of it, copies ahead of need and adapters stand in files of their own.

--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -26,8 +26,8 @@
 const (
 	// bodyLimit bounds the body of a relayed request, in bytes.
 	bodyLimit = 8 << 20
-	// grantTime is how long a grant to lead lasts without a renewal. The platform
-	// allows no less than a second.
+	// grantTime is how long a grant to lead lasts without a renewal: half of the lease
+	// between two leaders' orders on the deployments' sheets.
 	grantTime = 1500 * buckthorndyke.Millisecond
 	// leaderShare is the part of a core below which a VM leads only if no other
 	// does: a leader hears the demand of the whole fleet.
@@ -66,7 +66,15 @@
 		Pool:      recorder.NewPool(runners, metrics, clock),
 	}
 	tree := relayer.New(self, outside, relayer.Settings{
-		AtOnce: s.LoadsAtOnce, ChangeLimit: s.ChangeLimit, ChecksFence: s.ChecksFence, DrainLimit: s.DrainLimit, Grant: grantTime, Lease: s.Lease, LeaveLimit: s.LeaveLimit, Reserve: s.CPUShare < leaderShare, RetryBurst: s.RetryBurst,
+		AtOnce:      s.LoadsAtOnce,
+		ChangeLimit: s.ChangeLimit,
+		ChecksFence: s.ChecksFence,
+		DrainLimit:  s.DrainLimit,
+		Grant:       grantTime,
+		Lease:       s.Lease,
+		LeaveLimit:  s.LeaveLimit,
+		Reserve:     s.CPUShare < leaderShare,
+		RetryBurst:  s.RetryBurst,
 	}, clock, logger)
 	asks := make(chan os.Signal, 1)
 	signal.Notify(asks, syscall.SIGHUP)
--- /dev/null
+++ b/stager/floorchange.go
@@ -0,0 +1,197 @@
+package stager
+
+import (
+	"math"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
+
+// WithAccepted returns a floor on which a runner has accepted its order.
+func (f Floor) WithAccepted(id buckthorndyke.RunnerID, orders int64) Floor {
+	s, ok := f.stages.Get(id)
+	if !ok {
+		return f
+	}
+	s.orders = orders
+	if s.order != nil {
+		o := *s.order
+		o.accepted = true
+		s.order = &o
+	}
+	f.stages = f.stages.With(id, s)
+	return f
+}
+
+// WithBackends returns a floor with the runners of the platform's list.
+func (f Floor) WithBackends(list buckthorndyke.Backends, now buckthorndyke.Millis) Floor {
+	for id, s := range f.stages.All() {
+		if b, ok := list.Listed.Get(id); !ok || b.Started != s.backend.Started {
+			f.stages = f.stages.Without(id)
+		}
+	}
+	for id, b := range list.Listed.All() {
+		s, ok := f.stages.Get(id)
+		if !ok {
+			f.stages = f.stages.With(id, stage{backend: b, orders: unknown})
+			continue
+		}
+		// What the runner holds is taken from its reports: entries of the list are
+		// older by an unknown time.
+		if s.order == nil && now >= s.changed+ownLife && !sameModels(s.backend, b) {
+			s.orders = unknown
+		}
+		s.backend.Address, s.backend.Leaving = b.Address, b.Leaving
+		f.stages = f.stages.With(id, s)
+	}
+	return f
+}
+
+// WithDemand returns a floor that holds the report of vm.
+func (f Floor) WithDemand(vm buckthorndyke.VMID, lines []buckthorndyke.DemandLine, now buckthorndyke.Millis) Floor {
+	f.demand = f.demand.WithReport(vm, lines, now)
+	return f
+}
+
+// WithDone returns a floor on which an order has been carried out. It is
+// unchanged if another order is outstanding on that runner.
+func (f Floor) WithDone(i Intent, now buckthorndyke.Millis) Floor {
+	s, ok := f.stages.Get(i.Runner)
+	if !ok || s.order == nil || !s.order.is(i) {
+		return f
+	}
+	f = f.withLoadTime(s, now)
+	f.stages = f.stages.With(i.Runner, s.withDone(now))
+	return f
+}
+
+// WithFailed returns a floor on which an order was not accepted. It is unchanged
+// if another order is outstanding on that runner.
+func (f Floor) WithFailed(i Intent, now buckthorndyke.Millis) Floor {
+	id := i.Runner
+	s, ok := f.stages.Get(id)
+	if !ok || s.order == nil || !s.order.is(i) {
+		return f
+	}
+	s.order = nil
+	s.goal = ""
+	s.orders = unknown
+	s.retryAt = now + refusedPause
+	f.stages = f.stages.With(id, s)
+	return f
+}
+
+// WithOrder returns a floor on which a runner has an outstanding order.
+func (f Floor) WithOrder(o Intent, now buckthorndyke.Millis) Floor {
+	s, ok := f.stages.Get(o.Runner)
+	if !ok {
+		return f
+	}
+	s.order = &pending{adapter: o.Adapter, kind: o.Kind, model: o.Model, sent: now, tier: o.Tier}
+	if o.Remote() {
+		s.order.beside = f.remoteLoads() + 1
+	}
+	if o.Adapter == "" {
+		s.goal = o.Goal
+	}
+	f.stages = f.stages.With(o.Runner, s)
+	if o.Remote() {
+		f.remote = append(f.loadsSince(now-loadWindow), now)
+	}
+	return f
+}
+
+// WithReport returns a floor with a runner's own report of now. It ends an order
+// that the report shows to be carried out or lost.
+func (f Floor) WithReport(r buckthorndyke.ModelReport, now buckthorndyke.Millis) Floor {
+	id := r.Backend.ID
+	s, ok := f.stages.Get(id)
+	if !ok || s.backend.Started != r.Backend.Started || s.orders != unknown && r.Orders < s.orders {
+		return f
+	}
+	leaving := s.backend.Leaving
+	s.backend = r.Backend
+	s.backend.Leaving = leaving
+	s.changed = now
+	s.silent = 0
+	s.orders = r.Orders
+	s.busy = s.order == nil && r.Busy
+	if s.busy {
+		// Another leader's order is being carried out: what it changes would not
+		// show in the number of orders.
+		s.orders = unknown
+	}
+	if o := s.order; o != nil && !r.Busy {
+		switch {
+		case o.settled(r.Backend):
+			f = f.withLoadTime(s, now)
+			s = s.withDone(now)
+		case now >= o.sent+o.patience():
+			s.order = nil
+			s.goal = ""
+		}
+	}
+	f.stages = f.stages.With(id, s)
+	return f
+}
+
+// WithRouting returns a floor with another configuration.
+func (f Floor) WithRouting(r buckthorndyke.Routing) Floor {
+	f.routing = r
+	return f
+}
+
+// WithSilence returns a floor on which a runner has not answered the question for
+// its report.
+func (f Floor) WithSilence(id buckthorndyke.RunnerID) Floor {
+	if s, ok := f.stages.Get(id); ok {
+		s.silent++
+		f.stages = f.stages.With(id, s)
+	}
+	return f
+}
+
+// WithTerm returns a floor whose leader begins to lead at now: it knows no
+// demand.
+func (f Floor) WithTerm(now buckthorndyke.Millis) Floor {
+	f.demand = Demand{}
+	f.hearUntil = now + hearTime
+	return f
+}
+
+// sameModels reports whether two descriptions of a runner name the same models.
+func sameModels(a, b buckthorndyke.Backend) bool {
+	if len(a.Holdings) != len(b.Holdings) {
+		return false
+	}
+	for _, h := range a.Holdings {
+		if _, ok := b.Holding(h.Model); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// withLoadTime returns a floor that has learnt from the end of a load how many
+// loads at once the weight store allows at full speed: beyond these, each takes
+// longer in proportion.
+func (f Floor) withLoadTime(s stage, now buckthorndyke.Millis) Floor {
+	o := s.order
+	if o == nil || o.beside == 0 || !o.accepted {
+		return f
+	}
+	service, _ := f.routing.Services.Get(s.backend.Service)
+	if service.Engine == nil {
+		return f
+	}
+	facts, _ := service.Engine.Models.Get(o.model)
+	full := facts.LoadTimes[buckthorndyke.TierRemote]
+	took := now - o.sent - reportLag
+	switch slow := full > 0 && took*1000 > full*slowLoad; {
+	case slow:
+		shared := int(math.Round(float64(o.beside) * float64(full) / float64(took)))
+		f.atOnce = max(min(shared, f.atOnce), f.atOnce/2, 1)
+	case o.beside >= f.atOnce:
+		f.atOnce = min(f.atOnce+1, atOnceLimit)
+	}
+	return f
+}
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/buckthorndyke/buckthorndyke"
@@ -92,24 +91,6 @@
 	wants  map[buckthorndyke.ModelKey]want
 }
 
-// addReplicas asks for replicas of models whose runners' batches are taken to
-// the given share, in thousandths, and of hot models that one runner holds.
-func (p *planner) addReplicas(share int) {
-	for _, w := range p.sorted(func(w want) bool { return w.key.Adapter == "" && w.running > 0 }) {
-		facts := p.facts(w.key.Service)
-		if facts == nil {
-			continue
-		}
-		replicas := p.replicas(w.key)
-		hot := replicas == 1 && share == fullBatch && p.rate(w.key) >= hotRate
-		full := w.running*1000 >= replicas*facts.Slots*share
-		if replicas == 0 || !hot && !full || p.coming(w.key) {
-			continue
-		}
-		p.place(w, *facts, p.worth(w.key))
-	}
-}
-
 // add gives an order.
 func (p *planner) add(i Intent) {
 	p.intents = append(p.intents, i)
@@ -130,9 +111,58 @@
 	}
 }
 
+// addReplicas asks for replicas of models whose runners' batches are taken to
+// the given share, in thousandths, and of hot models that one runner holds.
+func (p *planner) addReplicas(share int) {
+	for _, w := range p.sorted(func(w want) bool { return w.key.Adapter == "" && w.running > 0 }) {
+		facts := p.facts(w.key.Service)
+		if facts == nil {
+			continue
+		}
+		replicas := p.replicas(w.key)
+		hot := replicas == 1 && share == fullBatch && p.rate(w.key) >= hotRate
+		full := w.running*1000 >= replicas*facts.Slots*share
+		if replicas == 0 || !hot && !full || p.coming(w.key) {
+			continue
+		}
+		p.place(w, *facts, p.worth(w.key))
+	}
+}
+
 // coming reports whether some runner is loading what key names.
 func (p *planner) coming(key buckthorndyke.ModelKey) bool { return p.arriving[key] }
 
+// count counts the holders of all models and adapters, what is being loaded and
+// the runners that may be given an order.
+func (p *planner) count() {
+	for id, s := range p.stages.All() {
+		if s.canTake(p.now) {
+			p.free = append(p.free, id)
+		}
+		if s.loadsRemote() {
+			p.remote++
+		}
+		for _, key := range s.arriving() {
+			p.arriving[key] = true
+		}
+		if s.backend.Leaving || s.down() {
+			continue
+		}
+		closed := s.closed()
+		for _, h := range s.backend.Holdings {
+			if slices.Contains(closed, h.Model) {
+				continue
+			}
+			key := buckthorndyke.ModelKey{Model: h.Model, Service: s.backend.Service}
+			p.holders[key]++
+			for _, a := range h.Adapters {
+				key.Adapter = a
+				p.holders[key]++
+			}
+		}
+	}
+}
+
 // facts returns what the configuration says of a service's runners, or nil.
 func (p *planner) facts(id buckthorndyke.ServiceID) *buckthorndyke.EngineFacts {
 	service, _ := p.routing.Services.Get(id)
@@ -196,146 +226,6 @@
 	}
 }
 
-// placeAdapter gives the order that brings an adapter to the best runner that
-// holds its model.
-func (p *planner) placeAdapter(w want, facts buckthorndyke.EngineFacts) {
-	var best stage
-	found := false
-	for _, id := range p.free {
-		s, _ := p.stages.Get(id)
-		if s.backend.Service != w.key.Service || !s.holds(w.key.Base()) {
-			continue
-		}
-		if !found || s.adapters() < best.adapters() {
-			best, found = s, true
-		}
-	}
-	if !found {
-		return
-	}
-	model, _ := facts.Models.Get(w.key.Model)
-	if best.adapters() < facts.AdapterSlots && best.freeMB(facts) >= model.AdapterMB {
-		p.add(Intent{
-			Adapter: w.key.Adapter, Kind: buckthorndyke.OrderLoad, Model: w.key.Model, Runner: best.backend.ID,
-			Tier: buckthorndyke.TierRemote,
-		})
-		return
-	}
-	if model, adapter, ok := p.oldestAdapter(best); ok {
-		p.add(Intent{Adapter: adapter, Kind: buckthorndyke.OrderUnload, Model: model, Runner: best.backend.ID})
-	}
-}
-
-// oldestAdapter returns the adapter of a runner that was used least lately and
-// is not in use.
-func (p *planner) oldestAdapter(s stage) (buckthorndyke.ModelID, string, bool) {
-	var oldest buckthorndyke.ModelID
-	var adapter string
-	var least float64
-	found := false
-	for _, h := range s.backend.Holdings {
-		for _, a := range h.Adapters {
-			key := buckthorndyke.ModelKey{Adapter: a, Model: h.Model, Service: s.backend.Service}
-			if w := p.wants[key]; w.running > 0 || w.waiting > 0 {
-				continue
-			}
-			if r := p.rate(key); !found || r < least {
-				oldest, adapter, least, found = h.Model, a, r, true
-			}
-		}
-	}
-	return oldest, adapter, found
-}
-
-// copyAhead loads models that no runner has a copy of: their next requests then
-// find them on a disk. While something waits it loads those that were asked for.
-func (p *planner) copyAhead() {
-	waits := slices.ContainsFunc(slices.Collect(maps.Values(p.wants)), func(w want) bool { return w.waiting > 0 })
-	copied := p.copied()
-	for id, service := range p.routing.Services.All() {
-		if service.Engine == nil {
-			continue
-		}
-		for _, key := range p.uncopied(id, *service.Engine, copied) {
-			if waits && p.worth(key) == 0 || !p.mayLoadRemote(*service.Engine, key) {
-				break
-			}
-			p.place(want{key: key}, *service.Engine, copyWorth+p.worth(key))
-		}
-	}
-}
-
-// uncopied returns the models of a service of which no runner has a copy or gets
-// one, those that were asked for most first.
-func (p *planner) uncopied(
-	id buckthorndyke.ServiceID, facts buckthorndyke.EngineFacts, copied map[buckthorndyke.ModelKey]bool,
-) []buckthorndyke.ModelKey {
-	type wanted struct {
-		key   buckthorndyke.ModelKey
-		worth float64
-	}
-	var list []wanted
-	for model := range facts.Models.All() {
-		key := buckthorndyke.ModelKey{Model: model, Service: id}
-		if !copied[key] && !p.coming(key) {
-			list = append(list, wanted{key: key, worth: p.worth(key)})
-		}
-	}
-	slices.SortFunc(list, func(a, b wanted) int {
-		return cmp.Or(cmp.Compare(b.worth, a.worth), cmp.Compare(a.key.Model, b.key.Model))
-	})
-	out := make([]buckthorndyke.ModelKey, len(list))
-	for i, w := range list {
-		out[i] = w.key
-	}
-	return out
-}
-
-// copied returns the models of which some runner has a copy.
-func (p *planner) copied() map[buckthorndyke.ModelKey]bool {
-	out := make(map[buckthorndyke.ModelKey]bool)
-	for _, s := range p.stages.All() {
-		for model := range s.backend.Copies {
-			out[buckthorndyke.ModelKey{Model: model, Service: s.backend.Service}] = true
-		}
-		for _, h := range s.backend.Holdings {
-			out[buckthorndyke.ModelKey{Model: h.Model, Service: s.backend.Service}] = true
-		}
-	}
-	return out
-}
-
-// count counts the holders of all models and adapters, what is being loaded and
-// the runners that may be given an order.
-func (p *planner) count() {
-	for id, s := range p.stages.All() {
-		if s.canTake(p.now) {
-			p.free = append(p.free, id)
-		}
-		if s.loadsRemote() {
-			p.remote++
-		}
-		for _, key := range s.arriving() {
-			p.arriving[key] = true
-		}
-		if s.backend.Leaving || s.down() {
-			continue
-		}
-		closed := s.closed()
-		for _, h := range s.backend.Holdings {
-			if slices.Contains(closed, h.Model) {
-				continue
-			}
-			key := buckthorndyke.ModelKey{Model: h.Model, Service: s.backend.Service}
-			p.holders[key]++
-			for _, a := range h.Adapters {
-				key.Adapter = a
-				p.holders[key]++
-			}
-		}
-	}
-}
-
 // rate returns the arrivals a second of requests for key.
 func (p *planner) rate(key buckthorndyke.ModelKey) float64 {
 	r, ok := p.rates[key]
