fix(watcher): servers that are gone after an outage are kept from its last failure on

A server left at 4.0 s.

Now the time is counted from the last failed read, 2.4 s, the list is read when it ends, and failed reads are repeated after 0.8 s at most. The test fails without the change ("the server is kept for too long").

--- a/supervisor/relayer/watcher/backends.go
+++ b/supervisor/relayer/watcher/backends.go
@@ -10,10 +10,10 @@
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 )
 
-// returnGrace is how long after an outage of the list a server that is no longer
-// listed is still held to be there: the platform lists servers that live again
-// within that time.
-const returnGrace = 2200 * buckthorndyke.Millisecond
+// returnGrace is how long after the last failure of an outage of the list a server
+// that is no longer listed is still held to be there: the platform lists servers
+// that live again within two seconds of its return.
+const returnGrace = 2400 * buckthorndyke.Millisecond
 
 // Backends is the task that follows the list of backend servers.
 type Backends struct {
@@ -51,7 +51,7 @@
 			w.failed(err)
 		default:
 			if w.outage.failures > 0 {
-				keepUntil = b.clock.Now() + returnGrace
+				keepUntil = w.failedAt + returnGrace
 			}
 			next = next.WithNewest(current)
 			if b.clock.Now() < keepUntil {
@@ -66,7 +66,12 @@
 				return err
 			}
 		}
-		w.hear(ctx, func() buckthorndyke.Millis { return w.pace.Due() })
+		w.hear(ctx, func() buckthorndyke.Millis {
+			if w.pace.read < keepUntil {
+				return min(w.pace.Due(), keepUntil)
+			}
+			return w.pace.Due()
+		})
 	}
 	return ctx.Err()
 }
--- a/supervisor/relayer/watcher/routings.go
+++ b/supervisor/relayer/watcher/routings.go
@@ -17,7 +17,7 @@
 	waitParts = 2
 	// retryFirst and retryLimit bound the time between two calls that fail.
 	retryFirst = 50 * buckthorndyke.Millisecond
-	retryLimit = 1600 * buckthorndyke.Millisecond
+	retryLimit = 800 * buckthorndyke.Millisecond
 )
 
 // Routings is the task that follows the configuration. It never goes back to an
--- a/supervisor/relayer/watcher/watch.go
+++ b/supervisor/relayer/watcher/watch.go
@@ -22,9 +22,11 @@
 // watch is the part of the state of a watcher's run that does not depend on the
 // record.
 type watch struct {
-	clock  buckthorndyke.Clock
-	outage outage
-	pace   pace
+	clock buckthorndyke.Clock
+	// failedAt is the instant of the last failure.
+	failedAt buckthorndyke.Millis
+	outage   outage
+	pace     pace
 	// retryAt is the instant of the next read after one that has failed.
 	retryAt buckthorndyke.Millis
 	seen    *mailer.Feed[buckthorndyke.Sighting]
@@ -45,7 +47,8 @@
 
 // failed takes over that a read has failed.
 func (w *watch) failed(err error) {
-	w.retryAt = w.clock.Now() + w.outage.failed(err)
+	w.failedAt = w.clock.Now()
+	w.retryAt = w.failedAt + w.outage.failed(err)
 }
 
 // hear takes over what comes until due, or what has come if due is over; after a
--- a/supervisor/relayer/watcher/watcher_test.go
+++ b/supervisor/relayer/watcher/watcher_test.go
@@ -78,6 +78,53 @@
 	})
 }
 
+func TestReturn(t *testing.T) {
+	t.Run("a server that is gone after an outage gets nothing once the time to return is over", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			clock := timekeeper.NewRealClock()
+			feed := mailer.NewFeed[buckthorndyke.Backends]()
+			go func() { _ = feed.Serve(ctx) }()
+			published := feed.Subscribe(ctx)
+			synctest.Wait()
+			const outage = 12 * buckthorndyke.Second
+			began := clock.Now()
+			d := &outageDirectory{
+				clock: clock, from: began + buckthorndyke.Second, until: began + outage,
+				list: listOf(buckthorndyke.Backend{Beat: 4, ID: "a", Started: 1}),
+			}
+			go func() { _ = watcher.NewBackends(d, feed, feeds(ctx), limit, clock, zerolog.Nop()).Serve(ctx) }()
+			for list := range published {
+				if now := clock.Now(); now > began+outage && list.Listed.Len() == 0 {
+					asserter.True(t, now <= began+outage+2800, "the server is kept for too long")
+					return
+				}
+			}
+		})
+	})
+}
+
+// outageDirectory is a directory with an outage, after which its list is empty.
+type outageDirectory struct {
+	buckthorndyke.Directory
+	clock       buckthorndyke.Clock
+	from, until buckthorndyke.Millis
+	list        buckthorndyke.Backends
+}
+
+// Backends implements buckthorndyke.Directory.
+func (d *outageDirectory) Backends(context.Context) (buckthorndyke.Backends, error) {
+	switch now := d.clock.Now(); {
+	case now < d.from:
+		return d.list, nil
+	case now < d.until:
+		return buckthorndyke.Backends{}, errors.New("down")
+	default:
+		return buckthorndyke.Backends{}, nil
+	}
+}
+
 // directory is a directory that plays what the test has laid down. It implements
 // buckthorndyke.Directory.
 type directory struct {
