feat(stager): replicas by need, and loads from the weight store in turn

While one replica is being loaded no other was asked for, also where a copy lay on a disk. Runners with 12 places had 40 to 60 requests, and long reports waited there for up to 2.8 s. Ruled out: prefixes that are read again (625,000 of 8.4 million tokens), unequal choice among the runners of one model (each got about the same). Change: an overloaded model may have as many replicas on their way as it has, so that a slow one does not hold up one from a disk; only overloaded models, and hot ones that no runner holds, go beyond the loads at full speed; loads under way that take too long teach at once what the weight store allows; a runner with a copy that is about to be free comes before the weight store.

--- a/stager/floor_test.go
+++ b/stager/floor_test.go
@@ -138,6 +138,32 @@
 		f = f.WithDemand(vm, []buckthorndyke.DemandLine{{Arrivals: 60, Key: key(0), Running: 30}}, now)
 		assertIntents(t, f, "load m0 at b from remote")
 	})
+	t.Run("an overloaded model does not wait for a replica that takes long", func(t *testing.T) {
+		f := floorOf(withCopies(runner("a", 0)), runner("b"), withCopies(runner("c", 1)))
+		load := stager.Intent{Goal: key(0).Model, Kind: buckthorndyke.OrderLoad, Model: key(0).Model, Runner: "b", Tier: buckthorndyke.TierRemote}
+		f = f.WithOrder(load, now).WithAccepted("b", 1)
+		lines := []buckthorndyke.DemandLine{{Arrivals: 90, Key: key(0), Running: 40}}
+		assertIntents(t, f.WithDemand(vm, lines, now))
+		f = floorOf(withCopies(runner("a", 0)), runner("b", 0), runner("d"), withCopies(runner("c", 1)))
+		f = f.WithOrder(stager.Intent{
+			Goal: key(0).Model, Kind: buckthorndyke.OrderLoad, Model: key(0).Model, Runner: "d", Tier: buckthorndyke.TierRemote,
+		}, now).WithAccepted("d", 1)
+		lines[0].Running = 80
+		assertIntents(t, f.WithDemand(vm, lines, now), "load m0 at c from disk")
+	})
+	t.Run("a hot model with one replica waits for the loads under way", func(t *testing.T) {
+		f := wanting(floorOf(runner("a"), runner("b"), runner("c"), runner("d"), runner("e", 4)), 1, 2, 3)
+		for _, i := range f.Plan(now) {
+			f = f.WithOrder(i, now)
+		}
+		assertIntents(t, f.WithDemand(vm, []buckthorndyke.DemandLine{{Arrivals: 60, Key: key(4), Running: 1}}, now))
+	})
+	t.Run("a replica is not taken from the weight store while a runner with a copy is about to be free", func(t *testing.T) {
+		f := floorOf(withCopies(runner("a", 0)), withCopies(runner("b", 1)), runner("c"))
+		f = f.WithOrder(stager.Intent{Adapter: "a1", Kind: buckthorndyke.OrderLoad, Model: key(1).Model, Runner: "b"}, now)
+		f = f.WithDemand(vm, []buckthorndyke.DemandLine{{Arrivals: 60, Key: key(0), Running: 30}}, now)
+		assertIntents(t, f)
+	})
 	t.Run("a model that no runner has a copy of is loaded while nothing waits", func(t *testing.T) {
 		a := withCopies(runner("a", 0))
 		delete(a.Copies, "m5")
@@ -220,6 +246,18 @@
 	t.Run("loads that share the weight store teach what it allows", func(t *testing.T) {
 		asserter.Equal(t, atOnce(loaded(4, 12300)), 2)
 	})
+	t.Run("loads under way that take long teach that they share the weight store", func(t *testing.T) {
+		f := floorOf(runner("a"), runner("b"), runner("c"), runner("d"), runner("e"), runner("f"), runner("g"), runner("h"))
+		for i, id := range []buckthorndyke.RunnerID{"a", "b", "c", "d"} {
+			load := stager.Intent{Kind: buckthorndyke.OrderLoad, Model: key(i).Model, Runner: id, Tier: buckthorndyke.TierRemote}
+			f = f.WithOrder(load, now-10*buckthorndyke.Second).WithAccepted(id, 1)
+		}
+		f = f.WithSlowLoads(now).WithSlowLoads(now + 100)
+		for i, id := range []buckthorndyke.RunnerID{"a", "b", "c", "d"} {
+			f = f.WithDone(stager.Intent{Kind: buckthorndyke.OrderLoad, Model: key(i).Model, Runner: id}, now+100)
+		}
+		asserter.Equal(t, atOnce(f), 2)
+	})
 	t.Run("one slow load does not stop the others", func(t *testing.T) {
 		asserter.Equal(t, atOnce(loaded(1, buckthorndyke.Minute)), 2)
 	})
--- a/stager/floorchange.go
+++ b/stager/floorchange.go
@@ -87,16 +87,17 @@
 		return f
 	}
 	s.order = &pending{adapter: o.Adapter, kind: o.Kind, model: o.Model, sent: now, tier: o.Tier}
-	if o.Remote() {
-		s.order.beside = f.remoteLoads() + 1
-	}
 	if o.Adapter == "" {
 		s.goal = o.Goal
 	}
-	f.stages = f.stages.With(o.Runner, s)
-	if o.Remote() {
-		f.remote = append(f.loadsSince(now-loadWindow), now)
+	if !o.Remote() {
+		f.stages = f.stages.With(o.Runner, s)
+		return f
 	}
+	s.order.beside = f.remoteLoads() + 1
+	f = f.withBeside(s.order.beside)
+	f.stages = f.stages.With(o.Runner, s)
+	f.remote = append(f.loadsSince(now-loadWindow), now)
 	return f
 }
 
@@ -150,6 +151,22 @@
 	return f
 }
 
+// WithSlowLoads returns a floor that has learnt at now from loads that are under
+// way for longer than they take at full speed.
+func (f Floor) WithSlowLoads(now buckthorndyke.Millis) Floor {
+	for id, s := range f.stages.All() {
+		if s.order == nil || s.order.late || !f.slow(s, now) {
+			continue
+		}
+		f = f.withShared(s, now)
+		o := *s.order
+		o.late = true
+		s.order = &o
+		f.stages = f.stages.With(id, s)
+	}
+	return f
+}
+
 // WithTerm returns a floor whose leader begins to lead at now: it knows no
 // demand.
 func (f Floor) WithTerm(now buckthorndyke.Millis) Floor {
@@ -171,27 +188,57 @@
 	return true
 }
 
+// withBeside returns a floor on which the loads from the weight store that are under
+// way share it with n at once.
+func (f Floor) withBeside(n int) Floor {
+	for id, s := range f.stages.All() {
+		if s.order == nil || s.order.beside == 0 || s.order.beside >= n {
+			continue
+		}
+		o := *s.order
+		o.beside = n
+		s.order = &o
+		f.stages = f.stages.With(id, s)
+	}
+	return f
+}
+
 // withLoadTime returns a floor that has learnt from the end of a load how many
 // loads at once the weight store allows at full speed: beyond these, each takes
 // longer in proportion.
 func (f Floor) withLoadTime(s stage, now buckthorndyke.Millis) Floor {
-	o := s.order
-	if o == nil || o.beside == 0 || !o.accepted {
-		return f
+	if f.slow(s, now) {
+		return f.withShared(s, now)
 	}
-	service, _ := f.routing.Services.Get(s.backend.Service)
-	if service.Engine == nil {
-		return f
-	}
-	facts, _ := service.Engine.Models.Get(o.model)
-	full := facts.LoadTimes[buckthorndyke.TierRemote]
-	took := now - o.sent - reportLag
-	switch slow := full > 0 && took*1000 > full*slowLoad; {
-	case slow:
-		shared := int(math.Round(float64(o.beside) * float64(full) / float64(took)))
-		f.atOnce = max(min(shared, f.atOnce), f.atOnce/2, 1)
-	case o.beside >= f.atOnce:
+	if o := s.order; o != nil && o.beside >= f.atOnce && o.accepted {
 		f.atOnce = min(f.atOnce+1, atOnceLimit)
 	}
 	return f
 }
+
+// withShared returns a floor that has learnt from the slow load of s.
+func (f Floor) withShared(s stage, now buckthorndyke.Millis) Floor {
+	o := s.order
+	took := now - o.sent - reportLag
+	shared := int(math.Round(float64(o.beside) * float64(f.loadTime(s)) / float64(took)))
+	f.atOnce = max(min(shared, f.atOnce), f.atOnce/2, 1)
+	return f
+}
+
+// loadTime returns how long the load of s from the weight store takes at full
+// speed, or 0 if it loads nothing from there.
+func (f Floor) loadTime(s stage) buckthorndyke.Millis {
+	service, _ := f.routing.Services.Get(s.backend.Service)
+	if service.Engine == nil || s.order == nil || s.order.beside == 0 {
+		return 0
+	}
+	facts, _ := service.Engine.Models.Get(s.order.model)
+	return facts.LoadTimes[buckthorndyke.TierRemote]
+}
+
+// slow reports whether the load of s from the weight store has taken, or takes by
+// now, longer than at full speed.
+func (f Floor) slow(s stage, now buckthorndyke.Millis) bool {
+	full := f.loadTime(s)
+	return full > 0 && s.order.accepted && (now-s.order.sent-reportLag)*1000 > full*slowLoad
+}
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -14,8 +14,15 @@
 	// fullBatch is the share of a runner's batch, in thousandths, from which on
 	// another replica of a model is wanted.
 	fullBatch = 120
-	// hotLoads multiplies the loads from the weight store at once for hot models.
+	// hotLoads multiplies the loads from the weight store at once for hot models that
+	// no runner holds.
 	hotLoads = 2
+	// overloadedLoads is how many more loads than at full speed overloaded models may
+	// take from the weight store at once.
+	overloadedLoads = 1
+	// replicaGrowth bounds the replicas of a model that are being loaded at once, as a
+	// multiple of those that there are.
+	replicaGrowth = 1
 	// hotReserve is the number of loads at full speed that are left to hot models.
 	hotReserve = 1
 	// hotRate is the rate of requests a second from which on a model is held by two
@@ -61,7 +68,7 @@
 func (f Floor) Plan(now buckthorndyke.Millis) []Intent {
 	f.demand = f.demand.WithoutOld(now)
 	p := planner{
-		Floor: f, arriving: make(map[buckthorndyke.ModelKey]bool), holders: make(map[buckthorndyke.ModelKey]int), now: now,
+		Floor: f, arriving: make(map[buckthorndyke.ModelKey]int), holders: make(map[buckthorndyke.ModelKey]int), now: now,
 		rates: make(map[buckthorndyke.ModelKey]float64), wants: f.demand.wants(),
 	}
 	p.count()
@@ -76,8 +83,8 @@
 // planner is the state of one plan.
 type planner struct {
 	Floor
-	// arriving holds what some runner is loading.
-	arriving map[buckthorndyke.ModelKey]bool
+	// arriving is the number of runners that are loading what a key names.
+	arriving map[buckthorndyke.ModelKey]int
 	// free are the runners that may be given an order.
 	free []buckthorndyke.RunnerID
 	// holders is the number of runners that hold what a key names and keep it.
@@ -100,11 +107,11 @@
 		p.remote++
 	}
 	service := p.service(i.Runner)
-	if i.Goal != "" {
-		p.arriving[buckthorndyke.ModelKey{Model: i.Goal, Service: service}] = true
-	}
-	if i.Kind == buckthorndyke.OrderLoad {
-		p.arriving[buckthorndyke.ModelKey{Adapter: i.Adapter, Model: i.Model, Service: service}] = true
+	switch {
+	case i.Kind == buckthorndyke.OrderLoad:
+		p.arriving[buckthorndyke.ModelKey{Adapter: i.Adapter, Model: i.Model, Service: service}]++
+	case i.Goal != "":
+		p.arriving[buckthorndyke.ModelKey{Model: i.Goal, Service: service}]++
 	}
 	if i.Kind == buckthorndyke.OrderUnload {
 		p.holders[buckthorndyke.ModelKey{Adapter: i.Adapter, Model: i.Model, Service: service}]--
@@ -119,18 +126,16 @@
 		if facts == nil {
 			continue
 		}
-		replicas := p.replicas(w.key)
-		hot := replicas == 1 && share == fullBatch && p.rate(w.key) >= hotRate
-		full := w.running*1000 >= replicas*facts.Slots*share
-		if replicas == 0 || !hot && !full || p.coming(w.key) {
-			continue
+		for range p.lacking(w, *facts, share) {
+			if !p.place(w, *facts, p.worth(w.key)) {
+				break
+			}
 		}
-		p.place(w, *facts, p.worth(w.key))
 	}
 }
 
 // coming reports whether some runner is loading what key names.
-func (p *planner) coming(key buckthorndyke.ModelKey) bool { return p.arriving[key] }
+func (p *planner) coming(key buckthorndyke.ModelKey) bool { return p.arriving[key] > 0 }
 
 // count counts the holders of all models and adapters, what is being loaded and
 // the runners that may be given an order.
@@ -143,7 +148,7 @@
 			p.remote++
 		}
 		for _, key := range s.arriving() {
-			p.arriving[key] = true
+			p.arriving[key]++
 		}
 		if s.backend.Leaving || s.down() {
 			continue
@@ -191,13 +196,35 @@
 	}
 }
 
+// lacking returns the number of replicas of the model of w that ought to be loaded
+// now so that no runner's batch is taken beyond the given share, in thousandths. An
+// overloaded model does not wait for a replica that takes long.
+func (p *planner) lacking(w want, facts buckthorndyke.EngineFacts, share int) int {
+	replicas, arriving := p.replicas(w.key), p.arriving[w.key]
+	if replicas == 0 {
+		return 0
+	}
+	perReplica := max(facts.Slots*share, 1)
+	needed := (w.running*1000 + perReplica - 1) / perReplica
+	if share == fullBatch {
+		if p.rate(w.key) >= hotRate {
+			needed = max(needed, 2)
+		}
+		needed = min(needed, replicas+1)
+	}
+	return min(needed-replicas, replicas*replicaGrowth) - arriving
+}
+
 // mayLoadRemote reports whether a model may be taken from the weight store now. A
-// hot one does not wait for those under way, which become slower; the others leave
-// room for it, and copies ahead of need leave more.
+// hot one that no runner holds does not wait for those under way, which become
+// slower, and an overloaded one hardly; the others leave room for it, and copies
+// ahead of need leave more.
 func (p *planner) mayLoadRemote(facts buckthorndyke.EngineFacts, key buckthorndyke.ModelKey) bool {
 	atOnce := max(p.atOnce-hotReserve, 1)
 	switch w := p.wants[key]; {
-	case p.rate(key) >= hotRate:
+	case p.overloaded(w, facts):
+		atOnce = p.atOnce + overloadedLoads
+	case p.rate(key) >= hotRate && p.replicas(key) == 0:
 		atOnce = p.atOnce * hotLoads
 	case w.waiting == 0:
 		atOnce = max(p.atOnce/2, 1)
@@ -206,8 +233,31 @@
 	return p.remote < atOnce && len(p.loadsSince(p.now-loadWindow)) < max(ceiling, 1)
 }
 
-// place gives the order that brings the model of w to the best runner.
-func (p *planner) place(w want, facts buckthorndyke.EngineFacts, worth float64) {
+// nearby reports whether a runner that carries out an order now can soon load the
+// model of key from a copy of its own.
+func (p *planner) nearby(key buckthorndyke.ModelKey, facts buckthorndyke.EngineFacts, worth float64) bool {
+	for _, s := range p.stages.All() {
+		if s.backend.Service != key.Service || s.backend.Leaving || s.down() || s.goal != "" || s.order == nil || s.loadsRemote() ||
+			s.backend.Tier(key.Model) == buckthorndyke.TierRemote || s.holds(key) {
+			continue
+		}
+		if _, ok := p.way(s, facts, key, worth); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// overloaded reports whether the runners that hold the model of w have so many of
+// its requests that all are slow.
+func (p *planner) overloaded(w want, facts buckthorndyke.EngineFacts) bool {
+	replicas := p.replicas(w.key)
+	return replicas > 0 && w.running*1000 >= replicas*facts.Slots*overloadedBatch
+}
+
+// place gives the order that brings the model of w to the best runner, and reports
+// whether there is one.
+func (p *planner) place(w want, facts buckthorndyke.EngineFacts, worth float64) bool {
 	var best stage
 	var bestWay way
 	found := false
@@ -221,9 +271,11 @@
 			best, bestWay, found = s, way, true
 		}
 	}
-	if found {
-		p.take(best, w.key, bestWay)
+	if !found || bestWay.tier == buckthorndyke.TierRemote && p.nearby(w.key, facts, worth) {
+		return false
 	}
+	p.take(best, w.key, bestWay)
+	return true
 }
 
 // rate returns the arrivals a second of requests for key.
--- a/stager/stage.go
+++ b/stager/stage.go
@@ -18,11 +18,13 @@
 	// accepted is set once the runner has answered that it carries the order out.
 	accepted bool
 	adapter  string
-	// beside is the number of loads from the weight store at once, this one included,
-	// when it was sent.
+	// beside is the greatest number of loads from the weight store at once, this one
+	// included, since it was sent.
 	beside int
 	kind   buckthorndyke.OrderKind
-	model  buckthorndyke.ModelID
+	// late is set once the load was seen to take longer than at full speed.
+	late  bool
+	model buckthorndyke.ModelID
 	// sent is the instant at which the order was sent.
 	sent buckthorndyke.Millis
 	// tier is where the runner finds what it loads.
@@ -92,12 +94,13 @@
 		return nil
 	}
 	var out []buckthorndyke.ModelKey
-	if s.goal != "" {
-		out = append(out, buckthorndyke.ModelKey{Model: s.goal, Service: s.backend.Service})
-	}
 	if s.order != nil && s.order.kind == buckthorndyke.OrderLoad {
 		out = append(out, buckthorndyke.ModelKey{Adapter: s.order.adapter, Model: s.order.model, Service: s.backend.Service})
 	}
+	goal := buckthorndyke.ModelKey{Model: s.goal, Service: s.backend.Service}
+	if s.goal != "" && !slices.Contains(out, goal) {
+		out = append(out, goal)
+	}
 	return out
 }
 
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -267,6 +267,7 @@
 // step does what the state calls for at now.
 func (t *task) step(now buckthorndyke.Millis) {
 	if t.mayOrder(now) && now >= t.planAt {
+		t.floor = t.floor.WithSlowLoads(now)
 		for _, i := range t.floor.Plan(now) {
 			t.order(i)
 		}
