fix(steward): a slow load hardly changes by what requests are refused

Cause: requests are refused when the predicted wait exceeds their deadline, and the prediction was a mean that one slow load moves by 0.3. A refused request causes no load, so that after a slow weight store nothing showed that it was fast again. A steward that took over saw its first load under the fault and knew nothing else. Ruled out before: forgetting a slow load after 5 s, waiting for loads begun under the fault. Change: refusals follow faster loads at once and slower ones by a twentieth; a first load counts for at most four times what is assumed. What is kept in memory follows the mean as before. Conclusion: a request may wait until its deadline where the store stays slow, and is then refused as not run.

--- a/supervisor/owner/steward/loadtimes.go
+++ b/supervisor/owner/steward/loadtimes.go
@@ -2,13 +2,24 @@
 
 import "github.com/buckthorndyke/buckthorndyke"
 
-// loadWeight is the weight of the newest load in the mean.
-const loadWeight = 0.3
+const (
+	// firstFactor bounds what a first load is believed, as a multiple of what is
+	// assumed: stores of half the assumed speed are common, of a tenth are not.
+	firstFactor = 4
+	// loadWeight is the weight of the newest load in the mean.
+	loadWeight = 0.3
+	// slowWeight is the weight of a slower load in the time by which requests are
+	// refused. A store that was slow for a while may be fast again, which only another
+	// load can show: refused requests cause none.
+	slowWeight = 0.05
+)
 
 // loadTimes predicts how long loads take, by tier and size. It is immutable.
 type loadTimes struct {
 	// perMB is the mean time for one megabyte in milliseconds, or 0 if unknown.
 	perMB [buckthorndyke.TierRemote + 1]float64
+	// shortPerMB follows faster loads at once and slower ones little by little.
+	shortPerMB [buckthorndyke.TierRemote + 1]float64
 }
 
 // assumedPerMB are the times for one megabyte in milliseconds that are assumed
@@ -18,25 +29,30 @@
 // cost returns the time that a load takes, measured or assumed.
 func (l loadTimes) cost(tier buckthorndyke.Tier, memoryMB int) buckthorndyke.Millis {
 	tier = min(tier, buckthorndyke.TierRemote)
-	if l.perMB[tier] == 0 {
-		return buckthorndyke.Millis(assumedPerMB[tier] * float64(memoryMB))
+	perMB := l.perMB[tier]
+	if perMB == 0 {
+		perMB = assumedPerMB[tier]
 	}
-	return l.predict(tier, memoryMB)
+	return buckthorndyke.Millis(perMB * float64(memoryMB))
 }
 
-// predict returns the time that a load takes, or 0 if none was measured yet.
+// predict returns the time that a load takes if the platform is as fast as it was,
+// or 0 if none was measured yet.
 func (l loadTimes) predict(tier buckthorndyke.Tier, memoryMB int) buckthorndyke.Millis {
-	return buckthorndyke.Millis(l.perMB[min(tier, buckthorndyke.TierRemote)] * float64(memoryMB))
+	return buckthorndyke.Millis(l.shortPerMB[min(tier, buckthorndyke.TierRemote)] * float64(memoryMB))
 }
 
 // with returns load times that have seen a load.
 func (l loadTimes) with(tier buckthorndyke.Tier, memoryMB int, took buckthorndyke.Millis) loadTimes {
 	rate := float64(took) / float64(max(memoryMB, 1))
-	mean := &l.perMB[min(tier, buckthorndyke.TierRemote)]
+	tier = min(tier, buckthorndyke.TierRemote)
+	mean, short := &l.perMB[tier], &l.shortPerMB[tier]
 	if *mean == 0 {
-		*mean = rate
-	} else {
-		*mean += loadWeight * (rate - *mean)
+		// A new steward may see its first load while the store is slow.
+		*mean, *short = rate, min(rate, firstFactor*assumedPerMB[tier])
+		return l
 	}
+	*mean += loadWeight * (rate - *mean)
+	*short = min(rate, *short+slowWeight*(rate-*short))
 	return l
 }
