feat(stager): further copies of busy models ahead of need

Ruled out: that unloads or adapter orders delayed the loads (each began at once). Change: a model with three requests a second for each copy gets another one, the most asked for first, as long as the weight store has room at full speed.

--- a/stager/plan.go
+++ b/stager/plan.go
@@ -217,7 +217,7 @@
 
 // mayLoadRemote reports whether a model may be taken from the weight store now. A
 // hot one that no runner holds does not wait for those under way, which become
-// slower, and an overloaded one hardly; the others leave room for it, and copies
+// slower, and an overloaded one hardly; the others leave room for it, and first copies
 // ahead of need leave more.
 func (p *planner) mayLoadRemote(facts buckthorndyke.EngineFacts, key buckthorndyke.ModelKey) bool {
 	atOnce := max(p.atOnce-hotReserve, 1)
@@ -226,6 +226,8 @@
 		atOnce = p.atOnce + overloadedLoads
 	case p.rate(key) >= hotRate && p.replicas(key) == 0:
 		atOnce = p.atOnce * hotLoads
+	case p.rate(key) >= copyRate:
+		atOnce = p.atOnce
 	case w.waiting == 0:
 		atOnce = max(p.atOnce/2, 1)
 	}
