--- a/demand.go
+++ b/demand.go
@@ -36,9 +36,19 @@
 	Server   RunnerID
 }
 
+// Evidence is what the attempts at a server have shown of it.
+type Evidence struct {
+	// Failed is the number of attempts that the server did not answer as it should.
+	Failed int
+	Served int
+	Server RunnerID
+}
+
 // DemandReport is what one VM tells the leader.
 type DemandReport struct {
-	Lines []DemandLine
+	// Evidence is what the VM's requests have shown of servers since its last report.
+	Evidence []Evidence
+	Lines    []DemandLine
 	// Loads are the VM's requests at servers.
 	Loads []ServerLoad
 	// Waiting is set if some request waits for a server.
@@ -66,6 +76,9 @@
 	// AskRecent is set if the leader lacks the VM's arrivals before the report: the
 	// next one has to hold all recent ones.
 	AskRecent bool
+	// Contest is set if the platform does not renew the leader's grant and the VM is
+	// one of those that ought to take part in the election.
+	Contest bool
 	// Expected tells when what the VM's requests wait for is going to be held. What
 	// it lacks is not being loaded.
 	Expected []Expectation
@@ -78,6 +91,8 @@
 	List       Notice
 	Residences []Residence
 	Routing    Notice
+	// Suspects are the servers that fail too many requests of all VMs.
+	Suspects []RunnerID
 }
 
 // Yielded is what a VM that led before says of itself.
--- a/routing.go
+++ b/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"net"
 	"slices"
 	"strings"
@@ -128,6 +129,19 @@
 	routes Table[string, []Route]
 }
 
+// All yields all routes.
+func (r Routing) All() iter.Seq[Route] {
+	return func(yield func(Route) bool) {
+		for _, routes := range r.routes.All() {
+			for _, route := range routes {
+				if !yield(route) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Route returns the route with the longest prefix of path among those of host,
 // which may have a port.
 func (r Routing) Route(host, path string) (Route, bool) {
--- a/selector/board.go
+++ b/selector/board.go
@@ -7,11 +7,17 @@
 )
 
 const (
-	// residenceLife is how long a leader's word on a runner stands against the
-	// platform's list, which lags by two heartbeats and the time between two reads.
-	residenceLife = 8 * buckthorndyke.Second
+	// residenceLag is how much later than a leader's word on a runner the platform's
+	// list has to be read to stand against it: it lags by two heartbeats, and by some
+	// time while it is being read.
+	residenceLag = 6 * buckthorndyke.Second
 	// othersLife is how long a leader's word on the load of the other VMs stands.
 	othersLife = 2500 * buckthorndyke.Millisecond
+	// fullLife is how long a runner is held to be full that has refused a request for
+	// want of places: about the time in which a short request ends.
+	fullLife = 120 * buckthorndyke.Millisecond
+	// suspectsLife is how long a leader's word on failing servers stands.
+	suspectsLife = 2500 * buckthorndyke.Millisecond
 	// missingLife is how long a model is held to be absent from a runner that
 	// said so, until the list or the leader says otherwise.
 	missingLife = 1500 * buckthorndyke.Millisecond
@@ -27,6 +33,12 @@
 type Board struct {
 	// busy is the load of the VM's own requests by server.
 	busy buckthorndyke.Table[buckthorndyke.RunnerID, Load]
+	// evidence is what the VM's requests have shown of servers since it was last
+	// told.
+	evidence buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Evidence]
+	// full holds the runners that have refused a request for want of places, and the
+	// instant until which that stands.
+	full buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Millis]
 	list buckthorndyke.Backends
 	// others are the requests of the other VMs by server, as the leader said last.
 	others buckthorndyke.Table[buckthorndyke.RunnerID, int]
@@ -35,6 +47,10 @@
 	missing     buckthorndyke.Table[string, buckthorndyke.Millis]
 	residences  buckthorndyke.Table[buckthorndyke.RunnerID, residence]
 	setbacks    buckthorndyke.Table[buckthorndyke.RunnerID, setback]
+	// suspects are the servers that fail requests of all VMs, as the leader said last.
+	suspects buckthorndyke.Table[buckthorndyke.RunnerID, struct{}]
+	// suspectsUntil is the instant until which that stands.
+	suspectsUntil buckthorndyke.Millis
 }
 
 // Load is the work that a VM has at a server.
@@ -50,21 +66,22 @@
 	return Load{Requests: l.Requests + other.Requests, Tokens: l.Tokens + other.Tokens}
 }
 
-// Backend returns the server called id with all that is known of it at now.
-func (b Board) Backend(id buckthorndyke.RunnerID, now buckthorndyke.Millis) (buckthorndyke.Backend, bool) {
-	listed, ok := b.list.Listed.Get(id)
-	if !ok {
-		return buckthorndyke.Backend{}, false
-	}
-	return b.known(listed, now), true
-}
-
 // Busy returns the VM's own load at a server.
 func (b Board) Busy(id buckthorndyke.RunnerID) Load {
 	load, _ := b.busy.Get(id)
 	return load
 }
 
+// Evidence returns what the VM's requests have shown of servers since it was last
+// told.
+func (b Board) Evidence() []buckthorndyke.Evidence {
+	var out []buckthorndyke.Evidence
+	for _, e := range b.evidence.All() {
+		out = append(out, e)
+	}
+	return out
+}
+
 // List returns the platform's list.
 func (b Board) List() buckthorndyke.Backends { return b.list }
 
@@ -77,6 +94,22 @@
 	return out
 }
 
+// Reopens returns the time from now until the first runner that was held to be full
+// or to lack a model is asked again, at most limit.
+func (b Board) Reopens(now, limit buckthorndyke.Millis) buckthorndyke.Millis {
+	for _, until := range b.full.All() {
+		if until > now {
+			limit = min(limit, until-now)
+		}
+	}
+	for _, until := range b.missing.All() {
+		if until > now {
+			limit = min(limit, until-now)
+		}
+	}
+	return limit
+}
+
 // WithBackends returns a board with another list.
 func (b Board) WithBackends(list buckthorndyke.Backends) Board {
 	b.list = list
@@ -92,6 +125,21 @@
 func (b Board) WithFailure(id buckthorndyke.RunnerID, now buckthorndyke.Millis) Board {
 	s, _ := b.setbacks.Get(id)
 	b.setbacks = b.setbacks.With(id, s.withFailure(now))
+	return b.WithFault(id)
+}
+
+// WithFault returns a board on which a server has failed a request, which is no
+// reason for this VM alone to avoid it.
+func (b Board) WithFault(id buckthorndyke.RunnerID) Board {
+	e, _ := b.evidence.Get(id)
+	e.Failed, e.Server = e.Failed+1, id
+	b.evidence = b.evidence.With(id, e)
+	return b
+}
+
+// WithFull returns a board on which a runner has said at now that it has no place.
+func (b Board) WithFull(id buckthorndyke.RunnerID, now buckthorndyke.Millis) Board {
+	b.full = b.full.With(id, now+fullLife)
 	return b
 }
 
@@ -133,30 +181,46 @@
 		b.residences = b.residences.With(r.Runner, residence{Residence: r, at: now})
 	}
 	for id, r := range b.residences.All() {
-		if now >= r.at+residenceLife {
+		if b.list.At >= r.at+residenceLag {
 			b.residences = b.residences.Without(id)
 		}
 	}
-	for key, until := range b.missing.All() {
-		if now >= until {
-			b.missing = b.missing.Without(key)
-		}
-	}
+	b.missing, b.full = withoutPast(b.missing, now), withoutPast(b.full, now)
 	return b
 }
 
 // WithSuccess returns a board on which a server has answered well.
 func (b Board) WithSuccess(id buckthorndyke.RunnerID) Board {
+	e, _ := b.evidence.Get(id)
+	e.Served, e.Server = e.Served+1, id
+	b.evidence = b.evidence.With(id, e)
 	if b.setbacks.Has(id) {
 		b.setbacks = b.setbacks.Without(id)
 	}
 	return b
 }
 
+// WithSuspects returns a board with a leader's word of now on servers that fail
+// requests of all VMs.
+func (b Board) WithSuspects(list []buckthorndyke.RunnerID, now buckthorndyke.Millis) Board {
+	b.suspects = buckthorndyke.Table[buckthorndyke.RunnerID, struct{}]{}
+	for _, id := range list {
+		b.suspects = b.suspects.With(id, struct{}{})
+	}
+	b.suspectsUntil = now + suspectsLife
+	return b
+}
+
+// WithTold returns a board whose evidence was told.
+func (b Board) WithTold() Board {
+	b.evidence = buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Evidence]{}
+	return b
+}
+
 // known returns a listed server with a leader's newer word on it.
-func (b Board) known(listed buckthorndyke.Backend, now buckthorndyke.Millis) buckthorndyke.Backend {
+func (b Board) known(listed buckthorndyke.Backend) buckthorndyke.Backend {
 	r, ok := b.residences.Get(listed.ID)
-	if !ok || now >= r.at+residenceLife || r.Started != listed.Started {
+	if !ok || b.list.At >= r.at+residenceLag || r.Started != listed.Started {
 		return listed
 	}
 	listed.Holdings = nil
@@ -173,3 +237,15 @@
 func missingKey(id buckthorndyke.RunnerID, key buckthorndyke.ModelKey) string {
 	return string(id) + "/" + string(key.Model) + "/" + key.Adapter
 }
+
+// withoutPast returns the entries of a table of instants that are not over at now.
+func withoutPast[K ~string](
+	t buckthorndyke.Table[K, buckthorndyke.Millis], now buckthorndyke.Millis,
+) buckthorndyke.Table[K, buckthorndyke.Millis] {
+	for key, until := range t.All() {
+		if now >= until {
+			t = t.Without(key)
+		}
+	}
+	return t
+}
--- a/selector/choose.go
+++ b/selector/choose.go
@@ -40,7 +40,7 @@
 }
 
 // Choose returns the server that the request goes to, or false if none can take
-// it now. Servers that failed lately are taken only if there is no other.
+// it now. Servers that failed lately, or fail requests of all VMs, are taken only if there is no other.
 func (b Board) Choose(q Query) (buckthorndyke.Backend, bool) {
 	sound, doubtful := b.candidates(q)
 	if len(sound) == 0 {
@@ -109,7 +109,7 @@
 		if q.Prefix != 0 {
 			c.near = hashOf(id, q.Prefix)
 		}
-		if s, ok := b.setbacks.Get(id); ok && q.Now < s.until {
+		if b.doubts(id, q.Now) {
 			doubtful = append(doubtful, c)
 		} else {
 			sound = append(sound, c)
@@ -118,18 +118,30 @@
 	return sound, doubtful
 }
 
-// holds reports whether a server holds what the request needs.
+// doubts reports whether a server has failed lately, as this VM or the leader knows.
+func (b Board) doubts(id buckthorndyke.RunnerID, now buckthorndyke.Millis) bool {
+	if s, ok := b.setbacks.Get(id); ok && now < s.until {
+		return true
+	}
+	return now < b.suspectsUntil && b.suspects.Has(id)
+}
+
+// holds reports whether a server holds what the request needs and has not just said
+// that it has no place.
 func (b Board) holds(listed buckthorndyke.Backend, q Query) bool {
 	if q.Key.Model == "" {
 		return true
 	}
+	if until, ok := b.full.Get(listed.ID); ok && q.Now < until {
+		return false
+	}
 	if until, ok := b.missing.Get(missingKey(listed.ID, q.Key)); ok && q.Now < until {
 		return false
 	}
 	if until, ok := b.missing.Get(missingKey(listed.ID, q.Key.Base())); ok && q.Now < until {
 		return false
 	}
-	h, ok := b.known(listed, q.Now).Holding(q.Key.Model)
+	h, ok := b.known(listed).Holding(q.Key.Model)
 	return ok && h.Has(q.Key.Adapter)
 }
 
--- a/stager/floor.go
+++ b/stager/floor.go
@@ -110,13 +110,16 @@
 }
 
 // Residences returns what the leader knows at now ahead of the platform's list of
-// the runners that have changed since an instant or that lose a model.
-func (f Floor) Residences(since, now buckthorndyke.Millis) []buckthorndyke.Residence {
+// the runners that have changed since an instant, that lose a model or that hold
+// what requests in lines wait for.
+func (f Floor) Residences(
+	lines []buckthorndyke.DemandLine, since, now buckthorndyke.Millis,
+) []buckthorndyke.Residence {
 	since = max(since-toldMargin, now-toldLife)
 	var out []buckthorndyke.Residence
 	for id, s := range f.stages.All() {
 		closed := s.closed()
-		if len(closed) == 0 && (s.changed == 0 || s.changed < since) {
+		if len(closed) == 0 && (s.changed == 0 || s.changed < since) && !s.awaited(lines) {
 			continue
 		}
 		out = append(out, buckthorndyke.Residence{
--- a/stager/stage.go
+++ b/stager/stage.go
@@ -104,6 +104,13 @@
 	return out
 }
 
+// awaited reports whether the runner holds what requests in lines wait for.
+func (s stage) awaited(lines []buckthorndyke.DemandLine) bool {
+	return slices.ContainsFunc(lines, func(l buckthorndyke.DemandLine) bool {
+		return l.Waiting > 0 && l.Key.Service == s.backend.Service && s.holds(l.Key)
+	})
+}
+
 // canTake reports whether the runner may be given an order at now.
 func (s stage) canTake(now buckthorndyke.Millis) bool {
 	return !s.backend.Leaving && !s.down() && s.order == nil && now >= s.retryAt && s.orders != unknown
--- a/supervisor/relayer/campaigner/campaigner.go
+++ b/supervisor/relayer/campaigner/campaigner.go
@@ -14,8 +14,8 @@
 
 const (
 	// calmEvery is the time between two looks at the leader's grant while the leader
-	// answers.
-	calmEvery = 6 * buckthorndyke.Second
+	// answers. One that cannot renew its grant asks for looks.
+	calmEvery = 20 * buckthorndyke.Second
 	// contestLeases is the number of leases for which a VM looks at the grant of a
 	// leader that has not answered.
 	contestLeases = 2
--- a/supervisor/relayer/demander/demander.go
+++ b/supervisor/relayer/demander/demander.go
@@ -116,6 +116,9 @@
 		return false
 	}
 	now := d.clock.Now()
+	if reply.Contest && d.losses.Publish(ctx, now) != nil {
+		return false
+	}
 	if d.told.Lists.Publish(ctx, reply.List.Sighting(now)) != nil || d.told.Routings.Publish(ctx, reply.Routing.Sighting(now)) != nil {
 		return false
 	}
--- a/supervisor/relayer/demander/demander_test.go
+++ b/supervisor/relayer/demander/demander_test.go
@@ -39,6 +39,15 @@
 		})
 		asserter.Equal(t, got.told.Mark, 7)
 	})
+	t.Run("a VM that a leader asks to takes part in the election", func(t *testing.T) {
+		got := play(t, func(d *double) {
+			led(d)
+			d.reply.Contest = true
+		})
+		asserter.True(t, got.losses > 0, "nobody is told")
+		asserter.Equal(t, got.unled, 0)
+		asserter.Equal(t, got.answers, got.reports)
+	})
 	t.Run("a VM without a leader says so", func(t *testing.T) {
 		got := play(t, func(*double) {})
 		asserter.True(t, got.losses > 0 && got.unled > 0, "nobody is told")
--- a/supervisor/relayer/dispatcher/dispatcher_test.go
+++ b/supervisor/relayer/dispatcher/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 
@@ -253,6 +254,76 @@
 			assertDistinct(t, s.pool.sent(), 2)
 		})
 	})
+	t.Run("a runner without a place is asked again soon, and the request waits for the retries that are left", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.led()
+			full := reply{notRun: true, status: http.StatusServiceUnavailable}
+			s.pool.lay(full, full, full)
+			began := s.clock.Now()
+			got, err := s.relay(generation("/stream/x", hall))
+			asserter.NoError(t, err)
+			asserter.Equal(t, got.body, "well")
+			asserter.Equal(t, s.clock.Now()-began, 360)
+		})
+	})
+	t.Run("a request that no runner has run waits while no retry is left", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.list(runner("r1", hall), runner("r2", hall))
+			full := reply{notRun: true, status: http.StatusServiceUnavailable}
+			for range 6 {
+				s.pool.lay(full)
+				_, err := s.relay(generation("/stream/x", hall))
+				asserter.NoError(t, err)
+				s.wait(200)
+			}
+			s.pool.lay(full)
+			_, err := s.relay(generation("/stream/x", hall))
+			asserter.Code(t, err, buckthorndyke.CodeRunnerUnavailable)
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
+		})
+	})
+	t.Run("a silent server is avoided before its request ends", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.list(server("a"))
+			s.pool.lay(reply{hang: true})
+			go func() { _, _ = s.relay(request("/unsafe/x")) }()
+			s.wait(710)
+			s.list(server("a"), server("b"))
+			for range 4 {
+				_, err := s.relay(request("/unsafe/x"))
+				asserter.NoError(t, err)
+			}
+			for _, d := range s.pool.sent()[1:] {
+				asserter.Equal(t, d.Backend.ID, "b")
+			}
+			report, err := s.dispatcher.Demand(s.ctx, false)
+			asserter.NoError(t, err)
+			asserter.True(t, slices.Contains(report.Evidence, buckthorndyke.Evidence{Failed: 1, Server: "a"}), "the leader is not told")
+		})
+	})
+	t.Run("servers that the leader suspects are avoided", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			asserter.NoError(t, s.dispatcher.Led(s.ctx, buckthorndyke.DemandReply{Leading: true, Suspects: []buckthorndyke.RunnerID{"a", "b"}}))
+			for range 6 {
+				_, err := s.relay(request("/unsafe/x"))
+				asserter.NoError(t, err)
+			}
+			for _, d := range s.pool.sent() {
+				asserter.Equal(t, d.Backend.ID, "c")
+			}
+		})
+	})
+	t.Run("a server's own failures are told, and are no reason to avoid it", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.list(server("a"))
+			s.pool.lay(reply{status: http.StatusInternalServerError})
+			_, err := s.relay(request("/unsafe/x"))
+			asserter.NoError(t, err)
+			report, err := s.dispatcher.Demand(s.ctx, false)
+			asserter.NoError(t, err)
+			asserter.Equal(t, report.Evidence, []buckthorndyke.Evidence{{Failed: 1, Server: "a"}})
+		})
+	})
 	t.Run("a client that leaves while it waits is no demand", func(t *testing.T) {
 		inSite(t, func(s *site) {
 			s.led()
@@ -274,6 +345,12 @@
 	synctest.Wait()
 }
 
+// wait lets d pass.
+func (s *site) wait(d buckthorndyke.Millis) {
+	<-s.clock.After(d)
+	synctest.Wait()
+}
+
 // assertDistinct reports an error unless n attempts went to n servers.
 func assertDistinct(t *testing.T, sent []buckthorndyke.Dispatch, n int) {
 	t.Helper()
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -34,6 +34,10 @@
 	// sendLimit bounds the servers that one request is sent to, those that did not
 	// run it included.
 	sendLimit = 5
+	// stallLeast and stallTargets bound how long a server may stay silent before other
+	// requests avoid it: most are served within their target.
+	stallLeast   = 700 * buckthorndyke.Millisecond
+	stallTargets = 2
 	// tellLimit bounds the time in which the task takes a message.
 	tellLimit = buckthorndyke.Second
 	// urgencyLimit is the least urgency that an engine knows.
@@ -60,6 +64,9 @@
 	excluded []buckthorndyke.RunnerID
 	// first is the time from the arrival to the first event.
 	first buckthorndyke.Millis
+	// heard is closed once the server of the attempt has answered, with an event if
+	// the answer is a stream.
+	heard chan struct{}
 	key   buckthorndyke.ModelKey
 	// queued is the time that the request has waited for servers.
 	queued  buckthorndyke.Millis
@@ -130,6 +137,8 @@
 	j.sends++
 	limit, cancel := context.WithTimeoutCause(ctx, max(j.due-j.clock.Now(), 1).Duration(), errTimeout)
 	defer cancel()
+	j.heard = make(chan struct{})
+	go j.watchSilence(limit, backend, j.heard)
 	answer, err := j.pool.Dispatch(limit, buckthorndyke.Dispatch{
 		Backend:  backend,
 		Request:  j.request,
@@ -140,6 +149,9 @@
 		return j.failed(ctx, backend, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if j.route.Kind != buckthorndyke.RouteStream {
+		close(j.heard)
+	}
 	return j.answered(limit, backend, answer)
 }
 
@@ -197,7 +209,7 @@
 	switch {
 	case a.NotRun:
 		j.note(backend, "not run %d", a.Status)
-		j.end(ctx, backend, resultAbsentOf(j.key))
+		j.end(ctx, backend, resultNotRunOf(j.key, a.Status))
 		if j.key.Model == "" {
 			j.excluded = append(j.excluded, backend.ID)
 		}
@@ -208,7 +220,7 @@
 	case a.Status >= http.StatusInternalServerError && j.route.Kind == buckthorndyke.RouteSafe && j.runs+1 < j.route.Attempts:
 		j.note(backend, "status %d", a.Status)
 		j.runs++
-		j.end(ctx, backend, resultNeutral)
+		j.end(ctx, backend, resultFaulty)
 		j.excluded = append(j.excluded, backend.ID)
 		return true, buckthorndyke.NewRefusal(buckthorndyke.CodeServiceUnavailable, buckthorndyke.MayHaveRun,
 			"the server failed to serve the request")
@@ -227,7 +239,7 @@
 	}
 	j.note(backend, "status %d", a.Status)
 	j.runs++
-	j.end(ctx, backend, resultServed)
+	j.end(ctx, backend, resultOf(a.Status))
 	a.Header.Set("Content-Length", strconv.Itoa(len(body)))
 	if err := j.w.Begin(a.Status, a.Header); err != nil {
 		return false, errCallerGone
@@ -309,6 +321,20 @@
 	return refusal
 }
 
+// watchSilence tells the task if a server stays silent until other requests had
+// better avoid it. It ends with the attempt.
+func (j *job) watchSilence(ctx context.Context, backend buckthorndyke.Backend, heard <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-heard:
+	case <-j.clock.After(max(stallLeast, stallTargets*j.route.Target)):
+		if err := j.box.Send(ctx, serverSilent{server: backend.ID}); err == nil {
+			j.logger.Info().EmbedObject(reporter.EventServerSilent).Str("request", string(j.request.ID)).
+				Str("server", string(backend.ID)).Send()
+		}
+	}
+}
+
 // withReturn returns a refusal that asks the client to come back once a server is
 // expected, while enough of its time is left.
 func (j *job) withReturn(g grant) error {
@@ -342,13 +368,25 @@
 	}
 }
 
-// resultAbsentOf returns what a server's word that it has not run the request
-// says of it.
-func resultAbsentOf(key buckthorndyke.ModelKey) result {
-	if key.Model == "" {
+// resultNotRunOf returns what a server's word that it has not run the request says
+// of it.
+func resultNotRunOf(key buckthorndyke.ModelKey, status int) result {
+	switch {
+	case key.Model == "":
 		return resultNeutral
+	case status == http.StatusMisdirectedRequest:
+		return resultAbsent
+	default:
+		return resultFull
+	}
+}
+
+// resultOf returns what a server's own answer says of it.
+func resultOf(status int) result {
+	if status >= http.StatusInternalServerError {
+		return resultFaulty
 	}
-	return resultAbsent
+	return resultServed
 }
 
 // trailText returns the attempts in words.
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -19,6 +19,10 @@
 	resultAbsent
 	// resultFailed means that the server did not answer as it should.
 	resultFailed
+	// resultFaulty means that the server has answered that it failed.
+	resultFaulty
+	// resultFull means that the runner has no place.
+	resultFull
 	// resultNeutral says nothing of the server.
 	resultNeutral
 )
@@ -81,6 +85,11 @@
 	// unledTold says that no leader answers.
 	unledTold struct{}
 
+	// serverSilent says that a server has not answered a request for long.
+	serverSilent struct {
+		server buckthorndyke.RunnerID
+	}
+
 	// routingAsked asks for the configuration.
 	routingAsked struct {
 		reply mailer.Reply[buckthorndyke.Routing]
@@ -94,4 +103,5 @@
 func (m drainBegun) apply(t *task)     { t.drainUntil = m.until }
 func (m leaderAnswered) apply(t *task) { t.takeLeader(m.reply) }
 func (m unledTold) apply(t *task)      { t.led = false }
+func (m serverSilent) apply(t *task)   { t.fail(m.server) }
 func (m routingAsked) apply(t *task)   { m.reply.Answer(t.routing) }
--- a/supervisor/relayer/dispatcher/stream.go
+++ b/supervisor/relayer/dispatcher/stream.go
@@ -32,6 +32,8 @@
 type stream struct {
 	// begun is set once the head was passed on.
 	begun bool
+	// heard is set once the server of the attempt has sent an event.
+	heard bool
 	// last is the id of the last event that was passed on whole.
 	last string
 }
@@ -39,6 +41,7 @@
 // pass hands on the events of a stream as they come. A stream that breaks off is
 // carried on by another server where the route allows it.
 func (j *job) pass(ctx context.Context, backend buckthorndyke.Backend, a buckthorndyke.DispatchAnswer) (bool, error) {
+	j.stream.heard = false
 	err := j.copyEvents(a)
 	switch {
 	case err == nil:
@@ -103,6 +106,10 @@
 	if len(events) == 0 {
 		return nil
 	}
+	if !j.stream.heard {
+		j.stream.heard = true
+		close(j.heard)
+	}
 	if err := j.w.Write(events); err != nil {
 		return errCallerGone
 	}
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -7,6 +7,7 @@
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/chooser"
+	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/selector"
 )
 
@@ -43,6 +44,8 @@
 	rates   map[buckthorndyke.ModelKey]buckthorndyke.Rate
 	routing buckthorndyke.Routing
 	running map[buckthorndyke.ModelKey]int
+	// suspects are the servers that fail requests of all VMs, as the leader said last.
+	suspects []buckthorndyke.RunnerID
 	// waiting holds the requests without a server in the order of their arrival.
 	waiting []admitAsked
 }
@@ -87,7 +90,7 @@
 			t.arrivals[key]++
 			t.rates[key] = t.rates[key].WithArrivals(1, t.clock.Now())
 		}
-	} else if !t.budget(key.Service).Allows() {
+	} else if m.job.runs > 0 && !t.budget(key.Service).Allows() {
 		m.reply.Answer(grant{err: errBudget})
 		return
 	}
@@ -127,7 +130,8 @@
 		change(key, func(l *buckthorndyke.DemandLine) { l.Running = n })
 	}
 	now := t.clock.Now()
-	answer := buckthorndyke.DemandReport{Loads: t.board.Loads()}
+	answer := buckthorndyke.DemandReport{Evidence: t.board.Evidence(), Loads: t.board.Loads()}
+	t.board = t.board.WithTold()
 	for _, m := range t.waiting {
 		if m.query.Key.Model == "" {
 			continue
@@ -165,18 +169,33 @@
 	case resultAbsent:
 		t.board = t.board.WithMissing(m.server, m.key, now)
 	case resultFailed:
-		t.board = t.board.WithFailure(m.server, now)
+		t.fail(m.server)
+	case resultFaulty:
+		t.board = t.board.WithFault(m.server)
+	case resultFull:
+		t.board = t.board.WithFull(m.server, now)
 	}
 }
 
+// fail takes over that a server did not answer as it should, and has the leader
+// told.
+func (t *task) fail(server buckthorndyke.RunnerID) {
+	t.board = t.board.WithFailure(server, t.clock.Now())
+	t.press()
+}
+
 // leave forgets a request that no longer waits.
 func (t *task) leave(left admitLeft) {
 	t.waiting = slices.DeleteFunc(t.waiting, func(m admitAsked) bool { return m.job == left.job })
 	left.reply.Answer(struct{}{})
 }
 
-// offer gives a request a server if one can take it.
+// offer gives a request a server if one can take it. One that no server has run
+// yet waits until it may be sent again.
 func (t *task) offer(m admitAsked) bool {
+	if m.retry && !t.budget(m.query.Key.Service).Allows() {
+		return false
+	}
 	m.query.Now = t.clock.Now()
 	m.query.Domain = t.domain
 	backend, ok := t.board.Choose(m.query)
@@ -241,7 +260,12 @@
 	for _, e := range reply.Expected {
 		t.expected[e.Key] = now + e.In
 	}
-	t.board = t.board.WithResidences(reply.Residences, now).WithOthers(reply.Loads, now)
+	if !slices.Equal(t.suspects, reply.Suspects) {
+		t.suspects = reply.Suspects
+		t.logger.Info().EmbedObject(reporter.EventServersSuspected).Any("servers", reply.Suspects).Send()
+	}
+	t.board = t.board.WithResidences(reply.Residences, now).WithOthers(reply.Loads, now).
+		WithSuspects(reply.Suspects, now)
 	t.retryWaiting()
 }
 
@@ -250,10 +274,14 @@
 	return m.patience.WithDrain(t.drainUntil).Until(m.query.Key, t.led, t.expected[m.query.Key])
 }
 
-// wake returns the time until the next waiting request has waited too long.
+// wake returns the time until the next waiting request has waited too long, or may
+// find a server.
 func (t *task) wake() buckthorndyke.Millis {
 	now := t.clock.Now()
 	wake := idleWake
+	if len(t.waiting) > 0 {
+		wake = t.board.Reopens(now, wake)
+	}
 	for _, m := range t.waiting {
 		wake = min(wake, max(t.until(m)-now, 1))
 	}
--- a/supervisor/relayer/loader/loader_test.go
+++ b/supervisor/relayer/loader/loader_test.go
@@ -181,6 +181,53 @@
 	})
 }
 
+func TestWord(t *testing.T) {
+	evidence := func(s *site, vm buckthorndyke.VMID, failed, served int) buckthorndyke.DemandReply {
+		reply, err := s.loader.Report(s.ctx, vm, buckthorndyke.DemandReport{
+			Evidence: []buckthorndyke.Evidence{{Failed: failed, Served: served, Server: "r"}},
+		})
+		asserter.NoError(t, err)
+		return reply
+	}
+	t.Run("a server that fails the requests of several VMs is told to all", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.alsoList("r2")
+			s.lead(7)
+			asserter.Equal(t, len(evidence(s, "vm-2", 1, 0).Suspects), 0)
+			asserter.Equal(t, len(evidence(s, "vm-3", 1, 0).Suspects), 0)
+			asserter.Equal(t, evidence(s, "vm-4", 1, 0).Suspects, []buckthorndyke.RunnerID{"r"})
+			asserter.Equal(t, evidence(s, "vm-5", 0, 0).Suspects, []buckthorndyke.RunnerID{"r"})
+		})
+	})
+	t.Run("a leader that cannot renew its grant asks some VMs to take part in the election", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.leadFor(7, buckthorndyke.Second)
+			asserter.True(t, !evidence(s, "vm-2", 0, 0).Contest, "a leader with a grant asks")
+			s.wait(2 * buckthorndyke.Second)
+			asked := 0
+			for range 2 {
+				asked = 0
+				for n := range 20 {
+					if evidence(s, buckthorndyke.VMID("vm-"+string(rune('a'+n))), 0, 0).Contest {
+						asked++
+					}
+				}
+			}
+			asserter.Equal(t, asked, 6)
+		}, loader.WithFenceChecks(true))
+	})
+	t.Run("a VM that waits for what a runner holds is told so", func(t *testing.T) {
+		inSite(t, func(s *site) {
+			s.pool.holdings = []buckthorndyke.Holding{{Model: hall}}
+			s.lead(7)
+			s.wait(lease + 6*buckthorndyke.Second)
+			s.report(hallKey)
+			s.wait(5 * buckthorndyke.Second)
+			asserter.Equal(t, s.report(hallKey).Residences[0].Runner, "r")
+		})
+	})
+}
+
 func TestAdapters(t *testing.T) {
 	key := func(adapter string) buckthorndyke.ModelKey {
 		return buckthorndyke.ModelKey{Adapter: adapter, Model: hall, Service: engines}
@@ -252,6 +299,17 @@
 	})
 }
 
+// alsoList adds a runner to the list.
+func (s *site) alsoList(id buckthorndyke.RunnerID) {
+	s.t.Helper()
+	var list buckthorndyke.Backends
+	for _, id := range []buckthorndyke.RunnerID{"r", id} {
+		list.Listed = list.Listed.With(id, buckthorndyke.Backend{ID: id, Service: engines, Started: 1})
+	}
+	asserter.NoError(s.t, s.feeds.Lists.Publish(s.ctx, list))
+	synctest.Wait()
+}
+
 // lead makes the VM the leader.
 func (s *site) lead(fence int64) { s.leadFor(fence, buckthorndyke.Hour) }
 
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/assessor"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/stager"
 )
@@ -12,6 +16,9 @@
 	// adapterTime is how long an adapter takes to be loaded, from the deployments'
 	// sheets: 10 ms, and some for the way.
 	adapterTime = 14 * buckthorndyke.Millisecond
+	// contestants is the number of VMs that take part in the election while the
+	// leader cannot renew its grant. Some of them may lack the platform as well.
+	contestants = 6
 	// orderMargin is how long before the end of its grant a leader stops giving
 	// orders, so that none is on its way when the next leader begins.
 	orderMargin = 300 * buckthorndyke.Millisecond
@@ -45,6 +52,8 @@
 // task is the state of one run of a loader. Only its goroutine touches it.
 type task struct {
 	*Loader
+	// assessment is what the VMs' requests have shown of servers.
+	assessment assessor.Assessment
 	// changed is set if runners may hold more than when the parked reports were last
 	// looked at.
 	changed bool
@@ -54,6 +63,8 @@
 	// from is the instant from which the VM may give orders.
 	from buckthorndyke.Millis
 	life context.Context
+	// list is the platform's list of servers.
+	list buckthorndyke.Backends
 	// loads are the requests that the VMs have at servers.
 	loads stager.Loads
 	// ordered is the instant of the last order, or 0.
@@ -94,6 +105,8 @@
 		case r := <-routings:
 			t.floor = t.floor.WithRouting(r)
 		case l := <-lists:
+			t.list = l
+			t.assessment = t.assessment.WithoutGone(l)
 			t.floor = t.floor.WithBackends(l, t.clock.Now())
 			t.changed = true
 		case t.seenList = <-seenList:
@@ -125,12 +138,14 @@
 func (t *task) answer(m demandReported, now buckthorndyke.Millis) {
 	m.reply.Answer(buckthorndyke.DemandReply{
 		AskRecent:  m.first,
+		Contest:    t.leads(now) && now >= t.term.Until && t.contests(m.vm),
 		Expected:   t.floor.Expected(m.demand.Lines, now),
 		Leading:    t.leads(now),
 		List:       buckthorndyke.NoticeOf(t.seenList, now),
 		Loads:      t.loads.Others(m.vm, now),
-		Residences: t.floor.Residences(t.told[m.vm], now),
+		Residences: t.floor.Residences(m.demand.Lines, t.told[m.vm], now),
 		Routing:    buckthorndyke.NoticeOf(t.seenRouting, now),
+		Suspects:   t.assessment.Suspects(t.list, now),
 	})
 	t.told[m.vm] = now
 }
@@ -152,6 +167,19 @@
 	t.term = term
 }
 
+// contests reports whether vm is one of the few VMs that look at the election while
+// this one cannot renew its grant: if all did, each outage of the platform would cost
+// a call of each.
+func (t *task) contests(vm buckthorndyke.VMID) bool {
+	before := 0
+	for other := range t.told {
+		if contestOrder(other, t.term.Fence) < contestOrder(vm, t.term.Fence) {
+			before++
+		}
+	}
+	return before < contestants
+}
+
 // askPredecessor asks the previous leader when it gave its last order.
 func (t *task) askPredecessor(address string, fence int64) {
 	go func() {
@@ -325,6 +353,7 @@
 	m.first = !t.floor.Heard(m.vm)
 	t.floor = t.floor.WithDemand(m.vm, m.demand.Lines, now)
 	t.loads = t.loads.WithReport(m.vm, m.demand.Loads, now)
+	t.assessment = t.assessment.WithEvidence(m.demand.Evidence, now)
 	if !t.leads(now) || !m.demand.Waiting || m.first || t.served(m.demand.Lines) {
 		t.answer(m, now)
 		return
@@ -376,3 +405,8 @@
 	now := t.clock.Now()
 	m.reply.Answer(buckthorndyke.Yielded{InContact: now < t.term.Until, Quiet: t.quiet(now)})
 }
+
+// contestOrder returns a number by which VMs are chosen, others for each term.
+func contestOrder(vm buckthorndyke.VMID, fence int64) uint64 {
+	return xxhash.Sum64String(string(vm) + strconv.FormatInt(fence, 10))
+}
--- a/supervisor/relayer/watcher/pace.go
+++ b/supervisor/relayer/watcher/pace.go
@@ -4,8 +4,8 @@
 
 const (
 	// fullEvery is the time between two reads of the list that the leader vouches
-	// for: it does not vouch for the models that the runners hold.
-	fullEvery = 5 * buckthorndyke.Second
+	// for: it tells what changes of the models that runners hold, and not the rest.
+	fullEvery = 15 * buckthorndyke.Second
 	// leaderParts is the part of a record's limit after which the leader reads it
 	// again.
 	leaderParts = 4
--- a/translator/demand.go
+++ b/translator/demand.go
@@ -8,6 +8,11 @@
 // DemandFromWire returns the demand in m.
 func DemandFromWire(m *wire.DemandRequest) buckthorndyke.DemandReport {
 	out := buckthorndyke.DemandReport{Loads: loadsFromWire(m.Loads)}
+	for _, e := range m.Evidence {
+		out.Evidence = append(out.Evidence, buckthorndyke.Evidence{
+			Failed: int(e.Failed), Served: int(e.Served), Server: buckthorndyke.RunnerID(e.Server),
+		})
+	}
 	for _, l := range m.Demand {
 		out.Waiting = out.Waiting || l.Waiting > 0
 		out.Lines = append(out.Lines, buckthorndyke.DemandLine{
@@ -24,6 +29,11 @@
 // DemandToWire returns the message that reports the demand that vm sees.
 func DemandToWire(vm buckthorndyke.VMID, r buckthorndyke.DemandReport) *wire.DemandRequest {
 	out := &wire.DemandRequest{Loads: loadsToWire(r.Loads), Vm: string(vm)}
+	for _, e := range r.Evidence {
+		out.Evidence = append(out.Evidence, &wire.Evidence{
+			Failed: int32(e.Failed), Served: int32(e.Served), Server: string(e.Server),
+		})
+	}
 	for _, l := range r.Lines {
 		out.Demand = append(out.Demand, &wire.DemandLine{
 			Adapter:  l.Key.Adapter,
@@ -41,8 +51,8 @@
 // DemandReplyFromWire returns the leader's answer in m.
 func DemandReplyFromWire(m *wire.DemandResponse) buckthorndyke.DemandReply {
 	out := buckthorndyke.DemandReply{
-		AskRecent: m.AskRecent, Leading: m.Leading, List: noticeFromWire(m.List), Loads: loadsFromWire(m.Loads),
-		Routing: noticeFromWire(m.Routing),
+		AskRecent: m.AskRecent, Contest: m.Contest, Leading: m.Leading, List: noticeFromWire(m.List), Loads: loadsFromWire(m.Loads),
+		Routing: noticeFromWire(m.Routing), Suspects: fromStrings[buckthorndyke.RunnerID](m.Suspects),
 	}
 	for _, e := range m.Expected {
 		out.Expected = append(out.Expected, buckthorndyke.Expectation{
@@ -50,15 +60,12 @@
 		})
 	}
 	for _, r := range m.Residences {
-		in := buckthorndyke.Residence{
-			Closed:  fromStrings[buckthorndyke.ModelID](r.Closed),
-			Runner:  buckthorndyke.RunnerID(r.Runner),
-			Started: buckthorndyke.Incarnation(r.Started),
-		}
-		for _, h := range r.Holdings {
-			in.Holdings = append(in.Holdings, buckthorndyke.Holding{Adapters: h.Adapters, Model: buckthorndyke.ModelID(h.Model)})
-		}
-		out.Residences = append(out.Residences, in)
+		out.Residences = append(out.Residences, buckthorndyke.Residence{
+			Closed:   fromStrings[buckthorndyke.ModelID](r.Closed),
+			Holdings: holdingsFromWire(r.Holdings),
+			Runner:   buckthorndyke.RunnerID(r.Runner),
+			Started:  buckthorndyke.Incarnation(r.Started),
+		})
 	}
 	return out
 }
@@ -66,8 +73,8 @@
 // DemandReplyToWire returns the message that carries the leader's answer.
 func DemandReplyToWire(r buckthorndyke.DemandReply) *wire.DemandResponse {
 	out := &wire.DemandResponse{
-		AskRecent: r.AskRecent, Leading: r.Leading, List: noticeToWire(r.List), Loads: loadsToWire(r.Loads),
-		Routing: noticeToWire(r.Routing),
+		AskRecent: r.AskRecent, Contest: r.Contest, Leading: r.Leading, List: noticeToWire(r.List), Loads: loadsToWire(r.Loads),
+		Routing: noticeToWire(r.Routing), Suspects: toStrings(r.Suspects),
 	}
 	for _, e := range r.Expected {
 		out.Expected = append(out.Expected, &wire.Expectation{
@@ -75,13 +82,9 @@
 		})
 	}
 	for _, in := range r.Residences {
-		m := &wire.Residence{
-			Closed: toStrings(in.Closed), Runner: string(in.Runner), Started: uint64(in.Started),
-		}
-		for _, h := range in.Holdings {
-			m.Holdings = append(m.Holdings, &wire.Holding{Adapters: h.Adapters, Model: string(h.Model)})
-		}
-		out.Residences = append(out.Residences, m)
+		out.Residences = append(out.Residences, &wire.Residence{
+			Closed: toStrings(in.Closed), Holdings: holdingsToWire(in.Holdings), Runner: string(in.Runner), Started: uint64(in.Started),
+		})
 	}
 	return out
 }
--- /dev/null
+++ b/translator/knowledge.go
@@ -0,0 +1,216 @@
+package translator
+
+import (
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/wire"
+)
+
+// tiers are the tiers whose load times are told, in the order of the message.
+var tiers = []buckthorndyke.Tier{buckthorndyke.TierMemory, buckthorndyke.TierDisk, buckthorndyke.TierRemote}
+
+// KnowledgeFromWire returns what a VM knows in m, received at now.
+func KnowledgeFromWire(m *wire.TellResponse, now buckthorndyke.Millis) buckthorndyke.Knowledge {
+	out := buckthorndyke.Knowledge{Age: buckthorndyke.Millis(m.AgeMs), Routing: routingFromWire(m.Routing)}
+	out.List.At = now - out.Age
+	for _, s := range m.Servers {
+		out.List.Listed = out.List.Listed.With(buckthorndyke.RunnerID(s.Id), serverFromWire(s))
+	}
+	return out
+}
+
+// KnowledgeToWire returns the message that tells what a VM knows.
+func KnowledgeToWire(k buckthorndyke.Knowledge) *wire.TellResponse {
+	out := &wire.TellResponse{AgeMs: int64(k.Age), Routing: routingToWire(k.Routing)}
+	for _, b := range k.List.Listed.All() {
+		out.Servers = append(out.Servers, serverToWire(b))
+	}
+	return out
+}
+
+// engineFromWire returns the facts in m, or nil if there are none.
+func engineFromWire(m *wire.EngineFacts) *buckthorndyke.EngineFacts {
+	if m == nil {
+		return nil
+	}
+	out := &buckthorndyke.EngineFacts{
+		AdapterSlots: int(m.AdapterSlots), LoadsPerSecond: m.LoadsPerSecond, MemoryMB: int(m.MemoryMb), Slots: int(m.Slots),
+	}
+	for _, f := range m.Models {
+		facts := buckthorndyke.ModelFacts{
+			AdapterMB: int(f.AdapterMb), Adapters: int(f.Adapters), LoadTimes: make(map[buckthorndyke.Tier]buckthorndyke.Millis),
+			MemoryMB: int(f.MemoryMb),
+		}
+		for i, ms := range f.LoadMs[:min(len(f.LoadMs), len(tiers))] {
+			facts.LoadTimes[tiers[i]] = buckthorndyke.Millis(ms)
+		}
+		out.Models = out.Models.With(buckthorndyke.ModelID(f.Model), facts)
+	}
+	return out
+}
+
+// engineToWire returns the message that carries f, or nil for a plain service.
+func engineToWire(f *buckthorndyke.EngineFacts) *wire.EngineFacts {
+	if f == nil {
+		return nil
+	}
+	out := &wire.EngineFacts{
+		AdapterSlots: int32(f.AdapterSlots), LoadsPerSecond: f.LoadsPerSecond, MemoryMb: int32(f.MemoryMB), Slots: int32(f.Slots),
+	}
+	for id, facts := range f.Models.All() {
+		m := &wire.ModelFacts{
+			AdapterMb: int32(facts.AdapterMB), Adapters: int32(facts.Adapters), MemoryMb: int32(facts.MemoryMB), Model: string(id),
+		}
+		for _, tier := range tiers {
+			m.LoadMs = append(m.LoadMs, int64(facts.LoadTimes[tier]))
+		}
+		out.Models = append(out.Models, m)
+	}
+	return out
+}
+
+// holdingsFromWire returns the holdings in list.
+func holdingsFromWire(list []*wire.Holding) []buckthorndyke.Holding {
+	var out []buckthorndyke.Holding
+	for _, h := range list {
+		out = append(out, buckthorndyke.Holding{Adapters: h.Adapters, Model: buckthorndyke.ModelID(h.Model)})
+	}
+	return out
+}
+
+// holdingsToWire returns the messages that carry list.
+func holdingsToWire(list []buckthorndyke.Holding) []*wire.Holding {
+	var out []*wire.Holding
+	for _, h := range list {
+		out = append(out, &wire.Holding{Adapters: h.Adapters, Model: string(h.Model)})
+	}
+	return out
+}
+
+// routeFromWire returns the route in m.
+func routeFromWire(m *wire.Route) buckthorndyke.Route {
+	out := buckthorndyke.Route{
+		Attempts:  int(m.Attempts),
+		GapTarget: buckthorndyke.Millis(m.GapTargetMs),
+		Host:      m.Host,
+		Kind:      buckthorndyke.RouteKind(m.Kind),
+		Name:      m.Name,
+		Prefix:    m.Prefix,
+		Priority:  int(m.Priority),
+		Resumable: m.Resumable,
+		Target:    buckthorndyke.Millis(m.TargetMs),
+		Timeout:   buckthorndyke.Millis(m.TimeoutMs),
+	}
+	for _, t := range m.Targets {
+		out.Targets = append(out.Targets, buckthorndyke.RouteTarget{Service: buckthorndyke.ServiceID(t.Service), Weight: int(t.Weight)})
+	}
+	return out
+}
+
+// routeToWire returns the message that carries r.
+func routeToWire(r buckthorndyke.Route) *wire.Route {
+	out := &wire.Route{
+		Attempts:    int32(r.Attempts),
+		GapTargetMs: int64(r.GapTarget),
+		Host:        r.Host,
+		Kind:        string(r.Kind),
+		Name:        r.Name,
+		Prefix:      r.Prefix,
+		Priority:    int32(r.Priority),
+		Resumable:   r.Resumable,
+		TargetMs:    int64(r.Target),
+		TimeoutMs:   int64(r.Timeout),
+	}
+	for _, t := range r.Targets {
+		out.Targets = append(out.Targets, &wire.RouteTarget{Service: string(t.Service), Weight: int32(t.Weight)})
+	}
+	return out
+}
+
+// routingFromWire returns the configuration in m.
+func routingFromWire(m *wire.Routing) buckthorndyke.Routing {
+	out := buckthorndyke.Routing{
+		Limits: buckthorndyke.FrontLimits{
+			BodyBytes:     m.GetBodyBytes(),
+			HeaderBytes:   int(m.GetHeaderBytes()),
+			HeaderTimeout: buckthorndyke.Millis(m.GetHeaderTimeoutMs()),
+			IdleTimeout:   buckthorndyke.Millis(m.GetIdleTimeoutMs()),
+		},
+		Version: m.GetVersion(),
+	}
+	for _, s := range m.GetServices() {
+		out = out.WithService(buckthorndyke.BackendService{
+			ConnectionLimit: int(s.ConnectionLimit), Engine: engineFromWire(s.Engine), ID: buckthorndyke.ServiceID(s.Id),
+		})
+	}
+	var routes []buckthorndyke.Route
+	for _, r := range m.GetRoutes() {
+		routes = append(routes, routeFromWire(r))
+	}
+	return out.WithRoutes(routes)
+}
+
+// routingToWire returns the message that carries r.
+func routingToWire(r buckthorndyke.Routing) *wire.Routing {
+	out := &wire.Routing{
+		BodyBytes:       r.Limits.BodyBytes,
+		HeaderBytes:     int32(r.Limits.HeaderBytes),
+		HeaderTimeoutMs: int64(r.Limits.HeaderTimeout),
+		IdleTimeoutMs:   int64(r.Limits.IdleTimeout),
+		Version:         r.Version,
+	}
+	for _, s := range r.Services.All() {
+		out.Services = append(out.Services, &wire.RoutedService{
+			ConnectionLimit: int32(s.ConnectionLimit), Engine: engineToWire(s.Engine), Id: string(s.ID),
+		})
+	}
+	for route := range r.All() {
+		out.Routes = append(out.Routes, routeToWire(route))
+	}
+	return out
+}
+
+// serverFromWire returns the server in m.
+func serverFromWire(m *wire.ListedServer) buckthorndyke.Backend {
+	out := buckthorndyke.Backend{
+		Address:  m.Address,
+		Beat:     m.Beat,
+		Copies:   make(map[buckthorndyke.ModelID]buckthorndyke.Tier),
+		Domain:   buckthorndyke.DomainID(m.Domain),
+		Holdings: holdingsFromWire(m.Holdings),
+		ID:       buckthorndyke.RunnerID(m.Id),
+		Leaving:  m.Leaving,
+		Service:  buckthorndyke.ServiceID(m.Service),
+		Slots:    int(m.Slots),
+		Started:  buckthorndyke.Incarnation(m.Started),
+	}
+	for _, id := range m.OnDisk {
+		out.Copies[buckthorndyke.ModelID(id)] = buckthorndyke.TierDisk
+	}
+	for _, id := range m.InMemory {
+		out.Copies[buckthorndyke.ModelID(id)] = buckthorndyke.TierMemory
+	}
+	return out
+}
+
+// serverToWire returns the message that carries b.
+func serverToWire(b buckthorndyke.Backend) *wire.ListedServer {
+	out := &wire.ListedServer{
+		Address:  b.Address,
+		Beat:     b.Beat,
+		Domain:   string(b.Domain),
+		Holdings: holdingsToWire(b.Holdings),
+		Id:       string(b.ID),
+		Leaving:  b.Leaving,
+		Service:  string(b.Service),
+		Slots:    int32(b.Slots),
+		Started:  uint64(b.Started),
+	}
+	for id, tier := range b.Copies {
+		if tier == buckthorndyke.TierMemory {
+			out.InMemory = append(out.InMemory, string(id))
+		} else {
+			out.OnDisk = append(out.OnDisk, string(id))
+		}
+	}
+	return out
+}
--- a/wire/wireconnect/demand.connect.go
+++ b/wire/wireconnect/demand.connect.go
@@ -23,6 +23,8 @@
 const (
 	// LeaderServiceName is the fully-qualified name of the LeaderService service.
 	LeaderServiceName = "buckthorndyke.wire.LeaderService"
+	// SiblingServiceName is the fully-qualified name of the SiblingService service.
+	SiblingServiceName = "buckthorndyke.wire.SiblingService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -37,6 +39,8 @@
 	LeaderServiceReportProcedure = "/buckthorndyke.wire.LeaderService/Report"
 	// LeaderServiceYieldProcedure is the fully-qualified name of the LeaderService's Yield RPC.
 	LeaderServiceYieldProcedure = "/buckthorndyke.wire.LeaderService/Yield"
+	// SiblingServiceTellProcedure is the fully-qualified name of the SiblingService's Tell RPC.
+	SiblingServiceTellProcedure = "/buckthorndyke.wire.SiblingService/Tell"
 )
 
 // LeaderServiceClient is a client for the buckthorndyke.wire.LeaderService service.
@@ -150,3 +154,81 @@
 func (UnimplementedLeaderServiceHandler) Yield(context.Context, *wire.YieldRequest) (*wire.YieldResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthorndyke.wire.LeaderService.Yield is not implemented"))
 }
+
+// SiblingServiceClient is a client for the buckthorndyke.wire.SiblingService service.
+type SiblingServiceClient interface {
+	// Tell says what the VM knows of the platform's records. It fails with
+	// unavailable if that is nothing.
+	Tell(context.Context, *wire.TellRequest) (*wire.TellResponse, error)
+}
+
+// NewSiblingServiceClient constructs a client for the buckthorndyke.wire.SiblingService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewSiblingServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) SiblingServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	siblingServiceMethods := wire.File_wire_demand_proto.Services().ByName("SiblingService").Methods()
+	return &siblingServiceClient{
+		tell: connect.NewClient[wire.TellRequest, wire.TellResponse](
+			httpClient,
+			baseURL+SiblingServiceTellProcedure,
+			connect.WithSchema(siblingServiceMethods.ByName("Tell")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// siblingServiceClient implements SiblingServiceClient.
+type siblingServiceClient struct {
+	tell *connect.Client[wire.TellRequest, wire.TellResponse]
+}
+
+// Tell calls buckthorndyke.wire.SiblingService.Tell.
+func (c *siblingServiceClient) Tell(ctx context.Context, req *wire.TellRequest) (*wire.TellResponse, error) {
+	response, err := c.tell.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// SiblingServiceHandler is an implementation of the buckthorndyke.wire.SiblingService service.
+type SiblingServiceHandler interface {
+	// Tell says what the VM knows of the platform's records. It fails with
+	// unavailable if that is nothing.
+	Tell(context.Context, *wire.TellRequest) (*wire.TellResponse, error)
+}
+
+// NewSiblingServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewSiblingServiceHandler(svc SiblingServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	siblingServiceMethods := wire.File_wire_demand_proto.Services().ByName("SiblingService").Methods()
+	siblingServiceTellHandler := connect.NewUnaryHandlerSimple(
+		SiblingServiceTellProcedure,
+		svc.Tell,
+		connect.WithSchema(siblingServiceMethods.ByName("Tell")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/buckthorndyke.wire.SiblingService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case SiblingServiceTellProcedure:
+			siblingServiceTellHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedSiblingServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedSiblingServiceHandler struct{}
+
+func (UnimplementedSiblingServiceHandler) Tell(context.Context, *wire.TellRequest) (*wire.TellResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthorndyke.wire.SiblingService.Tell is not implemented"))
+}
