feat(inheritor,teller): a VM that starts without the store asks other VMs

Cause: a VM that started while the store was away stayed unready until it returned, since it keeps nothing and reads both records from there. A series of planned stops in an outage left one VM after the other out of service although loaded models could be served. Ways weighed: a copy of the records in a topic of the store (it is the store that is away); the leader alone (it may be the one that starts); the seeds of the settings, which name three VMs and may be stale: taken, all asked at once, the newest answer counts. Change: each VM serves its configuration and list at its control address; until the directory has answered once, a failed read is replaced by what a seed knows. A later, lower version never replaces a higher one, as before.

--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -12,6 +12,7 @@
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/configurer"
 	"github.com/buckthorndyke/buckthorndyke/connector"
+	"github.com/buckthorndyke/buckthorndyke/inheritor"
 	"github.com/buckthorndyke/buckthorndyke/platform"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/recorder"
@@ -59,11 +60,12 @@
 	store := platform.NewStore(s.StoreAddress)
 	runners := platform.NewRunners(clock)
 	outside := relayer.Platform{
-		Directory: recorder.NewDirectory(platform.NewDirectory(store, clock), metrics, clock),
-		Election:  platform.NewElection(store, self, grantTime, clock),
-		Leaders:   connector.NewConnectLeaders(s.Peers.Key.Text),
-		Observer:  platform.NewElection(store, self, grantTime, clock),
-		Pool:      recorder.NewPool(runners, metrics, clock),
+		Directory: inheritor.NewDirectory(recorder.NewDirectory(platform.NewDirectory(store, clock), metrics, clock),
+			connector.NewConnectSiblings(s.Peers.Key.Text, clock), s.Seeds, logger),
+		Election: platform.NewElection(store, self, grantTime, clock),
+		Leaders:  connector.NewConnectLeaders(s.Peers.Key.Text),
+		Observer: platform.NewElection(store, self, grantTime, clock),
+		Pool:     recorder.NewPool(runners, metrics, clock),
 	}
 	tree := relayer.New(self, outside, relayer.Settings{
 		AtOnce:      s.LoadsAtOnce,
@@ -80,7 +82,8 @@
 	signal.Notify(asks, syscall.SIGHUP)
 	defer signal.Stop(asks)
 	reload := reloader.New(reread, applySettings, asks, clock, logger)
-	tree.AddBase(runners, reload, exporter.New(s.MetricsAddress, metrics.Text), responder.NewLeader(s.Peers.Address, s.Peers.Key.Text, tree.Leader()))
+	tree.AddBase(runners, reload, exporter.New(s.MetricsAddress, metrics.Text),
+		responder.NewRelaying(s.Peers.Address, s.Peers.Key.Text, tree.Leader(), tree.Sibling()))
 	tree.AddFront(entrance.Addresses{Clients: s.ClientsAddress, Readiness: s.ReadinessAddress},
 		platform.NewFront(recorder.NewRelay(tree.Relay(), metrics, clock), bodyLimit, clock), clock)
 	logger.Info().EmbedObject(reporter.EventProcessStarted).Uint64("incarnation", uint64(self.Incarnation)).Send()
--- a/configurer/relay.go
+++ b/configurer/relay.go
@@ -42,7 +42,9 @@
 	// ReadinessAddress is where the balancer asks whether the VM is ready.
 	ReadinessAddress string
 	// RetryBurst is the number of retries that the VM sends to a service at once.
-	RetryBurst   int
+	RetryBurst int
+	// Seeds are the peer addresses of some entry VMs, which may be stale.
+	Seeds        []string
 	StoreAddress string
 	VM           buckthorndyke.VMID
 }
@@ -69,6 +71,7 @@
 		Peers:            root.peers(),
 		ReadinessAddress: root.platform("readiness"),
 		RetryBurst:       root.integer("retry-burst", defaultRetryBurst, 1, maxRetryBurst),
+		Seeds:            root.addresses("seeds"),
 		StoreAddress:     root.platform("store"),
 		VM:               buckthorndyke.VMID(root.name("vm")),
 	}
--- a/configurer/relay_test.go
+++ b/configurer/relay_test.go
@@ -17,6 +17,7 @@
   "peers": {"address": "10.0.0.1:83", "key": "sixteen-characters"},
   "store": {"address": "10.0.0.9:80"}, "runners": {"check-fence": true},
   "lease-ms": 3000, "change-limit-ms": 1500, "drain-limit-s": 8,
+  "seeds": ["10.0.0.2:83", "10.0.0.3:83"],
 }`
 
 func TestParseRelay(t *testing.T) {
@@ -28,14 +29,15 @@
 		asserter.Equal(t, got.CPUShare, 0.4)
 		asserter.Equal(t, got.DrainLimit, 8*buckthorndyke.Second)
 		asserter.Equal(t, got.LoadsAtOnce, 4)
+		asserter.Equal(t, got.Seeds, []string{"10.0.0.2:83", "10.0.0.3:83"})
 		asserter.True(t, got.ChecksFence, "fences are not checked")
 	})
 	t.Run("all faults are named with their places", func(t *testing.T) {
-		broken := strings.NewReplacer(`"10.0.0.9:80"`, `"store:80"`, `"drain-limit-s": 8`, `"drain-limit-s": "8"`,
+		broken := strings.NewReplacer(`"10.0.0.9:80"`, `"store:80"`, `"drain-limit-s": 8`, `"drain-limit-s": "8"`, `"10.0.0.3:83"`, `"entry-3"`,
 			`"vm"`, `"vmm"`).Replace(relaySettings)
 		_, err := configurer.ParseRelay([]byte(broken))
 		asserter.Error(t, err)
-		for _, part := range []string{`store:80`, `"drain-limit-s"`, `"vmm"`, `"vm"`, "line 8, column 63"} {
+		for _, part := range []string{`store:80`, `"entry-3" is no IP number`, `"drain-limit-s"`, `"vmm"`, `"vm"`, "line 8, column 63"} {
 			asserter.Contains(t, err.Error(), part)
 		}
 	})
--- a/configurer/values.go
+++ b/configurer/values.go
@@ -34,19 +34,39 @@
 	if !ok {
 		return ""
 	}
+	o.d.checkAddress(text, at, kind)
+	return text
+}
+
+// addresses returns the addresses in the array under key.
+func (o object) addresses(key string) []string {
+	var out []string
+	for _, value := range o.array(key) {
+		text, ok := unquote(value)
+		if !ok {
+			o.d.report(value.StartOffset, buckthorndyke.FaultType, fmt.Sprintf("an entry of %q must be a text", key), "write \"…\"")
+			continue
+		}
+		o.d.checkAddress(text, value.StartOffset, addressRemote)
+		out = append(out, text)
+	}
+	return out
+}
+
+// checkAddress reports what is wrong with an address that starts at an offset.
+func (d *document) checkAddress(text string, at int, kind addressKind) {
 	parsed, err := netip.ParseAddrPort(text)
 	mend := "write an IP number with a port, as in 10.0.0.7:8080 or [fd00::7]:8080"
 	switch {
 	case err != nil:
-		o.d.report(at, buckthorndyke.FaultAddress, fmt.Sprintf("%q is no IP number with a port", text), mend)
+		d.report(at, buckthorndyke.FaultAddress, fmt.Sprintf("%q is no IP number with a port", text), mend)
 	case parsed.Addr().Zone() != "":
-		o.d.report(at, buckthorndyke.FaultAddress, fmt.Sprintf("%q has a zone", text), mend)
+		d.report(at, buckthorndyke.FaultAddress, fmt.Sprintf("%q has a zone", text), mend)
 	case kind == addressRemote && parsed.Port() == 0:
-		o.d.report(at, buckthorndyke.FaultAddress, fmt.Sprintf("%q has port 0", text), "write the port that others reach")
+		d.report(at, buckthorndyke.FaultAddress, fmt.Sprintf("%q has port 0", text), "write the port that others reach")
 	case kind == addressRemote && parsed.Addr().IsUnspecified():
-		o.d.report(at, buckthorndyke.FaultAddress, fmt.Sprintf("%q names no VM", text), mend)
+		d.report(at, buckthorndyke.FaultAddress, fmt.Sprintf("%q names no VM", text), mend)
 	}
-	return text
 }
 
 // boolean returns the truth value under key.
--- a/endtoend/relay_test.go
+++ b/endtoend/relay_test.go
@@ -43,6 +43,7 @@
 		{"a model that no runner holds is loaded by one leader", (*relaySite).loadCold},
 		{"a change of the configuration is in force on each VM", (*relaySite).changeRoutes},
 		{"requests go on while the store is silent", (*relaySite).silenceStore},
+		{"a VM that starts while the store is silent serves", (*relaySite).startInOutage},
 		{"a changed settings file with a fault changes nothing", (*relaySite).hangUp},
 		{"a planned stop cuts no request", (*relaySite).stopOne},
 		{"a killed leader is succeeded", (*relaySite).killLeader},
@@ -72,13 +73,16 @@
 			imitator.WithEvents(6, 10*time.Millisecond), imitator.WithModels(fmt.Sprintf("m%d", i)), imitator.WithLoadTime(200*time.Millisecond)))
 		s.desks = append(s.desks, s.server(fmt.Sprintf("desk-%d", i), "desk"))
 	}
+	seeds, err := launcher.FreeAddresses(ctx, relayVMs)
+	asserter.NoError(t, err)
 	for i := range relayVMs {
-		free, err := launcher.FreeAddresses(ctx, 4)
+		free, err := launcher.FreeAddresses(ctx, 3)
 		asserter.NoError(t, err)
 		s.addresses = append(s.addresses, free[0])
 		s.settings = append(s.settings, map[string]any{
 			"clients": map[string]any{"address": free[0]}, "drain-limit-s": 8, "failure-domain": "z",
-			"lease-ms": 1000, "log-level": "warn", "metrics": map[string]any{"address": free[3]}, "peers": map[string]any{"address": free[1], "key": launcher.FleetKey},
+			"lease-ms": 1000, "log-level": "warn", "metrics": map[string]any{"address": free[1]},
+			"peers": map[string]any{"address": seeds[i], "key": launcher.FleetKey}, "seeds": seeds,
 			"readiness": map[string]any{"address": free[2]}, "runners": map[string]any{"check-fence": true},
 			"store": map[string]any{"address": storeAddress}, "vm": fmt.Sprintf("entry-%d", i),
 		})
@@ -165,6 +169,22 @@
 	asserter.NoError(s.t, s.store.SetFaults(s.ctx, imitator.StoreFaults{}))
 }
 
+// startInOutage starts a VM again while the store does not answer.
+func (s *relaySite) startInOutage() {
+	asserter.NoError(s.t, s.store.SetFaults(s.ctx, imitator.StoreFaults{Silent: true}))
+	s.processes[2].Kill()
+	s.start(2)
+	asserter.Equal(s.t, s.ask(2, "/calls/x", "").Status, http.StatusOK)
+	asserter.True(s.t, s.ask(2, "/streams/x", "m1").Whole(6), "a stream is not whole")
+	asserter.NoError(s.t, s.store.SetFaults(s.ctx, imitator.StoreFaults{}))
+	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, imitator.Config(8, "/again/")))
+	asserter.Soon(s.t, patience, func() bool { return s.ask(2, "/again/x", "").Status == http.StatusOK })
+	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, imitator.Config(9, "/calls/")))
+	for i := range relayVMs {
+		asserter.Soon(s.t, patience, func() bool { return s.ask(i, "/calls/x", "").Status == http.StatusOK })
+	}
+}
+
 // stopOne stops a VM during streams of requests and starts it again.
 func (s *relaySite) stopOne() {
 	const streams = 4
--- /dev/null
+++ b/inheritor/directory_test.go
@@ -0,0 +1,122 @@
+package inheritor_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+
+	"github.com/rs/zerolog"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/inheritor"
+)
+
+func TestDirectory(t *testing.T) {
+	known := siblings{"old": knowledge(3, 900), "new": knowledge(5, 200), "slow": knowledge(9, 0)}
+	t.Run("a VM that starts in an outage takes over what the others know", func(t *testing.T) {
+		play(t, known, []string{"old", "gone", "new"}, func(t *testing.T, d *inheritor.Directory, own *records) {
+			own.err = errors.New("down")
+			assertRouting(t, d, 5)
+			assertServers(t, d, 1)
+		})
+	})
+	t.Run("a VM that does not answer is not waited for beyond a limit", func(t *testing.T) {
+		play(t, known, []string{"slow", "old"}, func(t *testing.T, d *inheritor.Directory, own *records) {
+			own.err = errors.New("down")
+			assertRouting(t, d, 3)
+		})
+	})
+	t.Run("a VM whose own reads succeed asks nobody", func(t *testing.T) {
+		play(t, known, []string{"new"}, func(t *testing.T, d *inheritor.Directory, _ *records) {
+			assertRouting(t, d, 1)
+			assertServers(t, d, 0)
+		})
+	})
+	t.Run("a VM that knows the records asks nobody in a later outage", func(t *testing.T) {
+		play(t, known, []string{"new"}, func(t *testing.T, d *inheritor.Directory, own *records) {
+			assertRouting(t, d, 1)
+			assertServers(t, d, 0)
+			own.err = errors.New("down")
+			assertFails(t, d)
+		})
+	})
+	t.Run("a VM that nobody answers knows nothing", func(t *testing.T) {
+		play(t, known, []string{"gone"}, func(t *testing.T, d *inheritor.Directory, own *records) {
+			own.err = errors.New("down")
+			assertFails(t, d)
+		})
+	})
+}
+
+// assertFails reports an error if the directory knows a record.
+func assertFails(t *testing.T, d *inheritor.Directory) {
+	t.Helper()
+	_, _, err := d.Routing(t.Context(), 0)
+	asserter.Error(t, err)
+	_, err = d.Backends(t.Context())
+	asserter.Error(t, err)
+}
+
+// assertRouting reports an error unless the configuration has a version.
+func assertRouting(t *testing.T, d *inheritor.Directory, want int64) {
+	t.Helper()
+	got, changed, err := d.Routing(t.Context(), 0)
+	asserter.NoError(t, err)
+	asserter.True(t, changed, "there is no configuration")
+	asserter.Equal(t, got.Version, want)
+}
+
+// assertServers reports an error unless the list holds n servers.
+func assertServers(t *testing.T, d *inheritor.Directory, n int) {
+	t.Helper()
+	got, err := d.Backends(t.Context())
+	asserter.NoError(t, err)
+	asserter.Equal(t, got.Listed.Len(), n)
+}
+
+// knowledge returns knowledge of a version whose list is of an age.
+func knowledge(version int64, age buckthorndyke.Millis) buckthorndyke.Knowledge {
+	k := buckthorndyke.Knowledge{Age: age, Routing: buckthorndyke.Routing{Version: version}}
+	k.List.Listed = k.List.Listed.With("a", buckthorndyke.Backend{ID: "a"})
+	return k
+}
+
+// play runs test in a bubble with a directory whose own reads succeed at first.
+func play(t *testing.T, s siblings, addresses []string, test func(t *testing.T, d *inheritor.Directory, own *records)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		own := &records{}
+		test(t, inheritor.NewDirectory(own, s, addresses, zerolog.New(&bytes.Buffer{})), own)
+	})
+}
+
+// records are the platform's records. They implement buckthorndyke.Directory.
+type records struct{ err error }
+
+// Backends implements buckthorndyke.Directory.
+func (r *records) Backends(context.Context) (buckthorndyke.Backends, error) {
+	return buckthorndyke.Backends{}, r.err
+}
+
+// Routing implements buckthorndyke.Directory.
+func (r *records) Routing(context.Context, buckthorndyke.Millis) (buckthorndyke.Routing, bool, error) {
+	return buckthorndyke.Routing{Version: 1}, r.err == nil, r.err
+}
+
+// siblings are VMs by address. The one called slow does not answer in time.
+type siblings map[string]buckthorndyke.Knowledge
+
+// Knowledge implements buckthorndyke.Siblings.
+func (s siblings) Knowledge(ctx context.Context, address string) (buckthorndyke.Knowledge, error) {
+	if address == "slow" {
+		<-ctx.Done()
+	}
+	k, ok := s[address]
+	if !ok || ctx.Err() != nil {
+		return k, errors.New("no answer")
+	}
+	return k, nil
+}
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -18,6 +18,7 @@
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/dispatcher"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/entrance"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/loader"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/teller"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/watcher"
 )
 
@@ -66,6 +67,7 @@
 	loader      *loader.Loader
 	logger      zerolog.Logger
 	routings    *mailer.Feed[buckthorndyke.Routing]
+	teller      *teller.Teller
 }
 
 // New returns the tree of the VM self. It opens no socket of its own; AddBase and
@@ -88,8 +90,9 @@
 		loader.Feeds{Lists: t.lists, Routings: t.routings, SeenList: lists.Seen, SeenRouting: routings.Seen, Terms: terms},
 		s.Lease, clock,
 		loader.WithAtOnce(s.AtOnce), loader.WithFenceChecks(s.ChecksFence), loader.WithLogger(logger))
+	t.teller = teller.New(t.routings, t.lists, clock)
 	t.base = starter.NewBranch("base", s.DrainLimit, logger,
-		t.routings, t.lists, terms, losses, lists.Seen, lists.Told, routings.Seen, routings.Told, t.dispatcher, t.loader,
+		t.routings, t.lists, terms, losses, lists.Seen, lists.Told, routings.Seen, routings.Told, t.dispatcher, t.loader, t.teller,
 		watcher.NewRoutings(platform.Directory, t.routings, routings, s.ChangeLimit, clock, logger),
 		watcher.NewBackends(platform.Directory, t.lists, lists, s.LeaveLimit, clock, logger),
 		campaigner.New(platform.Election, s.Grant, losses, terms, clock, logger, campaigner.WithReserve(s.Reserve)),
@@ -125,6 +128,9 @@
 // Relay returns the task that takes requests to servers.
 func (t *Tree) Relay() buckthorndyke.Relay { return t.dispatcher }
 
+// Sibling returns the handler of the calls to any VM.
+func (t *Tree) Sibling() *teller.Service { return teller.NewService(t.teller) }
+
 // Serve implements suture.Service. It serves until ctx ends and then stops
 // without cutting a request, within the drain limit.
 func (t *Tree) Serve(ctx context.Context) error {
--- /dev/null
+++ b/supervisor/relayer/teller/service.go
@@ -0,0 +1,29 @@
+package teller
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"github.com/buckthorndyke/buckthorndyke/translator"
+	"github.com/buckthorndyke/buckthorndyke/wire"
+)
+
+// Service answers the peers' connect calls.
+type Service struct {
+	teller *Teller
+}
+
+// NewService returns a service that hands calls to t.
+func NewService(t *Teller) *Service {
+	return &Service{teller: t}
+}
+
+// Tell implements wireconnect.SiblingServiceHandler.
+func (s *Service) Tell(ctx context.Context, _ *wire.TellRequest) (*wire.TellResponse, error) {
+	known, err := s.teller.Knowledge(ctx)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return translator.KnowledgeToWire(known), nil
+}
--- /dev/null
+++ b/supervisor/relayer/teller/teller.go
@@ -0,0 +1,65 @@
+// Package teller tells other entry VMs what this one knows of the platform's
+// records.
+package teller
+
+import (
+	"context"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+)
+
+// errIgnorant means that the VM lacks a record itself.
+var errIgnorant = buckthorndyke.NewRefusal(buckthorndyke.CodeNotReady, buckthorndyke.NotRun, "the records are not known yet")
+
+// told is the answer to a question.
+type told struct {
+	err       error
+	knowledge buckthorndyke.Knowledge
+}
+
+// Teller is the task that keeps what the VM knows.
+type Teller struct {
+	asks     *mailer.Mailbox[mailer.Reply[told]]
+	clock    buckthorndyke.Clock
+	lists    *mailer.Feed[buckthorndyke.Backends]
+	routings *mailer.Feed[buckthorndyke.Routing]
+}
+
+// New returns a teller that follows the two records.
+func New(
+	routings *mailer.Feed[buckthorndyke.Routing], lists *mailer.Feed[buckthorndyke.Backends], clock buckthorndyke.Clock,
+) *Teller {
+	return &Teller{asks: mailer.NewMailbox[mailer.Reply[told]](), clock: clock, lists: lists, routings: routings}
+}
+
+// Knowledge returns what the VM knows. It fails while a record is not known.
+func (t *Teller) Knowledge(ctx context.Context) (buckthorndyke.Knowledge, error) {
+	out, err := mailer.Ask(ctx, t.asks, func(reply mailer.Reply[told]) mailer.Reply[told] { return reply })
+	if err != nil {
+		return buckthorndyke.Knowledge{}, err
+	}
+	return out.knowledge, out.err
+}
+
+// Serve implements suture.Service.
+func (t *Teller) Serve(ctx context.Context) error {
+	routings, lists := t.routings.Subscribe(ctx), t.lists.Subscribe(ctx)
+	var known buckthorndyke.Knowledge
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case known.Routing = <-routings:
+		case known.List = <-lists:
+		case reply := <-t.asks.Receive():
+			if known.Routing.Version == 0 || known.List.Listed.Len() == 0 {
+				reply.Answer(told{err: errIgnorant})
+				continue
+			}
+			now := known
+			now.Age = t.clock.Now() - known.List.At
+			reply.Answer(told{knowledge: now})
+		}
+	}
+}
--- /dev/null
+++ b/supervisor/relayer/teller/teller_test.go
@@ -0,0 +1,68 @@
+package teller_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/teller"
+	"github.com/buckthorndyke/buckthorndyke/timekeeper"
+)
+
+func TestTeller(t *testing.T) {
+	var list buckthorndyke.Backends
+	list.Listed = list.Listed.With("a", buckthorndyke.Backend{ID: "a"})
+	t.Run("a VM tells what it knows, and how old that is", func(t *testing.T) {
+		play(t, func(s *site) {
+			known := list
+			known.At = s.clock.Now()
+			asserter.NoError(t, s.routings.Publish(s.ctx, buckthorndyke.Routing{Version: 4}))
+			asserter.NoError(t, s.lists.Publish(s.ctx, known))
+			<-s.clock.After(700)
+			got, err := s.teller.Knowledge(s.ctx)
+			asserter.NoError(t, err)
+			asserter.Equal(t, got.Age, 700)
+			asserter.Equal(t, got.Routing.Version, 4)
+			asserter.Equal(t, got.List.Listed.Len(), 1)
+		})
+	})
+	t.Run("a VM that lacks a record tells nothing", func(t *testing.T) {
+		play(t, func(s *site) {
+			asserter.NoError(t, s.lists.Publish(s.ctx, list))
+			synctest.Wait()
+			_, err := s.teller.Knowledge(s.ctx)
+			asserter.Code(t, err, buckthorndyke.CodeNotReady)
+		})
+	})
+}
+
+// site is a teller in a bubble.
+type site struct {
+	clock    buckthorndyke.Clock
+	ctx      context.Context
+	lists    *mailer.Feed[buckthorndyke.Backends]
+	routings *mailer.Feed[buckthorndyke.Routing]
+	teller   *teller.Teller
+}
+
+// play runs test with a teller that knows nothing.
+func play(t *testing.T, test func(s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &site{
+			clock: timekeeper.NewRealClock(), ctx: ctx, lists: mailer.NewFeed[buckthorndyke.Backends](),
+			routings: mailer.NewFeed[buckthorndyke.Routing](),
+		}
+		s.teller = teller.New(s.routings, s.lists, s.clock)
+		for _, serve := range []func(context.Context) error{s.lists.Serve, s.routings.Serve, s.teller.Serve} {
+			go func() { _ = serve(ctx) }()
+		}
+		synctest.Wait()
+		test(s)
+	})
+}
--- a/supervisor/responder/responder.go
+++ b/supervisor/responder/responder.go
@@ -47,10 +47,15 @@
 	return newResponder(address, key, handler, opts)
 }
 
-// NewLeader returns a responder that serves the calls to the leading VM.
-func NewLeader(address, key string, leader wireconnect.LeaderServiceHandler, opts ...Option) *Responder {
-	_, handler := wireconnect.NewLeaderServiceHandler(leader, connect.WithReadMaxBytes(messageLimit))
-	return newResponder(address, key, handler, opts)
+// NewRelaying returns a responder that serves the calls to a relaying VM: those to
+// the leading one, and those to each.
+func NewRelaying(
+	address, key string, leader wireconnect.LeaderServiceHandler, sibling wireconnect.SiblingServiceHandler, opts ...Option,
+) *Responder {
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewLeaderServiceHandler(leader, connect.WithReadMaxBytes(messageLimit)))
+	mux.Handle(wireconnect.NewSiblingServiceHandler(sibling, connect.WithReadMaxBytes(messageLimit)))
+	return newResponder(address, key, mux, opts)
 }
 
 func newResponder(address, key string, handler http.Handler, opts []Option) *Responder {
