--- a/demand.go
+++ b/demand.go
@@ -76,6 +76,9 @@
 	// AskRecent is set if the leader lacks the VM's arrivals before the report: the
 	// next one has to hold all recent ones.
 	AskRecent bool
+	// AtOnce is the number of loads that the weight store allows at full speed, as the
+	// leader has learnt, or 0.
+	AtOnce int
 	// Contest is set if the platform does not renew the leader's grant and the VM is
 	// one of those that ought to take part in the election.
 	Contest bool
--- a/stager/floor.go
+++ b/stager/floor.go
@@ -64,6 +64,9 @@
 	return Floor{atOnce: atOnce}
 }
 
+// AtOnce returns the number of loads that the weight store allows at full speed.
+func (f Floor) AtOnce() int { return f.atOnce }
+
 // Backend returns a runner as the leader knows it.
 func (f Floor) Backend(id buckthorndyke.RunnerID) (buckthorndyke.Backend, bool) {
 	s, ok := f.stages.Get(id)
--- a/stager/floorchange.go
+++ b/stager/floorchange.go
@@ -22,6 +22,13 @@
 	return f
 }
 
+// WithAtOnce returns a floor whose weight store allows n loads at full speed, as
+// another leader has learnt.
+func (f Floor) WithAtOnce(n int) Floor {
+	f.atOnce = min(max(n, 1), atOnceLimit)
+	return f
+}
+
 // WithBackends returns a floor with the runners of the platform's list.
 func (f Floor) WithBackends(list buckthorndyke.Backends, now buckthorndyke.Millis) Floor {
 	for id, s := range f.stages.All() {
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -72,6 +72,7 @@
 		rates: make(map[buckthorndyke.ModelKey]float64), wants: f.demand.wants(),
 	}
 	p.count()
+	p.countCopies()
 	p.finishGoals()
 	p.addReplicas(overloadedBatch)
 	p.serveWaiting()
@@ -85,6 +86,8 @@
 	Floor
 	// arriving is the number of runners that are loading what a key names.
 	arriving map[buckthorndyke.ModelKey]int
+	// copies is the number of runners with a copy of a model.
+	copies map[buckthorndyke.ModelKey]int
 	// free are the runners that may be given an order.
 	free []buckthorndyke.RunnerID
 	// holders is the number of runners that hold what a key names and keep it.
@@ -226,7 +229,10 @@
 		atOnce = p.atOnce + overloadedLoads
 	case p.rate(key) >= hotRate && p.replicas(key) == 0:
 		atOnce = p.atOnce * hotLoads
-	case p.rate(key) >= copyRate:
+	case p.scarce(key, facts):
+		atOnce = p.atOnce
+	case len(p.wants) == 0:
+		// Nothing is asked for: copies ahead of need teach what the weight store allows.
 		atOnce = p.atOnce
 	case w.waiting == 0:
 		atOnce = max(p.atOnce/2, 1)
--- a/supervisor/relayer/demander/demander.go
+++ b/supervisor/relayer/demander/demander.go
@@ -39,6 +39,8 @@
 	self   buckthorndyke.VMID
 	source buckthorndyke.DemandSource
 	told   Told
+	// atOnce is what the leader has told last of the weight store, or 0.
+	atOnce int
 	// address is where the leader answers, or empty.
 	address string
 	// searched is the instant of the last search for the leader.
@@ -47,6 +49,8 @@
 
 // Told takes the leader's word on the platform's records.
 type Told struct {
+	// AtOnce takes what the leader has learnt of the weight store.
+	AtOnce   *mailer.Feed[int]
 	Lists    *mailer.Feed[buckthorndyke.Sighting]
 	Routings *mailer.Feed[buckthorndyke.Sighting]
 }
@@ -116,6 +120,12 @@
 		return false
 	}
 	now := d.clock.Now()
+	if reply.AtOnce > 0 && reply.AtOnce != d.atOnce {
+		d.atOnce = reply.AtOnce
+		if d.told.AtOnce.Publish(ctx, reply.AtOnce) != nil {
+			return false
+		}
+	}
 	if reply.Contest && d.losses.Publish(ctx, now) != nil {
 		return false
 	}
--- a/supervisor/relayer/loader/loader.go
+++ b/supervisor/relayer/loader/loader.go
@@ -38,6 +38,8 @@
 
 // Feeds are what a loader follows.
 type Feeds struct {
+	// AtOnce brings what the leader has learnt of the weight store.
+	AtOnce   *mailer.Feed[int]
 	Lists    *mailer.Feed[buckthorndyke.Backends]
 	Routings *mailer.Feed[buckthorndyke.Routing]
 	// SeenList and SeenRouting bring what this VM has read of the platform's records.
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -91,7 +91,7 @@
 	routings := t.feeds.Routings.Subscribe(ctx)
 	lists := t.feeds.Lists.Subscribe(ctx)
 	seenList, seenRouting := t.feeds.SeenList.Subscribe(ctx), t.feeds.SeenRouting.Subscribe(ctx)
-	terms := t.feeds.Terms.Subscribe(ctx)
+	terms, taught := t.feeds.Terms.Subscribe(ctx), t.feeds.AtOnce.Subscribe(ctx)
 	for {
 		wait := buckthorndyke.Minute
 		if t.term.Leading {
@@ -113,6 +113,10 @@
 		case t.seenRouting = <-seenRouting:
 		case term := <-terms:
 			t.changeTerm(term)
+		case n := <-taught:
+			if !t.term.Leading {
+				t.floor = t.floor.WithAtOnce(n)
+			}
 		case <-t.clock.After(wait):
 		}
 		t.step(t.clock.Now())
@@ -138,6 +142,7 @@
 func (t *task) answer(m demandReported, now buckthorndyke.Millis) {
 	m.reply.Answer(buckthorndyke.DemandReply{
 		AskRecent:  m.first,
+		AtOnce:     t.floor.AtOnce(),
 		Contest:    t.leads(now) && now >= t.term.Until && t.contests(m.vm),
 		Expected:   t.floor.Expected(m.demand.Lines, now),
 		Leading:    t.leads(now),
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -84,20 +84,20 @@
 	terms := mailer.NewFeed[buckthorndyke.Term]()
 	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock,
 		dispatcher.WithDomain(self.Domain), dispatcher.WithLogger(logger), dispatcher.WithRetryBurst(s.RetryBurst))
-	losses := mailer.NewFeed[buckthorndyke.Millis]()
+	losses, atOnce := mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[int]()
 	lists, routings := newWatchFeeds(terms), newWatchFeeds(terms)
 	t.loader = loader.New(self, platform.Pool, platform.Leaders,
-		loader.Feeds{Lists: t.lists, Routings: t.routings, SeenList: lists.Seen, SeenRouting: routings.Seen, Terms: terms},
+		loader.Feeds{AtOnce: atOnce, Lists: t.lists, Routings: t.routings, SeenList: lists.Seen, SeenRouting: routings.Seen, Terms: terms},
 		s.Lease, clock,
 		loader.WithAtOnce(s.AtOnce), loader.WithFenceChecks(s.ChecksFence), loader.WithLogger(logger))
 	t.teller = teller.New(t.routings, t.lists, clock)
 	t.base = starter.NewBranch("base", s.DrainLimit, logger,
-		t.routings, t.lists, terms, losses, lists.Seen, lists.Told, routings.Seen, routings.Told, t.dispatcher, t.loader, t.teller,
+		t.routings, t.lists, terms, losses, atOnce, lists.Seen, lists.Told, routings.Seen, routings.Told, t.dispatcher, t.loader, t.teller,
 		watcher.NewRoutings(platform.Directory, t.routings, routings, s.ChangeLimit, clock, logger),
 		watcher.NewBackends(platform.Directory, t.lists, lists, s.LeaveLimit, clock, logger),
 		campaigner.New(platform.Election, s.Grant, losses, terms, clock, logger, campaigner.WithReserve(s.Reserve)),
 		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, losses,
-			demander.Told{Lists: lists.Told, Routings: routings.Told}, clock, logger),
+			demander.Told{AtOnce: atOnce, Lists: lists.Told, Routings: routings.Told}, clock, logger),
 	)
 	t.front = starter.NewBranch("front", s.DrainLimit, logger)
 	return t
--- a/translator/demand.go
+++ b/translator/demand.go
@@ -51,7 +51,7 @@
 // DemandReplyFromWire returns the leader's answer in m.
 func DemandReplyFromWire(m *wire.DemandResponse) buckthorndyke.DemandReply {
 	out := buckthorndyke.DemandReply{
-		AskRecent: m.AskRecent, Contest: m.Contest, Leading: m.Leading, List: noticeFromWire(m.List), Loads: loadsFromWire(m.Loads),
+		AskRecent: m.AskRecent, AtOnce: int(m.AtOnce), Contest: m.Contest, Leading: m.Leading, List: noticeFromWire(m.List), Loads: loadsFromWire(m.Loads),
 		Routing: noticeFromWire(m.Routing), Suspects: fromStrings[buckthorndyke.RunnerID](m.Suspects),
 	}
 	for _, e := range m.Expected {
@@ -73,7 +73,7 @@
 // DemandReplyToWire returns the message that carries the leader's answer.
 func DemandReplyToWire(r buckthorndyke.DemandReply) *wire.DemandResponse {
 	out := &wire.DemandResponse{
-		AskRecent: r.AskRecent, Contest: r.Contest, Leading: r.Leading, List: noticeToWire(r.List), Loads: loadsToWire(r.Loads),
+		AskRecent: r.AskRecent, AtOnce: int32(r.AtOnce), Contest: r.Contest, Leading: r.Leading, List: noticeToWire(r.List), Loads: loadsToWire(r.Loads),
 		Routing: noticeToWire(r.Routing), Suspects: toStrings(r.Suspects),
 	}
 	for _, e := range r.Expected {
