fix(selector,stager): silent servers stand before failing ones; fewer loads beside those at full speed

Change: a silent server is avoided for a second and stands between the sound and the failing ones; one that stays silent to the end of its request counts as failing. More loads at once are learnt only from more that took their time; while nothing is asked for one more is tried; hot models that no runner holds go two beyond, not twice. For the prefix cache a runner is taken by the load of all VMs, as far as it is known. Ruled out: suspicion as a penalty in place of a rank (a server that fails at once has no load, whatever the factor).

--- a/selector/board.go
+++ b/selector/board.go
@@ -16,6 +16,8 @@
 	// fullLife is how long a runner is held to be full that has refused a request for
 	// want of places: about the time in which a short request ends.
 	fullLife = 120 * buckthorndyke.Millisecond
+	// slowLife is how long a server that stays silent is avoided where there is another.
+	slowLife = buckthorndyke.Second
 	// suspectsLife is how long a leader's word on failing servers stands.
 	suspectsLife = 2500 * buckthorndyke.Millisecond
 	// missingLife is how long a model is held to be absent from a runner that
@@ -47,6 +49,8 @@
 	missing     buckthorndyke.Table[string, buckthorndyke.Millis]
 	residences  buckthorndyke.Table[buckthorndyke.RunnerID, residence]
 	setbacks    buckthorndyke.Table[buckthorndyke.RunnerID, setback]
+	// slow holds the servers that stay silent, and the instant until which that stands.
+	slow buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Millis]
 	// suspects are the servers that fail requests of all VMs, as the leader said last.
 	suspects buckthorndyke.Table[buckthorndyke.RunnerID, struct{}]
 	// suspectsUntil is the instant until which that stands.
@@ -185,7 +189,13 @@
 			b.residences = b.residences.Without(id)
 		}
 	}
-	b.missing, b.full = withoutPast(b.missing, now), withoutPast(b.full, now)
+	b.missing, b.full, b.slow = withoutPast(b.missing, now), withoutPast(b.full, now), withoutPast(b.slow, now)
+	return b
+}
+
+// WithSlow returns a board on which a server was found at now to stay silent.
+func (b Board) WithSlow(id buckthorndyke.RunnerID, now buckthorndyke.Millis) Board {
+	b.slow = b.slow.With(id, now+slowLife)
 	return b
 }
 
--- a/selector/board_test.go
+++ b/selector/board_test.go
@@ -85,6 +85,16 @@
 		other, _ := full.Choose(selector.Query{Key: hallKey, Now: now, Prefix: 77})
 		asserter.True(t, other.ID != first.ID, "a loaded runner was taken for its prefix cache")
 	})
+	t.Run("a runner that other VMs load is not taken for its prefix cache", func(t *testing.T) {
+		b := boardOf(runner("a", hall), runner("b", hall), runner("c", hall))
+		first, _ := b.Choose(selector.Query{Key: hallKey, Now: now, Prefix: 77})
+		others := func(n int) selector.Board {
+			return b.WithOthers([]buckthorndyke.ServerLoad{{Requests: n, Server: first.ID}}, now)
+		}
+		assertChosen(t, others(5), selector.Query{Key: hallKey, Now: now, Prefix: 77}, first.ID)
+		other, _ := others(40).Choose(selector.Query{Key: hallKey, Now: now, Prefix: 77, Seed: 3})
+		asserter.True(t, other.ID != first.ID, "a loaded runner was taken for its prefix cache")
+	})
 }
 
 func TestFailures(t *testing.T) {
@@ -111,6 +121,13 @@
 		}
 		assertChosen(t, boardOf(server("a")).WithSuspects([]buckthorndyke.RunnerID{"a"}, now), query, "a")
 	})
+	t.Run("a silent server is taken before one that fails", func(t *testing.T) {
+		b := boardOf(server("a"), server("b"), server("c")).WithSlow("a", now).WithFailure("b", now)
+		assertChosen(t, b, query, "c")
+		b = boardOf(server("a"), server("b")).WithSlow("a", now).WithLoad("a", selector.Load{Requests: 9}).
+			WithSuspects([]buckthorndyke.RunnerID{"b"}, now)
+		assertChosen(t, b, query, "a")
+	})
 	t.Run("an old word on failing servers does not count", func(t *testing.T) {
 		b := boardOf(server("a"), server("b")).WithSuspects([]buckthorndyke.RunnerID{"a"}, now).WithLoad("b", selector.Load{Requests: 1})
 		late := query
--- a/selector/choose.go
+++ b/selector/choose.go
@@ -27,6 +27,19 @@
 	tokensPerUnit = 1
 )
 
+// Standings of servers, the soundest first.
+const (
+	standingSound standing = iota
+	// standingSlow means that the server stays silent.
+	standingSlow
+	// standingFailing means that the server has failed requests.
+	standingFailing
+	standings
+)
+
+// standing says how sound a server is.
+type standing int
+
 // Query describes a request that needs a server.
 type Query struct {
 	Domain buckthorndyke.DomainID
@@ -40,12 +53,11 @@
 }
 
 // Choose returns the server that the request goes to, or false if none can take
-// it now. Servers that failed lately, or fail requests of all VMs, are taken only if there is no other.
+// it now. Servers that stay silent are taken only if there is no other, and those
+// that failed lately, or fail requests of all VMs, only if there are no such either:
+// a server that fails at once is never loaded.
 func (b Board) Choose(q Query) (buckthorndyke.Backend, bool) {
-	sound, doubtful := b.candidates(q)
-	if len(sound) == 0 {
-		sound = doubtful
-	}
+	sound := b.candidates(q)
 	if len(sound) == 0 {
 		return buckthorndyke.Backend{}, false
 	}
@@ -54,7 +66,7 @@
 		return best.backend, true
 	}
 	near := slices.MaxFunc(sound, func(x, y candidate) int { return x.compareNear(y) })
-	if near.units <= best.units+affinitySlack {
+	if near.total <= best.total+affinitySlack {
 		return near.backend, true
 	}
 	return best.backend, true
@@ -67,6 +79,8 @@
 	draw float64
 	// near is the highest for the server that probably caches the prefix.
 	near uint64
+	// total is the server's load with that of the other VMs, as far as it is known.
+	total int
 	// units is the server's load.
 	units int
 }
@@ -95,35 +109,32 @@
 	}
 }
 
-// candidates returns the servers that can take the request, those that failed
-// lately apart.
-func (b Board) candidates(q Query) (sound, doubtful []candidate) {
+// candidates returns the servers that can take the request, of the soundest standing
+// that there is.
+func (b Board) candidates(q Query) []candidate {
+	var by [standings][]candidate
 	for id, listed := range b.list.Listed.All() {
 		if listed.Service != q.Key.Service || listed.Leaving || slices.Contains(q.Excluded, id) || !b.holds(listed, q) {
 			continue
 		}
 		c := candidate{backend: listed, draw: float64(hashOf(id, q.Seed)), units: b.units(listed, q.Domain)}
+		c.total = c.units
 		if q.Now < b.othersUntil {
+			others, _ := b.others.Get(id)
 			c.draw, c.units = b.weigh(listed, q), b.ownUnits(listed)
+			c.total = c.units + others*requestUnits
 		}
 		if q.Prefix != 0 {
 			c.near = hashOf(id, q.Prefix)
 		}
-		if b.doubts(id, q.Now) {
-			doubtful = append(doubtful, c)
-		} else {
-			sound = append(sound, c)
-		}
+		by[b.standing(id, q.Now)] = append(by[b.standing(id, q.Now)], c)
 	}
-	return sound, doubtful
-}
-
-// doubts reports whether a server has failed lately, as this VM or the leader knows.
-func (b Board) doubts(id buckthorndyke.RunnerID, now buckthorndyke.Millis) bool {
-	if s, ok := b.setbacks.Get(id); ok && now < s.until {
-		return true
+	for _, list := range by {
+		if len(list) > 0 {
+			return list
+		}
 	}
-	return now < b.suspectsUntil && b.suspects.Has(id)
+	return nil
 }
 
 // holds reports whether a server holds what the request needs and has not just said
@@ -151,6 +162,17 @@
 	return load.Requests*requestUnits + load.Tokens/tokensPerUnit
 }
 
+// standing returns what this VM and the leader know of a server.
+func (b Board) standing(id buckthorndyke.RunnerID, now buckthorndyke.Millis) standing {
+	if s, ok := b.setbacks.Get(id); ok && now < s.until || now < b.suspectsUntil && b.suspects.Has(id) {
+		return standingFailing
+	}
+	if until, ok := b.slow.Get(id); ok && now < until {
+		return standingSlow
+	}
+	return standingSound
+}
+
 // units returns the load of a server as seen from domain.
 func (b Board) units(listed buckthorndyke.Backend, domain buckthorndyke.DomainID) int {
 	units := b.ownUnits(listed)
--- a/stager/floorchange.go
+++ b/stager/floorchange.go
@@ -217,8 +217,8 @@
 	if f.slow(s, now) {
 		return f.withShared(s, now)
 	}
-	if o := s.order; o != nil && o.beside >= f.atOnce && o.accepted {
-		f.atOnce = min(f.atOnce+1, atOnceLimit)
+	if o := s.order; o != nil && o.beside > f.atOnce && o.accepted {
+		f.atOnce = min(o.beside, atOnceLimit)
 	}
 	return f
 }
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -14,9 +14,12 @@
 	// fullBatch is the share of a runner's batch, in thousandths, from which on
 	// another replica of a model is wanted.
 	fullBatch = 120
-	// hotLoads multiplies the loads from the weight store at once for hot models that
-	// no runner holds.
+	// hotLoads is how many more loads than at full speed hot models that no runner
+	// holds may take from the weight store at once.
 	hotLoads = 2
+	// idleLoads is the same for copies ahead of need while nothing is asked for: they
+	// teach whether the weight store allows more.
+	idleLoads = 1
 	// overloadedLoads is how many more loads than at full speed overloaded models may
 	// take from the weight store at once.
 	overloadedLoads = 1
@@ -228,12 +231,11 @@
 	case p.overloaded(w, facts):
 		atOnce = p.atOnce + overloadedLoads
 	case p.rate(key) >= hotRate && p.replicas(key) == 0:
-		atOnce = p.atOnce * hotLoads
+		atOnce = p.atOnce + hotLoads
 	case p.scarce(key, facts):
 		atOnce = p.atOnce
 	case len(p.wants) == 0:
-		// Nothing is asked for: copies ahead of need teach what the weight store allows.
-		atOnce = p.atOnce
+		atOnce = p.atOnce + idleLoads
 	case w.waiting == 0:
 		atOnce = max(p.atOnce/2, 1)
 	}
--- a/supervisor/relayer/dispatcher/dispatcher_test.go
+++ b/supervisor/relayer/dispatcher/dispatcher_test.go
@@ -296,6 +296,7 @@
 			for _, d := range s.pool.sent()[1:] {
 				asserter.Equal(t, d.Backend.ID, "b")
 			}
+			s.wait(2 * buckthorndyke.Second)
 			report, err := s.dispatcher.Demand(s.ctx, false)
 			asserter.NoError(t, err)
 			asserter.True(t, slices.Contains(report.Evidence, buckthorndyke.Evidence{Failed: 1, Server: "a"}), "the leader is not told")
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -75,6 +75,8 @@
 	// runs is the number of servers that may have run the request.
 	runs int
 	seed uint64
+	// sent is the instant at which the attempt began.
+	sent buckthorndyke.Millis
 	// sends is the number of servers that the request was sent to.
 	sends  int
 	stream stream
@@ -137,7 +139,7 @@
 	j.sends++
 	limit, cancel := context.WithTimeoutCause(ctx, max(j.due-j.clock.Now(), 1).Duration(), errTimeout)
 	defer cancel()
-	j.heard = make(chan struct{})
+	j.heard, j.sent = make(chan struct{}), j.clock.Now()
 	go j.watchSilence(limit, backend, j.heard)
 	answer, err := j.pool.Dispatch(limit, buckthorndyke.Dispatch{
 		Backend:  backend,
@@ -265,7 +267,7 @@
 func (j *job) failed(ctx context.Context, backend buckthorndyke.Backend, err error) (bool, error) {
 	if errors.Is(err, errTimeout) || errors.Is(err, context.Canceled) {
 		j.note(backend, "ended by us")
-		j.end(ctx, backend, resultNeutral)
+		j.end(ctx, backend, j.resultEnded())
 		j.runs++
 		return false, errTimeout
 	}
@@ -286,6 +288,20 @@
 	return selector.Load{Requests: 1, Tokens: j.request.PromptTokens}
 }
 
+// resultEnded returns what an attempt that this VM ends says of its server: one that
+// has stayed silent for long fails its requests.
+func (j *job) resultEnded() result {
+	select {
+	case <-j.heard:
+		return resultNeutral
+	default:
+	}
+	if j.clock.Now()-j.sent < j.silence() {
+		return resultNeutral
+	}
+	return resultFaulty
+}
+
 // mayRunAgain reports whether another server may run the request.
 func (j *job) mayRunAgain() bool {
 	return j.route.Repeatable() && j.runs < j.route.Attempts
@@ -327,7 +343,7 @@
 	select {
 	case <-ctx.Done():
 	case <-heard:
-	case <-j.clock.After(max(stallLeast, stallTargets*j.route.Target)):
+	case <-j.clock.After(j.silence()):
 		if err := j.box.Send(ctx, serverSilent{server: backend.ID}); err == nil {
 			j.logger.Info().EmbedObject(reporter.EventServerSilent).Str("request", string(j.request.ID)).
 				Str("server", string(backend.ID)).Send()
@@ -389,6 +405,11 @@
 	return resultServed
 }
 
+// silence returns how long a server may stay silent before other requests avoid it.
+func (j *job) silence() buckthorndyke.Millis {
+	return max(stallLeast, stallTargets*j.route.Target)
+}
+
 // trailText returns the attempts in words.
 func (j *job) trailText() string {
 	return strings.Join(j.trail, "; ")
