feat(loader,watcher): the leader tells what has changed on the list of servers

A VM that was cut off from the store but not from the leader knew that it lacked a change and could not read it. Change: a VM tells the mark of the list that it knows; the leader keeps eight lists and answers with what leads from that one to its own. A VM that reaches the leader's mark by it need not read; one that does not reads as before. Ruled out: telling the configuration the same way (90 kB to each of 62 VMs over 10 Mbit/s).

--- a/demand.go
+++ b/demand.go
@@ -49,6 +49,8 @@
 	// Evidence is what the VM's requests have shown of servers since its last report.
 	Evidence []Evidence
 	Lines    []DemandLine
+	// ListMark identifies the list of servers that the VM knows, or is 0.
+	ListMark uint64
 	// Loads are the VM's requests at servers.
 	Loads []ServerLoad
 	// Waiting is set if some request waits for a server.
@@ -91,7 +93,9 @@
 	Leading bool
 	// List and Routing are the leader's word on the list of servers and on the
 	// configuration.
-	List       Notice
+	List Notice
+	// ListChange leads to that list from the one that the VM knows, or is nil.
+	ListChange *ListChange
 	Residences []Residence
 	Routing    Notice
 	// Suspects are the servers that fail too many requests of all VMs.
--- a/notice_test.go
+++ b/notice_test.go
@@ -37,6 +37,17 @@
 		assertDiffers(t, func(b *buckthorndyke.Backend) { b.Started = 2 })
 		assertDiffers(t, func(b *buckthorndyke.Backend) { b.Address = "10.0.0.3:1" })
 	})
+	t.Run("a change leads from one list to another", func(t *testing.T) {
+		leaving := b
+		leaving.Leaving = true
+		c := buckthorndyke.Backend{Address: "10.0.0.3:1", ID: "c", Service: "x", Started: 1}
+		was, is := list(a, b), list(leaving, c)
+		change := is.Since(was)
+		asserter.Equal(t, len(change.Changed), 2)
+		asserter.Equal(t, change.Gone, []buckthorndyke.RunnerID{"a"})
+		asserter.Equal(t, was.WithChange(change, 7).Mark(), is.Mark())
+		asserter.Equal(t, was.WithChange(change, 7).At, 7)
+	})
 	t.Run("an empty list has a mark", func(t *testing.T) {
 		asserter.True(t, list().Mark() != 0, "the mark is that of nothing")
 	})
--- a/supervisor/relayer/demander/demander.go
+++ b/supervisor/relayer/demander/demander.go
@@ -36,6 +36,8 @@
 	logger   zerolog.Logger
 	// losses takes the instants at which the leader did not answer.
 	losses *mailer.Feed[buckthorndyke.Millis]
+	// seen brings which list of servers the VM knows.
+	seen   *mailer.Feed[buckthorndyke.Sighting]
 	self   buckthorndyke.VMID
 	source buckthorndyke.DemandSource
 	told   Told
@@ -56,25 +58,32 @@
 }
 
 // New returns a demander for the VM self. It publishes to losses when there is no
-// leader that answers.
+// leader that answers, and follows seen to tell which list of servers the VM knows.
 func New(
 	self buckthorndyke.VMID, source buckthorndyke.DemandSource, election buckthorndyke.Election, leaders buckthorndyke.Leaders,
-	losses *mailer.Feed[buckthorndyke.Millis], told Told, clock buckthorndyke.Clock, logger zerolog.Logger,
+	losses *mailer.Feed[buckthorndyke.Millis], seen *mailer.Feed[buckthorndyke.Sighting], told Told, clock buckthorndyke.Clock, logger zerolog.Logger,
 ) *Demander {
 	return &Demander{
-		clock: clock, election: election, leaders: leaders, logger: logger, losses: losses, self: self, source: source,
-		told: told,
+		clock: clock, election: election, leaders: leaders, logger: logger, losses: losses, seen: seen, self: self,
+		source: source, told: told,
 	}
 }
 
 // Serve implements suture.Service.
 func (d *Demander) Serve(ctx context.Context) error {
 	recent := false
+	seen := d.seen.Subscribe(ctx)
+	var known buckthorndyke.Sighting
 	for ctx.Err() == nil {
 		demand, err := d.source.Demand(ctx, recent)
 		if err != nil {
 			return err
 		}
+		select {
+		case known = <-seen:
+		default:
+		}
+		demand.ListMark = known.Mark
 		if recent = d.report(ctx, demand); recent {
 			continue
 		}
@@ -129,7 +138,9 @@
 	if reply.Contest && d.losses.Publish(ctx, now) != nil {
 		return false
 	}
-	if d.told.Lists.Publish(ctx, reply.List.Sighting(now)) != nil || d.told.Routings.Publish(ctx, reply.Routing.Sighting(now)) != nil {
+	list := reply.List.Sighting(now)
+	list.Change = reply.ListChange
+	if d.told.Lists.Publish(ctx, list) != nil || d.told.Routings.Publish(ctx, reply.Routing.Sighting(now)) != nil {
 		return false
 	}
 	return reply.AskRecent
--- a/supervisor/relayer/demander/demander_test.go
+++ b/supervisor/relayer/demander/demander_test.go
@@ -36,8 +36,11 @@
 		got := play(t, func(d *double) {
 			led(d)
 			d.reply.List = buckthorndyke.Notice{Age: 300, Mark: 7}
+			d.reply.ListChange = &buckthorndyke.ListChange{Gone: []buckthorndyke.RunnerID{"a"}}
 		})
 		asserter.Equal(t, got.told.Mark, 7)
+		asserter.Equal(t, got.told.Change.Gone, []buckthorndyke.RunnerID{"a"})
+		asserter.Equal(t, got.mark, 5)
 	})
 	t.Run("what the leader has learnt of the weight store is passed on", func(t *testing.T) {
 		got := play(t, func(d *double) {
@@ -90,6 +93,7 @@
 	reply     buckthorndyke.DemandReply
 
 	answers, looks, losses, recent, reports, unled int
+	mark                                           uint64
 	taught                                         int
 	told                                           buckthorndyke.Sighting
 }
@@ -123,8 +127,11 @@
 func (d *double) Pressing() <-chan struct{} { return nil }
 
 // Report implements buckthorndyke.Leaders.
-func (d *double) Report(context.Context, string, buckthorndyke.VMID, buckthorndyke.DemandReport) (buckthorndyke.DemandReply, error) {
+func (d *double) Report(
+	_ context.Context, _ string, _ buckthorndyke.VMID, demand buckthorndyke.DemandReport,
+) (buckthorndyke.DemandReply, error) {
 	d.reports++
+	d.mark = demand.ListMark
 	reply := d.reply
 	reply.AskRecent = d.reports <= d.askRecent
 	return reply, d.err
@@ -153,18 +160,20 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		clock := timekeeper.NewRealClock()
-		losses := mailer.NewFeed[buckthorndyke.Millis]()
+		losses, seen := mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[buckthorndyke.Sighting]()
 		told := demander.Told{
 			AtOnce: mailer.NewFeed[int](),
 			Lists:  mailer.NewFeed[buckthorndyke.Sighting](), Routings: mailer.NewFeed[buckthorndyke.Sighting](),
 		}
-		for _, serve := range []func(context.Context) error{losses.Serve, told.AtOnce.Serve, told.Lists.Serve, told.Routings.Serve} {
+		for _, serve := range []func(context.Context) error{losses.Serve, seen.Serve, told.AtOnce.Serve, told.Lists.Serve, told.Routings.Serve} {
 			go func() { _ = serve(ctx) }()
 		}
 		lost, lists, taught := losses.Subscribe(ctx), told.Lists.Subscribe(ctx), told.AtOnce.Subscribe(ctx)
 		synctest.Wait()
+		asserter.NoError(t, seen.Publish(ctx, buckthorndyke.Sighting{Mark: 5}))
+		synctest.Wait()
 		done := make(chan error, 1)
-		go func() { done <- demander.New("vm-1", d, d, d, losses, told, clock, zerolog.Nop()).Serve(ctx) }()
+		go func() { done <- demander.New("vm-1", d, d, d, losses, seen, told, clock, zerolog.Nop()).Serve(ctx) }()
 		for end := clock.After(span); ; {
 			select {
 			case <-lost:
--- /dev/null
+++ b/supervisor/relayer/loader/history.go
@@ -0,0 +1,51 @@
+package loader
+
+import "github.com/buckthorndyke/buckthorndyke"
+
+// historyLimit is the number of lists that are kept: VMs report each 0.8 s, and lists
+// change a few times a second at most.
+const historyLimit = 8
+
+// marked is a list and its mark.
+type marked struct {
+	list buckthorndyke.Backends
+	mark uint64
+}
+
+// history holds the latest lists of servers, the newest last. It is immutable.
+type history []marked
+
+// change returns what leads from the list with one mark to the newest one, or nil if
+// the former is no longer kept or the newest one has another mark than to.
+func (h history) change(from, to uint64) *buckthorndyke.ListChange {
+	if len(h) == 0 || from == to || h[len(h)-1].mark != to {
+		return nil
+	}
+	for _, m := range h {
+		if m.mark == from {
+			c := h.newest().Since(m.list)
+			return &c
+		}
+	}
+	return nil
+}
+
+// newest returns the newest list.
+func (h history) newest() buckthorndyke.Backends {
+	if len(h) == 0 {
+		return buckthorndyke.Backends{}
+	}
+	return h[len(h)-1].list
+}
+
+// with returns a history that also holds list. One that is marked like the newest
+// takes its place.
+func (h history) with(list buckthorndyke.Backends) history {
+	m := marked{list: list, mark: list.Mark()}
+	kept := append(history(nil), h...)
+	if len(kept) > 0 && kept[len(kept)-1].mark == m.mark {
+		kept = kept[:len(kept)-1]
+	}
+	kept = append(kept, m)
+	return kept[max(len(kept)-historyLimit, 0):]
+}
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -63,8 +63,8 @@
 	// from is the instant from which the VM may give orders.
 	from buckthorndyke.Millis
 	life context.Context
-	// list is the platform's list of servers.
-	list buckthorndyke.Backends
+	// lists are the platform's list of servers and those before it.
+	lists history
 	// loads are the requests that the VMs have at servers.
 	loads stager.Loads
 	// ordered is the instant of the last order, or 0.
@@ -105,7 +105,7 @@
 		case r := <-routings:
 			t.floor = t.floor.WithRouting(r)
 		case l := <-lists:
-			t.list = l
+			t.lists = t.lists.with(l)
 			t.assessment = t.assessment.WithoutGone(l)
 			t.floor = t.floor.WithBackends(l, t.clock.Now())
 			t.changed = true
@@ -147,10 +147,11 @@
 		Expected:   t.floor.Expected(m.demand.Lines, now),
 		Leading:    t.leads(now),
 		List:       buckthorndyke.NoticeOf(t.seenList, now),
+		ListChange: t.lists.change(m.demand.ListMark, t.seenList.Mark),
 		Loads:      t.loads.Others(m.vm, now),
 		Residences: t.floor.Residences(m.demand.Lines, t.told[m.vm], now),
 		Routing:    buckthorndyke.NoticeOf(t.seenRouting, now),
-		Suspects:   t.assessment.Suspects(t.list, now),
+		Suspects:   t.assessment.Suspects(t.lists.newest(), now),
 	})
 	t.told[m.vm] = now
 }
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -96,7 +96,7 @@
 		watcher.NewRoutings(platform.Directory, t.routings, routings, s.ChangeLimit, clock, logger),
 		watcher.NewBackends(platform.Directory, t.lists, lists, s.LeaveLimit, clock, logger),
 		campaigner.New(platform.Election, s.Grant, losses, terms, clock, logger, campaigner.WithReserve(s.Reserve)),
-		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, losses,
+		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, losses, lists.Seen,
 			demander.Told{AtOnce: atOnce, Lists: lists.Told, Routings: routings.Told}, clock, logger),
 	)
 	t.front = starter.NewBranch("front", s.DrainLimit, logger)
--- a/supervisor/relayer/watcher/backends.go
+++ b/supervisor/relayer/watcher/backends.go
@@ -66,12 +66,26 @@
 				return err
 			}
 		}
-		w.hear(ctx, func() buckthorndyke.Millis {
+		due := func() buckthorndyke.Millis {
 			if w.pace.read < keepUntil {
 				return min(w.pace.Due(), keepUntil)
 			}
 			return w.pace.Due()
-		})
+		}
+		for w.hear(ctx, due) {
+			next, ok := changed(current, w.word)
+			if !ok {
+				break
+			}
+			b.logChanges(current, next)
+			current = next
+			if err := w.adopted(ctx); err != nil {
+				return err
+			}
+			if err := b.feed.Publish(ctx, next); err != nil {
+				return err
+			}
+		}
 	}
 	return ctx.Err()
 }
@@ -97,6 +111,16 @@
 	}
 }
 
+// changed returns the list that a leader's word leads to from current, or false if
+// it does not say.
+func changed(current buckthorndyke.Backends, word buckthorndyke.Sighting) (buckthorndyke.Backends, bool) {
+	if word.Change == nil {
+		return current, false
+	}
+	next := current.WithChange(*word.Change, word.At)
+	return next, next.Mark() == word.Mark
+}
+
 // withKept returns next with the servers of old that it lacks.
 func withKept(next, old buckthorndyke.Backends) buckthorndyke.Backends {
 	for id, backend := range old.Listed.All() {
--- a/supervisor/relayer/watcher/pace.go
+++ b/supervisor/relayer/watcher/pace.go
@@ -45,6 +45,13 @@
 	return p.vouched + p.limit*staleShare/1000
 }
 
+// WithAdopted returns the pace of a VM that has taken over what the leader has seen.
+func (p pace) WithAdopted(s buckthorndyke.Sighting) pace {
+	p.mark, p.vouched = s.Mark, s.At
+	p.confirmed = max(p.confirmed, s.At)
+	return p
+}
+
 // WithLeading returns the pace of a VM that leads, or does not.
 func (p pace) WithLeading(leading bool) pace {
 	p.leading = leading
--- a/supervisor/relayer/watcher/watch.go
+++ b/supervisor/relayer/watcher/watch.go
@@ -32,6 +32,8 @@
 	seen    *mailer.Feed[buckthorndyke.Sighting]
 	terms   <-chan buckthorndyke.Term
 	told    <-chan buckthorndyke.Sighting
+	// word is the leader's last word.
+	word buckthorndyke.Sighting
 }
 
 // newWatch returns the state of a run that ends with ctx. The record called name
@@ -45,6 +47,13 @@
 	}
 }
 
+// adopted takes over that the VM knows what the leader's last word has led to.
+func (w *watch) adopted(ctx context.Context) error {
+	w.outage.succeeded()
+	w.pace = w.pace.WithAdopted(w.word)
+	return w.seen.Publish(ctx, buckthorndyke.Sighting{At: w.word.At, Mark: w.word.Mark})
+}
+
 // failed takes over that a read has failed.
 func (w *watch) failed(err error) {
 	w.failedAt = w.clock.Now()
@@ -66,7 +75,7 @@
 			case term := <-w.terms:
 				w.pace = w.pace.WithLeading(term.Leading)
 			case s := <-w.told:
-				if w.take(s) && w.outage.failures == 0 {
+				if w.take(s) && w.mayRead() {
 					return true
 				}
 			default:
@@ -80,7 +89,7 @@
 		case term := <-w.terms:
 			w.pace = w.pace.WithLeading(term.Leading)
 		case s := <-w.told:
-			if w.take(s) && w.outage.failures == 0 {
+			if w.take(s) && w.mayRead() {
 				return true
 			}
 		case <-w.clock.After(wait):
@@ -88,6 +97,12 @@
 	}
 }
 
+// mayRead reports whether a change that the leader knows can be had now: it is told,
+// or the record can be read.
+func (w *watch) mayRead() bool {
+	return w.outage.failures == 0 || w.word.Change != nil
+}
+
 // succeeded takes over that a read that began at an instant has found mark.
 func (w *watch) succeeded(ctx context.Context, at buckthorndyke.Millis, mark uint64) error {
 	w.outage.succeeded()
@@ -97,6 +112,7 @@
 
 // take takes over the leader's word, and reports whether the VM lacks a change.
 func (w *watch) take(s buckthorndyke.Sighting) bool {
+	w.word = s
 	vouched := w.pace.vouched
 	var lacks bool
 	w.pace, lacks = w.pace.WithTold(s)
--- a/supervisor/relayer/watcher/watcher_test.go
+++ b/supervisor/relayer/watcher/watcher_test.go
@@ -105,6 +105,80 @@
 	})
 }
 
+func TestListChange(t *testing.T) {
+	was := listOf(buckthorndyke.Backend{ID: "a", Started: 1})
+	is := listOf(buckthorndyke.Backend{ID: "b", Started: 1})
+	change := is.Since(was)
+	t.Run("a change that the leader tells is adopted without a read", func(t *testing.T) {
+		calls, last := playChange(t, was, nil, buckthorndyke.Sighting{Change: &change, Mark: is.Mark()})
+		asserter.Equal(t, calls, 1)
+		asserter.Equal(t, last.Mark(), is.Mark())
+	})
+	t.Run("a change that does not lead to the leader's list is read", func(t *testing.T) {
+		calls, _ := playChange(t, was, nil, buckthorndyke.Sighting{Change: &buckthorndyke.ListChange{}, Mark: is.Mark()})
+		asserter.Equal(t, calls, 2)
+	})
+	t.Run("a VM that is cut off from the list adopts what the leader tells", func(t *testing.T) {
+		_, last := playChange(t, was, errors.New("cut off"), buckthorndyke.Sighting{Change: &change, Mark: is.Mark()})
+		asserter.Equal(t, last.Mark(), is.Mark())
+	})
+}
+
+// onceDirectory is a directory whose list is read once and then fails with err, if
+// that is set.
+type onceDirectory struct {
+	buckthorndyke.Directory
+	calls int
+	err   error
+	list  buckthorndyke.Backends
+}
+
+// Backends implements buckthorndyke.Directory.
+func (d *onceDirectory) Backends(context.Context) (buckthorndyke.Backends, error) {
+	d.calls++
+	if d.calls > 1 && d.err != nil {
+		return buckthorndyke.Backends{}, d.err
+	}
+	return d.list, nil
+}
+
+// playChange returns the number of reads and the last list of a VM that knows a
+// list, whose later reads fail with err, and that then hears word.
+func playChange(
+	t *testing.T, known buckthorndyke.Backends, err error, word buckthorndyke.Sighting,
+) (calls int, last buckthorndyke.Backends) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		clock := timekeeper.NewRealClock()
+		feed, between := mailer.NewFeed[buckthorndyke.Backends](), feeds(ctx)
+		go func() { _ = feed.Serve(ctx) }()
+		published := feed.Subscribe(ctx)
+		d := &onceDirectory{err: err, list: known}
+		synctest.Wait()
+		go func() { _ = watcher.NewBackends(d, feed, between, limit, clock, zerolog.Nop()).Serve(ctx) }()
+		wait := limit / 4
+		if err != nil {
+			wait = limit
+		}
+		<-clock.After(wait)
+		word.At = clock.Now()
+		asserter.NoError(t, between.Told.Publish(ctx, word))
+		synctest.Wait()
+		calls = d.calls
+		for more := true; more; {
+			select {
+			case last = <-published:
+				synctest.Wait()
+			default:
+				more = false
+			}
+		}
+	})
+	return calls, last
+}
+
 // outageDirectory is a directory with an outage, after which its list is empty.
 type outageDirectory struct {
 	buckthorndyke.Directory
--- a/translator/demand.go
+++ b/translator/demand.go
@@ -7,7 +7,7 @@
 
 // DemandFromWire returns the demand in m.
 func DemandFromWire(m *wire.DemandRequest) buckthorndyke.DemandReport {
-	out := buckthorndyke.DemandReport{Loads: loadsFromWire(m.Loads)}
+	out := buckthorndyke.DemandReport{ListMark: m.ListMark, Loads: loadsFromWire(m.Loads)}
 	for _, e := range m.Evidence {
 		out.Evidence = append(out.Evidence, buckthorndyke.Evidence{
 			Failed: int(e.Failed), Served: int(e.Served), Server: buckthorndyke.RunnerID(e.Server),
@@ -28,7 +28,7 @@
 
 // DemandToWire returns the message that reports the demand that vm sees.
 func DemandToWire(vm buckthorndyke.VMID, r buckthorndyke.DemandReport) *wire.DemandRequest {
-	out := &wire.DemandRequest{Loads: loadsToWire(r.Loads), Vm: string(vm)}
+	out := &wire.DemandRequest{ListMark: r.ListMark, Loads: loadsToWire(r.Loads), Vm: string(vm)}
 	for _, e := range r.Evidence {
 		out.Evidence = append(out.Evidence, &wire.Evidence{
 			Failed: int32(e.Failed), Served: int32(e.Served), Server: string(e.Server),
@@ -51,7 +51,8 @@
 // DemandReplyFromWire returns the leader's answer in m.
 func DemandReplyFromWire(m *wire.DemandResponse) buckthorndyke.DemandReply {
 	out := buckthorndyke.DemandReply{
-		AskRecent: m.AskRecent, AtOnce: int(m.AtOnce), Contest: m.Contest, Leading: m.Leading, List: noticeFromWire(m.List), Loads: loadsFromWire(m.Loads),
+		AskRecent: m.AskRecent, AtOnce: int(m.AtOnce), Contest: m.Contest, Leading: m.Leading, List: noticeFromWire(m.List),
+		ListChange: listChangeFromWire(m.ListChange), Loads: loadsFromWire(m.Loads),
 		Routing: noticeFromWire(m.Routing), Suspects: fromStrings[buckthorndyke.RunnerID](m.Suspects),
 	}
 	for _, e := range m.Expected {
@@ -73,7 +74,8 @@
 // DemandReplyToWire returns the message that carries the leader's answer.
 func DemandReplyToWire(r buckthorndyke.DemandReply) *wire.DemandResponse {
 	out := &wire.DemandResponse{
-		AskRecent: r.AskRecent, AtOnce: int32(r.AtOnce), Contest: r.Contest, Leading: r.Leading, List: noticeToWire(r.List), Loads: loadsToWire(r.Loads),
+		AskRecent: r.AskRecent, AtOnce: int32(r.AtOnce), Contest: r.Contest, Leading: r.Leading, List: noticeToWire(r.List),
+		ListChange: listChangeToWire(r.ListChange), Loads: loadsToWire(r.Loads),
 		Routing: noticeToWire(r.Routing), Suspects: toStrings(r.Suspects),
 	}
 	for _, e := range r.Expected {
--- a/translator/knowledge.go
+++ b/translator/knowledge.go
@@ -86,6 +86,30 @@
 	return out
 }
 
+// listChangeFromWire returns the change in m, or nil if there is none.
+func listChangeFromWire(m *wire.ListChange) *buckthorndyke.ListChange {
+	if m == nil {
+		return nil
+	}
+	out := &buckthorndyke.ListChange{Gone: fromStrings[buckthorndyke.RunnerID](m.Gone)}
+	for _, s := range m.Changed {
+		out.Changed = append(out.Changed, serverFromWire(s))
+	}
+	return out
+}
+
+// listChangeToWire returns the message that carries c, or nil if there is none.
+func listChangeToWire(c *buckthorndyke.ListChange) *wire.ListChange {
+	if c == nil {
+		return nil
+	}
+	out := &wire.ListChange{Gone: toStrings(c.Gone)}
+	for _, b := range c.Changed {
+		out.Changed = append(out.Changed, serverToWire(b))
+	}
+	return out
+}
+
 // routeFromWire returns the route in m.
 func routeFromWire(m *wire.Route) buckthorndyke.Route {
 	out := buckthorndyke.Route{
