feat(dispatcher): each VM has its part of the fleet's retries

Cause: the burst of retries was six a VM, whatever the fleet: with 63 VMs 378 beside a tenth of the requests, where the platform's rule allows a fifth and 166. A plain service of 123 requests a second could have got 501 where 412 are allowed. Change: the burst is the fleet's, from the platform's bounds; the leader tells how many VMs report to it, and each takes its part; requests earn 150 in a thousand. Until a leader has said, eight VMs are assumed; afterwards the last number stands.

--- a/chooser/budget.go
+++ b/chooser/budget.go
@@ -15,6 +15,8 @@
 type Budget struct {
 	// burst is the number of retries that a full budget allows at once.
 	burst int
+	// earned is the number of retries that a thousand requests earn.
+	earned int
 	// left is what is left, in thousandths of a retry.
 	left int
 }
@@ -27,9 +29,14 @@
 	return func(b *Budget) { b.burst = n }
 }
 
+// WithEarned sets the number of retries that a thousand requests earn.
+func WithEarned(n int) BudgetOption {
+	return func(b *Budget) { b.earned = n }
+}
+
 // NewBudget returns a full budget.
 func NewBudget(opts ...BudgetOption) Budget {
-	b := Budget{burst: budgetBurst}
+	b := Budget{burst: budgetBurst, earned: retriesPerThousand}
 	for _, opt := range opts {
 		opt(&b)
 	}
@@ -42,9 +49,17 @@
 	return b.left >= retryPrice
 }
 
+// WithBurst returns a budget that allows n retries at once when it is full, and now
+// no more than it did.
+func (b Budget) WithBurst(n int) Budget {
+	b.burst = n
+	b.left = min(b.left, n*retryPrice)
+	return b
+}
+
 // WithRequest returns a budget that has earned the share of one more request.
 func (b Budget) WithRequest() Budget {
-	b.left = min(b.left+retriesPerThousand, b.burst*retryPrice)
+	b.left = min(b.left+b.earned, b.burst*retryPrice)
 	return b
 }
 
--- a/chooser/chooser_test.go
+++ b/chooser/chooser_test.go
@@ -69,6 +69,13 @@
 		}
 		asserter.True(t, retries >= 1000 && retries <= 1000+64, strconv.Itoa(retries)+" retries of 10000 requests")
 	})
+	t.Run("a smaller part of the burst counts at once, a larger one is earned", func(t *testing.T) {
+		budget := chooser.NewBudget(chooser.WithBurst(4), chooser.WithEarned(500)).WithBurst(1)
+		asserter.True(t, !budget.WithRetry().Allows(), "the former burst is left")
+		budget = budget.WithRetry().WithBurst(3)
+		asserter.True(t, !budget.WithRequest().Allows(), "the larger burst is given at once")
+		asserter.True(t, budget.WithRequest().WithRequest().Allows(), "it is not earned")
+	})
 	t.Run("a repeat needs a verdict or an idempotent request", func(t *testing.T) {
 		asserter.Equal(t, chooser.Attempt{Verdict: buckthorndyke.NotRun}.MayRepeat(), true)
 		asserter.Equal(t, chooser.Attempt{Verdict: buckthorndyke.MayHaveRun}.MayRepeat(), false)
--- a/configurer/relay.go
+++ b/configurer/relay.go
@@ -8,7 +8,7 @@
 	maxChangeLimit     = buckthorndyke.Minute
 	minChangeLimit     = 200 * buckthorndyke.Millisecond
 	defaultRelayDrainS = 8
-	defaultRetryBurst  = 6
+	defaultRetryBurst  = 56
 	maxRelayDrainS     = 600
 	maxRetryBurst      = 1000
 )
@@ -41,7 +41,7 @@
 	Peers          Peers
 	// ReadinessAddress is where the balancer asks whether the VM is ready.
 	ReadinessAddress string
-	// RetryBurst is the number of retries that the VM sends to a service at once.
+	// RetryBurst is the number of retries that the fleet sends to a service at once.
 	RetryBurst int
 	// Seeds are the peer addresses of some entry VMs, which may be stale.
 	Seeds        []string
--- a/demand.go
+++ b/demand.go
@@ -87,6 +87,8 @@
 	// Expected tells when what the VM's requests wait for is going to be held. What
 	// it lacks is not being loaded.
 	Expected []Expectation
+	// Fleet is the number of VMs that report to the leader, or 0 if it does not say.
+	Fleet int
 	// Loads are the requests that the other VMs have at servers.
 	Loads []ServerLoad
 	// Leading is not set if the VM that was asked is not the leader.
--- /dev/null
+++ b/stager/floorchange_test.go
@@ -0,0 +1,161 @@
+package stager_test
+
+import (
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/stager"
+)
+
+func TestTerms(t *testing.T) {
+	full := floorOf(withCopies(runner("a", 0, 1, 2)))
+	t.Run("a new leader unloads nothing before the VMs have told their demand", func(t *testing.T) {
+		f := wanting(full.WithTerm(now), 5)
+		assertIntents(t, f)
+		asserter.Equal(t, len(wanting(f, 5).Plan(now+1400)), 1)
+	})
+	t.Run("a new leader loads where there is room", func(t *testing.T) {
+		assertIntents(t, wanting(floorOf(runner("b", 3)).WithTerm(now), 5), "load m5 at b from remote")
+	})
+	t.Run("a new leader knows no demand of its earlier term", func(t *testing.T) {
+		f := full.WithDemand(vm, []buckthorndyke.DemandLine{{Arrivals: 90, Key: key(2)}}, now)
+		asserter.True(t, f.Heard(vm), "the VM was not heard")
+		asserter.True(t, !f.WithTerm(now).Heard(vm), "the VM was heard in this term")
+	})
+	t.Run("the arrivals of a first report are left to the next one", func(t *testing.T) {
+		line := []buckthorndyke.DemandLine{{Arrivals: 60, Key: key(0)}}
+		d := stager.Demand{}.WithReport(vm, line, now)
+		asserter.Equal(t, d.PerSecond(key(0), now), 0.0)
+		asserter.Equal(t, d.WithReport(vm, line, now).PerSecond(key(0), now), 5.0)
+	})
+}
+
+func TestLoadTimes(t *testing.T) {
+	// loaded returns a floor on which n loads from the weight store, sent together,
+	// have each taken a time.
+	loaded := func(n int, took buckthorndyke.Millis) stager.Floor {
+		var runners []buckthorndyke.Backend
+		for i := range 9 {
+			runners = append(runners, runner(buckthorndyke.RunnerID(rune('a'+i))))
+		}
+		f := floorOf(runners...)
+		var sent []stager.Intent
+		for i := range n {
+			load := stager.Intent{Kind: buckthorndyke.OrderLoad, Model: key(i).Model, Runner: runners[i].ID, Tier: buckthorndyke.TierRemote}
+			f = f.WithOrder(load, now-took).WithAccepted(load.Runner, 1)
+			sent = append(sent, load)
+		}
+		for _, load := range sent {
+			f = f.WithDone(load, now)
+		}
+		return f
+	}
+	// atOnce returns the loads that are given at once to models that requests wait
+	// for, with the one that is left to hot models.
+	atOnce := func(f stager.Floor) int {
+		return len(wanting(f, 4, 5, 6, 7, 8, 9, 10, 11).Plan(now)) + 1
+	}
+	t.Run("loads that take their time change nothing", func(t *testing.T) {
+		asserter.Equal(t, atOnce(loaded(3, 6300)), 4)
+	})
+	t.Run("loads that share the weight store teach what it allows", func(t *testing.T) {
+		asserter.Equal(t, atOnce(loaded(4, 12300)), 2)
+	})
+	t.Run("loads under way that take long teach that they share the weight store", func(t *testing.T) {
+		f := floorOf(runner("a"), runner("b"), runner("c"), runner("d"), runner("e"), runner("f"), runner("g"), runner("h"))
+		for i, id := range []buckthorndyke.RunnerID{"a", "b", "c", "d"} {
+			load := stager.Intent{Kind: buckthorndyke.OrderLoad, Model: key(i).Model, Runner: id, Tier: buckthorndyke.TierRemote}
+			f = f.WithOrder(load, now-10*buckthorndyke.Second).WithAccepted(id, 1)
+		}
+		f = f.WithSlowLoads(now).WithSlowLoads(now + 100)
+		for i, id := range []buckthorndyke.RunnerID{"a", "b", "c", "d"} {
+			f = f.WithDone(stager.Intent{Kind: buckthorndyke.OrderLoad, Model: key(i).Model, Runner: id}, now+100)
+		}
+		asserter.Equal(t, atOnce(f), 2)
+	})
+	t.Run("a leader goes on from what another has learnt", func(t *testing.T) {
+		asserter.Equal(t, atOnce(loaded(0, 0).WithAtOnce(6)), 6)
+	})
+	t.Run("one slow load does not stop the others", func(t *testing.T) {
+		asserter.Equal(t, atOnce(loaded(1, buckthorndyke.Minute)), 2)
+	})
+	t.Run("more loads that take their time teach that the weight store allows more", func(t *testing.T) {
+		asserter.Equal(t, atOnce(loaded(4, 6300)), 4)
+		asserter.Equal(t, atOnce(loaded(5, 6300)), 5)
+		asserter.Equal(t, atOnce(loaded(6, 6300)), 6)
+	})
+}
+
+func TestReports(t *testing.T) {
+	load5 := stager.Intent{Kind: buckthorndyke.OrderLoad, Model: "m5", Runner: "a"}
+	t.Run("the end of an earlier order does not end a later one", func(t *testing.T) {
+		load := stager.Intent{Adapter: "a1", Kind: buckthorndyke.OrderLoad, Model: "m0", Runner: "a"}
+		unload := stager.Intent{Adapter: "a1", Kind: buckthorndyke.OrderUnload, Model: "m0", Runner: "a"}
+		with := runner("a", 0)
+		with.Holdings[0].Adapters = []string{"a1"}
+		f := floorOf(runner("a", 0)).WithOrder(load, now).WithAccepted("a", 1)
+		f = f.WithReport(buckthorndyke.ModelReport{Backend: with, Orders: 1}, now)
+		f = f.WithOrder(unload, now).WithAccepted("a", 2)
+		f = f.WithDone(load, now).WithFailed(load, now)
+		asserter.Equal(t, len(f.Pending()), 1)
+	})
+	t.Run("an entry of the list that is older than an order is not believed", func(t *testing.T) {
+		listed := runner("a", 0, 1, 2)
+		f := floorOf(listed)
+		unload := stager.Intent{Kind: buckthorndyke.OrderUnload, Model: "m2", Runner: "a"}
+		f = f.WithOrder(unload, now).WithAccepted("a", 1).WithDone(unload, now)
+		f = f.WithOrder(load5, now).WithAccepted("a", 2).WithDone(load5, now)
+		// The list returns after an outage with the entry from before both orders.
+		f = f.WithBackends(listOf(listed), now+9*buckthorndyke.Second)
+		assertIntents(t, wanting(f, 6))
+		asserter.Equal(t, f.Doubtful(), []buckthorndyke.RunnerID{"a"})
+	})
+	t.Run("a report ends an order that it shows to be carried out", func(t *testing.T) {
+		f := floorOf(runner("a"))
+		f = f.WithOrder(load5, now).WithAccepted("a", 1)
+		f = f.WithReport(buckthorndyke.ModelReport{Backend: runner("a"), Busy: true, Orders: 1}, now)
+		asserter.Equal(t, len(f.Pending()), 1)
+		f = f.WithReport(buckthorndyke.ModelReport{Backend: runner("a", 5), Orders: 1}, now)
+		asserter.Equal(t, len(f.Pending()), 0)
+		asserter.True(t, f.Serves(key(5)), "the model is not served")
+	})
+	t.Run("a runner that does not answer is held to be gone", func(t *testing.T) {
+		f := wanting(floorOf(withCopies(runner("a", 5)), runner("b", 3)), 5)
+		assertIntents(t, f)
+		asserter.Equal(t, f.Doubtful(), []buckthorndyke.RunnerID{"a"})
+		f = f.WithSilence("a")
+		assertIntents(t, f)
+		f = f.WithSilence("a")
+		assertIntents(t, f, "load m5 at b from remote")
+		asserter.True(t, !f.Serves(key(5)), "a silent runner serves")
+		asserter.Equal(t, f.Doubtful(), []buckthorndyke.RunnerID{"a"})
+		f = f.WithReport(buckthorndyke.ModelReport{Backend: runner("a", 5)}, now)
+		assertIntents(t, f)
+		asserter.True(t, f.Serves(key(5)), "a runner that is back does not serve")
+	})
+	t.Run("the order of a runner that does not answer is not waited for", func(t *testing.T) {
+		f := wanting(floorOf(runner("a"), runner("b", 3)), 5).WithOrder(load5, now)
+		assertIntents(t, f)
+		assertIntents(t, f.WithSilence("a").WithSilence("a"), "load m5 at b from remote")
+	})
+	t.Run("a report from before an order changes nothing", func(t *testing.T) {
+		f := floorOf(runner("a"))
+		f = f.WithOrder(load5, now).WithAccepted("a", 1).WithDone(load5, now)
+		f = f.WithReport(buckthorndyke.ModelReport{Backend: runner("a"), Orders: 0}, now)
+		asserter.True(t, f.Serves(key(5)), "the model is not served")
+	})
+	t.Run("an order without effect is given up", func(t *testing.T) {
+		f := floorOf(runner("a"))
+		f = f.WithOrder(load5, now)
+		f = f.WithReport(buckthorndyke.ModelReport{Backend: runner("a"), Orders: 0}, now+5*buckthorndyke.Second)
+		asserter.Equal(t, len(f.Pending()), 0)
+	})
+	t.Run("a new life of a runner is a new runner", func(t *testing.T) {
+		again := runner("a")
+		again.Started = 2
+		f := floorOf(runner("a", 0)).WithBackends(listOf(again), now)
+		asserter.True(t, !f.Serves(key(0)), "a restarted runner still serves")
+		asserter.Equal(t, f.Doubtful(), []buckthorndyke.RunnerID{"a"})
+	})
+}
--- a/stager/loads.go
+++ b/stager/loads.go
@@ -23,6 +23,17 @@
 	list []buckthorndyke.ServerLoad
 }
 
+// Fleet returns the number of VMs that have reported lately.
+func (l Loads) Fleet(now buckthorndyke.Millis) int {
+	n := 0
+	for _, r := range l.reports.All() {
+		if now < r.at+reportLife {
+			n++
+		}
+	}
+	return n
+}
+
 // Others returns the requests that all VMs but vm have at servers, as reported
 // lately, or nothing in a small fleet.
 func (l Loads) Others(vm buckthorndyke.VMID, now buckthorndyke.Millis) []buckthorndyke.ServerLoad {
--- a/stager/loads_test.go
+++ b/stager/loads_test.go
@@ -31,6 +31,10 @@
 		got := l.WithReport("vm-2", nil, now).Others("vm-1", now)
 		asserter.Equal(t, len(got), 0)
 	})
+	t.Run("the VMs that have reported lately make the fleet", func(t *testing.T) {
+		asserter.Equal(t, l.Fleet(now), 18)
+		asserter.Equal(t, l.WithReport("vm-1", nil, now+2000).Fleet(now+3000), 1)
+	})
 	t.Run("an old word does not count", func(t *testing.T) {
 		asserter.Equal(t, len(l.Others("vm-3", now+3*buckthorndyke.Second)), 0)
 	})
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -12,8 +12,8 @@
 const (
 	// backlog bounds the messages that wait for the task.
 	backlog = 1024
-	// defaultRetryBurst is the number of retries that a VM may send at once.
-	defaultRetryBurst = 6
+	// defaultRetryBurst is the number of retries that the fleet may send at once.
+	defaultRetryBurst = 56
 )
 
 // Dispatcher is the task that knows the backend servers. It implements
@@ -43,7 +43,7 @@
 	return func(d *Dispatcher) { d.logger = l }
 }
 
-// WithRetryBurst bounds the retries that the VM sends to a service at once.
+// WithRetryBurst bounds the retries that the fleet sends to a service at once.
 func WithRetryBurst(n int) Option {
 	return func(d *Dispatcher) { d.retryBurst = n }
 }
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -12,6 +12,15 @@
 )
 
 const (
+	// assumedFleet is the number of VMs that share the retries until a leader says how
+	// many there are.
+	assumedFleet = 8
+	// retriesEarned is the number of retries that a thousand requests earn: the
+	// platform allows 200 of all VMs.
+	retriesEarned = 150
+	// retryShare is the part of the retries beyond these, in thousandths, that the
+	// fleet uses: VMs that come late to know its size take a little more.
+	retryShare = 850
 	// idleWake bounds the time between two looks at the waiting requests.
 	idleWake = buckthorndyke.Second
 	// retryAfter is how long a client whose request found no server should wait.
@@ -38,6 +47,8 @@
 	// expected holds when a runner is going to hold what requests wait for, as the
 	// leader said last.
 	expected map[buckthorndyke.ModelKey]buckthorndyke.Millis
+	// fleet is the number of VMs, as the leader said last.
+	fleet int
 	// led is set while some VM gives orders to the runners.
 	led bool
 	// rates averages the arrivals.
@@ -54,6 +65,7 @@
 	return &task{
 		Dispatcher: d,
 		arrivals:   make(map[buckthorndyke.ModelKey]int),
+		fleet:      assumedFleet,
 		budgets:    make(map[buckthorndyke.ServiceID]chooser.Budget),
 		rates:      make(map[buckthorndyke.ModelKey]buckthorndyke.Rate),
 		running:    make(map[buckthorndyke.ModelKey]int),
@@ -108,7 +120,7 @@
 	if b, ok := t.budgets[service]; ok {
 		return b
 	}
-	return chooser.NewBudget(chooser.WithBurst(t.retryBurst))
+	return chooser.NewBudget(chooser.WithBurst(t.retryPart()), chooser.WithEarned(retriesEarned))
 }
 
 // demand returns the demand since the last call, or with all recent arrivals.
@@ -229,6 +241,11 @@
 	}
 }
 
+// retryPart returns this VM's part of the retries that the fleet may send at once.
+func (t *task) retryPart() int {
+	return max(t.retryBurst*retryShare/1000/t.fleet, 1)
+}
+
 // retryWaiting offers servers to the waiting requests and refuses those that
 // have waited too long.
 func (t *task) retryWaiting() {
@@ -250,6 +267,12 @@
 func (t *task) takeLeader(reply buckthorndyke.DemandReply) {
 	now := t.clock.Now()
 	t.led = true
+	if reply.Fleet > 0 && reply.Fleet != t.fleet {
+		t.fleet = reply.Fleet
+		for service, b := range t.budgets {
+			t.budgets[service] = b.WithBurst(t.retryPart())
+		}
+	}
 	t.expected = make(map[buckthorndyke.ModelKey]buckthorndyke.Millis, len(reply.Expected))
 	for _, e := range reply.Expected {
 		t.expected[e.Key] = now + e.In
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/assessor"
@@ -16,17 +13,12 @@
 	// adapterTime is how long an adapter takes to be loaded, from the deployments'
 	// sheets: 10 ms, and some for the way.
 	adapterTime = 14 * buckthorndyke.Millisecond
-	// contestants is the number of VMs that take part in the election while the
-	// leader cannot renew its grant. Some of them may lack the platform as well.
-	contestants = 6
 	// orderMargin is how long before the end of its grant a leader stops giving
 	// orders, so that none is on its way when the next leader begins.
 	orderMargin = 300 * buckthorndyke.Millisecond
 	// outageLimit is how long a leader goes on whose grant cannot be renewed, where
 	// runners check fencing numbers.
 	outageLimit = 30 * buckthorndyke.Second
-	// parkLimit is how long a report of demand waits for something to change.
-	parkLimit = 250 * buckthorndyke.Millisecond
 	// pollEvery is the time between two looks at a runner with an outstanding
 	// order.
 	pollEvery = 120 * buckthorndyke.Millisecond
@@ -43,12 +35,6 @@
 	surveyEvery = 400 * buckthorndyke.Millisecond
 )
 
-// parked is a report of demand that has not been answered.
-type parked struct {
-	demandReported
-	until buckthorndyke.Millis
-}
-
 // task is the state of one run of a loader. Only its goroutine touches it.
 type task struct {
 	*Loader
@@ -123,39 +109,6 @@
 	}
 }
 
-// answerParked answers the reports for which something has changed or which have
-// waited long enough.
-func (t *task) answerParked(now buckthorndyke.Millis) {
-	var kept []parked
-	for _, p := range t.parked {
-		if now < p.until && (!t.changed || !t.served(p.demand.Lines)) {
-			kept = append(kept, p)
-			continue
-		}
-		t.answer(p.demandReported, now)
-	}
-	t.changed = false
-	t.parked = kept
-}
-
-// answer answers a report of demand.
-func (t *task) answer(m demandReported, now buckthorndyke.Millis) {
-	m.reply.Answer(buckthorndyke.DemandReply{
-		AskRecent:  m.first,
-		AtOnce:     t.floor.AtOnce(),
-		Contest:    t.leads(now) && now >= t.term.Until && t.contests(m.vm),
-		Expected:   t.floor.Expected(m.demand.Lines, now),
-		Leading:    t.leads(now),
-		List:       buckthorndyke.NoticeOf(t.seenList, now),
-		ListChange: t.lists.change(m.demand.ListMark, t.seenList.Mark),
-		Loads:      t.loads.Others(m.vm, now),
-		Residences: t.floor.Residences(m.demand.Lines, t.told[m.vm], now),
-		Routing:    buckthorndyke.NoticeOf(t.seenRouting, now),
-		Suspects:   t.assessment.Suspects(t.lists.newest(), now),
-	})
-	t.told[m.vm] = now
-}
-
 // changeTerm takes over the VM's standing.
 func (t *task) changeTerm(term buckthorndyke.Term) {
 	if term.Leading && (!t.term.Leading || term.Fence != t.term.Fence) {
@@ -173,19 +126,6 @@
 	t.term = term
 }
 
-// contests reports whether vm is one of the few VMs that look at the election while
-// this one cannot renew its grant: if all did, each outage of the platform would cost
-// a call of each.
-func (t *task) contests(vm buckthorndyke.VMID) bool {
-	before := 0
-	for other := range t.told {
-		if contestOrder(other, t.term.Fence) < contestOrder(vm, t.term.Fence) {
-			before++
-		}
-	}
-	return before < contestants
-}
-
 // askPredecessor asks the previous leader when it gave its last order.
 func (t *task) askPredecessor(address string, fence int64) {
 	go func() {
@@ -288,16 +228,6 @@
 	}
 }
 
-// served reports whether something that lines wait for can be served.
-func (t *task) served(lines []buckthorndyke.DemandLine) bool {
-	for _, l := range lines {
-		if l.Waiting > 0 && t.floor.Serves(l.Key) {
-			return true
-		}
-	}
-	return false
-}
-
 // step does what the state calls for at now.
 func (t *task) step(now buckthorndyke.Millis) {
 	if t.mayOrder(now) && now >= t.planAt {
@@ -353,20 +283,6 @@
 	}()
 }
 
-// takeDemand takes over the demand of one VM.
-func (t *task) takeDemand(m demandReported) {
-	now := t.clock.Now()
-	m.first = !t.floor.Heard(m.vm)
-	t.floor = t.floor.WithDemand(m.vm, m.demand.Lines, now)
-	t.loads = t.loads.WithReport(m.vm, m.demand.Loads, now)
-	t.assessment = t.assessment.WithEvidence(m.demand.Evidence, now)
-	if !t.leads(now) || !m.demand.Waiting || m.first || t.served(m.demand.Lines) {
-		t.answer(m, now)
-		return
-	}
-	t.parked = append(t.parked, parked{demandReported: m, until: now + parkLimit})
-}
-
 // takePredecessor takes over what the previous leader said. One that does not
 // answer, or that the platform does not renew, need not be waited for where
 // runners check fencing numbers: they refuse its orders.
@@ -411,8 +327,3 @@
 	now := t.clock.Now()
 	m.reply.Answer(buckthorndyke.Yielded{InContact: now < t.term.Until, Quiet: t.quiet(now)})
 }
-
-// contestOrder returns a number by which VMs are chosen, others for each term.
-func contestOrder(vm buckthorndyke.VMID, fence int64) uint64 {
-	return xxhash.Sum64String(string(vm) + strconv.FormatInt(fence, 10))
-}
--- a/translator/demand.go
+++ b/translator/demand.go
@@ -51,7 +51,7 @@
 // DemandReplyFromWire returns the leader's answer in m.
 func DemandReplyFromWire(m *wire.DemandResponse) buckthorndyke.DemandReply {
 	out := buckthorndyke.DemandReply{
-		AskRecent: m.AskRecent, AtOnce: int(m.AtOnce), Contest: m.Contest, Leading: m.Leading, List: noticeFromWire(m.List),
+		AskRecent: m.AskRecent, AtOnce: int(m.AtOnce), Contest: m.Contest, Fleet: int(m.Fleet), Leading: m.Leading, List: noticeFromWire(m.List),
 		ListChange: listChangeFromWire(m.ListChange), Loads: loadsFromWire(m.Loads),
 		Routing: noticeFromWire(m.Routing), Suspects: fromStrings[buckthorndyke.RunnerID](m.Suspects),
 	}
@@ -74,7 +74,7 @@
 // DemandReplyToWire returns the message that carries the leader's answer.
 func DemandReplyToWire(r buckthorndyke.DemandReply) *wire.DemandResponse {
 	out := &wire.DemandResponse{
-		AskRecent: r.AskRecent, AtOnce: int32(r.AtOnce), Contest: r.Contest, Leading: r.Leading, List: noticeToWire(r.List),
+		AskRecent: r.AskRecent, AtOnce: int32(r.AtOnce), Contest: r.Contest, Fleet: int32(r.Fleet), Leading: r.Leading, List: noticeToWire(r.List),
 		ListChange: listChangeToWire(r.ListChange), Loads: loadsToWire(r.Loads),
 		Routing: noticeToWire(r.Routing), Suspects: toStrings(r.Suspects),
 	}
