--- a/supervisor/relayer/watcher/backends.go
+++ b/supervisor/relayer/watcher/backends.go
@@ -36,60 +36,87 @@
 
 // Serve implements suture.Service.
 func (b *Backends) Serve(ctx context.Context) error {
-	w := newWatch(ctx, "list of servers", b.feeds, b.limit, b.clock, b.logger)
-	var current buckthorndyke.Backends
-	// keepUntil is the instant until which servers are kept that are no longer
-	// listed.
-	var keepUntil buckthorndyke.Millis
+	r := &reading{
+		Backends: b, watch: newWatch(ctx, "list of servers", b.feeds, b.limit, b.clock, b.logger),
+	}
 	for ctx.Err() == nil {
-		began := b.clock.Now()
-		next, err := b.directory.Backends(ctx)
-		switch {
-		case ctx.Err() != nil:
-			return ctx.Err()
-		case err != nil:
-			w.failed(err)
-		default:
-			if w.outage.failures > 0 {
-				keepUntil = w.failedAt + returnGrace
-			}
-			next = next.WithNewest(current)
-			if b.clock.Now() < keepUntil {
-				next = withKept(next, current)
-			}
-			b.logChanges(current, next)
-			current = next
-			if err := w.succeeded(ctx, began, next.Mark()); err != nil {
-				return err
-			}
-			if err := b.feed.Publish(ctx, next); err != nil {
-				return err
-			}
+		if err := r.read(ctx); err != nil {
+			return err
 		}
-		due := func() buckthorndyke.Millis {
-			if w.pace.read < keepUntil {
-				return min(w.pace.Due(), keepUntil)
-			}
-			return w.pace.Due()
-		}
-		for w.hear(ctx, due) {
-			next, ok := changed(current, w.word)
-			if !ok {
-				break
-			}
-			b.logChanges(current, next)
-			current = next
-			if err := w.adopted(ctx); err != nil {
+		for r.watch.hear(ctx, r.due) {
+			adopted, err := r.adopt(ctx)
+			if err != nil {
 				return err
 			}
-			if err := b.feed.Publish(ctx, next); err != nil {
-				return err
+			if !adopted {
+				break
 			}
 		}
 	}
 	return ctx.Err()
 }
 
+// reading is the state of one run.
+type reading struct {
+	*Backends
+	current buckthorndyke.Backends
+	// keepUntil is the instant until which servers are kept that are no longer listed.
+	keepUntil buckthorndyke.Millis
+	watch     *watch
+}
+
+// adopt takes over what the leader says has changed, and reports whether that leads
+// to the leader's list.
+func (r *reading) adopt(ctx context.Context) (bool, error) {
+	next, ok := changed(r.current, r.watch.word)
+	if !ok {
+		return false, nil
+	}
+	if err := r.watch.adopted(ctx); err != nil {
+		return false, err
+	}
+	return true, r.publish(ctx, next)
+}
+
+// due returns the instant of the next read.
+func (r *reading) due() buckthorndyke.Millis {
+	if r.watch.pace.read < r.keepUntil {
+		return min(r.watch.pace.Due(), r.keepUntil)
+	}
+	return r.watch.pace.Due()
+}
+
+// publish hands on a list.
+func (r *reading) publish(ctx context.Context, next buckthorndyke.Backends) error {
+	r.logChanges(r.current, next)
+	r.current = next
+	return r.feed.Publish(ctx, next)
+}
+
+// read reads the list. It fails only if ctx ends.
+func (r *reading) read(ctx context.Context) error {
+	began := r.clock.Now()
+	next, err := r.directory.Backends(ctx)
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case err != nil:
+		r.watch.failed(err)
+		return nil
+	}
+	if r.watch.outage.failures > 0 {
+		r.keepUntil = r.watch.failedAt + returnGrace
+	}
+	next = next.WithNewest(r.current)
+	if r.clock.Now() < r.keepUntil {
+		next = withKept(next, r.current)
+	}
+	if err := r.watch.succeeded(ctx, began, next.Mark()); err != nil {
+		return err
+	}
+	return r.publish(ctx, next)
+}
+
 // logChanges logs the servers that have come, begun to leave or gone.
 func (b *Backends) logChanges(old, next buckthorndyke.Backends) {
 	for id, backend := range next.Listed.All() {
