feat(stager): keep the second replica of a hot model

Change: the second replica of a hot model is worth a quarter of the model. Test: fails without the change.

--- a/stager/floor_test.go
+++ b/stager/floor_test.go
@@ -125,6 +125,16 @@
 		assertIntents(t, f, "load m5 at a from disk")
 		assertIntents(t, withoutRoom(f), "unload m0 at b from memory")
 	})
+	t.Run("the second replica of a hot model is not unloaded for one request", func(t *testing.T) {
+		f := withoutRoom(floorOf(withCopies(runner("a", 0, 1)), withCopies(runner("b", 0, 2, 3))))
+		f = f.WithDemand(vm, []buckthorndyke.DemandLine{
+			{Arrivals: 120, Key: key(0), Running: 1},
+			{Arrivals: 1, Key: key(2)},
+			{Arrivals: 1, Key: key(3)},
+			{Due: 900, Key: key(5), Waiting: 1},
+		}, now)
+		asserter.True(t, f.Plan(now)[0].Model != key(0).Model, "the replica is unloaded")
+	})
 	t.Run("a replica that carries load is not unloaded", func(t *testing.T) {
 		f := withoutRoom(floorOf(withCopies(runner("a", 0, 1)), withCopies(runner("b", 0, 2, 3))))
 		f = f.WithDemand(vm, []buckthorndyke.DemandLine{
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -31,6 +31,8 @@
 	// hotRate is the rate of requests a second from which on a model is held by two
 	// runners, so that the loss of one does not stop it.
 	hotRate = 3.0
+	// hotReplicas is the number of runners that hold a hot model at least.
+	hotReplicas = 2
 	// overloadedBatch is the share of a runner's batch, in thousandths, from which on
 	// another replica comes before what waits: all requests of the model are slow.
 	overloadedBatch = 250
@@ -40,6 +42,9 @@
 	// spareReplica is the cost of evicting a replica that the others can do without,
 	// in requests a second.
 	spareReplica = 0.01
+	// secondReplica is the part of a hot model's worth that its second replica is worth,
+	// without which the loss of one runner stops it.
+	secondReplica = 0.25
 	// copyWorth is the worth of a first copy of a model near the runners, in requests
 	// a second.
 	copyWorth = 0.15
@@ -214,7 +219,7 @@
 	needed := (w.running*1000 + perReplica - 1) / perReplica
 	if share == fullBatch {
 		if p.rate(w.key) >= hotRate {
-			needed = max(needed, 2)
+			needed = max(needed, hotReplicas)
 		}
 		needed = min(needed, replicas+1)
 	}
--- a/stager/way.go
+++ b/stager/way.go
@@ -76,10 +76,14 @@
 		lost += float64(running)
 	}
 	if replicas := p.replicas(key); replicas > 1 {
-		if p.carried(s, p.wants[key].running, replicas-1) {
+		switch {
+		case !p.carried(s, p.wants[key].running, replicas-1):
+			return lost
+		case replicas == hotReplicas && p.rate(key) >= hotRate:
+			return lost * secondReplica
+		default:
 			return spareReplica + spareReplica*lost
 		}
-		return lost
 	}
 	if s.backend.Tier(model) == buckthorndyke.TierRemote {
 		lost += coldCopy
