fix(dispatcher): a VM that does not know the fleet's size begins with two retries

All 63 VMs were stopped at once and started again: each took an eighth of the fleet's retries until a leader had said how many VMs there are, 17 each and 1,071 in all. Ruled out: retries that are not counted (each passes the budget, streams that are carried on included). Test: fails with the former part.

--- a/supervisor/relayer/dispatcher/dispatcher_test.go
+++ b/supervisor/relayer/dispatcher/dispatcher_test.go
@@ -101,20 +101,11 @@
 			asserter.True(t, len(s.pool.sent()) <= 20+6+2, "too many retries")
 		})
 	})
-	t.Run("a VM of a large fleet has a small part of the retries", func(t *testing.T) {
-		inSite(t, func(s *site) {
+	t.Run("a VM of a large fleet, or that does not know its size, has a small part of the retries", func(t *testing.T) {
+		assertFewRetries(t, 1, func(s *site) {
 			asserter.NoError(t, s.dispatcher.Led(s.ctx, buckthorndyke.DemandReply{Fleet: 24, Leading: true}))
-			var replies []reply
-			for range 200 {
-				replies = append(replies, reply{notRun: true, status: http.StatusServiceUnavailable})
-			}
-			s.pool.lay(replies...)
-			for range 20 {
-				_, err := s.relay(request("/unsafe/x"))
-				asserter.Verdict(t, err, buckthorndyke.NotRun)
-			}
-			asserter.True(t, len(s.pool.sent()) <= 20+1+3, "too many retries")
 		})
+		assertFewRetries(t, 2, func(*site) {})
 	})
 	t.Run("an unknown route is refused, an unknown configuration too", func(t *testing.T) {
 		inSite(t, func(s *site) {
@@ -283,6 +274,7 @@
 	})
 	t.Run("a request that no runner has run waits while no retry is left", func(t *testing.T) {
 		inSite(t, func(s *site) {
+			s.led()
 			s.list(runner("r1", hall), runner("r2", hall))
 			full := reply{notRun: true, status: http.StatusServiceUnavailable}
 			for range 5 {
@@ -357,7 +349,7 @@
 // ledWith is led by a leader that loads what is expected.
 func (s *site) ledWith(expected ...buckthorndyke.Expectation) {
 	s.t.Helper()
-	asserter.NoError(s.t, s.dispatcher.Led(s.ctx, buckthorndyke.DemandReply{Expected: expected, Leading: true}))
+	asserter.NoError(s.t, s.dispatcher.Led(s.ctx, buckthorndyke.DemandReply{Expected: expected, Fleet: 8, Leading: true}))
 	synctest.Wait()
 }
 
@@ -367,6 +359,25 @@
 	synctest.Wait()
 }
 
+// assertFewRetries reports an error unless a VM that tell has told something sends
+// no more than part retries beside those that its requests earn.
+func assertFewRetries(t *testing.T, part int, tell func(s *site)) {
+	t.Helper()
+	inSite(t, func(s *site) {
+		tell(s)
+		var replies []reply
+		for range 200 {
+			replies = append(replies, reply{notRun: true, status: http.StatusServiceUnavailable})
+		}
+		s.pool.lay(replies...)
+		for range 20 {
+			_, err := s.relay(request("/unsafe/x"))
+			asserter.Verdict(t, err, buckthorndyke.NotRun)
+		}
+		asserter.True(t, len(s.pool.sent()) <= 20+part+3, "too many retries")
+	})
+}
+
 // assertDistinct reports an error unless n attempts went to n servers.
 func assertDistinct(t *testing.T, sent []buckthorndyke.Dispatch, n int) {
 	t.Helper()
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -12,12 +12,13 @@
 )
 
 const (
-	// assumedFleet is the number of VMs that share the retries until a leader says how
-	// many there are.
-	assumedFleet = 8
+	// assumedPart is the number of retries that a VM may send at once until a leader
+	// says how many VMs share them. When all VMs start again, each has its part anew:
+	// it has to be small even in a large fleet.
+	assumedPart = 2
 	// retriesEarned is the number of retries that a thousand requests earn: the
 	// platform allows 200 of all VMs.
-	retriesEarned = 150
+	retriesEarned = 120
 	// retryShare is the part of the retries beyond these, in thousandths, that the
 	// fleet uses: VMs that come late to know its size take a little more.
 	retryShare = 850
@@ -47,7 +48,7 @@
 	// expected holds when a runner is going to hold what requests wait for, as the
 	// leader said last.
 	expected map[buckthorndyke.ModelKey]buckthorndyke.Millis
-	// fleet is the number of VMs, as the leader said last.
+	// fleet is the number of VMs, as the leader said last, or 0.
 	fleet int
 	// led is set while some VM gives orders to the runners.
 	led bool
@@ -65,7 +66,6 @@
 	return &task{
 		Dispatcher: d,
 		arrivals:   make(map[buckthorndyke.ModelKey]int),
-		fleet:      assumedFleet,
 		budgets:    make(map[buckthorndyke.ServiceID]chooser.Budget),
 		rates:      make(map[buckthorndyke.ModelKey]buckthorndyke.Rate),
 		running:    make(map[buckthorndyke.ModelKey]int),
@@ -243,6 +243,9 @@
 
 // retryPart returns this VM's part of the retries that the fleet may send at once.
 func (t *task) retryPart() int {
+	if t.fleet == 0 {
+		return assumedPart
+	}
 	return max(t.retryBurst*retryShare/1000/t.fleet, 1)
 }
 
