revert(entrance): clients' connections rest for a constant time again

The task that closed resting connections did so from outside of the server: one whose next request has just been read is closed as well, since the note that it is active waits behind the search. The server's own limit ends in the goroutine that reads and cannot cross a request that was passed on. Ruled out: the end of the stop (new requests are taken until 2.6 s after SIGTERM, and the front closes after that), the deadline (4 s) and the route's time (1.5 s and more). Left: limits of idle times from the configuration; they need the server's own deadline.

--- a/supervisor/relayer/entrance/entrance.go
+++ b/supervisor/relayer/entrance/entrance.go
@@ -19,9 +19,8 @@
 const (
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 10 * buckthorndyke.Second
-	// defaultIdle is how long a connection without a request is kept open while the
-	// configuration does not say.
-	defaultIdle = 30 * buckthorndyke.Second
+	// idleTimeout is how long a connection without a request is kept open.
+	idleTimeout = 30 * buckthorndyke.Second
 	// headerLimit bounds a request's header, in bytes.
 	headerLimit = 64 << 10
 	// leaveTime is how long new requests are taken after the stop began: by then
@@ -79,12 +78,10 @@
 	// The servers outlive ctx: they end with the drain.
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	idlers := newIdlers(e.routings, e.clock)
-	go idlers.serve(life)
 	front := &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return life },
 		Handler:           closing(ctx, e.handler),
-		ConnState:         func(conn net.Conn, state http.ConnState) { idlers.note(life, conn, state) },
+		IdleTimeout:       idleTimeout.Duration(),
 		MaxHeaderBytes:    headerLimit,
 		ReadHeaderTimeout: headerTimeout.Duration(),
 	}
