refactor(stager,assessor): one look at what waits, and no count of servers without a suspect

Found on a last read of the change: Demand.waits repeated what Demand.waiting knows, and each report of demand counted all servers by service although mostly none is suspect.

--- a/assessor/assessment.go
+++ b/assessor/assessment.go
@@ -44,16 +44,20 @@
 // Suspects returns the servers on list that fail too many of their requests, of no
 // service more than half.
 func (a Assessment) Suspects(list buckthorndyke.Backends, now buckthorndyke.Millis) []buckthorndyke.RunnerID {
-	servers := make(map[buckthorndyke.ServiceID]int)
-	for _, b := range list.Listed.All() {
-		servers[b.Service]++
-	}
 	var out []buckthorndyke.RunnerID
 	for id, r := range a.records.All() {
 		if now < r.until && list.Listed.Has(id) {
 			out = append(out, id)
 		}
 	}
+	// Each report of demand asks, and mostly no server is suspect.
+	if len(out) == 0 {
+		return nil
+	}
+	servers := make(map[buckthorndyke.ServiceID]int)
+	for _, b := range list.Listed.All() {
+		servers[b.Service]++
+	}
 	// The servers that were found to fail last are the most likely to fail still.
 	slices.SortFunc(out, func(x, y buckthorndyke.RunnerID) int {
 		first, _ := a.records.Get(x)
--- a/stager/copies.go
+++ b/stager/copies.go
@@ -45,7 +45,7 @@
 // with many requests for each: what comes next then finds them on a disk. While
 // something waits it loads those that were asked for.
 func (p *planner) copyAhead() {
-	waits := p.demand.waits()
+	waits := len(p.demand.waiting()) > 0
 	for id, service := range p.routing.Services.All() {
 		if service.Engine == nil {
 			continue
--- a/stager/demand.go
+++ b/stager/demand.go
@@ -107,16 +107,6 @@
 	return slices.Collect(maps.Keys(seen))
 }
 
-// waits reports whether any request waits.
-func (d Demand) waits() bool {
-	for _, r := range d.reports.All() {
-		if slices.ContainsFunc(r.lines, func(l buckthorndyke.DemandLine) bool { return l.Waiting > 0 }) {
-			return true
-		}
-	}
-	return false
-}
-
 // withArrivals returns a demand with n more arrivals for key.
 func (d Demand) withArrivals(key buckthorndyke.ModelKey, n int, now buckthorndyke.Millis) Demand {
 	r, _ := d.rates.Get(textOf(key))
