--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,8 @@
 PACKAGES = $(shell go list ./...)
 BUBBLED = $(shell go list -f '{{.ImportPath}} {{.Imports}} {{.TestImports}} {{.XTestImports}}' ./... | awk '/testing\/synctest/ {print $$1}')
 
-export GOFLAGS = -buildvcs=false
+# Adds to the flags of the environment instead of replacing them.
+export GOFLAGS := $(strip $(shell go env GOFLAGS) -buildvcs=false)
 
 .PHONY: bench build capacity check-generated demo format generate lint matrix measure soak test tools
 
@@ -58,7 +59,7 @@
 
 # Runs the fault soak with new seeds, for example: make soak SEEDS=50 FIRST=100
 SEEDS = 20
-FIRST = $(shell date +%s)
+FIRST := $(strip $(shell od -An -N4 -tu4 /dev/urandom))
 soak:
 	go test -count=1 -timeout 60m -v -run TestSoak ./endtoend -soak.seeds $(SEEDS) -soak.first $(FIRST)
 
--- a/endtoend/soak_test.go
+++ b/endtoend/soak_test.go
@@ -87,7 +87,10 @@
 		}
 	}
 	served := 0
+	sent := make(map[string]bool)
 	for _, r := range responses {
+		asserter.True(s.t, !sent[r.ID], "the soak itself has sent two requests with the id "+r.ID)
+		sent[r.ID] = true
 		switch r.Status {
 		case http.StatusOK:
 			served++
