feat(dispatcher): the log tells which requests were in flight when a server ended

The logs could not tell a request that recurs at each crash from one that was merely there, nor a server that ended from one that reset a connection.

Change: request lines have a fingerprint of the content. When a connection breaks before the server has begun to answer, the VM checks after 0.1 s whether the server still accepts connections, and watches the list for its end. A confirmed end is logged with the fingerprints of the unanswered requests. Servers that had announced their end do not count. Nothing is refused yet.

--- a/relay.go
+++ b/relay.go
@@ -4,6 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // PromptPart identifies a part of a prompt that several requests may share.
@@ -51,6 +54,24 @@
 	return r
 }
 
+// Fingerprint returns a digest of the request's content: a request that is sent again
+// has the same, whatever its ID and deadline.
+func (r RelayRequest) Fingerprint() Fingerprint {
+	d := xxhash.New()
+	write := func(part string) {
+		// Writing to a Digest never fails.
+		_, _ = d.WriteString(strconv.Itoa(len(part)) + ":" + part)
+	}
+	for _, part := range []string{r.Method, r.Host, r.Target, string(r.Model), r.Adapter} {
+		write(part)
+	}
+	for _, part := range r.Prompt {
+		write(part.ID)
+	}
+	_, _ = d.Write(r.Body)
+	return Fingerprint(strconv.FormatUint(d.Sum64(), 16))
+}
+
 // RelayWriter receives the response to a relayed request. Its methods are called by
 // one goroutine only.
 type RelayWriter interface {
@@ -143,6 +164,9 @@
 
 // BackendPool sends requests and orders to backend servers.
 type BackendPool interface {
+	// Accepts reports whether the server's address accepts connections. An error means
+	// that this is not known.
+	Accepts(ctx context.Context, b Backend) (bool, error)
 	// Dispatch sends a request once. The verdict of the error says whether the
 	// server may have run the request.
 	Dispatch(ctx context.Context, d Dispatch) (DispatchResponse, error)
--- a/supervisor/relayer/dispatcher/attempt.go
+++ b/supervisor/relayer/dispatcher/attempt.go
@@ -33,7 +33,7 @@
 	j.attempts++
 	limit, cancel := context.WithTimeoutCause(ctx, max(j.deadline-j.clock.Now(), 1).Duration(), errTimeout)
 	defer cancel()
-	j.responded, j.attemptStart = make(chan struct{}), j.clock.Now()
+	j.responded, j.attemptStart, j.mayHaveCrashed = make(chan struct{}), j.clock.Now(), false
 	go j.watchSilence(limit, backend, j.responded)
 	response, err := j.pool.Dispatch(limit, buckthorndyke.Dispatch{
 		Backend:  backend,
@@ -42,6 +42,7 @@
 		Urgency:  min(j.route.Priority*urgencyStep, maxUrgency),
 	})
 	if err != nil {
+		j.mayHaveCrashed = !buckthorndyke.VerdictOf(err).RetryIsSafe()
 		return j.handleFailure(ctx, backend, err)
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -107,7 +107,7 @@
 
 // Serve implements suture.Service.
 func (d *Dispatcher) Serve(ctx context.Context) error {
-	return newTask(d).run(ctx)
+	return newTask(ctx, d).run(ctx)
 }
 
 // WorkWaiting implements buckthorndyke.DemandSource.
--- a/supervisor/relayer/dispatcher/fixture_test.go
+++ b/supervisor/relayer/dispatcher/fixture_test.go
@@ -125,6 +125,8 @@
 }
 
 type poolState struct {
+	// ended holds the servers that refuse connections.
+	ended     map[buckthorndyke.RunnerID]bool
 	responses []scriptedResponse
 	sent      []buckthorndyke.Dispatch
 }
@@ -133,6 +135,11 @@
 	return &fakePool{asks: mailer.NewMailbox[func(p *poolState)](), ctx: ctx}
 }
 
+// Accepts implements buckthorndyke.BackendPool.
+func (p *fakePool) Accepts(_ context.Context, b buckthorndyke.Backend) (bool, error) {
+	return ask(p, func(s *poolState) bool { return !s.ended[b.ID] }), nil
+}
+
 // Dispatch implements buckthorndyke.BackendPool.
 func (p *fakePool) Dispatch(ctx context.Context, d buckthorndyke.Dispatch) (buckthorndyke.DispatchResponse, error) {
 	next := ask(p, func(s *poolState) scriptedResponse {
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -58,9 +58,14 @@
 	excluded []buckthorndyke.RunnerID
 	// executions is the number of attempts in which a server may have run the request.
 	executions int
+	// fingerprints identify what the request holds, the most specific one last.
+	fingerprints []buckthorndyke.Fingerprint
 	// firstEvent is the time from the request's arrival to the first event.
 	firstEvent buckthorndyke.Millis
 	key        buckthorndyke.ModelKey
+	// mayHaveCrashed is set if the server of the attempt broke the connection before it
+	// had begun to answer.
+	mayHaveCrashed bool
 	// queued is the total time that the request has waited for a server.
 	queued  buckthorndyke.Millis
 	request buckthorndyke.RelayRequest
@@ -100,6 +105,7 @@
 	if s, ok := routing.Services.Get(service); ok && s.Engine != nil {
 		j.key.Model, j.key.Adapter = r.Model, r.Adapter
 	}
+	j.fingerprints = []buckthorndyke.Fingerprint{r.Fingerprint()}
 	j.deadline = r.Arrived + shortest(r.Deadline, route.Timeout)
 	return j, nil
 }
@@ -200,8 +206,9 @@
 	// The server has to be released even if the client has disconnected.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout.Duration())
 	defer cancel()
-	err := j.box.Send(ctx, attemptEnded{key: j.key, load: j.load(), result: r, server: backend.ID})
-	if err != nil {
+	m := attemptEnded{backend: backend, fingerprints: j.fingerprints, key: j.key, load: j.load(), result: r}
+	m.broken = r == resultFailed && j.mayHaveCrashed
+	if err := j.box.Send(ctx, m); err != nil {
 		j.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
 	}
 }
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -60,10 +60,20 @@
 
 	// attemptEnded reports the result of an attempt.
 	attemptEnded struct {
-		key    buckthorndyke.ModelKey
-		load   selector.Load
-		result result
-		server buckthorndyke.RunnerID
+		backend buckthorndyke.Backend
+		// broken is set if the connection broke before the server had begun to answer.
+		broken       bool
+		fingerprints []buckthorndyke.Fingerprint
+		key          buckthorndyke.ModelKey
+		load         selector.Load
+		result       result
+	}
+
+	// crashChecked reports whether a server whose connections broke has ended.
+	crashChecked struct {
+		backend buckthorndyke.Backend
+		ended   bool
+		err     error
 	}
 
 	// demandRequested asks for the demand since the previous report.
@@ -102,6 +112,7 @@
 func (m admissionRequested) apply(t *task) { t.admit(m) }
 func (m admissionCancelled) apply(t *task) { t.cancelAdmission(m) }
 func (m attemptEnded) apply(t *task)       { t.endAttempt(m) }
+func (m crashChecked) apply(t *task)       { t.handleCrashCheck(m) }
 func (m demandRequested) apply(t *task)    { m.reply.Answer(t.demand(m.recent)) }
 func (m drainStarted) apply(t *task)       { t.drainUntil = m.until }
 func (m leaderReplied) apply(t *task)      { t.applyLeaderReply(m.reply) }
--- a/supervisor/relayer/dispatcher/stream.go
+++ b/supervisor/relayer/dispatcher/stream.go
@@ -55,6 +55,7 @@
 	case ctx.Err() != nil:
 		return j.handleFailure(ctx, backend, context.Cause(ctx))
 	}
+	j.mayHaveCrashed = !j.stream.responded
 	retry, err := j.handleFailure(ctx, backend, errors.Wrapf(err, "the stream was truncated after event %q", j.stream.lastEventID))
 	if j.stream.lastEventID != "" {
 		j.request = j.request.WithLastEventID(j.stream.lastEventID)
@@ -126,11 +127,19 @@
 		event = d.logger.Info().EmbedObject(reporter.EventRequestFailed).Err(err).
 			Str("verdict", buckthorndyke.VerdictOf(err).String()).Str("code", string(buckthorndyke.RefusalOf(err).Code()))
 	}
-	event.Str("request", string(r.ID)).Str("route", j.route.Name).Str("service", string(j.key.Service)).
+	event.Str("request", string(r.ID)).Str("fingerprint", j.fingerprint()).Str("route", j.route.Name).Str("service", string(j.key.Service)).
 		Str("model", string(j.key.Model)).Str("adapter", j.key.Adapter).Int("prompt-tokens", r.PromptTokens).
 		Int64("queue-ms", int64(j.queued)).Int64("first-ms", int64(j.firstEvent)).Int64("ms", int64(d.clock.Now()-r.Arrived)).Str("attempts", j.trailText()).Send()
 }
 
+// fingerprint returns the fingerprint of the request's content for the log.
+func (j *job) fingerprint() string {
+	if len(j.fingerprints) == 0 {
+		return ""
+	}
+	return string(j.fingerprints[len(j.fingerprints)-1])
+}
+
 // noteAttempt adds the description of an attempt to the trail.
 func (j *job) noteAttempt(backend buckthorndyke.Backend, format string, args ...any) {
 	at := j.clock.Now() - j.request.Arrived
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -42,6 +42,9 @@
 	// arrivals counts the requests since the previous demand report.
 	arrivals map[buckthorndyke.ModelKey]int
 	budgets  map[buckthorndyke.ServiceID]chooser.Budget
+	// crashSigns holds the servers whose connections broke, until it is known whether
+	// they have ended.
+	crashSigns map[buckthorndyke.Lifetime]crashSign
 	// drainUntil is the instant after which no request waits, or 0.
 	drainUntil buckthorndyke.Millis
 	// expected holds the instants at which models are going to be loaded, from the
@@ -54,6 +57,7 @@
 	// rates holds the average rates of arrivals.
 	rates   map[buckthorndyke.ModelKey]buckthorndyke.Rate
 	routing buckthorndyke.Routing
+	runCtx  context.Context
 	running map[buckthorndyke.ModelKey]int
 	// suspects are the servers that fail requests of all VMs, from the leader's latest
 	// reply.
@@ -63,12 +67,14 @@
 	waiting []admissionRequested
 }
 
-func newTask(d *Dispatcher) *task {
+func newTask(ctx context.Context, d *Dispatcher) *task {
 	return &task{
 		Dispatcher: d,
 		arrivals:   make(map[buckthorndyke.ModelKey]int),
 		budgets:    make(map[buckthorndyke.ServiceID]chooser.Budget),
+		crashSigns: make(map[buckthorndyke.Lifetime]crashSign),
 		rates:      make(map[buckthorndyke.ModelKey]buckthorndyke.Rate),
+		runCtx:     ctx,
 		running:    make(map[buckthorndyke.ModelKey]int),
 	}
 }
@@ -86,6 +92,7 @@
 		case r := <-routings:
 			t.routing = r
 		case l := <-lists:
+			t.confirmCrashesByList(l)
 			t.view = t.view.WithBackends(l)
 			t.retryWaiting()
 		case <-t.clock.After(t.nextWake()):
@@ -208,24 +215,25 @@
 // endAttempt applies the result of an attempt.
 func (t *task) endAttempt(m attemptEnded) {
 	now := t.clock.Now()
-	t.view = t.view.WithLoad(m.server, selector.Load{Requests: -m.load.Requests, Tokens: -m.load.Tokens})
+	t.view = t.view.WithLoad(m.backend.ID, selector.Load{Requests: -m.load.Requests, Tokens: -m.load.Tokens})
 	if m.key.Model != "" {
 		if t.running[m.key]--; t.running[m.key] <= 0 {
 			delete(t.running, m.key)
 		}
 	}
+	t.noteCrashSigns(m)
 	switch m.result {
 	case resultServed:
-		t.view = t.view.WithSuccess(m.server)
+		t.view = t.view.WithSuccess(m.backend.ID)
 	case resultModelMissing:
-		t.view = t.view.WithMissing(m.server, m.key, now)
+		t.view = t.view.WithMissing(m.backend.ID, m.key, now)
 	case resultFailed:
-		t.view = t.view.WithFailure(m.server, now)
+		t.view = t.view.WithFailure(m.backend.ID, now)
 		t.signalWaiting()
 	case resultServerError:
-		t.view = t.view.WithFailedAttempt(m.server)
+		t.view = t.view.WithFailedAttempt(m.backend.ID)
 	case resultBusy:
-		t.view = t.view.WithFull(m.server, now)
+		t.view = t.view.WithFull(m.backend.ID, now)
 	}
 }
 
