fix(quarantiner,dispatcher): a request that ends one server after the other is refused by all VMs

Cause: nothing in the relaying role related a request to the end of a server, and no VM knew what another had seen.

Fix: quarantiner.Evidence, a set of crashes with the fingerprints of the requests that the server had not begun to answer. VMs merge evidence through the leader's replies, and through their seeds while there is no leader and when they start.

Ruled out: retries of this system as the cause (each copy had one attempt); a limit of one or two crashes (in flight at a crash are up to a dozen innocent requests on one VM alone).

--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -61,9 +61,11 @@
 	}
 	store := platform.NewStore(s.StoreAddress)
 	pool := platform.NewBackendPool(clock)
+	peers := connector.NewConnectDirectoryPeers(s.Peers.Key.Text, clock)
 	platformClients := relayer.Platform{
-		Directory: bootstrapper.NewDirectory(recorder.NewDirectory(platform.NewDirectory(store, clock), metrics, clock),
-			connector.NewConnectDirectoryPeers(s.Peers.Key.Text, clock), s.Seeds, logger),
+		CrashPeers: peers,
+		Directory: bootstrapper.NewDirectory(
+			recorder.NewDirectory(platform.NewDirectory(store, clock), metrics, clock), peers, s.Seeds, logger),
 		Election: platform.NewElection(store, self, grantTime, clock),
 		Leaders:  connector.NewConnectLeaderClient(s.Peers.Key.Text),
 		Observer: platform.NewElection(store, self, grantTime, clock),
@@ -79,6 +81,7 @@
 		LeaveLimit:         s.LeaveLimit,
 		Standby:            s.CPUShare < leaderShare,
 		RetryBurst:         s.RetryBurst,
+		Seeds:              s.Seeds,
 	}, clock, logger)
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
--- a/chooser/chooser_test.go
+++ b/chooser/chooser_test.go
@@ -92,20 +92,6 @@
 
 func TestLimits(t *testing.T) {
 	const many = 5000
-	t.Run("the number of suspects is limited and the newest are kept", func(t *testing.T) {
-		var s chooser.Suspects
-		for i := range many {
-			s = s.WithCrash(buckthorndyke.Fingerprint(strconv.Itoa(i)), false)
-		}
-		asserter.Equal(t, s.Suspected("0"), false)
-		asserter.Equal(t, s.Suspected("4999"), true)
-	})
-	t.Run("crashes while other requests run count once", func(t *testing.T) {
-		s := chooser.Suspects{}.WithCrash("f", false).WithCrash("f", false)
-		asserter.Equal(t, s.Stopped("f"), false)
-		asserter.Equal(t, s.WithCrash("f", true).Stopped("f"), true)
-		asserter.Equal(t, s.Without("f").Suspected("f"), false)
-	})
 	t.Run("the number of prefix hints is limited and the newest are kept", func(t *testing.T) {
 		var a chooser.Affinity
 		for i := range uint64(many) {
--- a/connector/connectdirectorypeers.go
+++ b/connector/connectdirectorypeers.go
@@ -13,7 +13,7 @@
 )
 
 // ConnectDirectoryPeers calls other entry VMs over the Connect protocol. It
-// implements buckthorndyke.DirectoryPeers.
+// implements buckthorndyke.DirectoryPeers and buckthorndyke.CrashPeers.
 type ConnectDirectoryPeers struct {
 	client *http.Client
 	clock  buckthorndyke.Clock
@@ -34,3 +34,15 @@
 	}
 	return translator.DirectorySnapshotFromWire(out, p.clock.Now()), nil
 }
+
+// ShareCrashes implements buckthorndyke.CrashPeers.
+func (p *ConnectDirectoryPeers) ShareCrashes(
+	ctx context.Context, address string, e buckthorndyke.CrashEvidence,
+) (buckthorndyke.CrashEvidence, error) {
+	client := wireconnect.NewSiblingServiceClient(p.client, "http://"+address)
+	out, err := client.ShareCrashes(ctx, translator.CrashEvidenceToWire(e))
+	if err != nil {
+		return buckthorndyke.CrashEvidence{}, errors.Wrap(err, "exchange evidence of crashes with another VM")
+	}
+	return translator.CrashEvidenceFromWire(out), nil
+}
--- a/crash.go
+++ b/crash.go
@@ -1,6 +1,9 @@
 package buckthorndyke
 
-import "strconv"
+import (
+	"context"
+	"strconv"
+)
 
 // Lifetime identifies one run of a server, from its start to its end.
 type Lifetime struct {
@@ -16,9 +19,57 @@
 // Crash is the end of a server's lifetime while requests were in flight there.
 type Crash struct {
 	// Age is the time since the crash.
-	Age      Millis
+	Age Millis
+	// Alone is set if no other request was in flight there.
+	Alone    bool
 	Lifetime Lifetime
 	// Requests lists the requests that the server had received and not begun to answer.
 	// Each is given by the fingerprints of what it holds, the most specific one last.
 	Requests [][]Fingerprint
 }
+
+// CrashEvidence is what a VM tells others about crashes of servers and the requests that
+// may have caused them.
+type CrashEvidence struct {
+	Crashes     []Crash
+	Quarantines []QuarantineNotice
+	Served      []ServedFingerprint
+	// Version is the version of the sender's evidence.
+	Version uint64
+}
+
+// Empty reports whether the evidence says nothing.
+func (e CrashEvidence) Empty() bool {
+	return len(e.Crashes) == 0 && len(e.Quarantines) == 0 && len(e.Served) == 0
+}
+
+// QuarantineNotice says that requests with a fingerprint are refused.
+type QuarantineNotice struct {
+	// Age is the time since the quarantine began.
+	Age         Millis
+	Fingerprint Fingerprint
+	// Left is the time until it ends.
+	Left Millis
+}
+
+// ServedFingerprint says that a server has begun to answer a request with a fingerprint.
+type ServedFingerprint struct {
+	// Age is the time since.
+	Age         Millis
+	Fingerprint Fingerprint
+}
+
+// CrashPeers exchanges evidence of crashes with other entry VMs.
+type CrashPeers interface {
+	// ShareCrashes tells the VM at address the evidence e and returns that VM's own.
+	ShareCrashes(ctx context.Context, address string, e CrashEvidence) (CrashEvidence, error)
+}
+
+// CrashSource supplies this VM's evidence of crashes and takes that of others.
+type CrashSource interface {
+	// CrashEvidence returns all evidence of this VM, and whether a leader passes it on
+	// to the other VMs.
+	CrashEvidence(ctx context.Context) (CrashEvidence, bool, error)
+	// HandleCrashEvidence adds the evidence of another VM.
+	HandleCrashEvidence(ctx context.Context, e CrashEvidence) error
+}
--- a/demand.go
+++ b/demand.go
@@ -49,7 +49,12 @@
 type DemandReport struct {
 	// Attempts counts the outcomes of the VM's requests since its last report.
 	Attempts []AttemptCounts
-	Entries  []DemandEntry
+	// Crashes is what the VM has learned of crashes since its last report.
+	Crashes CrashEvidence
+	// CrashesSeen is the version of the leader's evidence of crashes that the VM has
+	// received last, or 0.
+	CrashesSeen uint64
+	Entries     []DemandEntry
 	// ListVersionTag is the version tag of the VM's list of servers, or 0 if it has
 	// none.
 	ListVersionTag uint64
@@ -79,6 +84,9 @@
 
 // DemandReply is the leader's reply to a DemandReport.
 type DemandReply struct {
+	// Crashes is what the leader has learned of crashes since the version that the VM
+	// has received.
+	Crashes CrashEvidence
 	// FullSpeedLoads is the number of concurrent loads that the weight store serves
 	// at full speed, as the leader has learned, or 0 if it does not know.
 	FullSpeedLoads int
--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -30,6 +30,7 @@
 	EventProcessStopped  Event = "process-stopped"
 	EventReadiness       Event = "readiness-changed"
 	EventReclaimed       Event = "vm-reclaimed"
+	EventQuarantine      Event = "quarantine-changed"
 	EventRequestFailed   Event = "request-failed"
 	EventRequestServed   Event = "request-served"
 	EventRoutingInForce  Event = "routing-in-force"
--- a/supervisor/relayer/dispatcher/attempt.go
+++ b/supervisor/relayer/dispatcher/attempt.go
@@ -33,7 +33,8 @@
 	j.attempts++
 	limit, cancel := context.WithTimeoutCause(ctx, max(j.deadline-j.clock.Now(), 1).Duration(), errTimeout)
 	defer cancel()
-	j.responded, j.attemptStart, j.mayHaveCrashed = make(chan struct{}), j.clock.Now(), false
+	j.responded, j.attemptStart = make(chan struct{}), j.clock.Now()
+	j.begun, j.mayHaveCrashed = false, false
 	go j.watchSilence(limit, backend, j.responded)
 	response, err := j.pool.Dispatch(limit, buckthorndyke.Dispatch{
 		Backend:  backend,
@@ -87,6 +88,7 @@
 	}
 	j.noteAttempt(backend, "status %d", a.Status)
 	j.executions++
+	j.begun = a.Signed && a.Status < http.StatusInternalServerError
 	j.releaseServer(ctx, backend, resultOf(a.Status))
 	a.Header.Set("Content-Length", strconv.Itoa(len(body)))
 	if err := j.w.Begin(a.Status, a.Header); err != nil {
--- a/supervisor/relayer/dispatcher/crashes.go
+++ b/supervisor/relayer/dispatcher/crashes.go
@@ -129,4 +129,7 @@
 	}
 	t.logger.Info().EmbedObject(reporter.EventServerCrashed).Str("server", lifetime.String()).Str("cause", cause).
 		Str("unanswered", strings.Join(names, " ")).Send()
+	t.addCrashEvidence(buckthorndyke.CrashEvidence{Crashes: []buckthorndyke.Crash{{Lifetime: lifetime, Requests: requests}}})
+	// The leader should learn of the crash at once.
+	t.signalWaiting()
 }
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -18,7 +18,7 @@
 )
 
 // Dispatcher is the task that selects backend servers for requests. It implements
-// buckthorndyke.Relay and buckthorndyke.DemandSource.
+// buckthorndyke.Relay, buckthorndyke.DemandSource and buckthorndyke.CrashSource.
 type Dispatcher struct {
 	box         *mailer.Mailbox[message]
 	clock       buckthorndyke.Clock
@@ -72,6 +72,14 @@
 	return d
 }
 
+// CrashEvidence implements buckthorndyke.CrashSource.
+func (d *Dispatcher) CrashEvidence(ctx context.Context) (buckthorndyke.CrashEvidence, bool, error) {
+	out, err := mailer.Ask(ctx, d.box, func(reply mailer.Reply[crashesReply]) message {
+		return crashesRequested{reply: reply}
+	})
+	return out.evidence, out.hasLeader, err
+}
+
 // Demand implements buckthorndyke.DemandSource.
 func (d *Dispatcher) Demand(ctx context.Context, recent bool) (buckthorndyke.DemandReport, error) {
 	return mailer.Ask(ctx, d.box, func(reply mailer.Reply[buckthorndyke.DemandReport]) message {
@@ -85,6 +93,11 @@
 	return d.box.Send(ctx, drainStarted{until: d.clock.Now() + wait})
 }
 
+// HandleCrashEvidence implements buckthorndyke.CrashSource.
+func (d *Dispatcher) HandleCrashEvidence(ctx context.Context, e buckthorndyke.CrashEvidence) error {
+	return d.box.Send(ctx, crashesShared{evidence: e})
+}
+
 // HandleNoLeader implements buckthorndyke.DemandSource.
 func (d *Dispatcher) HandleNoLeader(ctx context.Context) error {
 	return d.box.Send(ctx, leaderUnavailable{})
--- a/supervisor/relayer/dispatcher/fixture_test.go
+++ b/supervisor/relayer/dispatcher/fixture_test.go
@@ -31,7 +31,9 @@
 	lists      *mailer.Feed[buckthorndyke.Backends]
 	pool       *fakePool
 	routings   *mailer.Feed[buckthorndyke.Routing]
-	t          *testing.T
+	// starts holds the incarnations of the servers that have started again.
+	starts map[buckthorndyke.RunnerID]buckthorndyke.Incarnation
+	t      *testing.T
 }
 
 // withFixture runs test with a dispatcher that has a configuration, three servers of a
@@ -43,7 +45,8 @@
 		defer cancel()
 		s := &fixture{
 			clock: timekeeper.NewRealClock(), ctx: ctx, lists: mailer.NewFeed[buckthorndyke.Backends](),
-			pool: newFakePool(ctx), routings: mailer.NewFeed[buckthorndyke.Routing](), t: t,
+			pool: newFakePool(ctx), routings: mailer.NewFeed[buckthorndyke.Routing](),
+			starts: make(map[buckthorndyke.RunnerID]buckthorndyke.Incarnation), t: t,
 		}
 		s.dispatcher = dispatcher.New(s.pool, s.routings, s.lists, s.clock)
 		for _, serve := range []func(context.Context) error{
@@ -125,8 +128,10 @@
 }
 
 type poolState struct {
-	// ended holds the servers that refuse connections.
-	ended     map[buckthorndyke.RunnerID]bool
+	// ended is set while all servers refuse connections.
+	ended bool
+	// next is called with the server of the next attempt.
+	next      func(b buckthorndyke.Backend)
 	responses []scriptedResponse
 	sent      []buckthorndyke.Dispatch
 }
@@ -136,14 +141,18 @@
 }
 
 // Accepts implements buckthorndyke.BackendPool.
-func (p *fakePool) Accepts(_ context.Context, b buckthorndyke.Backend) (bool, error) {
-	return ask(p, func(s *poolState) bool { return !s.ended[b.ID] }), nil
+func (p *fakePool) Accepts(context.Context, buckthorndyke.Backend) (bool, error) {
+	return ask(p, func(s *poolState) bool { return !s.ended }), nil
 }
 
 // Dispatch implements buckthorndyke.BackendPool.
 func (p *fakePool) Dispatch(ctx context.Context, d buckthorndyke.Dispatch) (buckthorndyke.DispatchResponse, error) {
 	next := ask(p, func(s *poolState) scriptedResponse {
 		s.sent = append(s.sent, d)
+		if s.next != nil {
+			s.next(d.Backend)
+			s.next = nil
+		}
 		if len(s.responses) == 0 {
 			return scriptedResponse{body: "well"}
 		}
@@ -171,6 +180,22 @@
 	}, nil
 }
 
+// onNext calls f with the server of the next attempt.
+func (p *fakePool) onNext(f func(b buckthorndyke.Backend)) {
+	ask(p, func(s *poolState) struct{} {
+		s.next = f
+		return struct{}{}
+	})
+}
+
+// setEnded sets whether all servers refuse connections.
+func (p *fakePool) setEnded(ended bool) {
+	ask(p, func(s *poolState) struct{} {
+		s.ended = ended
+		return struct{}{}
+	})
+}
+
 // setResponses sets how the servers handle the next requests.
 func (p *fakePool) setResponses(responses ...scriptedResponse) {
 	ask(p, func(s *poolState) struct{} {
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -52,6 +52,8 @@
 	attempts int
 	// attemptStart is the instant at which the attempt began.
 	attemptStart buckthorndyke.Millis
+	// begun is set once the server of the attempt has begun to answer.
+	begun bool
 	// deadline is the instant by which the request has to be finished.
 	deadline buckthorndyke.Millis
 	// excluded are the servers that the request is not sent to again.
@@ -207,7 +209,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout.Duration())
 	defer cancel()
 	m := attemptEnded{backend: backend, fingerprints: j.fingerprints, key: j.key, load: j.load(), result: r}
-	m.broken = r == resultFailed && j.mayHaveCrashed
+	m.begun, m.broken = j.begun, r == resultFailed && j.mayHaveCrashed
 	if err := j.box.Send(ctx, m); err != nil {
 		j.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
 	}
@@ -221,6 +223,9 @@
 // withRetryAfter returns the refusal in a with the time after which the client should
 // retry: when a server is expected to be available, but early enough before its deadline.
 func (j *job) withRetryAfter(a admission) error {
+	if buckthorndyke.RefusalOf(a.err).Code() == buckthorndyke.CodeQuarantined {
+		return a.err
+	}
 	now := j.clock.Now()
 	left := j.deadline - now
 	wait := left / unexpectedDivisor
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -61,6 +61,8 @@
 	// attemptEnded reports the result of an attempt.
 	attemptEnded struct {
 		backend buckthorndyke.Backend
+		// begun is set if the server has begun to answer.
+		begun bool
 		// broken is set if the connection broke before the server had begun to answer.
 		broken       bool
 		fingerprints []buckthorndyke.Fingerprint
@@ -76,6 +78,22 @@
 		err     error
 	}
 
+	// crashesRequested asks for the evidence of crashes.
+	crashesRequested struct {
+		reply mailer.Reply[crashesReply]
+	}
+
+	// crashesReply is the reply to crashesRequested.
+	crashesReply struct {
+		evidence  buckthorndyke.CrashEvidence
+		hasLeader bool
+	}
+
+	// crashesShared passes on the evidence of another VM.
+	crashesShared struct {
+		evidence buckthorndyke.CrashEvidence
+	}
+
 	// demandRequested asks for the demand since the previous report.
 	demandRequested struct {
 		// recent is set if all recent arrivals are to be reported, also those that were
@@ -113,9 +131,13 @@
 func (m admissionCancelled) apply(t *task) { t.cancelAdmission(m) }
 func (m attemptEnded) apply(t *task)       { t.endAttempt(m) }
 func (m crashChecked) apply(t *task)       { t.handleCrashCheck(m) }
-func (m demandRequested) apply(t *task)    { m.reply.Answer(t.demand(m.recent)) }
-func (m drainStarted) apply(t *task)       { t.drainUntil = m.until }
-func (m leaderReplied) apply(t *task)      { t.applyLeaderReply(m.reply) }
-func (m leaderUnavailable) apply(t *task)  { t.hasLeader = false }
-func (m serverSilent) apply(t *task)       { t.view = t.view.WithSlow(m.server, t.clock.Now()) }
-func (m routingRequested) apply(t *task)   { m.reply.Answer(t.routing) }
+func (m crashesRequested) apply(t *task) {
+	m.reply.Answer(crashesReply{evidence: t.crashes.Since(0, t.clock.Now()), hasLeader: t.hasLeader})
+}
+func (m crashesShared) apply(t *task)     { t.addCrashEvidence(m.evidence) }
+func (m demandRequested) apply(t *task)   { m.reply.Answer(t.demand(m.recent)) }
+func (m drainStarted) apply(t *task)      { t.drainUntil = m.until }
+func (m leaderReplied) apply(t *task)     { t.applyLeaderReply(m.reply) }
+func (m leaderUnavailable) apply(t *task) { t.hasLeader, t.crashSync = false, crashSync{} }
+func (m serverSilent) apply(t *task)      { t.view = t.view.WithSlow(m.server, t.clock.Now()) }
+func (m routingRequested) apply(t *task)  { m.reply.Answer(t.routing) }
--- a/supervisor/relayer/dispatcher/stream.go
+++ b/supervisor/relayer/dispatcher/stream.go
@@ -108,7 +108,7 @@
 		return nil
 	}
 	if !j.stream.responded {
-		j.stream.responded = true
+		j.stream.responded, j.begun = true, true
 		close(j.responded)
 	}
 	if err := j.w.Write(events); err != nil {
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -7,6 +7,7 @@
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/chooser"
+	"github.com/buckthorndyke/buckthorndyke/quarantiner"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/selector"
 )
@@ -45,6 +46,10 @@
 	// crashSigns holds the servers whose connections broke, until it is known whether
 	// they have ended.
 	crashSigns map[buckthorndyke.Lifetime]crashSign
+	// crashes is the evidence of crashes, of this VM and of the others.
+	crashes quarantiner.Evidence
+	// crashSync says what of the evidence this VM and the leader have told each other.
+	crashSync crashSync
 	// drainUntil is the instant after which no request waits, or 0.
 	drainUntil buckthorndyke.Millis
 	// expected holds the instants at which models are going to be loaded, from the
@@ -55,7 +60,9 @@
 	// hasLeader is set while a leader replies to demand reports.
 	hasLeader bool
 	// rates holds the average rates of arrivals.
-	rates   map[buckthorndyke.ModelKey]buckthorndyke.Rate
+	rates map[buckthorndyke.ModelKey]buckthorndyke.Rate
+	// recent holds the fingerprints that were served recently.
+	recent  quarantiner.Recent
 	routing buckthorndyke.Routing
 	runCtx  context.Context
 	running map[buckthorndyke.ModelKey]int
@@ -73,6 +80,7 @@
 		arrivals:   make(map[buckthorndyke.ModelKey]int),
 		budgets:    make(map[buckthorndyke.ServiceID]chooser.Budget),
 		crashSigns: make(map[buckthorndyke.Lifetime]crashSign),
+		crashes:    quarantiner.New(),
 		rates:      make(map[buckthorndyke.ModelKey]buckthorndyke.Rate),
 		runCtx:     ctx,
 		running:    make(map[buckthorndyke.ModelKey]int),
@@ -103,6 +111,9 @@
 
 // admit assigns a server to a request or queues the request.
 func (t *task) admit(m admissionRequested) {
+	if t.refuseQuarantined(m) {
+		return
+	}
 	key := m.query.Key
 	if !m.retry {
 		t.budgets[key.Service] = t.budget(key.Service).WithRequest()
@@ -127,6 +138,7 @@
 func (t *task) applyLeaderReply(reply buckthorndyke.DemandReply) {
 	now := t.clock.Now()
 	t.hasLeader = true
+	t.applyLeaderCrashes(reply)
 	if reply.ReportingVMs > 0 && reply.ReportingVMs != t.fleetSize {
 		t.fleetSize = reply.ReportingVMs
 		for service, b := range t.budgets {
@@ -188,7 +200,10 @@
 		change(key, func(e *buckthorndyke.DemandEntry) { e.Running = n })
 	}
 	now := t.clock.Now()
-	report := buckthorndyke.DemandReport{Attempts: t.view.AttemptCounts(), ServerLoads: t.view.OwnLoads()}
+	report := buckthorndyke.DemandReport{
+		Attempts: t.view.AttemptCounts(), Crashes: t.crashesToReport(recent), CrashesSeen: t.crashSync.seen,
+		ServerLoads: t.view.OwnLoads(),
+	}
 	t.view = t.view.WithoutAttemptCounts()
 	for _, m := range t.waiting {
 		if m.query.Key.Model == "" {
@@ -222,6 +237,9 @@
 		}
 	}
 	t.noteCrashSigns(m)
+	if m.begun {
+		t.noteServed(m.fingerprints)
+	}
 	switch m.result {
 	case resultServed:
 		t.view = t.view.WithSuccess(m.backend.ID)
@@ -271,7 +289,7 @@
 	kept := t.waiting[:0]
 	for _, m := range t.waiting {
 		switch {
-		case t.tryAdmit(m):
+		case t.refuseQuarantined(m), t.tryAdmit(m):
 		case now >= t.waitUntil(m):
 			m.reply.Answer(admission{err: errNoServer, expected: t.expected[m.query.Key]})
 		default:
--- a/supervisor/relayer/loader/loader.go
+++ b/supervisor/relayer/loader/loader.go
@@ -10,6 +10,7 @@
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/quarantiner"
 	"github.com/buckthorndyke/buckthorndyke/stager"
 )
 
@@ -106,7 +107,7 @@
 
 // Serve implements suture.Service.
 func (l *Loader) Serve(ctx context.Context) error {
-	t := &task{Loader: l, view: stager.NewView(l.fullSpeedLoads), runCtx: ctx, polling: make(map[buckthorndyke.RunnerID]bool), repliedAt: make(map[buckthorndyke.VMID]buckthorndyke.Millis)}
+	t := &task{Loader: l, crashes: quarantiner.New(), view: stager.NewView(l.fullSpeedLoads), runCtx: ctx, polling: make(map[buckthorndyke.RunnerID]bool), repliedAt: make(map[buckthorndyke.VMID]buckthorndyke.Millis)}
 	return t.run(ctx)
 }
 
--- a/supervisor/relayer/loader/loader_test.go
+++ b/supervisor/relayer/loader/loader_test.go
@@ -199,6 +199,25 @@
 			asserter.Equal(t, reportAttempts(f, "vm-5", 0, 0).Suspects, []buckthorndyke.RunnerID{"r"})
 		})
 	})
+	t.Run("each VM receives the crashes that the others have reported, once", func(t *testing.T) {
+		withFixture(t, func(f *fixture) {
+			f.startTerm(7)
+			report := func(vm buckthorndyke.VMID, demand buckthorndyke.DemandReport) buckthorndyke.CrashEvidence {
+				reply, err := f.loader.Report(f.ctx, vm, demand)
+				asserter.NoError(t, err)
+				return reply.Crashes
+			}
+			for _, server := range []buckthorndyke.RunnerID{"a", "b", "c"} {
+				report(buckthorndyke.VMID(server), buckthorndyke.DemandReport{Crashes: buckthorndyke.CrashEvidence{Crashes: []buckthorndyke.Crash{{
+					Lifetime: buckthorndyke.Lifetime{Server: server}, Requests: [][]buckthorndyke.Fingerprint{{"f"}},
+				}}}})
+			}
+			got := report("vm-new", buckthorndyke.DemandReport{CrashesSeen: 1000})
+			asserter.Equal(t, len(got.Crashes), 3)
+			asserter.Equal(t, len(got.Quarantines), 1)
+			asserter.True(t, report("vm-new", buckthorndyke.DemandReport{CrashesSeen: got.Version}).Empty(), "the evidence is sent again")
+		})
+	})
 	t.Run("a leader with an expired grant asks some VMs to take part in the election", func(t *testing.T) {
 		withFixture(t, func(f *fixture) {
 			f.startTermFor(7, buckthorndyke.Second)
--- a/supervisor/relayer/loader/replies.go
+++ b/supervisor/relayer/loader/replies.go
@@ -42,6 +42,7 @@
 	t.view = t.view.WithDemand(m.vm, m.demand.Entries, now)
 	t.serverLoads = t.serverLoads.WithReport(m.vm, m.demand.ServerLoads, now)
 	t.assessment = t.assessment.WithAttemptCounts(m.demand.Attempts, now)
+	t.crashes = t.crashes.With(m.demand.Crashes, now)
 	if !t.leads(now) || !m.demand.Waiting || m.first || t.canServe(m.demand.Entries) {
 		t.reply(m, now)
 		return
@@ -51,7 +52,13 @@
 
 // reply replies to a demand report.
 func (t *task) reply(m demandReported, now buckthorndyke.Millis) {
+	crashesSeen := m.demand.CrashesSeen
+	if m.first {
+		// The VM may mean the evidence of another leader.
+		crashesSeen = 0
+	}
 	m.reply.Answer(buckthorndyke.DemandReply{
+		Crashes:            t.crashes.Since(crashesSeen, now),
 		FullSpeedLoads:     t.view.FullSpeedLoads(),
 		Leading:            t.leads(now),
 		List:               buckthorndyke.VersionNoticeOf(t.seenList, now),
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -5,6 +5,7 @@
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/assessor"
+	"github.com/buckthorndyke/buckthorndyke/quarantiner"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/stager"
 )
@@ -45,6 +46,8 @@
 	// changed is set if runners may have loaded more models since the last check of
 	// the held reports.
 	changed bool
+	// crashes is the evidence of crashes of all VMs.
+	crashes quarantiner.Evidence
 	// fencedToken is the highest fencing token of this VM that was refused or given
 	// up.
 	fencedToken int64
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
@@ -18,6 +19,7 @@
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/dispatcher"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/entrance"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/loader"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/sharer"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/teller"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/watcher"
 )
@@ -28,7 +30,8 @@
 
 // Platform holds the external services that the tree uses.
 type Platform struct {
-	Directory buckthorndyke.Directory
+	CrashPeers buckthorndyke.CrashPeers
+	Directory  buckthorndyke.Directory
 	// Election is used only by the campaigner, Observer only by the demander.
 	Election buckthorndyke.Election
 	Leaders  buckthorndyke.LeaderClient
@@ -54,6 +57,8 @@
 	// LeaveLimit is the time within which a leaving server stops getting new requests.
 	LeaveLimit buckthorndyke.Millis
 	RetryBurst int
+	// Seeds are the addresses of some other VMs.
+	Seeds []string
 	// Standby is set if the VM takes the lead only when no other VM does.
 	Standby bool
 }
@@ -100,6 +105,7 @@
 		campaigner.New(platform.Election, s.Grant, losses, terms, clock, logger, campaigner.WithStandby(s.Standby)),
 		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, losses, lists.Seen,
 			demander.ReplyFeeds{FullSpeedLoads: fullSpeedLoads, Lists: lists.Notices, Routings: routings.Notices}, clock, logger),
+		sharer.New(platform.CrashPeers, t.dispatcher, slices.DeleteFunc(slices.Clone(s.Seeds), func(a string) bool { return a == self.PeerAddress }), clock, logger),
 	)
 	t.front = starter.NewBranch("front", s.DrainLimit, logger)
 	return t
@@ -126,7 +132,7 @@
 
 // DirectoryService returns the handler of other entry VMs' calls for this VM's copy of
 // the directory.
-func (t *Tree) DirectoryService() *teller.Service { return teller.NewService(t.teller) }
+func (t *Tree) DirectoryService() *teller.Service { return teller.NewService(t.teller, t.dispatcher) }
 
 // LeaderService returns the handler of the calls to the leader.
 func (t *Tree) LeaderService() *loader.Service { return loader.NewService(t.loader) }
--- a/supervisor/relayer/teller/service.go
+++ b/supervisor/relayer/teller/service.go
@@ -5,18 +5,32 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/translator"
 	"github.com/buckthorndyke/buckthorndyke/wire"
 )
 
 // Service is the handler of other entry VMs' Connect calls.
 type Service struct {
-	teller *Teller
+	crashes buckthorndyke.CrashSource
+	teller  *Teller
 }
 
-// NewService returns a service that passes calls to t.
-func NewService(t *Teller) *Service {
-	return &Service{teller: t}
+// NewService returns a service that passes calls to t and crashes.
+func NewService(t *Teller, crashes buckthorndyke.CrashSource) *Service {
+	return &Service{crashes: crashes, teller: t}
+}
+
+// ShareCrashes implements wireconnect.SiblingServiceHandler.
+func (s *Service) ShareCrashes(ctx context.Context, in *wire.CrashEvidence) (*wire.CrashEvidence, error) {
+	if err := s.crashes.HandleCrashEvidence(ctx, translator.CrashEvidenceFromWire(in)); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	out, _, err := s.crashes.CrashEvidence(ctx)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return translator.CrashEvidenceToWire(out), nil
 }
 
 // Tell implements wireconnect.SiblingServiceHandler.
--- a/supervisor/router/attempt.go
+++ b/supervisor/router/attempt.go
@@ -46,7 +46,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ownership, member, _ := st.owner(runner)
-	suspect := st.suspects.Suspected(g.fingerprint)
+	suspect := st.crashes.Suspected(g.fingerprint)
 	ticket, err := g.peer(member).Ticket(ctx, buckthorndyke.TicketRequest{
 		Caller:      g.request.Caller.ID,
 		Deadline:    g.deadline.remaining(),
@@ -215,7 +215,7 @@
 		_ = a.box.Send(ctx, servedMessage{prefix: prefix, runner: a.runner})
 	}
 	if a.suspect {
-		_ = a.box.Send(ctx, clearedMessage{fingerprint: a.fingerprint})
+		_ = a.box.Send(ctx, clearedMessage{at: a.clock.Now(), fingerprint: a.fingerprint})
 	}
 }
 
--- a/supervisor/router/choose.go
+++ b/supervisor/router/choose.go
@@ -35,7 +35,7 @@
 		if err != nil {
 			return "", st, g.contextRefusal(ctx, last)
 		}
-		if refusal := checkGenerate(st, g.request); refusal != nil {
+		if refusal := checkGenerate(st, g.clock.Now(), g.request); refusal != nil {
 			return "", st, g.withVerdict(refusal)
 		}
 		if st, err = g.ensureSurvey(ctx, st); err != nil {
--- a/supervisor/router/crash.go
+++ b/supervisor/router/crash.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/buckthorndyke/buckthorndyke"
-	"github.com/buckthorndyke/buckthorndyke/chooser"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
 )
 
@@ -22,17 +21,22 @@
 	return status.Incarnation != a.incarnation
 }
 
-// recordCrash counts a crash during the request and returns the resulting failure. At
-// the crash limit the request fails for good and is quarantined.
+// recordCrash records a crash during the request and returns the resulting failure. A
+// request that is quarantined for it fails for good.
 func (a *attempt) recordCrash(ctx context.Context, f *failure) *failure {
-	crashes, err := mailer.Ask(ctx, a.box, func(reply mailer.Reply[int]) message {
-		return crashMessage{alone: a.suspect, fingerprint: a.fingerprint, reply: reply}
+	crash := buckthorndyke.Crash{
+		Alone:    a.suspect,
+		Lifetime: buckthorndyke.Lifetime{Incarnation: a.incarnation, Server: a.runner},
+		Requests: [][]buckthorndyke.Fingerprint{{a.fingerprint}},
+	}
+	result, err := mailer.Ask(ctx, a.box, func(reply mailer.Reply[crashResult]) message {
+		return crashMessage{at: a.clock.Now(), crash: crash, fingerprint: a.fingerprint, reply: reply}
 	})
-	if err != nil || crashes < chooser.CrashLimit {
+	if err != nil || !result.quarantined {
 		return f
 	}
 	_ = a.box.Send(ctx, quarantineMessage{change: buckthorndyke.QuarantineChange{
-		Crashes: crashes, Fingerprint: a.fingerprint, Model: a.request.Model,
+		Crashes: result.crashes, Fingerprint: a.fingerprint, Model: a.request.Model,
 	}})
 	f.kind = failureFinal
 	f.refusal = buckthorndyke.NewRefusal(buckthorndyke.CodeCrashSuspect, buckthorndyke.MayHaveRun,
--- a/supervisor/router/generate.go
+++ b/supervisor/router/generate.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if refusal := checkGenerate(st, req); refusal != nil {
+	if refusal := checkGenerate(st, r.clock.Now(), req); refusal != nil {
 		return nil, refusal
 	}
 	rank := st.update.State.Rules.RankRuleOf(req.Caller.Rank)
@@ -59,14 +59,14 @@
 }
 
 // checkGenerate returns a refusal if no runner may serve the request, or nil.
-func checkGenerate(st routerState, req buckthorndyke.GenerateRequest) *buckthorndyke.RefusalError {
+func checkGenerate(st routerState, now buckthorndyke.Millis, req buckthorndyke.GenerateRequest) *buckthorndyke.RefusalError {
 	state := st.update.State
 	switch {
 	case !state.Rules.Models.Has(req.Model):
 		return refuse(buckthorndyke.CodeModelUnknown, "no rule permits model "+string(req.Model))
 	case !permitted(req.Caller.Models, req.Model):
 		return refuse(buckthorndyke.CodeForbidden, "the caller may not use model "+string(req.Model))
-	case state.Quarantines.Has(fingerprintOf(req)), st.suspects.Stopped(fingerprintOf(req)):
+	case st.quarantined(fingerprintOf(req), now):
 		return refuse(buckthorndyke.CodeQuarantined, "this request has crashed runners and is quarantined")
 	default:
 		return nil
--- a/supervisor/router/messages.go
+++ b/supervisor/router/messages.go
@@ -22,15 +22,25 @@
 type (
 	// clearedMessage reports that a suspect ran to completion, and clears it.
 	clearedMessage struct {
+		at          buckthorndyke.Millis
 		fingerprint buckthorndyke.Fingerprint
 	}
 
-	// crashMessage reports that a runner crashed during a request, and asks for the
-	// number of crashes counted against the request.
+	// crashMessage reports that a runner crashed during a request, and asks what follows
+	// for the request.
 	crashMessage struct {
-		alone       bool
+		at    buckthorndyke.Millis
+		crash buckthorndyke.Crash
+		// fingerprint is that of the request.
 		fingerprint buckthorndyke.Fingerprint
-		reply       mailer.Reply[int]
+		reply       mailer.Reply[crashResult]
+	}
+
+	// crashResult is the number of crashes that count against a request, and whether it
+	// is quarantined.
+	crashResult struct {
+		crashes     int
+		quarantined bool
 	}
 
 	// faultMessage reports that a runner or its owner failed.
@@ -76,13 +86,13 @@
 )
 
 func (m clearedMessage) apply(st routerState) routerState {
-	st.suspects = st.suspects.Without(m.fingerprint)
+	st.crashes = st.crashes.WithServed(m.fingerprint, m.at)
 	return st
 }
 
 func (m crashMessage) apply(st routerState) routerState {
-	st.suspects = st.suspects.WithCrash(m.fingerprint, m.alone)
-	m.reply.Answer(st.suspects.Crashes(m.fingerprint))
+	st.crashes = st.crashes.WithCrash(m.crash, m.at)
+	m.reply.Answer(crashResult{crashes: st.crashes.Crashes(m.fingerprint), quarantined: st.quarantined(m.fingerprint, m.at)})
 	return st
 }
 
--- a/supervisor/router/routerstate.go
+++ b/supervisor/router/routerstate.go
@@ -5,6 +5,7 @@
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/chooser"
+	"github.com/buckthorndyke/buckthorndyke/quarantiner"
 )
 
 // faultPenaltyTime is how long a runner or backend server is tried only after the
@@ -16,6 +17,8 @@
 type routerState struct {
 	affinity chooser.Affinity
 	budget   chooser.Budget
+	// crashes holds the runner crashes and the requests that may have caused them.
+	crashes quarantiner.Evidence
 	// incarnations holds the last known incarnation of each runner's engine.
 	incarnations buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Incarnation]
 	// outstanding counts the calls in progress at each backend server.
@@ -29,7 +32,6 @@
 	serverFaults buckthorndyke.Table[buckthorndyke.VMID, buckthorndyke.Millis]
 	// surveyedAt holds when the runners of a model were last asked for their status.
 	surveyedAt buckthorndyke.Table[buckthorndyke.ModelID, buckthorndyke.Millis]
-	suspects   chooser.Suspects
 	// tiers holds the checkpoints that each runner has in memory or on disk.
 	tiers  buckthorndyke.Table[buckthorndyke.RunnerID, map[buckthorndyke.ModelID]buckthorndyke.Tier]
 	update buckthorndyke.StateUpdate
@@ -38,7 +40,8 @@
 
 // newRouterState returns the state of a new process.
 func newRouterState() routerState {
-	return routerState{budget: chooser.NewBudget()}
+	// A suspect runs alone, so that only its completion after a crash clears it.
+	return routerState{budget: chooser.NewBudget(), crashes: quarantiner.New(quarantiner.WithServedWindow(0))}
 }
 
 // candidates describes the runners that may serve r.
@@ -122,3 +125,9 @@
 	st.update = u
 	return st
 }
+
+// quarantined reports whether a request is refused at now because it crashes runners.
+func (st routerState) quarantined(f buckthorndyke.Fingerprint, now buckthorndyke.Millis) bool {
+	_, quarantined := st.crashes.Quarantined([]buckthorndyke.Fingerprint{f}, now)
+	return quarantined || st.update.State.Quarantines.Has(f)
+}
--- a/translator/demand.go
+++ b/translator/demand.go
@@ -8,6 +8,7 @@
 // DemandReplyFromWire returns the leader's reply in m.
 func DemandReplyFromWire(m *wire.DemandResponse) buckthorndyke.DemandReply {
 	out := buckthorndyke.DemandReply{
+		Crashes:            CrashEvidenceFromWire(m.Crashes),
 		FullSpeedLoads:     int(m.AtOnce),
 		Leading:            m.Leading,
 		List:               versionNoticeFromWire(m.List),
@@ -41,6 +42,7 @@
 		AskRecent:  r.WantRecentArrivals,
 		AtOnce:     int32(r.FullSpeedLoads),
 		Contest:    r.ShouldCampaign,
+		Crashes:    CrashEvidenceToWire(r.Crashes),
 		Fleet:      int32(r.ReportingVMs),
 		Leading:    r.Leading,
 		List:       versionNoticeToWire(r.List),
@@ -64,7 +66,10 @@
 
 // DemandReportFromWire returns the report in m.
 func DemandReportFromWire(m *wire.DemandRequest) buckthorndyke.DemandReport {
-	out := buckthorndyke.DemandReport{ListVersionTag: m.ListMark, ServerLoads: serverLoadsFromWire(m.Loads)}
+	out := buckthorndyke.DemandReport{
+		Crashes: CrashEvidenceFromWire(m.Crashes), CrashesSeen: m.CrashesSeen, ListVersionTag: m.ListMark,
+		ServerLoads: serverLoadsFromWire(m.Loads),
+	}
 	for _, a := range m.Evidence {
 		out.Attempts = append(out.Attempts, buckthorndyke.AttemptCounts{
 			Failed: int(a.Failed), Served: int(a.Served), Server: buckthorndyke.RunnerID(a.Server),
@@ -85,7 +90,10 @@
 
 // DemandReportToWire returns the message that carries the report r of vm.
 func DemandReportToWire(vm buckthorndyke.VMID, r buckthorndyke.DemandReport) *wire.DemandRequest {
-	out := &wire.DemandRequest{ListMark: r.ListVersionTag, Loads: serverLoadsToWire(r.ServerLoads), Vm: string(vm)}
+	out := &wire.DemandRequest{
+		Crashes: CrashEvidenceToWire(r.Crashes), CrashesSeen: r.CrashesSeen, ListMark: r.ListVersionTag,
+		Loads: serverLoadsToWire(r.ServerLoads), Vm: string(vm),
+	}
 	for _, a := range r.Attempts {
 		out.Evidence = append(out.Evidence, &wire.Evidence{
 			Failed: int32(a.Failed), Served: int32(a.Served), Server: string(a.Server),
--- a/wire/wireconnect/demand.connect.go
+++ b/wire/wireconnect/demand.connect.go
@@ -41,6 +41,9 @@
 	LeaderServiceYieldProcedure = "/buckthorndyke.wire.LeaderService/Yield"
 	// SiblingServiceTellProcedure is the fully-qualified name of the SiblingService's Tell RPC.
 	SiblingServiceTellProcedure = "/buckthorndyke.wire.SiblingService/Tell"
+	// SiblingServiceShareCrashesProcedure is the fully-qualified name of the SiblingService's
+	// ShareCrashes RPC.
+	SiblingServiceShareCrashesProcedure = "/buckthorndyke.wire.SiblingService/ShareCrashes"
 )
 
 // LeaderServiceClient is a client for the buckthorndyke.wire.LeaderService service.
@@ -160,6 +163,8 @@
 	// Tell returns the VM's copy of the server list and of the configuration. It fails
 	// with the code unavailable if the VM has not read them yet.
 	Tell(context.Context, *wire.TellRequest) (*wire.TellResponse, error)
+	// ShareCrashes takes the caller's evidence of crashes and returns the VM's own.
+	ShareCrashes(context.Context, *wire.CrashEvidence) (*wire.CrashEvidence, error)
 }
 
 // NewSiblingServiceClient constructs a client for the buckthorndyke.wire.SiblingService service. By
@@ -179,12 +184,19 @@
 			connect.WithSchema(siblingServiceMethods.ByName("Tell")),
 			connect.WithClientOptions(opts...),
 		),
+		shareCrashes: connect.NewClient[wire.CrashEvidence, wire.CrashEvidence](
+			httpClient,
+			baseURL+SiblingServiceShareCrashesProcedure,
+			connect.WithSchema(siblingServiceMethods.ByName("ShareCrashes")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // siblingServiceClient implements SiblingServiceClient.
 type siblingServiceClient struct {
-	tell *connect.Client[wire.TellRequest, wire.TellResponse]
+	tell         *connect.Client[wire.TellRequest, wire.TellResponse]
+	shareCrashes *connect.Client[wire.CrashEvidence, wire.CrashEvidence]
 }
 
 // Tell calls buckthorndyke.wire.SiblingService.Tell.
@@ -196,11 +208,22 @@
 	return nil, err
 }
 
+// ShareCrashes calls buckthorndyke.wire.SiblingService.ShareCrashes.
+func (c *siblingServiceClient) ShareCrashes(ctx context.Context, req *wire.CrashEvidence) (*wire.CrashEvidence, error) {
+	response, err := c.shareCrashes.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // SiblingServiceHandler is an implementation of the buckthorndyke.wire.SiblingService service.
 type SiblingServiceHandler interface {
 	// Tell returns the VM's copy of the server list and of the configuration. It fails
 	// with the code unavailable if the VM has not read them yet.
 	Tell(context.Context, *wire.TellRequest) (*wire.TellResponse, error)
+	// ShareCrashes takes the caller's evidence of crashes and returns the VM's own.
+	ShareCrashes(context.Context, *wire.CrashEvidence) (*wire.CrashEvidence, error)
 }
 
 // NewSiblingServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -216,10 +239,18 @@
 		connect.WithSchema(siblingServiceMethods.ByName("Tell")),
 		connect.WithHandlerOptions(opts...),
 	)
+	siblingServiceShareCrashesHandler := connect.NewUnaryHandlerSimple(
+		SiblingServiceShareCrashesProcedure,
+		svc.ShareCrashes,
+		connect.WithSchema(siblingServiceMethods.ByName("ShareCrashes")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/buckthorndyke.wire.SiblingService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case SiblingServiceTellProcedure:
 			siblingServiceTellHandler.ServeHTTP(w, r)
+		case SiblingServiceShareCrashesProcedure:
+			siblingServiceShareCrashesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -232,3 +263,7 @@
 func (UnimplementedSiblingServiceHandler) Tell(context.Context, *wire.TellRequest) (*wire.TellResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthorndyke.wire.SiblingService.Tell is not implemented"))
 }
+
+func (UnimplementedSiblingServiceHandler) ShareCrashes(context.Context, *wire.CrashEvidence) (*wire.CrashEvidence, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthorndyke.wire.SiblingService.ShareCrashes is not implemented"))
+}
