fix(keeper): quarantines outlast the end of all VMs at once

Cause: the evidence of crashes was in the memory of the VMs alone.

Change: the leader keeps one record for each quarantine in a keyed topic of the store and removes it when the quarantine ends; a VM reads the topic once when it starts, a leader once a term. A record has the time left, no instant, since the clocks of VMs differ. While the store is away a VM that starts gets the quarantines from its seeds, as before.

TestCrashingRequest stops all VMs at once, too.

--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -66,10 +66,11 @@
 		CrashPeers: peers,
 		Directory: bootstrapper.NewDirectory(
 			recorder.NewDirectory(platform.NewDirectory(store, clock), metrics, clock), peers, s.Seeds, logger),
-		Election: platform.NewElection(store, self, grantTime, clock),
-		Leaders:  connector.NewConnectLeaderClient(s.Peers.Key.Text),
-		Observer: platform.NewElection(store, self, grantTime, clock),
-		Pool:     recorder.NewBackendPool(pool, metrics, clock),
+		Election:    platform.NewElection(store, self, grantTime, clock),
+		Leaders:     connector.NewConnectLeaderClient(s.Peers.Key.Text),
+		Observer:    platform.NewElection(store, self, grantTime, clock),
+		Pool:        recorder.NewBackendPool(pool, metrics, clock),
+		Quarantines: platform.NewQuarantines(store),
 	}
 	tree := relayer.New(self, platformClients, relayer.Settings{
 		FullSpeedLoads:     s.FullSpeedLoads,
--- a/crash.go
+++ b/crash.go
@@ -65,6 +65,16 @@
 	ShareCrashes(ctx context.Context, address string, e CrashEvidence) (CrashEvidence, error)
 }
 
+// QuarantineStore keeps the quarantines beyond the life of all VMs.
+type QuarantineStore interface {
+	// Drop removes a quarantine.
+	Drop(ctx context.Context, f Fingerprint) error
+	// Load returns the quarantines, each with the time that was left when it was put.
+	Load(ctx context.Context) ([]QuarantineNotice, error)
+	// Put adds a quarantine.
+	Put(ctx context.Context, n QuarantineNotice) error
+}
+
 // CrashSource supplies this VM's evidence of crashes and takes that of others.
 type CrashSource interface {
 	// CrashEvidence returns all evidence of this VM, and whether a leader passes it on
--- a/endtoend/crash_test.go
+++ b/endtoend/crash_test.go
@@ -67,6 +67,25 @@
 		asserter.NoError(t, s.store.SetFaults(s.ctx, imitator.StoreFaults{}))
 		s.assertServed(sound)
 	})
+	t.Run("all VMs refuse it after they have ended at once", func(t *testing.T) {
+		s.t = t
+		asserter.Eventually(t, waitLimit, func() bool {
+			data, err := s.store.Values(s.ctx, "keyed.quarantines")
+			return err == nil && len(data) > 0
+		})
+		for _, p := range s.processes {
+			p.Kill()
+		}
+		for vm := range relayVMs {
+			s.startVM(vm)
+		}
+		s.assertServed(sound)
+		before := s.executions(servers)
+		for vm := range relayVMs {
+			asserter.Equal(t, s.send(vm, fatal).Status, http.StatusServiceUnavailable)
+		}
+		asserter.Equal(t, s.executions(servers), before)
+	})
 }
 
 // assertServed checks that each VM serves a request.
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -18,6 +18,7 @@
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/demander"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/dispatcher"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/entrance"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/keeper"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/loader"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/sharer"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/teller"
@@ -37,6 +38,8 @@
 	Leaders  buckthorndyke.LeaderClient
 	Observer buckthorndyke.Election
 	Pool     buckthorndyke.BackendPool
+	// Quarantines keeps the quarantines.
+	Quarantines buckthorndyke.QuarantineStore
 }
 
 // Settings are the tree's limits.
@@ -105,6 +108,7 @@
 		campaigner.New(platform.Election, s.Grant, losses, terms, clock, logger, campaigner.WithStandby(s.Standby)),
 		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, losses, lists.Seen,
 			demander.ReplyFeeds{FullSpeedLoads: fullSpeedLoads, Lists: lists.Notices, Routings: routings.Notices}, clock, logger),
+		keeper.New(platform.Quarantines, t.dispatcher, terms, clock, logger),
 		sharer.New(platform.CrashPeers, t.dispatcher, slices.DeleteFunc(slices.Clone(s.Seeds), func(a string) bool { return a == self.PeerAddress }), clock, logger),
 	)
 	t.front = starter.NewBranch("front", s.DrainLimit, logger)
