--- a/endtoend/crash_test.go
+++ b/endtoend/crash_test.go
@@ -127,3 +127,37 @@
 	reached := s.executions(servers)
 	asserter.True(s.t, reached <= crashLimit+crashGrace, fmt.Sprintf("%d requests that end servers have reached one", reached))
 }
+
+// TestCrashingPromptPart guards against requests that end one server after the other
+// because of a part of their prompts, while no two of them are alike, and against the
+// refusal of requests that share only other parts with them.
+func TestCrashingPromptPart(t *testing.T) {
+	s := startRelayFixture(t)
+	var servers []*imitator.Server
+	for i := range crashServers {
+		servers = append(servers, s.startServer(fmt.Sprintf("brittle-%d", i), "brittle", imitator.WithCrashOn("dead")))
+	}
+	fatal := func(n int) imitator.Request {
+		return imitator.Request{
+			Body: fmt.Sprintf("request %d", n), Prompt: fmt.Sprintf("a1:96,b2:130,dead:165,c%d:300", n), Target: fmt.Sprintf("/brittle/%d", n),
+		}
+	}
+	t.Run("they reach few servers after three crashes", func(t *testing.T) {
+		s.t = t
+		s.sendFatal(servers, fatal)
+	})
+	t.Run("no VM sends one any more, and each refuses it at once as not run", func(t *testing.T) {
+		s.t = t
+		before := s.executions(servers)
+		for vm := range relayVMs {
+			asserter.Equal(t, s.send(vm, fatal(100+vm)).Status, http.StatusServiceUnavailable)
+		}
+		asserter.Equal(t, s.executions(servers), before)
+	})
+	t.Run("requests with the other parts are served, in any order and combination", func(t *testing.T) {
+		s.t = t
+		for _, prompt := range []string{"a1:96,b2:130,c1:300", "a1:96,c0:300", "b2:130,c3:1", "a1:96,b2:130,d3:165,c2:300"} {
+			s.assertServed(imitator.Request{Body: "request", Prompt: prompt, Target: "/brittle/sound"})
+		}
+	})
+}
--- a/supervisor/relayer/dispatcher/stream.go
+++ b/supervisor/relayer/dispatcher/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,6 +18,8 @@
 	maxResponseBytes = 16 << 20
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
+	// maxLoggedParts bounds the parts of a prompt in a line.
+	maxLoggedParts = 16
 	// readBytes is the size of one read from a stream.
 	readBytes = 8 << 10
 )
@@ -124,7 +127,7 @@
 func (d *Dispatcher) log(r buckthorndyke.RelayRequest, j *job, err error) {
 	event := d.logger.Info().EmbedObject(reporter.EventRequestServed)
 	if err != nil {
-		event = d.logger.Info().EmbedObject(reporter.EventRequestFailed).Err(err).
+		event = d.logger.Info().EmbedObject(reporter.EventRequestFailed).Err(err).Str("parts", sharedParts(r)).
 			Str("verdict", buckthorndyke.VerdictOf(err).String()).Str("code", string(buckthorndyke.RefusalOf(err).Code()))
 	}
 	event.Str("request", string(r.ID)).Str("fingerprint", j.fingerprint()).Str("route", j.route.Name).Str("service", string(j.key.Service)).
@@ -140,6 +143,19 @@
 	return string(j.fingerprints[len(j.fingerprints)-1])
 }
 
+// sharedParts returns the ids of the parts of the prompt that other requests may share,
+// for the log.
+func sharedParts(r buckthorndyke.RelayRequest) string {
+	var ids []string
+	for _, part := range r.Prompt[:max(len(r.Prompt)-1, 0)] {
+		if len(ids) == maxLoggedParts {
+			break
+		}
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, " ")
+}
+
 // noteAttempt adds the description of an attempt to the trail.
 func (j *job) noteAttempt(backend buckthorndyke.Backend, format string, args ...any) {
 	at := j.clock.Now() - j.request.Arrived
