fix(dispatcher): a part of prompts that ends one server after the other is refused by all VMs

Cause: the evidence of crashes was kept for the whole content of requests, of which no two were alike. What recurred was a part of their prompts.

--- a/quarantiner/evidence_test.go
+++ b/quarantiner/evidence_test.go
@@ -101,6 +101,46 @@
 	})
 }
 
+// TestParts guards against requests of which no two are alike and that crash servers
+// because of a part that they share, and against the refusal of what shares other parts.
+func TestParts(t *testing.T) {
+	crashWith := func(n int, parts ...buckthorndyke.Fingerprint) buckthorndyke.Crash {
+		return crashOf(n, append(req(parts...), buckthorndyke.Fingerprint("content-"+strconv.Itoa(n))))
+	}
+	t.Run("the most specific part of all crashes is quarantined", func(t *testing.T) {
+		e := quarantiner.New()
+		for n := range 3 {
+			e = e.WithCrash(crashWith(n, "system", "caller", fatal), 0)
+		}
+		assertQuarantined(t, e, 0, true, "system", "caller", fatal, "content-new")
+		assertQuarantined(t, e, 0, false, "system", "caller", "session", "content-0")
+	})
+	t.Run("a part is quarantined whatever stands beside it", func(t *testing.T) {
+		e := quarantiner.New().WithCrash(crashWith(0, "a", fatal, "b"), 0).WithCrash(crashWith(1, fatal), 0).
+			WithCrash(crashWith(2, "c", "d", fatal), 0)
+		assertQuarantined(t, e, 0, true, "x", fatal, "y")
+		assertQuarantined(t, e, 0, false, "a", "b", "c", "d")
+	})
+	t.Run("parts that are answered elsewhere are not quarantined", func(t *testing.T) {
+		e := quarantiner.New()
+		for n := range 9 {
+			e = e.WithCrash(crashWith(n, "system", "caller", buckthorndyke.Fingerprint("own-"+strconv.Itoa(n))), 0).WithServed("system", 1).WithServed("caller", 1)
+		}
+		assertQuarantined(t, e, 1, false, "system", "caller")
+	})
+	t.Run("a part that goes on crashing beside a quarantined one is quarantined as well", func(t *testing.T) {
+		e := quarantiner.New()
+		for n := range 3 {
+			e = e.WithCrash(crashWith(n, fatal, "session"), 0)
+		}
+		assertQuarantined(t, e, 0, false, fatal, "other")
+		for n := range 3 {
+			e = e.WithCrash(crashWith(3+n, fatal), 0)
+		}
+		assertQuarantined(t, e, 0, true, fatal, "other")
+	})
+}
+
 func TestSuspects(t *testing.T) {
 	one, two := crashOf(1, req(sound)), crashOf(2, req(sound))
 	e := quarantiner.New(quarantiner.WithServedWindow(0))
--- a/relay.go
+++ b/relay.go
@@ -72,6 +72,18 @@
 	return Fingerprint(strconv.FormatUint(d.Sum64(), 16))
 }
 
+// Fingerprints returns the fingerprints of what the request holds, the most specific one
+// last: of each part of its prompt but the last, which belongs to the request, and of its
+// content.
+func (r RelayRequest) Fingerprints() []Fingerprint {
+	shared := r.Prompt[:max(len(r.Prompt)-1, 0)]
+	out := make([]Fingerprint, 0, len(shared)+1)
+	for _, part := range shared {
+		out = append(out, Fingerprint("part-"+strconv.FormatUint(xxhash.Sum64String(part.ID), 16)))
+	}
+	return append(out, r.Fingerprint())
+}
+
 // RelayWriter receives the response to a relayed request. Its methods are called by
 // one goroutine only.
 type RelayWriter interface {
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -107,7 +107,7 @@
 	if s, ok := routing.Services.Get(service); ok && s.Engine != nil {
 		j.key.Model, j.key.Adapter = r.Model, r.Adapter
 	}
-	j.fingerprints = []buckthorndyke.Fingerprint{r.Fingerprint()}
+	j.fingerprints = r.Fingerprints()
 	j.deadline = r.Arrived + shortest(r.Deadline, route.Timeout)
 	return j, nil
 }
