fix(dispatcher): a stream that ends inside an event counts as broken off

Seen by clients: a stream with neither a length nor chunks ends when its server closes the connection. If that happened inside an event, the event's beginning was passed on and the response ended like a complete one; with no event at all the client got a complete empty stream.

Cause: at the end of a body the rest was passed on whatever it was, since a body with a length or chunks tells by itself that it is truncated.

Fix: a rest that is no whole event, or an end before the first event, is a truncated stream: it is resumed at another server if the route allows that, or the client sees that it is truncated. A stream that is resumed after its last event may be empty.

The stand-in's streams in dispatcher's tests are events now.

--- a/supervisor/relayer/dispatcher/dispatcher_test.go
+++ b/supervisor/relayer/dispatcher/dispatcher_test.go
@@ -150,6 +150,36 @@
 			asserter.Equal(t, s.pool.sent()[1].Request.LastEventID, "2")
 		})
 	})
+	t.Run("a stream that ends inside an event is resumed, or fails", func(t *testing.T) {
+		withFixture(t, func(s *fixture) {
+			s.list(runner("r1", hall), runner("r2", hall))
+			s.pool.setResponses(scriptedResponse{body: whole + "id: 3\nda"}, scriptedResponse{body: "id: 3\ndata: c\n\n"})
+			got, err := s.relay(streamRequest("/resumable/x", hall))
+			asserter.NoError(t, err)
+			asserter.Equal(t, got.body, whole+"id: 3\ndata: c\n\n")
+			s.pool.setResponses(scriptedResponse{body: whole + "id: 3\ndata: c\n"})
+			got, err = s.relay(streamRequest("/stream/x", hall))
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Equal(t, got.body, whole)
+		})
+	})
+	t.Run("a stream that ends before its first event fails", func(t *testing.T) {
+		withFixture(t, func(s *fixture) {
+			s.pool.setResponses(scriptedResponse{})
+			got, err := s.relay(streamRequest("/stream/x", hall))
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Equal(t, got.status, 0)
+		})
+	})
+	t.Run("a stream that is resumed after its last event is complete", func(t *testing.T) {
+		withFixture(t, func(s *fixture) {
+			s.list(runner("r1", hall), runner("r2", hall))
+			s.pool.setResponses(scriptedResponse{body: whole, broken: true}, scriptedResponse{})
+			got, err := s.relay(streamRequest("/resumable/x", hall))
+			asserter.NoError(t, err)
+			asserter.Equal(t, got.body, whole)
+		})
+	})
 	t.Run("a disconnect of the client ends the attempt", func(t *testing.T) {
 		withFixture(t, func(s *fixture) {
 			s.pool.setResponses(scriptedResponse{hang: true})
@@ -256,7 +286,7 @@
 			s.pool.setResponses(scriptedResponse{notRun: true, status: http.StatusMisdirectedRequest})
 			got, err := s.relay(streamRequest("/stream/x", hall))
 			asserter.NoError(t, err)
-			asserter.Equal(t, got.body, "well")
+			asserter.Equal(t, got.body, "data: well\n\n")
 			assertDistinct(t, s.pool.sent(), 2)
 		})
 	})
@@ -268,7 +298,7 @@
 			began := s.clock.Now()
 			got, err := s.relay(streamRequest("/stream/x", hall))
 			asserter.NoError(t, err)
-			asserter.Equal(t, got.body, "well")
+			asserter.Equal(t, got.body, "data: well\n\n")
 			asserter.Equal(t, s.clock.Now()-began, 360)
 		})
 	})
--- a/supervisor/relayer/dispatcher/fixture_test.go
+++ b/supervisor/relayer/dispatcher/fixture_test.go
@@ -153,7 +153,11 @@
 			s.next(d.Backend)
 			s.next = nil
 		}
-		if len(s.responses) == 0 {
+		switch {
+		case len(s.responses) > 0:
+		case d.Request.Model != "":
+			return scriptedResponse{body: "data: well\n\n"}
+		default:
 			return scriptedResponse{body: "well"}
 		}
 		first := s.responses[0]
--- a/supervisor/relayer/dispatcher/stream.go
+++ b/supervisor/relayer/dispatcher/stream.go
@@ -79,18 +79,16 @@
 			whole = 0
 		}
 		if ended {
-			whole = len(pending)
+			err = j.checkStreamEnd(pending[whole:], whole > 0)
 		}
-		if whole > 0 || ended {
+		if whole > 0 || ended && err == nil {
 			if failed := j.writeEvents(a, pending[:whole]); failed != nil {
 				return failed
 			}
 			pending = append(pending[:0], pending[whole:]...)
 		}
 		switch {
-		case ended:
-			return nil
-		case err != nil:
+		case ended || err != nil:
 			return err
 		case len(pending) > maxEventBytes:
 			return errors.New("an event exceeds the size limit")
@@ -98,6 +96,20 @@
 	}
 }
 
+// checkStreamEnd returns an error if a stream that has ended was broken off: inside an
+// event, of which rest is the beginning, or before its first one. A response without a
+// length ends like this if its server does.
+func (j *job) checkStreamEnd(rest []byte, hasEvents bool) error {
+	switch {
+	case len(rest) > 0:
+		return errors.New("the stream ended inside an event")
+	case !hasEvents && !j.stream.responded && j.stream.lastEventID == "":
+		return errors.New("the stream ended before its first event")
+	default:
+		return nil
+	}
+}
+
 // writeEvents writes whole events to the client.
 func (j *job) writeEvents(a buckthorndyke.DispatchResponse, events []byte) error {
 	if !j.stream.headerSent {
