fix(platform,dispatcher): bytes without end from a server are bounded

An event without end that comes in small pieces was searched again from its start at each piece (90 s of processor time for the 1 MiB that is allowed).

Only new bytes are searched for the end of an event. A response that is not a stream is held up to 4 MiB, not 16: several at once have to fit into a VM's 284 MB.

--- a/supervisor/relayer/dispatcher/dispatcher_test.go
+++ b/supervisor/relayer/dispatcher/dispatcher_test.go
@@ -163,6 +163,16 @@
 			asserter.Equal(t, got.body, whole)
 		})
 	})
+	t.Run("an event or a response without end fails", func(t *testing.T) {
+		withFixture(t, func(s *fixture) {
+			s.pool.setResponses(scriptedResponse{body: "data: more", endless: true}, scriptedResponse{body: "more", endless: true})
+			for _, r := range []buckthorndyke.RelayRequest{streamRequest("/stream/x", hall), request("/unsafe/x")} {
+				got, err := s.relay(r)
+				asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
+				asserter.Equal(t, got.status, 0)
+			}
+		})
+	})
 	t.Run("a stream that ends before its first event fails", func(t *testing.T) {
 		withFixture(t, func(s *fixture) {
 			s.pool.setResponses(scriptedResponse{})
--- a/supervisor/relayer/dispatcher/fixture_test.go
+++ b/supervisor/relayer/dispatcher/fixture_test.go
@@ -110,8 +110,10 @@
 // scriptedResponse is how a server handles a request.
 type scriptedResponse struct {
 	// body is the body of the response. If broken is set the connection breaks after it.
-	body     string
-	broken   bool
+	body   string
+	broken bool
+	// endless is set if the body repeats without end.
+	endless  bool
 	err      error
 	hang     bool
 	notRun   bool
@@ -172,6 +174,9 @@
 		return buckthorndyke.DispatchResponse{}, next.err
 	}
 	var body io.Reader = strings.NewReader(next.body)
+	if next.endless {
+		body = endlessReader(next.body)
+	}
 	if next.broken {
 		body = io.MultiReader(body, &brokenReader{})
 	}
@@ -234,6 +239,12 @@
 	return r
 }
 
+// endlessReader is a body that repeats without end.
+type endlessReader string
+
+// Read implements io.Reader.
+func (r endlessReader) Read(p []byte) (int, error) { return copy(p, r), nil }
+
 // brokenReader is the body of a response whose connection was reset.
 type brokenReader struct{}
 
--- a/supervisor/relayer/dispatcher/stream.go
+++ b/supervisor/relayer/dispatcher/stream.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// maxResponseBytes bounds a response that is not a stream.
-	maxResponseBytes = 16 << 20
+	// maxResponseBytes bounds a response that is not a stream. It is held in memory
+	// until it is complete.
+	maxResponseBytes = 4 << 20
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
 	// maxLoggedParts bounds the parts of a prompt in a line.
@@ -72,11 +73,13 @@
 	buffer := make([]byte, readBytes)
 	for {
 		n, err := a.Body.Read(buffer)
+		// Only the new bytes can end an event, together with the last one before them.
+		from := max(len(pending)-len(eventEnd)+1, 0)
 		pending = append(pending, buffer[:n]...)
 		ended := errors.Is(err, io.EOF)
-		whole := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
-		if whole < len(eventEnd) {
-			whole = 0
+		whole := 0
+		if i := bytes.LastIndex(pending[from:], eventEnd); i >= 0 {
+			whole = from + i + len(eventEnd)
 		}
 		if ended {
 			err = j.checkStreamEnd(pending[whole:], whole > 0)
