feat(dispatcher): a server that says in a response that it is leaving gets no more requests

Before, only the list counted, which lags, cannot be read at times, and may say serving again.

The VM sends nothing more to that lifetime of the server; the list does not take it back, a new lifetime under the same id does. The leader's planner uses the word in reports, and no longer forgets that a runner leaves. Up to 1024 servers are remembered; a new line, server-leaving, names each.

--- a/relay.go
+++ b/relay.go
@@ -117,6 +117,8 @@
 	// Body must be closed. Reading it fails if it is truncated.
 	Body   io.ReadCloser
 	Header http.Header
+	// Leaving is set if the server says that it is shutting down.
+	Leaving bool
 	// NotRun is set if the server reports that it has not run the request.
 	NotRun bool
 	// Signed is set if the response carries the server's signature.
--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -39,6 +39,7 @@
 	EventRulesUnknown    Event = "rules-unknown"
 	EventServerCrashed   Event = "server-crashed"
 	EventServerGone      Event = "server-gone"
+	EventServerLeaving   Event = "server-leaving"
 	EventServerListed    Event = "server-listed"
 	EventServerSilent    Event = "server-silent"
 	// EventServerSuspected reports that connections to a server broke and that it is not
--- a/selector/choose.go
+++ b/selector/choose.go
@@ -117,7 +117,7 @@
 func (v View) candidates(q Query) []candidate {
 	var byHealth [healthLevels][]candidate
 	for id, listed := range v.list.Servers.All() {
-		if listed.Service != q.Key.Service || listed.Leaving || slices.Contains(q.Excluded, id) || !v.holds(listed, q) {
+		if listed.Service != q.Key.Service || v.Leaves(listed) || slices.Contains(q.Excluded, id) || !v.holds(listed, q) {
 			continue
 		}
 		c := candidate{backend: listed, draw: float64(hashOf(id, q.Seed)), units: v.loadUnits(listed, q.Domain)}
--- a/selector/view.go
+++ b/selector/view.go
@@ -22,6 +22,8 @@
 	slowTTL = buckthorndyke.Second
 	// suspectsTTL is how long the leader's list of failing servers is valid.
 	suspectsTTL = 2500 * buckthorndyke.Millisecond
+	// maxLeaving bounds the servers that are remembered as shutting down.
+	maxLeaving = 1024
 	// missingTTL is how long a model counts as not loaded on a runner that has
 	// reported so, unless the list or the leader updates it earlier.
 	missingTTL = 1500 * buckthorndyke.Millisecond
@@ -43,7 +45,10 @@
 	// fullUntil holds the runners that have refused a request because their batch was
 	// full, and until when they get no other.
 	fullUntil buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Millis]
-	list      buckthorndyke.Backends
+	// leaving holds the servers that have said that they are shutting down, by the
+	// incarnation that has said so.
+	leaving buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Incarnation]
+	list    buckthorndyke.Backends
 	// missingUntil holds the models and adapters that a runner has reported as not
 	// loaded, and until when that is assumed.
 	missingUntil buckthorndyke.Table[string, buckthorndyke.Millis]
@@ -125,6 +130,11 @@
 // WithBackends returns a view with another list of servers.
 func (v View) WithBackends(list buckthorndyke.Backends) View {
 	v.list = list
+	for id, incarnation := range v.leaving.All() {
+		if listed, ok := list.Servers.Get(id); ok && listed.Incarnation != incarnation {
+			v.leaving = v.leaving.Without(id)
+		}
+	}
 	for id := range v.backoffs.All() {
 		if !list.Servers.Has(id) {
 			v.backoffs = v.backoffs.Without(id)
@@ -157,6 +167,30 @@
 	return v
 }
 
+// WithLeaving returns a view in which a server has said that it is shutting down. No list
+// changes that for the same incarnation: the list lags behind the server.
+func (v View) WithLeaving(l buckthorndyke.Lifetime) View {
+	for id := range v.leaving.All() {
+		if v.leaving.Len() < maxLeaving {
+			break
+		}
+		if !v.list.Servers.Has(id) {
+			v.leaving = v.leaving.Without(id)
+		}
+	}
+	if v.leaving.Len() < maxLeaving {
+		v.leaving = v.leaving.With(l.Server, l.Incarnation)
+	}
+	return v
+}
+
+// Leaves reports whether a listed server is shutting down, by the list or by its own
+// word.
+func (v View) Leaves(listed buckthorndyke.Backend) bool {
+	incarnation, ok := v.leaving.Get(listed.ID)
+	return listed.Leaving || ok && incarnation == listed.Incarnation
+}
+
 // WithLoad returns a view in which the VM's load at a server has changed by d.
 func (v View) WithLoad(id buckthorndyke.RunnerID, d Load) View {
 	next := v.OwnLoad(id).plus(d)
--- a/stager/viewchange.go
+++ b/stager/viewchange.go
@@ -42,7 +42,8 @@
 		if s.pending == nil && now >= s.changedAt+ownStateTTL && !sameModels(s.backend, b) {
 			s.acceptedOrders = unknownOrders
 		}
-		s.backend.Address, s.backend.Leaving = b.Address, b.Leaving
+		// A server that has said that it is leaving leaves, whatever a later list says.
+		s.backend.Address, s.backend.Leaving = b.Address, s.backend.Leaving || b.Leaving
 		v.runners = v.runners.With(id, s)
 	}
 	return v
@@ -120,7 +121,7 @@
 	}
 	leaving := s.backend.Leaving
 	s.backend = r.Backend
-	s.backend.Leaving = leaving
+	s.backend.Leaving = leaving || r.Backend.Leaving
 	s.changedAt = now
 	s.failedReports = 0
 	s.acceptedOrders = r.AcceptedOrders
--- a/supervisor/relayer/dispatcher/attempt.go
+++ b/supervisor/relayer/dispatcher/attempt.go
@@ -47,6 +47,9 @@
 		return j.handleFailure(ctx, backend, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.Leaving {
+		j.noteLeaving(ctx, backend)
+	}
 	if j.route.Kind != buckthorndyke.RouteStream {
 		close(j.responded)
 	}
@@ -140,6 +143,16 @@
 	return j.route.Repeatable() && j.executions < j.route.Attempts
 }
 
+// noteLeaving tells the task that a server is shutting down.
+func (j *job) noteLeaving(ctx context.Context, backend buckthorndyke.Backend) {
+	// It has to be told even if the client has disconnected.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout.Duration())
+	defer cancel()
+	if err := j.box.Send(ctx, serverLeaving{backend: backend}); err != nil {
+		j.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
+	}
+}
+
 // watchSilence tells the task if a server has not responded within the silence limit, so
 // that other requests avoid it. It ends with the attempt.
 func (j *job) watchSilence(ctx context.Context, backend buckthorndyke.Backend, heard <-chan struct{}) {
--- a/supervisor/relayer/dispatcher/fixture_test.go
+++ b/supervisor/relayer/dispatcher/fixture_test.go
@@ -116,6 +116,7 @@
 	endless  bool
 	err      error
 	hang     bool
+	leaving  bool
 	notRun   bool
 	status   int
 	unsigned bool
@@ -184,7 +185,7 @@
 		next.status = http.StatusOK
 	}
 	return buckthorndyke.DispatchResponse{
-		Body: io.NopCloser(body), Header: http.Header{}, NotRun: next.notRun, Signed: !next.unsigned && !next.notRun,
+		Body: io.NopCloser(body), Header: http.Header{}, Leaving: next.leaving, NotRun: next.notRun, Signed: !next.unsigned && !next.notRun,
 		Status: next.status,
 	}, nil
 }
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -115,6 +115,11 @@
 	// leaderUnavailable says that no leader replies.
 	leaderUnavailable struct{}
 
+	// serverLeaving says that a server has said that it is shutting down.
+	serverLeaving struct {
+		backend buckthorndyke.Backend
+	}
+
 	// serverSilent says that a server has not responded to a request within the silence
 	// limit.
 	serverSilent struct {
@@ -139,5 +144,6 @@
 func (m drainStarted) apply(t *task)      { t.drainUntil = m.until }
 func (m leaderReplied) apply(t *task)     { t.applyLeaderReply(m.reply) }
 func (m leaderUnavailable) apply(t *task) { t.hasLeader, t.crashSync = false, crashSync{} }
+func (m serverLeaving) apply(t *task)     { t.handleLeaving(m) }
 func (m serverSilent) apply(t *task)      { t.view = t.view.WithSlow(m.server, t.clock.Now()) }
 func (m routingRequested) apply(t *task)  { m.reply.Answer(t.routing) }
