feat(dispatcher): a server that asks for a pause gets no requests until its end

Before, the field was read past and the runner was asked again after 120 ms.

A request that all servers could only take after it may wait no longer is refused at once, with the earliest end as Retry-After. A line, server-paused, names server, lifetime and time left.

Not covered: the leader's reports and orders do not keep to a pause, and there is no counter of requests kept away.

The stand-in server can ask for a pause and the soak draws it.

--- a/endtoend/soak_test.go
+++ b/endtoend/soak_test.go
@@ -158,7 +158,7 @@
 // injectServerFaults sets random faults for the next requests of one server.
 func (s *soak) injectServerFaults() {
 	faults := []imitator.Fault{
-		imitator.FaultBusy, imitator.FaultCut, imitator.FaultInternalError, imitator.FaultReset, imitator.FaultUnframed,
+		imitator.FaultBusy, imitator.FaultCut, imitator.FaultInternalError, imitator.FaultPause, imitator.FaultReset, imitator.FaultUnframed,
 		imitator.FaultUnsigned, imitator.FaultHang,
 	}
 	var list []imitator.Fault
--- a/relay.go
+++ b/relay.go
@@ -121,6 +121,8 @@
 	Leaving bool
 	// NotRun is set if the server reports that it has not run the request.
 	NotRun bool
+	// Pause is how long the server wants no requests from this VM, or 0.
+	Pause Millis
 	// Signed is set if the response carries the server's signature.
 	Signed bool
 	Status int
--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -41,6 +41,7 @@
 	EventServerGone      Event = "server-gone"
 	EventServerLeaving   Event = "server-leaving"
 	EventServerListed    Event = "server-listed"
+	EventServerPaused    Event = "server-paused"
 	EventServerSilent    Event = "server-silent"
 	// EventServerSuspected reports that connections to a server broke and that it is not
 	// known to have ended.
--- a/selector/choose.go
+++ b/selector/choose.go
@@ -117,7 +117,7 @@
 func (v View) candidates(q Query) []candidate {
 	var byHealth [healthLevels][]candidate
 	for id, listed := range v.list.Servers.All() {
-		if listed.Service != q.Key.Service || v.Leaves(listed) || slices.Contains(q.Excluded, id) || !v.holds(listed, q) {
+		if listed.Service != q.Key.Service || v.Leaves(listed) || slices.Contains(q.Excluded, id) || v.isPaused(listed, q.Now) || !v.holds(listed, q) {
 			continue
 		}
 		c := candidate{backend: listed, draw: float64(hashOf(id, q.Seed)), units: v.loadUnits(listed, q.Domain)}
@@ -160,6 +160,14 @@
 	if until, ok := v.fullUntil.Get(listed.ID); ok && q.Now < until {
 		return false
 	}
+	return v.holdsModel(listed, q)
+}
+
+// holdsModel reports whether a server has loaded what the request needs.
+func (v View) holdsModel(listed buckthorndyke.Backend, q Query) bool {
+	if q.Key.Model == "" {
+		return true
+	}
 	if until, ok := v.missingUntil.Get(missingKey(listed.ID, q.Key)); ok && q.Now < until {
 		return false
 	}
--- a/selector/view.go
+++ b/selector/view.go
@@ -58,7 +58,9 @@
 	// otherVMsLoadsUntil is the instant until which otherVMsLoads is valid.
 	otherVMsLoadsUntil buckthorndyke.Millis
 	// ownLoads is the load of the VM's own requests by server.
-	ownLoads     buckthorndyke.Table[buckthorndyke.RunnerID, Load]
+	ownLoads buckthorndyke.Table[buckthorndyke.RunnerID, Load]
+	// pauses holds the servers that have asked for a pause.
+	pauses       buckthorndyke.Table[buckthorndyke.RunnerID, pause]
 	runnerModels buckthorndyke.Table[buckthorndyke.RunnerID, runnerModels]
 	// slowUntil holds the servers that have not responded in time, and until when
 	// they are avoided.
@@ -109,6 +111,11 @@
 			limit = min(limit, until-now)
 		}
 	}
+	for _, p := range v.pauses.All() {
+		if p.until > now {
+			limit = min(limit, p.until-now)
+		}
+	}
 	return limit
 }
 
--- a/supervisor/relayer/dispatcher/attempt.go
+++ b/supervisor/relayer/dispatcher/attempt.go
@@ -47,8 +47,8 @@
 		return j.handleFailure(ctx, backend, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.Leaving {
-		j.noteLeaving(ctx, backend)
+	if response.Leaving || response.Pause > 0 {
+		j.noteServerTold(ctx, backend, response)
 	}
 	if j.route.Kind != buckthorndyke.RouteStream {
 		close(j.responded)
@@ -62,7 +62,7 @@
 	case a.NotRun:
 		j.noteAttempt(backend, "not run, status %d", a.Status)
 		j.releaseServer(ctx, backend, resultOfNotRun(j.key, a.Status))
-		if j.key.Model == "" {
+		if j.key.Model == "" && a.Pause == 0 {
 			j.excluded = append(j.excluded, backend.ID)
 		}
 		return true, buckthorndyke.NewRefusal(buckthorndyke.CodeRunnerUnavailable, buckthorndyke.NotRun,
@@ -143,12 +143,16 @@
 	return j.route.Repeatable() && j.executions < j.route.Attempts
 }
 
-// noteLeaving tells the task that a server is shutting down.
-func (j *job) noteLeaving(ctx context.Context, backend buckthorndyke.Backend) {
+// noteServerTold tells the task what a server has said of itself.
+func (j *job) noteServerTold(ctx context.Context, backend buckthorndyke.Backend, response buckthorndyke.DispatchResponse) {
+	m := serverTold{backend: backend, leaving: response.Leaving}
+	if response.Pause > 0 {
+		m.pausedUntil = j.clock.Now() + response.Pause
+	}
 	// It has to be told even if the client has disconnected.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout.Duration())
 	defer cancel()
-	if err := j.box.Send(ctx, serverLeaving{backend: backend}); err != nil {
+	if err := j.box.Send(ctx, m); err != nil {
 		j.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
 	}
 }
--- a/supervisor/relayer/dispatcher/crashes.go
+++ b/supervisor/relayer/dispatcher/crashes.go
@@ -120,17 +120,6 @@
 		Int("requests", len(t.crashSigns[lifetime].requests)).Err(m.err).Send()
 }
 
-// handleLeaving applies a server's word that it is shutting down.
-func (t *task) handleLeaving(m serverLeaving) {
-	listed, ok := t.view.List().Servers.Get(m.backend.ID)
-	if ok && (listed.Incarnation != m.backend.Incarnation || t.view.Leaves(listed)) {
-		return
-	}
-	lifetime := buckthorndyke.Lifetime{Incarnation: m.backend.Incarnation, Server: m.backend.ID}
-	t.view = t.view.WithLeaving(lifetime)
-	t.logger.Info().EmbedObject(reporter.EventServerLeaving).Str("server", lifetime.String()).Str("source", "response").Send()
-}
-
 // recordCrash records the end of a server and the requests that it had not begun to
 // answer.
 func (t *task) recordCrash(lifetime buckthorndyke.Lifetime, requests [][]buckthorndyke.Fingerprint, cause string) {
--- a/supervisor/relayer/dispatcher/fixture_test.go
+++ b/supervisor/relayer/dispatcher/fixture_test.go
@@ -113,11 +113,13 @@
 	body   string
 	broken bool
 	// endless is set if the body repeats without end.
-	endless  bool
-	err      error
-	hang     bool
-	leaving  bool
-	notRun   bool
+	endless bool
+	err     error
+	hang    bool
+	leaving bool
+	notRun  bool
+	// pause is the pause that the server asks for.
+	pause    buckthorndyke.Millis
 	status   int
 	unsigned bool
 }
@@ -185,7 +187,7 @@
 		next.status = http.StatusOK
 	}
 	return buckthorndyke.DispatchResponse{
-		Body: io.NopCloser(body), Header: http.Header{}, Leaving: next.leaving, NotRun: next.notRun, Signed: !next.unsigned && !next.notRun,
+		Body: io.NopCloser(body), Header: http.Header{}, Leaving: next.leaving, NotRun: next.notRun, Pause: next.pause, Signed: !next.unsigned && !next.notRun,
 		Status: next.status,
 	}, nil
 }
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -223,7 +223,7 @@
 // withRetryAfter returns the refusal in a with the time after which the client should
 // retry: when a server is expected to be available, but early enough before its deadline.
 func (j *job) withRetryAfter(a admission) error {
-	if buckthorndyke.RefusalOf(a.err).Code() == buckthorndyke.CodeQuarantined {
+	if a.final {
 		return a.err
 	}
 	now := j.clock.Now()
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -37,6 +37,8 @@
 	err     error
 	// expected is the instant at which the model is expected to be loaded, or 0.
 	expected buckthorndyke.Millis
+	// final is set if the error already says when to retry.
+	final bool
 }
 
 type (
@@ -115,9 +117,13 @@
 	// leaderUnavailable says that no leader replies.
 	leaderUnavailable struct{}
 
-	// serverLeaving says that a server has said that it is shutting down.
-	serverLeaving struct {
+	// serverTold passes on what a server has said of itself in a response.
+	serverTold struct {
 		backend buckthorndyke.Backend
+		// leaving is set if the server is shutting down.
+		leaving bool
+		// pausedUntil is the instant until which the server wants no requests, or 0.
+		pausedUntil buckthorndyke.Millis
 	}
 
 	// serverSilent says that a server has not responded to a request within the silence
@@ -144,6 +150,6 @@
 func (m drainStarted) apply(t *task)      { t.drainUntil = m.until }
 func (m leaderReplied) apply(t *task)     { t.applyLeaderReply(m.reply) }
 func (m leaderUnavailable) apply(t *task) { t.hasLeader, t.crashSync = false, crashSync{} }
-func (m serverLeaving) apply(t *task)     { t.handleLeaving(m) }
+func (m serverTold) apply(t *task)        { t.handleServerTold(m) }
 func (m serverSilent) apply(t *task)      { t.view = t.view.WithSlow(m.server, t.clock.Now()) }
 func (m routingRequested) apply(t *task)  { m.reply.Answer(t.routing) }
--- a/supervisor/relayer/dispatcher/quarantine.go
+++ b/supervisor/relayer/dispatcher/quarantine.go
@@ -82,7 +82,7 @@
 	left, quarantined := t.crashes.Quarantined(m.job.fingerprints, t.clock.Now())
 	if quarantined {
 		m.reply.Answer(admission{err: buckthorndyke.NewRefusal(buckthorndyke.CodeQuarantined, buckthorndyke.NotRun,
-			"requests like this one have crashed servers").WithRetryAfter(left)})
+			"requests like this one have crashed servers").WithRetryAfter(left), final: true})
 	}
 	return quarantined
 }
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -33,6 +33,8 @@
 var (
 	errBudget = buckthorndyke.NewRefusal(buckthorndyke.CodeOverloaded, buckthorndyke.NotRun,
 		"too many requests are being retried").WithRetryAfter(minRetryAfter)
+	errPaused = buckthorndyke.NewRefusal(buckthorndyke.CodeRunnerUnavailable, buckthorndyke.NotRun,
+		"all servers have asked for a pause")
 	errNoServer = buckthorndyke.NewRefusal(buckthorndyke.CodeRunnerUnavailable, buckthorndyke.NotRun,
 		"no server became available in time").WithRetryAfter(minRetryAfter)
 )
@@ -125,7 +127,7 @@
 		m.reply.Answer(admission{err: errBudget})
 		return
 	}
-	if t.tryAdmit(m) {
+	if t.tryAdmit(m) || t.refusePaused(m) {
 		return
 	}
 	t.waiting = append(t.waiting, m)
@@ -242,7 +244,7 @@
 	}
 	switch m.result {
 	case resultServed:
-		t.view = t.view.WithSuccess(m.backend.ID)
+		t.view = t.view.WithSuccess(m.backend.ID).WithoutPause(m.backend.ID, now)
 	case resultModelMissing:
 		t.view = t.view.WithMissing(m.backend.ID, m.key, now)
 	case resultFailed:
@@ -289,7 +291,7 @@
 	kept := t.waiting[:0]
 	for _, m := range t.waiting {
 		switch {
-		case t.refuseQuarantined(m), t.tryAdmit(m):
+		case t.refuseQuarantined(m), t.tryAdmit(m), t.refusePaused(m):
 		case now >= t.waitUntil(m):
 			m.reply.Answer(admission{err: errNoServer, expected: t.expected[m.query.Key]})
 		default:
