fix(configurer): numbers that the settings template renders may be fractions

Fix: a relaying VM's numbers are read as fractions or with an exponent. Limits and counts are rounded down, the lease up. Negative and too large ones are reported with line and column as before. A retry burst may be 0 to 100,000, 1 to 1000 before: a fleet of hundreds of VMs shares more.

Evidence: five new subtests of TestParseRelay fail on the code before.

--- a/configurer/relay.go
+++ b/configurer/relay.go
@@ -1,6 +1,10 @@
 package configurer
 
-import "github.com/buckthorndyke/buckthorndyke"
+import (
+	"math"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
 
 // Defaults, minimums and maximums of the settings of a relaying entry VM.
 const (
@@ -10,7 +14,7 @@
 	defaultRelayDrainSeconds = 8
 	defaultRetryBurst        = 56
 	maxRelayDrainSeconds     = 600
-	maxRetryBurst            = 1000
+	maxRetryBurst            = 100_000
 )
 
 // Relay holds the settings of an entry VM that relays requests to backend servers
@@ -54,27 +58,28 @@
 }
 
 // ParseRelay parses the settings of a relaying entry VM. Its error is a
-// *buckthorndyke.FaultsError that holds all faults.
+// *buckthorndyke.FaultsError that holds all faults. The platform's template may render
+// any number as a fraction: limits are rounded down, the lease is rounded up.
 func ParseRelay(data []byte) (Relay, error) {
 	d := &document{data: data}
 	root := d.parse()
 	runners := root.object("runners", false)
 	weights := root.object("weight-store", false)
 	s := Relay{
-		ChangeLimit:        root.millis("change-limit-ms", defaultChangeLimit, minChangeLimit, maxChangeLimit),
+		ChangeLimit:        root.roundedMillis("change-limit-ms", defaultChangeLimit, minChangeLimit, maxChangeLimit, math.Floor),
 		ChecksFencingToken: runners.boolean("check-fence", false),
 		ClientsAddress:     root.sectionAddress("clients"),
 		CPUShare:           root.fraction("cpu-share", 1),
 		Domain:             buckthorndyke.DomainID(root.name("failure-domain")),
-		DrainLimit:         buckthorndyke.Millis(root.integer("drain-limit-s", defaultRelayDrainSeconds, 1, maxRelayDrainSeconds)) * buckthorndyke.Second,
-		FullSpeedLoads:     weights.integer("model-loads-at-once", defaultModelLoads, 1, maxLoads),
-		LeaveLimit:         root.millis("leave-limit-ms", defaultChangeLimit, minChangeLimit, maxChangeLimit),
-		Lease:              root.millis("lease-ms", defaultLease, minLease, maxLease),
+		DrainLimit:         buckthorndyke.Millis(root.rounded("drain-limit-s", defaultRelayDrainSeconds, 1, maxRelayDrainSeconds, math.Floor)) * buckthorndyke.Second,
+		FullSpeedLoads:     weights.rounded("model-loads-at-once", defaultModelLoads, 1, maxLoads, math.Floor),
+		LeaveLimit:         root.roundedMillis("leave-limit-ms", defaultChangeLimit, minChangeLimit, maxChangeLimit, math.Floor),
+		Lease:              root.roundedMillis("lease-ms", defaultLease, minLease, maxLease, math.Ceil),
 		LogLevel:           root.choice("log-level", "info", "debug", "warn", "error"),
 		MetricsAddress:     root.sectionAddress("metrics"),
 		Peers:              root.peers(),
 		ReadinessAddress:   root.sectionAddress("readiness"),
-		RetryBurst:         root.integer("retry-burst", defaultRetryBurst, 1, maxRetryBurst),
+		RetryBurst:         root.rounded("retry-burst", defaultRetryBurst, 0, maxRetryBurst, math.Floor),
 		Seeds:              root.addresses("seeds"),
 		StoreAddress:       root.sectionAddress("store"),
 		VM:                 buckthorndyke.VMID(root.name("vm")),
--- a/configurer/relay_test.go
+++ b/configurer/relay_test.go
@@ -1,6 +1,8 @@
 package configurer_test
 
 import (
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -41,4 +43,48 @@
 			asserter.Contains(t, err.Error(), part)
 		}
 	})
+	numbers := map[string]func(s configurer.Relay) int{
+		"change-limit-ms": func(s configurer.Relay) int { return int(s.ChangeLimit) },
+		"drain-limit-s":   func(s configurer.Relay) int { return int(s.DrainLimit / buckthorndyke.Second) },
+		"lease-ms":        func(s configurer.Relay) int { return int(s.Lease) },
+		"leave-limit-ms":  func(s configurer.Relay) int { return int(s.LeaveLimit) },
+		"retry-burst":     func(s configurer.Relay) int { return s.RetryBurst },
+	}
+	// withNumber returns settings in which the number under key is literal.
+	withNumber := func(key, literal string) []byte {
+		lines := strings.Split(relaySettings, "\n")
+		for i, line := range lines {
+			lines[i] = regexp.MustCompile(`"`+key+`": \d+,?`).ReplaceAllString(line, "")
+		}
+		return []byte(strings.TrimSuffix(strings.TrimSpace(strings.Join(lines, "\n")), "}") + `"` + key + `": ` + literal + "\n}")
+	}
+	for key, get := range numbers {
+		whole, literals := 2000, []string{"2000", "2e3", "2000.0"}
+		if key == "drain-limit-s" {
+			whole, literals = 9, []string{"9", "0.9e1", "9.0"}
+		}
+		t.Run("a template may render "+key+" in any form", func(t *testing.T) {
+			for _, literal := range literals {
+				got, err := configurer.ParseRelay(withNumber(key, literal))
+				asserter.NoError(t, err)
+				asserter.Equal(t, get(got), whole)
+			}
+			rounded := whole
+			if key == "lease-ms" {
+				rounded++
+			}
+			got, err := configurer.ParseRelay(withNumber(key, strconv.Itoa(whole)+".25"))
+			asserter.NoError(t, err)
+			asserter.Equal(t, get(got), rounded)
+		})
+		t.Run("an impossible "+key+" is reported with its position", func(t *testing.T) {
+			for _, literal := range []string{"-1", "-2000.5", "1e12", "1e999", `"8"`} {
+				_, err := configurer.ParseRelay(withNumber(key, literal))
+				asserter.Error(t, err)
+				asserter.Contains(t, err.Error(), `"`+key+`" is `)
+				asserter.Contains(t, err.Error(), "line ")
+				asserter.Contains(t, err.Error(), "column ")
+			}
+		})
+	}
 }
--- a/configurer/values.go
+++ b/configurer/values.go
@@ -129,6 +129,28 @@
 	return n
 }
 
+// rounded returns the number under key, which must be from low to high, as a whole number.
+// A fraction, as a template may render it, is rounded with round. It returns fallback if
+// the number is absent or invalid.
+func (o object) rounded(key string, fallback, low, high int, round func(float64) float64) int {
+	value, ok := o.member(key)
+	if !ok {
+		return fallback
+	}
+	n, err := strconv.ParseFloat(literalText(value), 64)
+	if !isKind(value, '0') || err != nil || n < float64(low) || n > float64(high) {
+		o.d.report(value.StartOffset, buckthorndyke.FaultRange, fmt.Sprintf("%q is %s", key, literalText(value)),
+			fmt.Sprintf("write a number from %d to %d", low, high))
+		return fallback
+	}
+	return int(round(n))
+}
+
+// roundedMillis returns the duration in milliseconds under key, as rounded does.
+func (o object) roundedMillis(key string, fallback, low, high buckthorndyke.Millis, round func(float64) float64) buckthorndyke.Millis {
+	return buckthorndyke.Millis(o.rounded(key, int(fallback), int(low), int(high), round))
+}
+
 // millis returns the duration in milliseconds under key, as integer does.
 func (o object) millis(key string, fallback, low, high buckthorndyke.Millis) buckthorndyke.Millis {
 	return buckthorndyke.Millis(o.integer(key, int(fallback), int(low), int(high)))
