perf(quarantiner): the decision on a crash counts before it compares

Change: fingerprints are counted first; sets are built for those that stand in enough crashes. 48 crashes are kept, not 64.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	bin/bencher footprint bin/buckthorndyke
 	BUCKTHORNDYKE_CAPACITY=full go test -count=1 -v ./capacity
 	go test -run '^$$' -bench . -benchmem -benchtime 200ms ./arbiter ./connector ./detector ./encoder ./evictor \
-		./parser ./placer ./scheduler ./supervisor/claimer ./supervisor/prober ./supervisor/router
+		./parser ./placer ./quarantiner ./scheduler ./supervisor/claimer ./supervisor/prober ./supervisor/router
 
 check-generated: generate
 	git diff --exit-code -- wire
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -21,7 +21,7 @@
 	// maxCrashes, maxQuarantines and maxServed bound the entries; the oldest are
 	// dropped. maxRequests bounds the requests of a crash, maxFingerprints the
 	// fingerprints of a request.
-	maxCrashes      = 64
+	maxCrashes      = 48
 	maxFingerprints = 16
 	maxQuarantines  = 1024
 	maxRequests     = 32
--- a/quarantiner/evidence_test.go
+++ b/quarantiner/evidence_test.go
@@ -212,7 +212,7 @@
 			e = e.WithCrash(crashOf(n, requests...), buckthorndyke.Millis(n))
 		}
 		kept := e.Since(0, many)
-		asserter.True(t, len(kept.Crashes) <= 64, "too many crashes are kept")
+		asserter.True(t, len(kept.Crashes) <= 48, "too many crashes are kept")
 		for _, c := range kept.Crashes {
 			asserter.True(t, len(c.Requests) <= 32 && len(c.Requests[0]) <= 16, "too much is kept of a crash")
 		}
--- a/quarantiner/judge.go
+++ b/quarantiner/judge.go
@@ -19,7 +19,6 @@
 
 // suspect is a fingerprint with the crashes that it may have caused.
 type suspect struct {
-	alone   bool
 	crashes []string
 	// within holds the more specific fingerprints of the requests that have it.
 	within map[buckthorndyke.Fingerprint]bool
@@ -64,16 +63,20 @@
 	return out
 }
 
-// candidates returns the fingerprints that stand in enough crashes.
+// candidates returns the frequent fingerprints with their crashes.
 func (e Evidence) candidates() map[buckthorndyke.Fingerprint]*suspect {
+	frequent := e.frequent()
 	suspects := make(map[buckthorndyke.Fingerprint]*suspect)
+	if len(frequent) == 0 {
+		return suspects
+	}
 	for name, c := range e.crashes.All() {
 		if e.explained(c) {
 			continue
 		}
 		for _, r := range c.requests {
 			for i, f := range r {
-				if e.exonerated(f, c) {
+				if !frequent[f] || e.exonerated(f, c) {
 					continue
 				}
 				s, ok := suspects[f]
@@ -81,16 +84,45 @@
 					s = &suspect{within: make(map[buckthorndyke.Fingerprint]bool)}
 					suspects[f] = s
 				}
-				s.add(name, c.alone, r[i+1:])
+				s.add(name, r[i+1:])
 			}
 		}
 	}
-	for f, s := range suspects {
-		if len(s.crashes) < crashLimit && (!s.alone || len(s.crashes) < aloneLimit) {
-			delete(suspects, f)
+	return suspects
+}
+
+// crashCount counts the crashes that a fingerprint stands in.
+type crashCount struct {
+	alone   bool
+	crashes int
+	// last is the crash that was counted last.
+	last string
+}
+
+// frequent returns the fingerprints that stand in enough crashes.
+func (e Evidence) frequent() map[buckthorndyke.Fingerprint]bool {
+	all := make(map[buckthorndyke.Fingerprint]crashCount)
+	for name, c := range e.crashes.All() {
+		if e.explained(c) {
+			continue
+		}
+		for _, r := range c.requests {
+			for _, f := range r {
+				n := all[f]
+				if n.last == name || e.exonerated(f, c) {
+					continue
+				}
+				all[f] = crashCount{alone: n.alone || c.alone, crashes: n.crashes + 1, last: name}
+			}
 		}
 	}
-	return suspects
+	enough := make(map[buckthorndyke.Fingerprint]bool)
+	for f, n := range all {
+		if n.crashes >= crashLimit || n.alone && n.crashes >= aloneLimit {
+			enough[f] = true
+		}
+	}
+	return enough
 }
 
 // explained reports whether a request of c is quarantined.
@@ -115,11 +147,10 @@
 
 // add adds a crash during which a request with the more specific fingerprints within was
 // in flight.
-func (s *suspect) add(name string, alone bool, within []buckthorndyke.Fingerprint) {
+func (s *suspect) add(name string, within []buckthorndyke.Fingerprint) {
 	if !slices.Contains(s.crashes, name) {
 		s.crashes = append(s.crashes, name)
 	}
-	s.alone = s.alone || alone
 	for _, f := range within {
 		s.within[f] = true
 	}
