--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -43,18 +43,18 @@
 	EventServerListed    Event = "server-listed"
 	EventServerPaused    Event = "server-paused"
 	EventServerSilent    Event = "server-silent"
-	// EventServerSuspected reports that connections to a server broke and that it is not
+	// EventServerUnconfirmed reports that connections to a server broke and that it is not
 	// known to have ended.
-	EventServerSuspected  Event = "server-unconfirmed"
-	EventServersMalformed Event = "servers-malformed"
-	EventServersSuspected Event = "servers-suspected"
-	EventSettingsRejected Event = "settings-rejected"
-	EventSettingsReloaded Event = "settings-reloaded"
-	EventSupervisor       Event = "supervisor-event"
-	EventTaskEnded        Event = "task-ended"
-	EventTaskPanicked     Event = "task-panicked"
-	EventTaskStuck        Event = "task-stuck"
-	EventTermChanged      Event = "term-changed"
+	EventServerUnconfirmed Event = "server-unconfirmed"
+	EventServersMalformed  Event = "servers-malformed"
+	EventServersSuspected  Event = "servers-suspected"
+	EventSettingsRejected  Event = "settings-rejected"
+	EventSettingsReloaded  Event = "settings-reloaded"
+	EventSupervisor        Event = "supervisor-event"
+	EventTaskEnded         Event = "task-ended"
+	EventTaskPanicked      Event = "task-panicked"
+	EventTaskStuck         Event = "task-stuck"
+	EventTermChanged       Event = "term-changed"
 )
 
 // Keys of fields that all log lines have in common.
--- a/supervisor/relayer/dispatcher/crashes.go
+++ b/supervisor/relayer/dispatcher/crashes.go
@@ -116,7 +116,7 @@
 		t.confirmCrash(lifetime, "refused-connection")
 		return
 	}
-	t.logger.Info().EmbedObject(reporter.EventServerSuspected).Str("server", lifetime.String()).
+	t.logger.Info().EmbedObject(reporter.EventServerUnconfirmed).Str("server", lifetime.String()).
 		Int("requests", len(t.crashSigns[lifetime].requests)).Err(m.err).Send()
 }
 
