fix(keeper): a leader whose grant is renewed often writes its quarantines

Found in review: each renewal of the grant started the keeper's timer anew, and renewals come as often as the timer would end, so that a leader could keep a new quarantine to itself. With renewals every 300 ms it was never written.

Fix: only the begin of a lead and the timer itself lead to a step.

Evidence: the new subtest of TestKeeper fails on the code before.

--- a/supervisor/relayer/keeper/keeper.go
+++ b/supervisor/relayer/keeper/keeper.go
@@ -48,27 +48,32 @@
 // Serve implements suture.Service.
 func (k *Keeper) Serve(ctx context.Context) error {
 	terms := k.terms.Subscribe(ctx)
-	wait := k.step(ctx)
+	timer := k.after(k.step(ctx))
 	for {
-		var timer <-chan time.Time
-		if wait > 0 {
-			timer = k.clock.After(wait)
-		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case term := <-terms:
-			if term.Leading && !k.leading {
-				// A previous leader may have written since.
-				k.kept = nil
-			}
-			if k.leading = term.Leading; k.leading && k.kept != nil {
+			begins := term.Leading && !k.leading
+			k.leading = term.Leading
+			if !begins {
+				// The timer runs on: a leader's terms come as often as its steps.
 				continue
 			}
+			// A previous leader may have written since.
+			k.kept = nil
 		case <-timer:
 		}
-		wait = k.step(ctx)
+		timer = k.after(k.step(ctx))
+	}
+}
+
+// after returns a channel that receives a value after wait, or nil if that is 0.
+func (k *Keeper) after(wait buckthorndyke.Millis) <-chan time.Time {
+	if wait == 0 {
+		return nil
 	}
+	return k.clock.After(wait)
 }
 
 // step loads the quarantines if that is due, and writes changes on the leader. It returns
--- a/supervisor/relayer/keeper/keeper_test.go
+++ b/supervisor/relayer/keeper/keeper_test.go
@@ -220,6 +220,19 @@
 			asserter.Equal(t, f.entries(), 0)
 		})
 	})
+	t.Run("a leader that renews its grant often writes a new quarantine", func(t *testing.T) {
+		withFixture(t, newWorld(), func(f *fixture) {
+			f.lead()
+			asserter.NoError(t, f.HandleCrashEvidence(f.ctx, buckthorndyke.CrashEvidence{
+				Quarantines: []buckthorndyke.QuarantineNotice{{Fingerprint: "f", Left: minute}},
+			}))
+			for range 10 {
+				asserter.NoError(t, f.terms.Publish(f.ctx, buckthorndyke.Term{Leading: true}))
+				f.wait(300 * time.Millisecond)
+			}
+			asserter.Equal(t, f.entries(), 1)
+		})
+	})
 	t.Run("a new leader loads what its predecessor has written", func(t *testing.T) {
 		withFixture(t, newWorld(), func(f *fixture) {
 			f.change(func(w *world) { w.entries["f"] = minute })
