fix(quarantiner): two parts that come in any order do not hide each other

Found in review: of two parts that stand in all crashes, each before the other in some prompts, each counted as less specific than the other, so that neither was ever quarantined.

Fix: a fingerprint yields only to one that is always the more specific. If neither is, both are quarantined after five crashes.

--- a/quarantiner/evidence_test.go
+++ b/quarantiner/evidence_test.go
@@ -121,6 +121,19 @@
 		assertQuarantined(t, e, 0, true, "x", fatal, "y")
 		assertQuarantined(t, e, 0, false, "a", "b", "c", "d")
 	})
+	t.Run("of two parts that come in any order both are quarantined, later", func(t *testing.T) {
+		e := quarantiner.New()
+		for n := range 4 {
+			parts := req(fatal, "other")
+			if n%2 == 1 {
+				parts = req("other", fatal)
+			}
+			e = e.WithCrash(crashWith(n, parts...), 0)
+		}
+		assertQuarantined(t, e, 0, false, fatal, "other")
+		e = e.WithCrash(crashWith(4, fatal, "other"), 0)
+		assertQuarantined(t, e, 0, true, fatal)
+	})
 	t.Run("parts that are answered elsewhere are not quarantined", func(t *testing.T) {
 		e := quarantiner.New()
 		for n := range 9 {
--- a/quarantiner/judge.go
+++ b/quarantiner/judge.go
@@ -13,7 +13,7 @@
 	// aloneLimit is the same if in one of them no other request was in flight.
 	aloneLimit = 2
 	// ambiguousLimit is the same if another fingerprint stands in these crashes as well,
-	// and neither contains the other.
+	// and neither is more specific than the other.
 	ambiguousLimit = 5
 )
 
@@ -49,9 +49,9 @@
 		for other, o := range candidates {
 			switch {
 			case other == f:
-			case s.within[other]:
+			case s.within[other] && !o.within[f]:
 				specific = false
-			case o.explains(s) && !o.within[f]:
+			case o.explains(s) && s.within[other] == o.within[f]:
 				ambiguous = true
 			}
 		}
