perf(quarantiner,dispatcher): a served request does not decide on the crashes again

Found in the last reading of the change: while there is evidence, each request that a server answered decided once more on all crashes for each fingerprint that stands in them, although evidence that does not change leads to the same decision. Parts that all requests share stand in most crashes, so this was on the path of nearly every request.

Change: evidence that adds nothing is returned as it is; the fingerprints of a request are noted together. What is decided stays the same.

--- a/quarantiner/bench_test.go
+++ b/quarantiner/bench_test.go
@@ -56,3 +56,17 @@
 		r = r.With(buckthorndyke.Fingerprint(strconv.Itoa(n%8000)), 0)
 	}
 }
+
+// BenchmarkServedAgain measures the note that a fingerprint of a crash was served, when
+// that is known and the evidence has reached its limits.
+func BenchmarkServedAgain(b *testing.B) {
+	e := quarantiner.New()
+	for n := range 48 {
+		e = e.WithCrash(fullCrash(n), buckthorndyke.Millis(n))
+	}
+	told := buckthorndyke.CrashEvidence{Served: []buckthorndyke.ServedFingerprint{{Fingerprint: "1/0/0"}}}
+	e = e.With(told, 100)
+	for b.Loop() {
+		e.With(told, 100)
+	}
+}
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -160,9 +160,7 @@
 
 // With returns the evidence with that of another VM, which was received at now.
 func (e Evidence) With(other buckthorndyke.CrashEvidence, now buckthorndyke.Millis) Evidence {
-	if other.Empty() {
-		return e
-	}
+	before := e.version
 	for _, s := range other.Served {
 		e = e.withServed(s.Fingerprint, now-s.Age)
 	}
@@ -172,6 +170,9 @@
 	for _, c := range other.Crashes {
 		e = e.withCrash(c, now)
 	}
+	if e.version == before {
+		return e
+	}
 	return e.settled(now)
 }
 
--- a/supervisor/relayer/dispatcher/quarantine.go
+++ b/supervisor/relayer/dispatcher/quarantine.go
@@ -69,12 +69,16 @@
 // noteServed notes that a server has begun to answer a request.
 func (t *task) noteServed(fingerprints []buckthorndyke.Fingerprint) {
 	now := t.clock.Now()
+	var known []buckthorndyke.ServedFingerprint
 	for _, f := range fingerprints {
 		t.recent = t.recent.With(f, now)
 		if t.crashes.Knows(f) {
-			t.addCrashEvidence(buckthorndyke.CrashEvidence{Served: []buckthorndyke.ServedFingerprint{{Fingerprint: f}}})
+			known = append(known, buckthorndyke.ServedFingerprint{Fingerprint: f})
 		}
 	}
+	if len(known) > 0 {
+		t.addCrashEvidence(buckthorndyke.CrashEvidence{Served: known})
+	}
 }
 
 // refuseQuarantined refuses a request if it is quarantined, and reports whether it is.
