fix(dispatcher): nothing but its own events follows the head of a stream

Cause: each attempt wrote its response to the client by itself. A stream that broke off after two events and was resumed at a server that answered 500, 404, 302 or 502, or with a page, went through copyBuffered, which began a second response in the open one: the client got the text of the error as a part of its stream, and a stream that ended as complete. A server that began again at the first event, or repeated the last one, was passed on too, and an empty stream that ended with its connection counted as complete.

Change: answer owns what the client has been sent. After the head of a stream it takes events that follow the last one, from a response of the same media type, and nothing else; a server that offers anything else has failed to resume, and another one is asked within the route's attempts. Streams without ids of events are not resumed. A whole response of another type than a stream is passed on as such.

--- a/relay.go
+++ b/relay.go
@@ -115,8 +115,11 @@
 // DispatchResponse is a backend server's response, whose body is still to be read.
 type DispatchResponse struct {
 	// Body must be closed. Reading it fails if it is truncated.
-	Body   io.ReadCloser
-	Header http.Header
+	Body io.ReadCloser
+	// EndsWithConnection is set if nothing but the end of the connection ends the body.
+	// A server that ends closes the connection too.
+	EndsWithConnection bool
+	Header             http.Header
 	// Leaving is set if the server says that it is shutting down.
 	Leaving bool
 	// NotRun is set if the server reports that it has not run the request.
--- a/supervisor/relayer/dispatcher/attempt.go
+++ b/supervisor/relayer/dispatcher/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 
 	"github.com/cockroachdb/errors"
 
@@ -69,6 +68,8 @@
 			"the server did not run the request").WithRetryAfter(minRetryAfter)
 	case !a.Signed && (a.Status < http.StatusMultipleChoices || impliesNotRun(a.Status)):
 		return j.handleFailure(ctx, backend, errors.Newf("the server sent an unsigned response with status %d", a.Status))
+	case !j.answer.continues(a.Status, a.Header):
+		return j.refuseContinuation(ctx, backend, a)
 	case a.Status >= http.StatusInternalServerError && j.route.Kind == buckthorndyke.RouteSafe && j.executions+1 < j.route.Attempts:
 		j.noteAttempt(backend, "status %d", a.Status)
 		j.executions++
@@ -76,7 +77,7 @@
 		j.excluded = append(j.excluded, backend.ID)
 		return true, buckthorndyke.NewRefusal(buckthorndyke.CodeServiceUnavailable, buckthorndyke.MayHaveRun,
 			"the server failed to serve the request")
-	case j.route.Kind == buckthorndyke.RouteStream && a.Status < http.StatusMultipleChoices:
+	case j.route.Kind == buckthorndyke.RouteStream && a.Status < http.StatusMultipleChoices && isStream(a.Header):
 		return j.relayStream(ctx, backend, a)
 	default:
 		return j.copyBuffered(ctx, backend, a)
@@ -93,14 +94,18 @@
 	j.executions++
 	j.begun = a.Signed && a.Status < http.StatusInternalServerError
 	j.releaseServer(ctx, backend, resultOf(a.Status))
-	a.Header.Set("Content-Length", strconv.Itoa(len(body)))
-	if err := j.w.Begin(a.Status, a.Header); err != nil {
-		return false, errClientGone
-	}
-	if err := j.w.Write(body); err != nil {
-		return false, errClientGone
-	}
-	return false, nil
+	return false, j.answer.writeWhole(a.Status, a.Header, body)
+}
+
+// refuseContinuation handles a response, or its beginning, that cannot be passed on because
+// the client has been sent a part of a stream. What the client has may still be resumed.
+func (j *job) refuseContinuation(ctx context.Context, backend buckthorndyke.Backend, a buckthorndyke.DispatchResponse) (bool, error) {
+	j.noteAttempt(backend, "status %d of type %q after event %q", a.Status, mediaTypeOf(a.Header), j.answer.lastEventID)
+	j.executions++
+	j.releaseServer(ctx, backend, resultServerError)
+	j.excluded = append(j.excluded, backend.ID)
+	return j.mayRetry(), buckthorndyke.NewRefusal(buckthorndyke.CodeServiceUnavailable, buckthorndyke.MayHaveRun,
+		"the server did not resume the stream")
 }
 
 // handleFailure handles an attempt that ended without a complete response.
--- a/supervisor/relayer/dispatcher/fixture_test.go
+++ b/supervisor/relayer/dispatcher/fixture_test.go
@@ -92,11 +92,14 @@
 type response struct {
 	body   string
 	header http.Header
+	// heads is the number of heads that were sent.
+	heads  int
 	status int
 }
 
 // Begin implements buckthorndyke.RelayWriter.
 func (r *response) Begin(status int, header http.Header) error {
+	r.heads++
 	r.status, r.header = status, header
 	return nil
 }
@@ -114,10 +117,14 @@
 	broken bool
 	// endless is set if the body repeats without end.
 	endless bool
-	err     error
-	hang    bool
-	leaving bool
-	notRun  bool
+	// endsWithConnection is set if only the end of the connection ends the body.
+	endsWithConnection bool
+	err                error
+	hang               bool
+	leaving            bool
+	// mediaType is that of the response, or empty if it does not name one.
+	mediaType string
+	notRun    bool
 	// pause is the pause that the server asks for.
 	pause    buckthorndyke.Millis
 	status   int
@@ -186,8 +193,12 @@
 	if next.status == 0 {
 		next.status = http.StatusOK
 	}
+	header := http.Header{}
+	if next.mediaType != "" {
+		header.Set("Content-Type", next.mediaType)
+	}
 	return buckthorndyke.DispatchResponse{
-		Body: io.NopCloser(body), Header: http.Header{}, Leaving: next.leaving, NotRun: next.notRun, Pause: next.pause, Signed: !next.unsigned && !next.notRun,
+		Body: io.NopCloser(body), EndsWithConnection: next.endsWithConnection, Header: header, Leaving: next.leaving, NotRun: next.notRun, Pause: next.pause, Signed: !next.unsigned && !next.notRun,
 		Status: next.status,
 	}, nil
 }
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -48,6 +48,8 @@
 // job handles one request.
 type job struct {
 	*Dispatcher
+	// answer is what the client has been sent.
+	answer answer
 	// attempts is the number of times that the request was sent to a server.
 	attempts int
 	// attemptStart is the instant at which the attempt began.
@@ -64,7 +66,9 @@
 	fingerprints []buckthorndyke.Fingerprint
 	// firstEvent is the time from the request's arrival to the first event.
 	firstEvent buckthorndyke.Millis
-	key        buckthorndyke.ModelKey
+	// heard is set once the server of the attempt has sent an event.
+	heard bool
+	key   buckthorndyke.ModelKey
 	// mayHaveCrashed is set if the server of the attempt broke the connection before it
 	// had begun to answer.
 	mayHaveCrashed bool
@@ -76,15 +80,13 @@
 	responded chan struct{}
 	route     buckthorndyke.Route
 	seed      uint64
-	stream    stream
 	// trail describes the attempts for the log.
 	trail []string
-	w     buckthorndyke.RelayWriter
 }
 
 // newJob returns a job for r. The job is not nil if there is an error.
 func (d *Dispatcher) newJob(ctx context.Context, r buckthorndyke.RelayRequest, w buckthorndyke.RelayWriter) (*job, error) {
-	j := &job{Dispatcher: d, request: r, seed: xxhash.Sum64String(string(r.ID)), w: w}
+	j := &job{Dispatcher: d, request: r, answer: answer{w: w}, seed: xxhash.Sum64String(string(r.ID))}
 	routing, err := mailer.Ask(ctx, d.box, func(reply mailer.Reply[buckthorndyke.Routing]) message {
 		return routingRequested{reply: reply}
 	})
--- a/supervisor/relayer/dispatcher/stream.go
+++ b/supervisor/relayer/dispatcher/stream.go
@@ -32,24 +32,14 @@
 	eventID = []byte("id:")
 )
 
-// stream is what the client has received of a stream of events.
-type stream struct {
-	// headerSent is set once the status and header were sent to the client.
-	headerSent bool
-	// lastEventID is the id of the last event that was sent to the client.
-	lastEventID string
-	// responded is set once the server of the current attempt has sent an event.
-	responded bool
-}
-
 // relayStream forwards the events of a stream as they arrive. A truncated stream is resumed
 // at another server if the route allows that.
 func (j *job) relayStream(ctx context.Context, backend buckthorndyke.Backend, a buckthorndyke.DispatchResponse) (bool, error) {
-	j.stream.responded = false
+	j.heard = false
 	err := j.forwardEvents(a)
 	switch {
 	case err == nil:
-		j.noteAttempt(backend, "streamed up to event %s", j.stream.lastEventID)
+		j.noteAttempt(backend, "streamed up to event %s", j.answer.lastEventID)
 		j.executions++
 		j.releaseServer(ctx, backend, resultServed)
 		return false, nil
@@ -59,12 +49,12 @@
 	case ctx.Err() != nil:
 		return j.handleFailure(ctx, backend, context.Cause(ctx))
 	}
-	j.mayHaveCrashed = !j.stream.responded
-	retry, err := j.handleFailure(ctx, backend, errors.Wrapf(err, "the stream was truncated after event %q", j.stream.lastEventID))
-	if j.stream.lastEventID != "" {
-		j.request = j.request.WithLastEventID(j.stream.lastEventID)
+	j.mayHaveCrashed = !j.heard
+	retry, err := j.handleFailure(ctx, backend, errors.Wrapf(err, "the stream was truncated after event %q", j.answer.lastEventID))
+	if j.answer.lastEventID != "" {
+		j.request = j.request.WithLastEventID(j.answer.lastEventID)
 	}
-	return retry, err
+	return retry && j.answer.resumable(), err
 }
 
 // forwardEvents forwards whole events until the stream ends.
@@ -82,7 +72,7 @@
 			whole = from + i + len(eventEnd)
 		}
 		if ended {
-			err = j.checkStreamEnd(pending[whole:], whole > 0)
+			err = j.checkStreamEnd(pending[whole:], whole > 0, a.EndsWithConnection)
 		}
 		if whole > 0 || ended && err == nil {
 			if failed := j.writeEvents(a, pending[:whole]); failed != nil {
@@ -100,13 +90,16 @@
 }
 
 // checkStreamEnd returns an error if a stream that has ended was broken off: inside an
-// event, of which rest is the beginning, or before its first one. A response without a
-// length ends like this if its server does.
-func (j *job) checkStreamEnd(rest []byte, hasEvents bool) error {
+// event, of which rest is the beginning, or before its first one. A stream that is resumed
+// after its last event may be empty, but only if its framing shows that it is complete: one
+// that ends with the connection ends like this too if its server does.
+func (j *job) checkStreamEnd(rest []byte, hasEvents, endsWithConnection bool) error {
 	switch {
 	case len(rest) > 0:
 		return errors.New("the stream ended inside an event")
-	case !hasEvents && !j.stream.responded && j.stream.lastEventID == "":
+	case hasEvents || j.heard:
+		return nil
+	case j.answer.lastEventID == "" || endsWithConnection:
 		return errors.New("the stream ended before its first event")
 	default:
 		return nil
@@ -115,27 +108,20 @@
 
 // writeEvents writes whole events to the client.
 func (j *job) writeEvents(a buckthorndyke.DispatchResponse, events []byte) error {
-	if !j.stream.headerSent {
-		j.stream.headerSent = true
+	if !j.answer.begun {
 		j.firstEvent = j.clock.Now() - j.request.Arrived
-		if err := j.w.Begin(a.Status, a.Header); err != nil {
-			return errClientGone
-		}
+	}
+	if err := j.answer.beginStream(a.Status, a.Header); err != nil {
+		return err
 	}
 	if len(events) == 0 {
 		return nil
 	}
-	if !j.stream.responded {
-		j.stream.responded, j.begun = true, true
+	if !j.heard {
+		j.heard, j.begun = true, true
 		close(j.responded)
 	}
-	if err := j.w.Write(events); err != nil {
-		return errClientGone
-	}
-	if id, ok := lastID(events); ok {
-		j.stream.lastEventID = id
-	}
-	return nil
+	return j.answer.writeEvents(events)
 }
 
 // log logs the end of a request.
@@ -177,17 +163,6 @@
 	j.trail = append(j.trail, fmt.Sprintf("%s at %d ms ", backend.ID, at)+fmt.Sprintf(format, args...))
 }
 
-// lastID returns the id of the last event in events that has one.
-func lastID(events []byte) (string, bool) {
-	id, found := "", false
-	for line := range bytes.SplitSeq(events, []byte("\n")) {
-		if rest, ok := bytes.CutPrefix(line, eventID); ok {
-			id, found = string(bytes.TrimSpace(rest)), true
-		}
-	}
-	return id, found
-}
-
 // readAll reads a response body up to maxResponseBytes.
 func readAll(body io.Reader) ([]byte, error) {
 	all, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
