feat(spreader,stager,loader): a fleet of hundreds of VMs knows the list of servers

The leader sent the models of all runners to all VMs after each survey, since each report counted as a change, added up the requests of all VMs for each reply, and opened a connection to every runner at the same time.

Change: VMs get the first list, and one of more than 256 servers, from each other: seeds read it, each VM gives at most four others a copy and sends the rest on to these (spreader.Fanout). A small list is read as before. Only changed models are told, from an index of the runners; sums of requests are kept, differences of lists are made once for all VMs; surveys ask 16 runners at a time; reports to the leader of a large fleet are rarer. Loaded models keep their own instant, which a change of the list does not move. Evidence of crashes is exchanged with one seed a round while there is none.

A leader's permission is checked again when the order leaves, and the clock counts the time while the machine is suspended (CLOCK_BOOTTIME): a leader that was suspended went on for what had been left of its grant, which runners that ignore fencing tokens cannot tell.

--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -52,7 +52,7 @@
 	if err := setLogLevel(s.LogLevel); err != nil {
 		return err
 	}
-	clock := timekeeper.NewRealClock()
+	clock := timekeeper.NewBootClock()
 	self := buckthorndyke.Self{
 		Domain:      s.Domain,
 		Incarnation: buckthorndyke.Incarnation(clock.Now()),
@@ -67,6 +67,7 @@
 		Directory: bootstrapper.NewDirectory(
 			recorder.NewDirectory(platform.NewDirectory(store, clock), metrics, clock), peers, s.Seeds, logger),
 		Election:    platform.NewElection(store, self, grantTime, clock),
+		Lists:       bootstrapper.NewLists(peers, s.Seeds, self.PeerAddress, clock, logger),
 		Leaders:     connector.NewConnectLeaderClient(s.Peers.Key.Text),
 		Observer:    platform.NewElection(store, self, grantTime, clock),
 		Pool:        recorder.NewBackendPool(pool, metrics, clock),
--- a/backend.go
+++ b/backend.go
@@ -15,6 +15,12 @@
 	return adapter == "" || slices.Contains(h.Adapters, adapter)
 }
 
+// Same reports whether h and other are the same model with the same adapters, in the same
+// order.
+func (h LoadedModel) Same(other LoadedModel) bool {
+	return h.Model == other.Model && slices.Equal(h.Adapters, other.Adapters)
+}
+
 // Backend is a backend server's own entry in the platform's server list.
 type Backend struct {
 	// Address is the IP address and port of the server.
@@ -59,8 +65,10 @@
 // Backends is the platform's list of backend servers at one point in time. It is
 // immutable.
 type Backends struct {
-	// At is the instant at which the list was requested.
+	// At is the instant as of which the listed servers are known to be current.
 	At Millis
+	// ModelsAt is the instant as of which the servers' loaded models were read.
+	ModelsAt Millis
 	// Malformed is the number of entries that do not describe a usable server.
 	Malformed int
 	Servers   Table[RunnerID, Backend]
--- /dev/null
+++ b/bootstrapper/lists.go
@@ -0,0 +1,122 @@
+package bootstrapper
+
+import (
+	"context"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/reporter"
+)
+
+const (
+	// listCallTimeout bounds a call that asks a VM for its copy of the list, without the
+	// transfer of a large one.
+	listCallTimeout = 250 * buckthorndyke.Millisecond
+	// listCopyTimeout bounds the transfer of a copy.
+	listCopyTimeout = 1500 * buckthorndyke.Millisecond
+	// listRetryWait is the time until a VM that has no new copy yet is asked again.
+	listRetryWait = 40 * buckthorndyke.Millisecond
+	// listTimeout bounds all calls for one copy.
+	listTimeout = 4 * buckthorndyke.Second
+	// maxRoots is the number of seeds that are asked before the directory is read.
+	maxRoots = 2
+)
+
+// Lists gets copies of the list of servers from other entry VMs: from one of its roots, or
+// from the VM that the root sends it on to. It implements buckthorndyke.ListSource.
+type Lists struct {
+	clock  buckthorndyke.Clock
+	logger zerolog.Logger
+	peers  buckthorndyke.ListPeers
+	roots  []string
+	self   string
+}
+
+// NewLists returns a source for the VM with the peer address self. It has no copies for a
+// VM that is one of the seeds: these read the directory.
+func NewLists(
+	peers buckthorndyke.ListPeers, seeds []string, self string, clock buckthorndyke.Clock, logger zerolog.Logger,
+) *Lists {
+	l := &Lists{clock: clock, logger: logger, peers: peers, self: self}
+	first := int(xxhash.Sum64String(self) % uint64(max(len(seeds), 1)))
+	for i := range seeds {
+		seed := seeds[(first+i)%len(seeds)]
+		if seed == self {
+			l.roots = nil
+			return l
+		}
+		if len(l.roots) < maxRoots {
+			l.roots = append(l.roots, seed)
+		}
+	}
+	return l
+}
+
+// Backends implements buckthorndyke.ListSource.
+func (l *Lists) Backends(
+	ctx context.Context, known buckthorndyke.Backends, maxAge buckthorndyke.Millis,
+) (buckthorndyke.Backends, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout.Duration())
+	defer cancel()
+	q := buckthorndyke.ListQuery{Address: l.self, MaxAge: maxAge}
+	if known.Servers.Len() > 0 {
+		q.VersionTag = known.VersionTag()
+	}
+	began := l.clock.Now()
+	for _, root := range l.roots {
+		got, from, err := l.askFrom(ctx, root, q)
+		if err != nil {
+			l.logger.Info().EmbedObject(reporter.EventListCopied).Bool("known", false).Str("from", from).
+				Int64("ms", int64(l.clock.Now()-began)).Err(err).Send()
+			continue
+		}
+		if got.ReadDirectory {
+			break
+		}
+		if got.VersionTag == q.VersionTag {
+			known.At = l.clock.Now() - got.Age
+			return known, nil
+		}
+		l.logger.Info().EmbedObject(reporter.EventListCopied).Bool("known", true).Str("from", from).
+			Int("servers", got.List.Servers.Len()).Int64("age-ms", int64(got.Age)).Int64("ms", int64(l.clock.Now()-began)).Send()
+		return got.List, nil
+	}
+	return known, errNoPeer
+}
+
+// askFrom asks root and the VMs that it is sent on to. It also returns the address of the
+// last one.
+func (l *Lists) askFrom(ctx context.Context, root string, q buckthorndyke.ListQuery) (buckthorndyke.ListCopy, string, error) {
+	address, limit := root, listCallTimeout
+	for {
+		got, err := l.ask(ctx, address, q, limit)
+		switch {
+		case err != nil:
+			return got, address, err
+		case got.Ask != "":
+			address, limit = got.Ask, listCallTimeout
+			q.Hops++
+		case got.VersionTag != 0 || got.ReadDirectory:
+			return got, address, nil
+		default:
+			// The next reply may contain the list.
+			limit = listCopyTimeout
+			select {
+			case <-ctx.Done():
+				return got, address, ctx.Err()
+			case <-l.clock.After(listRetryWait):
+			}
+		}
+	}
+}
+
+// ask asks one VM.
+func (l *Lists) ask(
+	ctx context.Context, address string, q buckthorndyke.ListQuery, limit buckthorndyke.Millis,
+) (buckthorndyke.ListCopy, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit.Duration())
+	defer cancel()
+	return l.peers.ListCopy(ctx, address, q)
+}
--- a/connector/connectdirectorypeers.go
+++ b/connector/connectdirectorypeers.go
@@ -13,7 +13,8 @@
 )
 
 // ConnectDirectoryPeers calls other entry VMs over the Connect protocol. It
-// implements buckthorndyke.DirectoryPeers and buckthorndyke.CrashPeers.
+// implements buckthorndyke.DirectoryPeers, buckthorndyke.ListPeers and
+// buckthorndyke.CrashPeers.
 type ConnectDirectoryPeers struct {
 	client *http.Client
 	clock  buckthorndyke.Clock
@@ -35,6 +36,16 @@
 	return translator.DirectorySnapshotFromWire(out, p.clock.Now()), nil
 }
 
+// ListCopy implements buckthorndyke.ListPeers.
+func (p *ConnectDirectoryPeers) ListCopy(ctx context.Context, address string, q buckthorndyke.ListQuery) (buckthorndyke.ListCopy, error) {
+	client := wireconnect.NewSiblingServiceClient(p.client, "http://"+address)
+	out, err := client.TellList(ctx, translator.ListQueryToWire(q))
+	if err != nil {
+		return buckthorndyke.ListCopy{}, errors.Wrap(err, "fetch the list of servers of another VM")
+	}
+	return translator.ListCopyFromWire(out, p.clock.Now()), nil
+}
+
 // ShareCrashes implements buckthorndyke.CrashPeers.
 func (p *ConnectDirectoryPeers) ShareCrashes(
 	ctx context.Context, address string, e buckthorndyke.CrashEvidence,
--- a/relay.go
+++ b/relay.go
@@ -179,6 +179,9 @@
 	// Leader is the VM that sends the order.
 	Leader VMID
 	Model  ModelID
+	// SendUntil is the instant from which on the order must not be sent: the leader's
+	// permission to send it has expired.
+	SendUntil Millis
 }
 
 // BackendPool sends requests and orders to backend servers.
--- a/selector/view.go
+++ b/selector/view.go
@@ -237,7 +237,7 @@
 		v.runnerModels = v.runnerModels.With(r.Runner, runnerModels{RunnerModels: r, at: now})
 	}
 	for id, r := range v.runnerModels.All() {
-		if v.list.At >= r.at+listLag {
+		if v.list.ModelsAt >= r.at+listLag {
 			v.runnerModels = v.runnerModels.Without(id)
 		}
 	}
@@ -283,7 +283,7 @@
 // latest returns a listed server with the leader's models if they are newer.
 func (v View) latest(listed buckthorndyke.Backend) buckthorndyke.Backend {
 	r, ok := v.runnerModels.Get(listed.ID)
-	if !ok || v.list.At >= r.at+listLag || r.Incarnation != listed.Incarnation {
+	if !ok || v.list.ModelsAt >= r.at+listLag || r.Incarnation != listed.Incarnation {
 		return listed
 	}
 	listed.LoadedModels = nil
--- a/stager/runnerstate.go
+++ b/stager/runnerstate.go
@@ -69,10 +69,12 @@
 	// busy is set if the runner reports that it carries out an order of another
 	// leader.
 	busy bool
-	// changedAt is the instant of the last report or completed order.
+	// changedAt is the instant at which the loaded models changed last, or 0.
 	changedAt buckthorndyke.Millis
 	// failedReports counts the consecutive failed requests for a report.
 	failedReports int
+	// knownAt is the instant of the last report or completed order.
+	knownAt buckthorndyke.Millis
 	// pending is the outstanding order, or nil.
 	pending *pendingOrder
 	// retryAt is the instant from which on the runner may get another order.
@@ -172,14 +174,6 @@
 	return o.kind == buckthorndyke.OrderLoad && o.adapter == "" && o.tier == buckthorndyke.TierRemote
 }
 
-// servesWaiting reports whether the runner has loaded what requests in entries wait
-// for.
-func (s runnerState) servesWaiting(entries []buckthorndyke.DemandEntry) bool {
-	return slices.ContainsFunc(entries, func(entry buckthorndyke.DemandEntry) bool {
-		return entry.Waiting > 0 && entry.Key.Service == s.backend.Service && s.holds(entry.Key)
-	})
-}
-
 // unloading returns the models that take no new requests because they are being
 // unloaded.
 func (s runnerState) unloading() []buckthorndyke.ModelID {
@@ -208,7 +202,7 @@
 		s.targetModel = ""
 	}
 	s.pending = nil
-	s.changedAt = now
+	s.changedAt, s.knownAt = now, now
 	return s
 }
 
--- a/stager/serverloads.go
+++ b/stager/serverloads.go
@@ -1,11 +1,6 @@
 package stager
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/buckthorndyke/buckthorndyke"
-)
+import "github.com/buckthorndyke/buckthorndyke"
 
 // minReportingVMs is the number of VMs from which on each has too few requests to
 // estimate the load of servers from its own.
@@ -15,6 +10,8 @@
 // immutable.
 type ServerLoads struct {
 	reports buckthorndyke.Table[buckthorndyke.VMID, loadReport]
+	// totals adds the requests in all reports up, so that an answer does not have to.
+	totals buckthorndyke.Table[buckthorndyke.RunnerID, int]
 }
 
 // loadReport is the last report of one VM.
@@ -30,20 +27,21 @@
 	if l.reports.Len() < minReportingVMs {
 		return nil
 	}
-	sums := make(map[buckthorndyke.RunnerID]int)
+	excluded := make(map[buckthorndyke.RunnerID]int)
 	for id, r := range l.reports.All() {
-		if id == vm || now >= r.at+reportTTL {
+		if id != vm && now < r.at+reportTTL {
 			continue
 		}
 		for _, s := range r.list {
-			sums[s.Server] += s.Requests
+			excluded[s.Server] += s.Requests
 		}
 	}
-	out := make([]buckthorndyke.ServerLoad, 0, len(sums))
-	for id, n := range sums {
-		out = append(out, buckthorndyke.ServerLoad{Requests: n, Server: id})
+	out := make([]buckthorndyke.ServerLoad, 0, l.totals.Len())
+	for id, n := range l.totals.All() {
+		if n -= excluded[id]; n > 0 {
+			out = append(out, buckthorndyke.ServerLoad{Requests: n, Server: id})
+		}
 	}
-	slices.SortFunc(out, func(a, b buckthorndyke.ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
 	return out
 }
 
@@ -60,6 +58,24 @@
 
 // WithReport returns a copy with the report of vm at now.
 func (l ServerLoads) WithReport(vm buckthorndyke.VMID, list []buckthorndyke.ServerLoad, now buckthorndyke.Millis) ServerLoads {
+	before, _ := l.reports.Get(vm)
+	for _, s := range before.list {
+		l = l.withRequests(s.Server, -s.Requests)
+	}
+	for _, s := range list {
+		l = l.withRequests(s.Server, s.Requests)
+	}
 	l.reports = l.reports.With(vm, loadReport{at: now, list: list})
 	return l
 }
+
+// withRequests returns a copy with n more requests at a server.
+func (l ServerLoads) withRequests(id buckthorndyke.RunnerID, n int) ServerLoads {
+	total, _ := l.totals.Get(id)
+	if total += n; total == 0 {
+		l.totals = l.totals.Without(id)
+	} else {
+		l.totals = l.totals.With(id, total)
+	}
+	return l
+}
--- a/stager/view.go
+++ b/stager/view.go
@@ -39,8 +39,8 @@
 	// concurrent loads.
 	slowLoadPermille = 1300
 	// changesMaxAge bounds how old a change may be that a VM without a recent reply
-	// is sent. The platform's list shows older ones.
-	changesMaxAge = 4 * buckthorndyke.Second
+	// is sent. The VM's list shows older ones.
+	changesMaxAge = 20 * buckthorndyke.Second
 	// changesMargin extends the time since the last reply to a VM for which it is
 	// sent changes, in case that reply was lost.
 	changesMargin = buckthorndyke.Second
@@ -104,26 +104,6 @@
 	return out
 }
 
-// RunnerModels returns the leader's state, which is newer than the platform's list,
-// of the runners that have changed since the given instant, that are unloading a
-// model or that have loaded what requests in entries wait for.
-func (v View) RunnerModels(
-	entries []buckthorndyke.DemandEntry, since, now buckthorndyke.Millis,
-) []buckthorndyke.RunnerModels {
-	since = max(since-changesMargin, now-changesMaxAge)
-	var out []buckthorndyke.RunnerModels
-	for id, s := range v.runners.All() {
-		unloading := s.unloading()
-		if len(unloading) == 0 && (s.changedAt == 0 || s.changedAt < since) && !s.servesWaiting(entries) {
-			continue
-		}
-		out = append(out, buckthorndyke.RunnerModels{
-			Incarnation: s.backend.Incarnation, LoadedModels: s.backend.LoadedModels, Runner: id, Unloading: unloading,
-		})
-	}
-	return out
-}
-
 // RunnersToPoll returns the runners whose reports are needed: those that may get no
 // order before they have reported, those that do not respond, and those that should
 // already serve a model that requests wait for.
@@ -142,16 +122,6 @@
 	return out
 }
 
-// Serves reports whether a runner has loaded the model or adapter of key.
-func (v View) Serves(key buckthorndyke.ModelKey) bool {
-	for _, s := range v.runners.All() {
-		if s.backend.Service == key.Service && !s.backend.Leaving && s.holds(key) {
-			return true
-		}
-	}
-	return false
-}
-
 // Unresponsive reports whether a runner counts as failed although the platform lists
 // it.
 func (v View) Unresponsive(id buckthorndyke.RunnerID) bool {
--- a/stager/viewchange.go
+++ b/stager/viewchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/buckthorndyke/buckthorndyke"
 )
@@ -39,7 +40,7 @@
 		// The loaded models are taken from the runner's reports, since entries of the
 		// list are older by an unknown time. If the two differ, a new report is
 		// needed before the next order.
-		if s.pending == nil && now >= s.changedAt+ownStateTTL && !sameModels(s.backend, b) {
+		if s.pending == nil && now >= s.knownAt+ownStateTTL && !sameModels(s.backend, b) {
 			s.acceptedOrders = unknownOrders
 		}
 		// A server that has said that it is leaving leaves, whatever a later list says.
@@ -119,10 +120,13 @@
 	if !ok || s.backend.Incarnation != r.Backend.Incarnation || s.acceptedOrders != unknownOrders && r.AcceptedOrders < s.acceptedOrders {
 		return v
 	}
+	if !slices.EqualFunc(s.backend.LoadedModels, r.Backend.LoadedModels, buckthorndyke.LoadedModel.Same) {
+		s.changedAt = now
+	}
 	leaving := s.backend.Leaving
 	s.backend = r.Backend
 	s.backend.Leaving = leaving || r.Backend.Leaving
-	s.changedAt = now
+	s.knownAt = now
 	s.failedReports = 0
 	s.acceptedOrders = r.AcceptedOrders
 	s.busy = s.pending == nil && r.Busy
--- a/supervisor/relayer/demander/demander.go
+++ b/supervisor/relayer/demander/demander.go
@@ -15,6 +15,13 @@
 const (
 	// idleInterval is the time between two reports while no request waits.
 	idleInterval = 800 * buckthorndyke.Millisecond
+	// idleIntervalPerVM and waitingIntervalPerVM bound the reports that the leader of a
+	// large fleet gets: the intervals are at least that multiple of the number of VMs.
+	idleIntervalPerVM    = 5 * buckthorndyke.Millisecond
+	waitingIntervalPerVM = buckthorndyke.Millisecond
+	// maxInterval bounds the time between two reports, which is shorter than reports are
+	// valid.
+	maxInterval = 1600 * buckthorndyke.Millisecond
 	// waitingInterval is the time between two reports while requests wait.
 	waitingInterval = 120 * buckthorndyke.Millisecond
 	// minInterval is the shortest time between two reports.
@@ -49,6 +56,8 @@
 	seen   *mailer.Feed[buckthorndyke.SeenVersion]
 	self   buckthorndyke.VMID
 	source buckthorndyke.DemandSource
+	// vms is the number of VMs that report to the leader, or 0 if unknown.
+	vms int
 }
 
 // ReplyFeeds are the feeds that the leader's replies are published to.
@@ -93,10 +102,7 @@
 		if recent = d.report(ctx, demand); recent {
 			continue
 		}
-		wait := idleInterval
-		if demand.Waiting {
-			wait = waitingInterval
-		}
+		wait := intervalOf(demand.Waiting, d.vms)
 		select {
 		case <-ctx.Done():
 		case <-d.source.WorkWaiting():
@@ -108,6 +114,15 @@
 	return ctx.Err()
 }
 
+// intervalOf returns the time between two reports in a fleet of the given number of VMs.
+func intervalOf(waiting bool, vms int) buckthorndyke.Millis {
+	n := buckthorndyke.Millis(vms)
+	if waiting {
+		return min(max(waitingInterval, n*waitingIntervalPerVM), maxInterval)
+	}
+	return min(max(idleInterval, n*idleIntervalPerVM), maxInterval)
+}
+
 // handleNoLeader reports to the source and the campaigner that no leader replies.
 func (d *Demander) handleNoLeader(ctx context.Context) {
 	if err := d.losses.Publish(ctx, d.clock.Now()); err != nil {
@@ -138,6 +153,7 @@
 		return false
 	}
 	now := d.clock.Now()
+	d.vms = reply.ReportingVMs
 	if reply.FullSpeedLoads > 0 && reply.FullSpeedLoads != d.fullSpeedLoads {
 		d.fullSpeedLoads = reply.FullSpeedLoads
 		if d.replyFeeds.FullSpeedLoads.Publish(ctx, reply.FullSpeedLoads) != nil {
--- a/supervisor/relayer/loader/loader.go
+++ b/supervisor/relayer/loader/loader.go
@@ -107,7 +107,7 @@
 
 // Serve implements suture.Service.
 func (l *Loader) Serve(ctx context.Context) error {
-	t := &task{Loader: l, crashes: quarantiner.New(), view: stager.NewView(l.fullSpeedLoads), runCtx: ctx, polling: make(map[buckthorndyke.RunnerID]bool), repliedAt: make(map[buckthorndyke.VMID]buckthorndyke.Millis)}
+	t := &task{Loader: l, listChanges: make(map[uint64]*buckthorndyke.ListChange), crashes: quarantiner.New(), view: stager.NewView(l.fullSpeedLoads), runCtx: ctx, polling: make(map[buckthorndyke.RunnerID]bool), repliedAt: make(map[buckthorndyke.VMID]buckthorndyke.Millis)}
 	return t.run(ctx)
 }
 
--- a/supervisor/relayer/loader/replies.go
+++ b/supervisor/relayer/loader/replies.go
@@ -27,7 +27,7 @@
 // canServe reports whether something that requests in entries wait for can be served.
 func (t *task) canServe(entries []buckthorndyke.DemandEntry) bool {
 	for _, entry := range entries {
-		if entry.Waiting > 0 && t.view.Serves(entry.Key) {
+		if entry.Waiting > 0 && t.index.Serves(entry.Key) {
 			return true
 		}
 	}
@@ -43,6 +43,7 @@
 	t.serverLoads = t.serverLoads.WithReport(m.vm, m.demand.ServerLoads, now)
 	t.assessment = t.assessment.WithAttemptCounts(m.demand.Attempts, now)
 	t.crashes = t.crashes.With(m.demand.Crashes, now)
+	t.index = t.view.Index(t.index, now)
 	if !t.leads(now) || !m.demand.Waiting || m.first || t.canServe(m.demand.Entries) {
 		t.reply(m, now)
 		return
@@ -50,6 +51,20 @@
 	t.held = append(t.held, heldReport{demandReported: m, until: now + longPollLimit})
 }
 
+// listChange returns the difference from the list with the given version tag to the
+// newest one, or nil if it cannot be told.
+func (t *task) listChange(from uint64) *buckthorndyke.ListChange {
+	if from == t.seenList.VersionTag {
+		return nil
+	}
+	c, ok := t.listChanges[from]
+	if !ok {
+		c = t.lists.change(from, t.seenList.VersionTag)
+		t.listChanges[from] = c
+	}
+	return c
+}
+
 // reply replies to a demand report.
 func (t *task) reply(m demandReported, now buckthorndyke.Millis) {
 	crashesSeen := m.demand.CrashesSeen
@@ -62,11 +77,11 @@
 		FullSpeedLoads:     t.view.FullSpeedLoads(),
 		Leading:            t.leads(now),
 		List:               buckthorndyke.VersionNoticeOf(t.seenList, now),
-		ListChange:         t.lists.change(m.demand.ListVersionTag, t.seenList.VersionTag),
+		ListChange:         t.listChange(m.demand.ListVersionTag),
 		LoadEstimates:      t.view.LoadEstimates(m.demand.Entries, now),
 		ReportingVMs:       t.serverLoads.ReportingVMs(now),
 		Routing:            buckthorndyke.VersionNoticeOf(t.seenRouting, now),
-		RunnerModels:       t.view.RunnerModels(m.demand.Entries, t.repliedAt[m.vm], now),
+		RunnerModels:       t.index.RunnerModels(m.demand.Entries, t.repliedAt[m.vm], now),
 		ServerLoads:        t.serverLoads.OtherVMsLoads(m.vm, now),
 		ShouldCampaign:     t.leads(now) && now >= t.term.Until && t.shouldCampaign(m.vm),
 		Suspects:           t.assessment.Suspects(t.lists.newest(), now),
@@ -78,6 +93,9 @@
 // replyToHeld replies to the held reports whose models may now be served, or that
 // have been held back for long enough.
 func (t *task) replyToHeld(now buckthorndyke.Millis) {
+	if t.changed {
+		t.index = t.view.Index(t.index, now)
+	}
 	var kept []heldReport
 	for _, r := range t.held {
 		if now < r.until && (!t.changed || !t.canServe(r.demand.Entries)) {
@@ -86,7 +104,7 @@
 		}
 		t.reply(r.demandReported, now)
 	}
-	t.changed = false
+	t.changed = t.changed && !t.index.IndexOf(t.view)
 	t.held = kept
 }
 
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -33,6 +33,9 @@
 	// time that a plan takes, so that a slow VM has time left for the calls of other
 	// VMs.
 	planIntervalFactor = 5
+	// maxReportCalls bounds the concurrent requests of a survey for the reports of
+	// runners. A new leader needs the reports of all runners.
+	maxReportCalls = 16
 	// surveyInterval is the time between two requests for the reports of the other
 	// runners whose state is unclear.
 	surveyInterval = 400 * buckthorndyke.Millisecond
@@ -53,8 +56,13 @@
 	fencedToken int64
 	// held are the demand reports without a reply yet.
 	held []heldReport
+	// index is the index of the runners as of the last reply.
+	index stager.Index
 	// lastOrderAt is the instant of the last order, or 0.
 	lastOrderAt buckthorndyke.Millis
+	// listChanges holds the differences from earlier lists to the newest one that VMs have
+	// been sent, by the version tag of the earlier list.
+	listChanges map[uint64]*buckthorndyke.ListChange
 	// lists are the latest lists of servers.
 	lists history
 	// nextPlanAt is the instant of the next plan.
@@ -74,6 +82,8 @@
 	seenList, seenRouting buckthorndyke.SeenVersion
 	// serverLoads are the requests that the VMs have in flight at servers.
 	serverLoads stager.ServerLoads
+	// survey holds the runners whose state is unclear and whose reports are requested next.
+	survey []buckthorndyke.RunnerID
 	// surveyedAt is the instant of the last poll of the other runners whose state is
 	// unclear.
 	surveyedAt buckthorndyke.Millis
@@ -173,6 +183,7 @@
 // handleReport applies a runner's report.
 func (t *task) handleReport(m runnerReported) {
 	delete(t.polling, m.runner)
+	defer t.continueSurvey()
 	if m.err != nil {
 		if t.view.Unresponsive(m.runner) {
 			return
@@ -190,11 +201,16 @@
 // that cannot renew its grant goes on: a successor asks it to yield, and runners that
 // have received an order of a successor refuse its own.
 func (t *task) leads(now buckthorndyke.Millis) bool {
-	until := t.term.Until
+	return t.term.Leading && now < t.grantUntil() && t.term.FencingToken > t.fencedToken
+}
+
+// grantUntil returns the instant until which the VM may lead without another renewal of
+// its grant.
+func (t *task) grantUntil() buckthorndyke.Millis {
 	if t.checksFencingTokens {
-		until += outageLimit
+		return t.term.Until + outageLimit
 	}
-	return t.term.Leading && now < until && t.term.FencingToken > t.fencedToken
+	return t.term.Until
 }
 
 // mayOrder reports whether the VM may send orders: it leads, its grant is valid, and
@@ -216,12 +232,19 @@
 		}
 		t.requestReport(id)
 	}
-	if now < t.surveyedAt+surveyInterval {
+	if now < t.surveyedAt+surveyInterval || len(t.survey) > 0 {
 		return
 	}
 	t.surveyedAt = now
-	for _, id := range t.view.RunnersToPoll() {
-		t.requestReport(id)
+	t.survey = t.view.RunnersToPoll()
+	t.continueSurvey()
+}
+
+// continueSurvey requests the reports of the next runners of the survey.
+func (t *task) continueSurvey() {
+	for len(t.survey) > 0 && len(t.polling) < maxReportCalls {
+		t.requestReport(t.survey[0])
+		t.survey = t.survey[1:]
 	}
 }
 
@@ -258,6 +281,7 @@
 			t.view = t.view.WithRouting(r)
 		case l := <-lists:
 			t.lists = t.lists.with(l)
+			clear(t.listChanges)
 			t.assessment = t.assessment.WithoutUnlisted(l)
 			t.view = t.view.WithBackends(l, t.clock.Now())
 			t.changed = true
@@ -291,7 +315,7 @@
 	t.lastOrderAt = now
 	sent := buckthorndyke.ModelOrder{
 		Adapter: order.Adapter, Backend: backend, ExpectedOrders: orders, FencingToken: t.term.FencingToken, Kind: order.Kind,
-		Leader: t.self.VM, Model: order.Model,
+		Leader: t.self.VM, Model: order.Model, SendUntil: t.grantUntil() - orderMargin,
 	}
 	t.logger.Info().EmbedObject(reporter.EventOrderSent).Str("runner", string(order.Runner)).Str("kind", string(order.Kind)).
 		Str("model", string(order.Model)).Str("adapter", order.Adapter).Int64("expect", sent.ExpectedOrders).Int64("fence", sent.FencingToken).
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -36,6 +36,8 @@
 	// Election is used only by the campaigner, Observer only by the demander.
 	Election buckthorndyke.Election
 	Leaders  buckthorndyke.LeaderClient
+	// Lists has other VMs' copies of large lists of servers.
+	Lists    buckthorndyke.ListSource
 	Observer buckthorndyke.Election
 	Pool     buckthorndyke.BackendPool
 	// Quarantines keeps the quarantines.
@@ -100,11 +102,13 @@
 		loader.Feeds{FullSpeedLoads: fullSpeedLoads, Lists: t.lists, Routings: t.routings, SeenList: lists.Seen, SeenRouting: routings.Seen, Terms: terms},
 		s.Lease, clock,
 		loader.WithFullSpeedLoads(s.FullSpeedLoads), loader.WithFencingTokenChecks(s.ChecksFencingToken), loader.WithLogger(logger))
-	t.teller = teller.New(t.routings, t.lists, clock)
+	refreshes := mailer.NewFeed[buckthorndyke.Millis]()
+	t.teller = teller.New(t.routings, t.lists, refreshes, clock)
 	t.base = starter.NewBranch("base", s.DrainLimit, logger,
-		t.routings, t.lists, terms, losses, fullSpeedLoads, lists.Seen, lists.Notices, routings.Seen, routings.Notices, t.dispatcher, t.loader, t.teller,
+		t.routings, t.lists, terms, losses, fullSpeedLoads, refreshes, lists.Seen, lists.Notices, routings.Seen, routings.Notices, t.dispatcher, t.loader, t.teller,
 		watcher.NewRoutings(platform.Directory, t.routings, routings, s.ChangeLimit, clock, logger),
-		watcher.NewBackends(platform.Directory, t.lists, lists, s.LeaveLimit, clock, logger),
+		watcher.NewBackends(platform.Directory, t.lists, lists, s.LeaveLimit, clock, logger,
+			watcher.WithListSource(platform.Lists), watcher.WithRefreshes(refreshes)),
 		campaigner.New(platform.Election, s.Grant, losses, terms, clock, logger, campaigner.WithStandby(s.Standby)),
 		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, losses, lists.Seen,
 			demander.ReplyFeeds{FullSpeedLoads: fullSpeedLoads, Lists: lists.Notices, Routings: routings.Notices}, clock, logger),
--- a/supervisor/relayer/sharer/sharer.go
+++ b/supervisor/relayer/sharer/sharer.go
@@ -20,12 +20,16 @@
 
 // Sharer is the task that exchanges the evidence.
 type Sharer struct {
-	// addresses are those of the VMs to exchange evidence with.
+	// addresses are those of the VMs to exchange evidence with: all of them, or one after
+	// the other while the VM has nothing to tell, so that these get few calls in a large
+	// fleet.
 	addresses []string
 	clock     buckthorndyke.Clock
 	logger    zerolog.Logger
-	peers     buckthorndyke.CrashPeers
-	source    buckthorndyke.CrashSource
+	// next is the number of rounds so far.
+	next   int
+	peers  buckthorndyke.CrashPeers
+	source buckthorndyke.CrashSource
 	// unreachable is set if no VM responded in the last round.
 	unreachable bool
 }
@@ -60,7 +64,7 @@
 func (s *Sharer) share(ctx context.Context, evidence buckthorndyke.CrashEvidence) {
 	var failed error
 	responses := 0
-	for _, address := range s.addresses {
+	for _, address := range s.round(evidence) {
 		theirs, err := s.exchange(ctx, address, evidence)
 		if err != nil {
 			failed = err
@@ -81,6 +85,15 @@
 	}
 }
 
+// round returns the addresses of the VMs to exchange the evidence with now.
+func (s *Sharer) round(evidence buckthorndyke.CrashEvidence) []string {
+	if !evidence.Empty() || len(s.addresses) == 0 {
+		return s.addresses
+	}
+	s.next++
+	return s.addresses[s.next%len(s.addresses):][:1]
+}
+
 // exchange exchanges evidence with one VM.
 func (s *Sharer) exchange(ctx context.Context, address string, evidence buckthorndyke.CrashEvidence) (buckthorndyke.CrashEvidence, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout.Duration())
--- a/supervisor/relayer/sharer/sharer_test.go
+++ b/supervisor/relayer/sharer/sharer_test.go
@@ -83,6 +83,12 @@
 			asserter.True(t, quarantined, "a VM does not know of all crashes")
 		}
 	})
+	t.Run("a VM that has nothing to tell asks one VM at a time and learns all", func(t *testing.T) {
+		_, others := vms()
+		own := &vm{evidence: quarantiner.New()}
+		run(t, own, others)
+		asserter.Equal(t, own.evidence.Crashes("f"), 2)
+	})
 	t.Run("with a leader no VM is asked", func(t *testing.T) {
 		own, others := vms()
 		own.hasLeader = true
--- a/supervisor/relayer/teller/service.go
+++ b/supervisor/relayer/teller/service.go
@@ -33,6 +33,15 @@
 	return translator.CrashEvidenceToWire(out), nil
 }
 
+// TellList implements wireconnect.SiblingServiceHandler.
+func (s *Service) TellList(ctx context.Context, in *wire.ListRequest) (*wire.ListResponse, error) {
+	out, err := s.teller.ListCopy(ctx, translator.ListQueryFromWire(in))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return translator.ListCopyToWire(out, s.teller.clock.Now()), nil
+}
+
 // Tell implements wireconnect.SiblingServiceHandler.
 func (s *Service) Tell(ctx context.Context, _ *wire.TellRequest) (*wire.TellResponse, error) {
 	snapshot, err := s.teller.DirectorySnapshot(ctx)
--- a/supervisor/relayer/watcher/backends.go
+++ b/supervisor/relayer/watcher/backends.go
@@ -8,6 +8,7 @@
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
+	"github.com/buckthorndyke/buckthorndyke/spreader"
 )
 
 // outageGrace is how long servers that are no longer listed are kept after an outage,
@@ -15,6 +16,13 @@
 // seconds after it has recovered.
 const outageGrace = 2400 * buckthorndyke.Millisecond
 
+// maxLoggedChanges bounds the lines about the changes from one list to the next.
+const maxLoggedChanges = 64
+
+// copyAgeDivisor divides the limit for changes: a copy of another VM's list is new enough
+// up to that part of it.
+const copyAgeDivisor = 4
+
 // Backends is the task that follows the list of backend servers.
 type Backends struct {
 	clock     buckthorndyke.Clock
@@ -24,15 +32,36 @@
 	// limit is the time within which a change of the list has to be known.
 	limit  buckthorndyke.Millis
 	logger zerolog.Logger
+	// refreshes delivers the instants at which other VMs need a newer list, or is nil.
+	refreshes *mailer.Feed[buckthorndyke.Millis]
+	// source has copies of large lists, or is nil.
+	source buckthorndyke.ListSource
+}
+
+// BackendsOption configures a Backends.
+type BackendsOption func(*Backends)
+
+// WithRefreshes makes the task read the list when refreshes delivers a value.
+func WithRefreshes(refreshes *mailer.Feed[buckthorndyke.Millis]) BackendsOption {
+	return func(b *Backends) { b.refreshes = refreshes }
+}
+
+// WithListSource makes a VM that does not lead get a large list, or its first one, from s.
+func WithListSource(s buckthorndyke.ListSource) BackendsOption {
+	return func(b *Backends) { b.source = s }
 }
 
 // NewBackends returns a task that publishes each list to feed. A leaving server must
 // not get new requests later than limit after it was listed as leaving.
 func NewBackends(
 	directory buckthorndyke.Directory, feed *mailer.Feed[buckthorndyke.Backends], feeds Feeds, limit buckthorndyke.Millis,
-	clock buckthorndyke.Clock, logger zerolog.Logger,
+	clock buckthorndyke.Clock, logger zerolog.Logger, opts ...BackendsOption,
 ) *Backends {
-	return &Backends{clock: clock, directory: directory, feed: feed, feeds: feeds, limit: limit, logger: logger}
+	b := &Backends{clock: clock, directory: directory, feed: feed, feeds: feeds, limit: limit, logger: logger}
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
 }
 
 // Serve implements suture.Service.
@@ -40,6 +69,9 @@
 	r := &backendsRun{
 		Backends: b, watch: newRecordWatch(ctx, "list of servers", b.feeds, b.limit, b.clock, b.logger),
 	}
+	if b.refreshes != nil {
+		r.watch.refreshes = b.refreshes.Subscribe(ctx)
+	}
 	for ctx.Err() == nil {
 		if err := r.read(ctx); err != nil {
 			return err
@@ -87,6 +119,19 @@
 	return r.watch.schedule.Due()
 }
 
+// fetch returns the list: the first one, and a large one unless the VM leads, from
+// another VM if possible.
+func (r *backendsRun) fetch(ctx context.Context) (buckthorndyke.Backends, error) {
+	servers := r.current.Servers.Len()
+	if r.source != nil && !r.watch.schedule.leading && (servers == 0 || servers > spreader.LargeList) {
+		list, err := r.source.Backends(ctx, r.current, r.limit/copyAgeDivisor)
+		if err == nil || ctx.Err() != nil {
+			return list, err
+		}
+	}
+	return r.directory.Backends(ctx)
+}
+
 // publish makes next the current list.
 func (r *backendsRun) publish(ctx context.Context, next buckthorndyke.Backends) error {
 	r.logChanges(r.current, next)
@@ -96,8 +141,7 @@
 
 // read reads the list. It returns an error only if ctx ends.
 func (r *backendsRun) read(ctx context.Context) error {
-	began := r.clock.Now()
-	next, err := r.directory.Backends(ctx)
+	next, err := r.fetch(ctx)
 	switch {
 	case ctx.Err() != nil:
 		return ctx.Err()
@@ -112,26 +156,40 @@
 	if r.clock.Now() < r.keepUntil {
 		next = withMissing(next, r.current)
 	}
-	if err := r.watch.succeeded(ctx, began, next.VersionTag()); err != nil {
+	r.watch.schedule = r.watch.schedule.WithServers(next.Servers.Len())
+	if err := r.watch.succeeded(ctx, next.At, next.VersionTag()); err != nil {
 		return err
 	}
 	return r.publish(ctx, next)
 }
 
 // logChanges logs the servers that were added, removed, restarted, or changed their
-// leaving state.
+// leaving state, up to a number of them.
 func (b *Backends) logChanges(old, next buckthorndyke.Backends) {
+	lines := 0
+	defer func() {
+		if lines > maxLoggedChanges {
+			b.logger.Info().EmbedObject(reporter.EventServersListed).Int("servers", next.Servers.Len()).
+				Int("changes", lines).Int("logged", maxLoggedChanges).Send()
+		}
+	}()
 	for id, backend := range next.Servers.All() {
 		was, ok := old.Servers.Get(id)
 		if ok && was.Leaving == backend.Leaving && was.Incarnation == backend.Incarnation {
 			continue
 		}
+		if lines++; lines > maxLoggedChanges {
+			continue
+		}
 		b.logger.Info().EmbedObject(reporter.EventServerListed).Str("server", string(id)).
 			Str("service", string(backend.Service)).Str("address", backend.Address).Bool("leaving", backend.Leaving).
 			Int("models", len(backend.LoadedModels)).Uint64("started", uint64(backend.Incarnation)).Send()
 	}
 	for id := range old.Servers.All() {
-		if !next.Servers.Has(id) {
+		if next.Servers.Has(id) {
+			continue
+		}
+		if lines++; lines <= maxLoggedChanges {
 			b.logger.Info().EmbedObject(reporter.EventServerGone).Str("server", string(id)).Send()
 		}
 	}
--- a/supervisor/relayer/watcher/recordwatch.go
+++ b/supervisor/relayer/watcher/recordwatch.go
@@ -29,6 +29,8 @@
 	notice  buckthorndyke.SeenVersion
 	notices <-chan buckthorndyke.SeenVersion
 	outage  outage
+	// refreshes delivers the instants at which the record is needed newer, or is nil.
+	refreshes <-chan buckthorndyke.Millis
 	// retryAt is the instant of the next read after a failed one.
 	retryAt  buckthorndyke.Millis
 	schedule schedule
@@ -78,6 +80,7 @@
 				if w.applyNotice(s) && w.mayRead() {
 					return true
 				}
+			case <-w.refreshes:
 			default:
 				return false
 			}
@@ -92,6 +95,10 @@
 			if w.applyNotice(s) && w.mayRead() {
 				return true
 			}
+		case at := <-w.refreshes:
+			if w.outage.failures == 0 && w.schedule.NeedsRefresh(at) {
+				return false
+			}
 		case <-w.clock.After(wait):
 		}
 	}
--- a/supervisor/relayer/watcher/schedule.go
+++ b/supervisor/relayer/watcher/schedule.go
@@ -1,10 +1,13 @@
 package watcher
 
-import "github.com/buckthorndyke/buckthorndyke"
+import (
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/spreader"
+)
 
 const (
 	// fullReadInterval is the time between two reads of a list whose version the leader
-	// confirms. The leader's replies also contain changes of loaded models, but not those
+	// confirms. A large list is read less often in proportion. The leader's replies also contain changes of loaded models, but not those
 	// of the other fields that the version tag does not cover.
 	fullReadInterval = 15 * buckthorndyke.Second
 	// leaderReadsPerLimit divides a record's limit: after that part of it the leader reads
@@ -26,7 +29,9 @@
 	leading         bool
 	limit           buckthorndyke.Millis
 	// read is the instant of the VM's own last read.
-	read       buckthorndyke.Millis
+	read buckthorndyke.Millis
+	// servers is the number of servers on the list, or 0.
+	servers    int
 	versionTag uint64
 }
 
@@ -35,7 +40,8 @@
 	if s.leading {
 		return s.read + s.limit/leaderReadsPerLimit
 	}
-	return min(s.read+fullReadInterval, s.confirmed+s.limit*stalePermille/1000)
+	interval := fullReadInterval * buckthorndyke.Millis(max(s.servers/spreader.LargeList, 1))
+	return min(s.read+interval, s.confirmed+s.limit*stalePermille/1000)
 }
 
 // LeaderConfirmedUntil returns the instant until which the VM need not wait for changes
@@ -48,6 +54,12 @@
 	return s.leaderConfirmed + s.limit*stalePermille/1000
 }
 
+// NeedsRefresh reports whether a VM that asked for a copy at the given instant needs a newer
+// one than that of the VM's own last read.
+func (s schedule) NeedsRefresh(at buckthorndyke.Millis) bool {
+	return at > s.read+s.limit/copyAgeDivisor
+}
+
 // WithChangeApplied returns the schedule of a VM that has applied the change in a notice
 // from the leader.
 func (s schedule) WithChangeApplied(notice buckthorndyke.SeenVersion) schedule {
@@ -76,6 +88,12 @@
 	return s, false
 }
 
+// WithServers returns the schedule of a list with n servers.
+func (s schedule) WithServers(n int) schedule {
+	s.servers = n
+	return s
+}
+
 // WithRead returns the schedule after a read that began at the given instant and returned
 // the given version.
 func (s schedule) WithRead(at buckthorndyke.Millis, versionTag uint64) schedule {
--- a/table.go
+++ b/table.go
@@ -34,6 +34,17 @@
 	return Table[K, V]{m: b.Map()}
 }
 
+// TableOf returns a table of values by the keys that keyOf returns for them.
+func TableOf[K cmp.Ordered, V any](values []V, keyOf func(v V) K) Table[K, V] {
+	return NewTable(func(yield func(K, V) bool) {
+		for _, v := range values {
+			if !yield(keyOf(v), v) {
+				return
+			}
+		}
+	})
+}
+
 // All yields the entries in the order of their keys.
 func (t Table[K, V]) All() iter.Seq2[K, V] {
 	return func(yield func(K, V) bool) {
--- a/translator/directorysnapshot.go
+++ b/translator/directorysnapshot.go
@@ -12,9 +12,8 @@
 func DirectorySnapshotFromWire(m *wire.TellResponse, now buckthorndyke.Millis) buckthorndyke.DirectorySnapshot {
 	out := buckthorndyke.DirectorySnapshot{Age: buckthorndyke.Millis(m.AgeMs), Routing: routingFromWire(m.Routing)}
 	out.List.At = now - out.Age
-	for _, s := range m.Servers {
-		out.List.Servers = out.List.Servers.With(buckthorndyke.RunnerID(s.Id), backendFromWire(s))
-	}
+	out.List.ModelsAt = out.List.At
+	out.List.Servers = serversFromWire(m.Servers)
 	return out
 }
 
@@ -27,6 +26,15 @@
 	return out
 }
 
+// serversFromWire returns the servers in list.
+func serversFromWire(list []*wire.ListedServer) buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Backend] {
+	out := make([]buckthorndyke.Backend, 0, len(list))
+	for _, s := range list {
+		out = append(out, backendFromWire(s))
+	}
+	return buckthorndyke.TableOf(out, func(b buckthorndyke.Backend) buckthorndyke.RunnerID { return b.ID })
+}
+
 // backendFromWire returns the server in m.
 func backendFromWire(m *wire.ListedServer) buckthorndyke.Backend {
 	out := buckthorndyke.Backend{
--- a/wire/wireconnect/demand.connect.go
+++ b/wire/wireconnect/demand.connect.go
@@ -41,6 +41,8 @@
 	LeaderServiceYieldProcedure = "/buckthorndyke.wire.LeaderService/Yield"
 	// SiblingServiceTellProcedure is the fully-qualified name of the SiblingService's Tell RPC.
 	SiblingServiceTellProcedure = "/buckthorndyke.wire.SiblingService/Tell"
+	// SiblingServiceTellListProcedure is the fully-qualified name of the SiblingService's TellList RPC.
+	SiblingServiceTellListProcedure = "/buckthorndyke.wire.SiblingService/TellList"
 	// SiblingServiceShareCrashesProcedure is the fully-qualified name of the SiblingService's
 	// ShareCrashes RPC.
 	SiblingServiceShareCrashesProcedure = "/buckthorndyke.wire.SiblingService/ShareCrashes"
@@ -163,6 +165,9 @@
 	// Tell returns the VM's copy of the server list and of the configuration. It fails
 	// with the code unavailable if the VM has not read them yet.
 	Tell(context.Context, *wire.TellRequest) (*wire.TellResponse, error)
+	// TellList returns the VM's copy of the server list, or the address of a VM to ask
+	// instead. It waits for a copy that is new enough.
+	TellList(context.Context, *wire.ListRequest) (*wire.ListResponse, error)
 	// ShareCrashes takes the caller's evidence of crashes and returns the VM's own.
 	ShareCrashes(context.Context, *wire.CrashEvidence) (*wire.CrashEvidence, error)
 }
@@ -184,6 +189,12 @@
 			connect.WithSchema(siblingServiceMethods.ByName("Tell")),
 			connect.WithClientOptions(opts...),
 		),
+		tellList: connect.NewClient[wire.ListRequest, wire.ListResponse](
+			httpClient,
+			baseURL+SiblingServiceTellListProcedure,
+			connect.WithSchema(siblingServiceMethods.ByName("TellList")),
+			connect.WithClientOptions(opts...),
+		),
 		shareCrashes: connect.NewClient[wire.CrashEvidence, wire.CrashEvidence](
 			httpClient,
 			baseURL+SiblingServiceShareCrashesProcedure,
@@ -196,6 +207,7 @@
 // siblingServiceClient implements SiblingServiceClient.
 type siblingServiceClient struct {
 	tell         *connect.Client[wire.TellRequest, wire.TellResponse]
+	tellList     *connect.Client[wire.ListRequest, wire.ListResponse]
 	shareCrashes *connect.Client[wire.CrashEvidence, wire.CrashEvidence]
 }
 
@@ -208,6 +220,15 @@
 	return nil, err
 }
 
+// TellList calls buckthorndyke.wire.SiblingService.TellList.
+func (c *siblingServiceClient) TellList(ctx context.Context, req *wire.ListRequest) (*wire.ListResponse, error) {
+	response, err := c.tellList.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // ShareCrashes calls buckthorndyke.wire.SiblingService.ShareCrashes.
 func (c *siblingServiceClient) ShareCrashes(ctx context.Context, req *wire.CrashEvidence) (*wire.CrashEvidence, error) {
 	response, err := c.shareCrashes.CallUnary(ctx, connect.NewRequest(req))
@@ -222,6 +243,9 @@
 	// Tell returns the VM's copy of the server list and of the configuration. It fails
 	// with the code unavailable if the VM has not read them yet.
 	Tell(context.Context, *wire.TellRequest) (*wire.TellResponse, error)
+	// TellList returns the VM's copy of the server list, or the address of a VM to ask
+	// instead. It waits for a copy that is new enough.
+	TellList(context.Context, *wire.ListRequest) (*wire.ListResponse, error)
 	// ShareCrashes takes the caller's evidence of crashes and returns the VM's own.
 	ShareCrashes(context.Context, *wire.CrashEvidence) (*wire.CrashEvidence, error)
 }
@@ -239,6 +263,12 @@
 		connect.WithSchema(siblingServiceMethods.ByName("Tell")),
 		connect.WithHandlerOptions(opts...),
 	)
+	siblingServiceTellListHandler := connect.NewUnaryHandlerSimple(
+		SiblingServiceTellListProcedure,
+		svc.TellList,
+		connect.WithSchema(siblingServiceMethods.ByName("TellList")),
+		connect.WithHandlerOptions(opts...),
+	)
 	siblingServiceShareCrashesHandler := connect.NewUnaryHandlerSimple(
 		SiblingServiceShareCrashesProcedure,
 		svc.ShareCrashes,
@@ -249,6 +279,8 @@
 		switch r.URL.Path {
 		case SiblingServiceTellProcedure:
 			siblingServiceTellHandler.ServeHTTP(w, r)
+		case SiblingServiceTellListProcedure:
+			siblingServiceTellListHandler.ServeHTTP(w, r)
 		case SiblingServiceShareCrashesProcedure:
 			siblingServiceShareCrashesHandler.ServeHTTP(w, r)
 		default:
@@ -264,6 +296,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthorndyke.wire.SiblingService.Tell is not implemented"))
 }
 
+func (UnimplementedSiblingServiceHandler) TellList(context.Context, *wire.ListRequest) (*wire.ListResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthorndyke.wire.SiblingService.TellList is not implemented"))
+}
+
 func (UnimplementedSiblingServiceHandler) ShareCrashes(context.Context, *wire.CrashEvidence) (*wire.CrashEvidence, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthorndyke.wire.SiblingService.ShareCrashes is not implemented"))
 }
