fix(bootstrapper): the VMs of a fleet that starts as a whole wait for their seeds

Cause: a VM that starts before its seeds found their ports closed and read the list of 3,003 servers itself, like all the others; a first copy had to be as new as a confirmation, which one that passes through several VMs is not; an empty list counted as none.

Change: a VM without a list tries all its seeds for 0.8 s; its first copy may be as old as a list that needs no confirmation yet; earlier lists are kept without models.

--- a/bootstrapper/lists.go
+++ b/bootstrapper/lists.go
@@ -13,15 +13,17 @@
 const (
 	// listCallTimeout bounds a call that asks a VM for its copy of the list, without the
 	// transfer of a large one.
-	listCallTimeout = 250 * buckthorndyke.Millisecond
+	listCallTimeout = 400 * buckthorndyke.Millisecond
 	// listCopyTimeout bounds the transfer of a copy.
 	listCopyTimeout = 1500 * buckthorndyke.Millisecond
 	// listRetryWait is the time until a VM that has no new copy yet is asked again.
 	listRetryWait = 40 * buckthorndyke.Millisecond
 	// listTimeout bounds all calls for one copy.
 	listTimeout = 4 * buckthorndyke.Second
-	// maxRoots is the number of seeds that are asked before the directory is read.
-	maxRoots = 2
+	// startPatience is how long a VM without a list tries to reach a seed before it reads
+	// the directory: the VMs of a fleet that starts as a whole do not start at the same
+	// instant.
+	startPatience = 800 * buckthorndyke.Millisecond
 )
 
 // Lists gets copies of the list of servers from other entry VMs: from one of its roots, or
@@ -47,9 +49,7 @@
 			l.roots = nil
 			return l
 		}
-		if len(l.roots) < maxRoots {
-			l.roots = append(l.roots, seed)
-		}
+		l.roots = append(l.roots, seed)
 	}
 	return l
 }
@@ -61,29 +61,51 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout.Duration())
 	defer cancel()
 	q := buckthorndyke.ListQuery{Address: l.self, MaxAge: maxAge}
-	if known.Servers.Len() > 0 {
+	if known.At > 0 {
 		q.VersionTag = known.VersionTag()
 	}
 	began := l.clock.Now()
-	for _, root := range l.roots {
-		got, from, err := l.askFrom(ctx, root, q)
-		if err != nil {
+	got, from, err := l.askRoots(ctx, q)
+	for err != nil && q.VersionTag == 0 && len(l.roots) > 0 && l.clock.Now() < began+startPatience {
+		l.wait(ctx)
+		got, from, err = l.askRoots(ctx, q)
+	}
+	switch {
+	case err != nil:
+		if len(l.roots) > 0 {
 			l.logger.Info().EmbedObject(reporter.EventListCopied).Bool("known", false).Str("from", from).
 				Int64("ms", int64(l.clock.Now()-began)).Err(err).Send()
-			continue
 		}
-		if got.ReadDirectory {
+		return known, err
+	case got.ReadDirectory:
+		return known, errNoPeer
+	case got.VersionTag == q.VersionTag:
+		known.At = l.clock.Now() - got.Age
+		return known, nil
+	}
+	l.logger.Info().EmbedObject(reporter.EventListCopied).Bool("known", true).Str("from", from).
+		Int("servers", got.List.Servers.Len()).Int64("age-ms", int64(got.Age)).Int64("ms", int64(l.clock.Now()-began)).Send()
+	return got.List, nil
+}
+
+// askRoots asks one root after the other until one has a reply. It also returns the address
+// of the last VM that was asked.
+func (l *Lists) askRoots(ctx context.Context, q buckthorndyke.ListQuery) (got buckthorndyke.ListCopy, from string, err error) {
+	err = errNoPeer
+	for _, root := range l.roots {
+		if got, from, err = l.askFrom(ctx, root, q); err == nil || ctx.Err() != nil {
 			break
 		}
-		if got.VersionTag == q.VersionTag {
-			known.At = l.clock.Now() - got.Age
-			return known, nil
-		}
-		l.logger.Info().EmbedObject(reporter.EventListCopied).Bool("known", true).Str("from", from).
-			Int("servers", got.List.Servers.Len()).Int64("age-ms", int64(got.Age)).Int64("ms", int64(l.clock.Now()-began)).Send()
-		return got.List, nil
 	}
-	return known, errNoPeer
+	return got, from, err
+}
+
+// wait waits until a VM may be asked again.
+func (l *Lists) wait(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-l.clock.After(listRetryWait):
+	}
 }
 
 // askFrom asks root and the VMs that it is sent on to. It also returns the address of the
@@ -103,10 +125,8 @@
 		default:
 			// The next reply may contain the list.
 			limit = listCopyTimeout
-			select {
-			case <-ctx.Done():
+			if l.wait(ctx); ctx.Err() != nil {
 				return got, address, ctx.Err()
-			case <-l.clock.After(listRetryWait):
 			}
 		}
 	}
--- a/spreader/fanout.go
+++ b/spreader/fanout.go
@@ -43,15 +43,14 @@
 // of the VM to ask instead, or an empty one if it gets its copy here. A VM that was sent
 // on often enough gets it in any case.
 func (f Fanout) WithAsker(address string, hops int, now buckthorndyke.Millis) (Fanout, string) {
-	kept := slices.DeleteFunc(slices.Clone(f.children), func(c child) bool {
+	known := slices.ContainsFunc(f.children, func(c child) bool { return c.address == address })
+	f.children = slices.DeleteFunc(slices.Clone(f.children), func(c child) bool {
 		return c.address == address || now >= c.askedAt+childTTL
 	})
-	known := slices.ContainsFunc(f.children, func(c child) bool { return c.address == address })
-	f.children = kept
-	if !known && len(kept) >= fanoutLimit && hops < MaxHops {
+	if n := len(f.children); !known && n >= fanoutLimit && hops < MaxHops {
 		f.next++
-		return f, kept[f.next%len(kept)].address
+		return f, f.children[f.next%n].address
 	}
-	f.children = append(kept, child{address: address, askedAt: now})
+	f.children = append(f.children, child{address: address, askedAt: now})
 	return f, ""
 }
--- a/stager/view.go
+++ b/stager/view.go
@@ -43,7 +43,7 @@
 	changesMaxAge = 20 * buckthorndyke.Second
 	// changesMargin extends the time since the last reply to a VM for which it is
 	// sent changes, in case that reply was lost.
-	changesMargin = buckthorndyke.Second
+	changesMargin = 3 * buckthorndyke.Second
 	// loadRateWindow is the period over which loads from the weight store are counted
 	// for the rate limit.
 	loadRateWindow = 5 * buckthorndyke.Second
--- a/supervisor/relayer/loader/history.go
+++ b/supervisor/relayer/loader/history.go
@@ -39,13 +39,29 @@
 	return h[len(h)-1].list
 }
 
+// withoutModels returns a list without the models on the servers, which make up most of its
+// size and do not count for a difference.
+func withoutModels(list buckthorndyke.Backends) buckthorndyke.Backends {
+	slim := make([]buckthorndyke.Backend, 0, list.Servers.Len())
+	for _, b := range list.Servers.All() {
+		b.Cached, b.LoadedModels = nil, nil
+		slim = append(slim, b)
+	}
+	list.Servers = buckthorndyke.TableOf(slim, func(b buckthorndyke.Backend) buckthorndyke.RunnerID { return b.ID })
+	return list
+}
+
 // with returns a history with list added. It replaces the newest one if both have the
 // same version tag.
 func (h history) with(list buckthorndyke.Backends) history {
 	m := taggedList{list: list, tag: list.VersionTag()}
 	kept := append(history(nil), h...)
-	if len(kept) > 0 && kept[len(kept)-1].tag == m.tag {
-		kept = kept[:len(kept)-1]
+	switch last := len(kept) - 1; {
+	case last < 0:
+	case kept[last].tag == m.tag:
+		kept = kept[:last]
+	default:
+		kept[last].list = withoutModels(kept[last].list)
 	}
 	kept = append(kept, m)
 	return kept[max(len(kept)-historyLimit, 0):]
--- a/supervisor/relayer/teller/copies.go
+++ b/supervisor/relayer/teller/copies.go
@@ -20,7 +20,7 @@
 // but the list is not new enough yet.
 func (c *copyState) answer(q buckthorndyke.ListQuery, now buckthorndyke.Millis) buckthorndyke.ListCopy {
 	age := now - c.list.At
-	known := c.list.Servers.Len() > 0
+	known := c.list.At > 0
 	isNew := known && age <= q.MaxAge
 	switch {
 	case isNew && q.VersionTag == c.versionTag:
--- a/supervisor/relayer/teller/fleet_test.go
+++ b/supervisor/relayer/teller/fleet_test.go
@@ -27,6 +27,9 @@
 	// readTime is the time that the platform needs for one read of a large list. Reads
 	// follow one after the other, since they share its bandwidth.
 	readTime = 40 * buckthorndyke.Millisecond
+	// startSpread is the time from the start of the first VM to that of the last one. The
+	// seeds start last.
+	startSpread = 300 * buckthorndyke.Millisecond
 	// recoveryLimit is the time within which all VMs know the list after a start.
 	recoveryLimit = 3 * buckthorndyke.Second
 	seedCount     = 3
@@ -43,8 +46,10 @@
 	reads  chan struct{}
 	// readers limits the concurrent reads of the platform's list.
 	readers chan struct{}
-	servers buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Backend]
-	tellers map[string]*teller.Teller
+	// startsAt holds the instants at which the VMs start.
+	startsAt map[string]buckthorndyke.Millis
+	servers  buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Backend]
+	tellers  map[string]*teller.Teller
 }
 
 // ListCopy implements buckthorndyke.ListPeers.
@@ -54,6 +59,9 @@
 		return buckthorndyke.ListCopy{}, ctx.Err()
 	}
 	f.wait(ctx, callTime)
+	if f.clock.Now() < f.startsAt[address] {
+		return buckthorndyke.ListCopy{}, errors.New("connection refused")
+	}
 	out, err := f.tellers[address].ListCopy(ctx, q)
 	if out.List.Servers.Len() > 0 {
 		f.wait(ctx, transferTime)
@@ -108,8 +116,12 @@
 		options = append(options, watcher.WithListSource(bootstrapper.NewLists(f, seeds, address, f.clock, zerolog.Nop())))
 	}
 	b := watcher.NewBackends(platformList{fleet: f}, lists, feeds, leaveLimit, f.clock, zerolog.Nop(), options...)
+	go func() {
+		f.wait(ctx, f.startsAt[address]-f.clock.Now())
+		_ = b.Serve(ctx)
+	}()
 	for _, serve := range []func(context.Context) error{
-		lists.Serve, refreshes.Serve, feeds.Notices.Serve, feeds.Seen.Serve, feeds.Terms.Serve, routings.Serve, t.Serve, b.Serve,
+		lists.Serve, refreshes.Serve, feeds.Notices.Serve, feeds.Seen.Serve, feeds.Terms.Serve, routings.Serve, t.Serve,
 	} {
 		go func() { _ = serve(ctx) }()
 	}
@@ -137,7 +149,7 @@
 		defer cancel()
 		f := &fleet{
 			clock: timekeeper.NewRealClock(), down: make(map[string]bool), listed: make(chan string, vms),
-			readers: make(chan struct{}, 1), reads: make(chan struct{}, 100*vms), tellers: make(map[string]*teller.Teller),
+			readers: make(chan struct{}, 1), reads: make(chan struct{}, 100*vms), startsAt: make(map[string]buckthorndyke.Millis), tellers: make(map[string]*teller.Teller),
 		}
 		for i := range servers {
 			id := buckthorndyke.RunnerID(fmt.Sprintf("server-%d", i))
@@ -155,6 +167,9 @@
 			seeds = nil
 		}
 		began := f.clock.Now()
+		for i, address := range all {
+			f.startsAt[address] = began + startSpread*buckthorndyke.Millis(vms-i)/buckthorndyke.Millis(vms)
+		}
 		for _, address := range all {
 			if !f.down[address] {
 				f.start(ctx, address, seeds)
--- a/supervisor/relayer/watcher/backends.go
+++ b/supervisor/relayer/watcher/backends.go
@@ -122,9 +122,14 @@
 // fetch returns the list: the first one, and a large one unless the VM leads, from
 // another VM if possible.
 func (r *backendsRun) fetch(ctx context.Context) (buckthorndyke.Backends, error) {
-	servers := r.current.Servers.Len()
-	if r.source != nil && !r.watch.schedule.leading && (servers == 0 || servers > spreader.LargeList) {
-		list, err := r.source.Backends(ctx, r.current, r.limit/copyAgeDivisor)
+	isFirst := r.current.At == 0
+	if r.source != nil && !r.watch.schedule.leading && (isFirst || r.current.Servers.Len() > spreader.LargeList) {
+		maxAge := r.limit / copyAgeDivisor
+		if isFirst {
+			// The first copies pass through many VMs. They are confirmed afterwards.
+			maxAge = r.limit * stalePermille / 1000
+		}
+		list, err := r.source.Backends(ctx, r.current, maxAge)
 		if err == nil || ctx.Err() != nil {
 			return list, err
 		}
