--- a/supervisor/relayer/campaigner/campaigner.go
+++ b/supervisor/relayer/campaigner/campaigner.go
@@ -33,8 +33,10 @@
 	clock    buckthorndyke.Clock
 	election buckthorndyke.Election
 	feed     *mailer.Feed[buckthorndyke.Term]
-	grant    buckthorndyke.Millis
-	logger   zerolog.Logger
+	// found delivers the instants at which a leader has replied, or is nil.
+	found  *mailer.Feed[buckthorndyke.Millis]
+	grant  buckthorndyke.Millis
+	logger zerolog.Logger
 	// losses delivers the instants at which the leader did not reply.
 	losses *mailer.Feed[buckthorndyke.Millis]
 	// standby is set if the VM takes the lead only when no other VM does.
@@ -44,6 +46,12 @@
 // Option configures a Campaigner.
 type Option func(*Campaigner)
 
+// WithFound makes a VM stop contesting the lead once found delivers the instant at which a
+// leader has replied.
+func WithFound(found *mailer.Feed[buckthorndyke.Millis]) Option {
+	return func(c *Campaigner) { c.found = found }
+}
+
 // WithStandby sets whether the VM takes the lead only when no other VM does.
 func WithStandby(standby bool) Option {
 	return func(c *Campaigner) { c.standby = standby }
@@ -66,8 +74,13 @@
 func (c *Campaigner) Serve(ctx context.Context) error {
 	defer c.resign(context.WithoutCancel(ctx))
 	losses := c.losses.Subscribe(ctx)
+	var found <-chan buckthorndyke.Millis
+	if c.found != nil {
+		found = c.found.Subscribe(ctx)
+	}
 	var current buckthorndyke.Term
 	failures := 0
+	var lostAt buckthorndyke.Millis
 	contestUntil := c.clock.Now() + contestGrants*c.grant
 	if c.standby {
 		c.pause(ctx, standbyWait)
@@ -90,19 +103,22 @@
 				return err
 			}
 		}
-		wait := followerInterval
-		switch {
-		case err != nil && !current.Leading:
-			wait = c.grant
-		case current.Leading || c.clock.Now() < contestUntil:
-			wait = c.grant / renewalsPerGrant
-		}
-		select {
-		case <-ctx.Done():
-		case <-losses:
-			contestUntil = c.clock.Now() + contestGrants*c.grant
-			c.waitAfterLoss(ctx, current.Leading, err != nil)
-		case <-c.clock.After(wait):
+		waiting := true
+		for waiting {
+			select {
+			case <-ctx.Done():
+				waiting = false
+			case at := <-found:
+				if at >= lostAt {
+					contestUntil = 0
+				}
+			case lostAt = <-losses:
+				contestUntil = c.clock.Now() + contestGrants*c.grant
+				c.waitAfterLoss(ctx, current.Leading, err != nil)
+				waiting = false
+			case <-c.clock.After(c.nextIn(current, err, contestUntil)):
+				waiting = false
+			}
 		}
 	}
 	return ctx.Err()
@@ -129,6 +145,19 @@
 	}
 }
 
+// nextIn returns the time until the next campaign. The VM contests the lead until
+// contestUntil.
+func (c *Campaigner) nextIn(current buckthorndyke.Term, err error, contestUntil buckthorndyke.Millis) buckthorndyke.Millis {
+	switch {
+	case err != nil && !current.Leading:
+		return c.grant
+	case current.Leading || c.clock.Now() < contestUntil:
+		return c.grant / renewalsPerGrant
+	default:
+		return followerInterval
+	}
+}
+
 // pause waits for d or until ctx ends.
 func (c *Campaigner) pause(ctx context.Context, d buckthorndyke.Millis) {
 	select {
--- a/supervisor/relayer/campaigner/campaigner_test.go
+++ b/supervisor/relayer/campaigner/campaigner_test.go
@@ -34,6 +34,31 @@
 		got := runCampaigner(t, &scriptedElection{led: true}, 20*buckthorndyke.Second, 10*buckthorndyke.Second)
 		asserter.True(t, got.campaigns >= without.campaigns+5, "the VM does not read the grant more often")
 	})
+	t.Run("a VM whose leader replies again no longer reads its grant often", func(t *testing.T) {
+		s := &scriptedElection{led: true}
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), (15 * buckthorndyke.Second).Duration())
+			defer cancel()
+			clock := timekeeper.NewRealClock()
+			feed, losses := mailer.NewFeed[buckthorndyke.Term](), mailer.NewFeed[buckthorndyke.Millis]()
+			found := mailer.NewFeed[buckthorndyke.Millis]()
+			for _, serve := range []func(context.Context) error{feed.Serve, losses.Serve, found.Serve} {
+				go func() { _ = serve(ctx) }()
+			}
+			go func() {
+				for _, lost := range []buckthorndyke.Millis{4, 8} {
+					<-clock.After(4 * buckthorndyke.Second)
+					_ = losses.Publish(ctx, clock.Now())
+					<-clock.After(lost * 100)
+					_ = found.Publish(ctx, clock.Now())
+				}
+			}()
+			synctest.Wait()
+			asserter.NoError(t, found.Publish(ctx, clock.Now()))
+			_ = campaigner.New(s, grant, losses, feed, clock, zerolog.Nop(), campaigner.WithFound(found)).Serve(ctx)
+		})
+		asserter.True(t, s.calls <= 6, "the VM contests a leader that replies")
+	})
 	t.Run("a standby VM waits before it takes the lead", func(t *testing.T) {
 		got := runStandby(t, &scriptedElection{}, 900*buckthorndyke.Millisecond)
 		asserter.Equal(t, got.campaigns, 0)
--- a/supervisor/relayer/demander/demander.go
+++ b/supervisor/relayer/demander/demander.go
@@ -41,6 +41,8 @@
 	address  string
 	clock    buckthorndyke.Clock
 	election buckthorndyke.Election
+	// found is set once the leader at address has replied.
+	found bool
 	// fullSpeedLoads is the number of concurrent loads from the weight store in the
 	// leader's last reply, or 0.
 	fullSpeedLoads int
@@ -62,6 +64,8 @@
 
 // ReplyFeeds are the feeds that the leader's replies are published to.
 type ReplyFeeds struct {
+	// Found gets the instants at which a leader has replied after a search for it.
+	Found *mailer.Feed[buckthorndyke.Millis]
 	// FullSpeedLoads gets the number of concurrent loads that the weight store serves
 	// at full speed, as the leader has learned.
 	FullSpeedLoads *mailer.Feed[int]
@@ -153,6 +157,12 @@
 		return false
 	}
 	now := d.clock.Now()
+	if !d.found {
+		d.found = true
+		if d.replyFeeds.Found.Publish(ctx, now) != nil {
+			return false
+		}
+	}
 	d.vms = reply.ReportingVMs
 	if reply.FullSpeedLoads > 0 && reply.FullSpeedLoads != d.fullSpeedLoads {
 		d.fullSpeedLoads = reply.FullSpeedLoads
@@ -187,7 +197,7 @@
 		d.logger.Info().EmbedObject(reporter.EventDependencyLost).Str("dependency", "leader").Err(err).Send()
 		return false
 	}
-	d.address = address
+	d.address, d.found = address, false
 	d.logger.Info().EmbedObject(reporter.EventLeaderFound).Str("address", address).Send()
 	return true
 }
--- a/supervisor/relayer/demander/demander_test.go
+++ b/supervisor/relayer/demander/demander_test.go
@@ -162,10 +162,11 @@
 		clock := timekeeper.NewRealClock()
 		losses, seen := mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[buckthorndyke.SeenVersion]()
 		feeds := demander.ReplyFeeds{
+			Found:          mailer.NewFeed[buckthorndyke.Millis](),
 			FullSpeedLoads: mailer.NewFeed[int](),
 			Lists:          mailer.NewFeed[buckthorndyke.SeenVersion](), Routings: mailer.NewFeed[buckthorndyke.SeenVersion](),
 		}
-		for _, serve := range []func(context.Context) error{losses.Serve, seen.Serve, feeds.FullSpeedLoads.Serve, feeds.Lists.Serve, feeds.Routings.Serve} {
+		for _, serve := range []func(context.Context) error{losses.Serve, seen.Serve, feeds.Found.Serve, feeds.FullSpeedLoads.Serve, feeds.Lists.Serve, feeds.Routings.Serve} {
 			go func() { _ = serve(ctx) }()
 		}
 		lost, lists, fullSpeedLoads := losses.Subscribe(ctx), feeds.Lists.Subscribe(ctx), feeds.FullSpeedLoads.Subscribe(ctx)
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -96,7 +96,7 @@
 	terms := mailer.NewFeed[buckthorndyke.Term]()
 	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock,
 		dispatcher.WithDomain(self.Domain), dispatcher.WithLogger(logger), dispatcher.WithRetryBurst(s.RetryBurst))
-	losses, fullSpeedLoads := mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[int]()
+	losses, found, fullSpeedLoads := mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[int]()
 	lists, routings := newWatchFeeds(terms), newWatchFeeds(terms)
 	t.loader = loader.New(self, platform.Pool, platform.Leaders,
 		loader.Feeds{FullSpeedLoads: fullSpeedLoads, Lists: t.lists, Routings: t.routings, SeenList: lists.Seen, SeenRouting: routings.Seen, Terms: terms},
@@ -105,13 +105,13 @@
 	refreshes := mailer.NewFeed[buckthorndyke.Millis]()
 	t.teller = teller.New(t.routings, t.lists, refreshes, clock)
 	t.base = starter.NewBranch("base", s.DrainLimit, logger,
-		t.routings, t.lists, terms, losses, fullSpeedLoads, refreshes, lists.Seen, lists.Notices, routings.Seen, routings.Notices, t.dispatcher, t.loader, t.teller,
+		t.routings, t.lists, terms, losses, found, fullSpeedLoads, refreshes, lists.Seen, lists.Notices, routings.Seen, routings.Notices, t.dispatcher, t.loader, t.teller,
 		watcher.NewRoutings(platform.Directory, t.routings, routings, s.ChangeLimit, clock, logger),
 		watcher.NewBackends(platform.Directory, t.lists, lists, s.LeaveLimit, clock, logger,
 			watcher.WithListSource(platform.Lists), watcher.WithRefreshes(refreshes)),
-		campaigner.New(platform.Election, s.Grant, losses, terms, clock, logger, campaigner.WithStandby(s.Standby)),
+		campaigner.New(platform.Election, s.Grant, losses, terms, clock, logger, campaigner.WithFound(found), campaigner.WithStandby(s.Standby)),
 		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, losses, lists.Seen,
-			demander.ReplyFeeds{FullSpeedLoads: fullSpeedLoads, Lists: lists.Notices, Routings: routings.Notices}, clock, logger),
+			demander.ReplyFeeds{Found: found, FullSpeedLoads: fullSpeedLoads, Lists: lists.Notices, Routings: routings.Notices}, clock, logger),
 		keeper.New(platform.Quarantines, t.dispatcher, terms, clock, logger),
 		sharer.New(platform.CrashPeers, t.dispatcher, slices.DeleteFunc(slices.Clone(s.Seeds), func(a string) bool { return a == self.PeerAddress }), clock, logger),
 	)
