fix(bootstrapper,loader): an older copy of the list does not replace a newer list

Cause, found by reading: a VM that had applied the leader's change of the list could get a copy from another VM that lacked it, which listed a server that had left. Differences of lists that could not be told for an instant, between the list and the version that the leader had read, were kept as such until the next list.

Change: a copy older than the VM's list is an error, and the directory is read; the differences are dropped with each read.

--- a/bootstrapper/lists.go
+++ b/bootstrapper/lists.go
@@ -26,6 +26,9 @@
 	startPatience = 800 * buckthorndyke.Millisecond
 )
 
+// errOlder means that another VM's copy is older than the VM's own list.
+var errOlder = buckthorndyke.NewRefusal(buckthorndyke.CodeStale, buckthorndyke.NotRun, "the copy is older than the list")
+
 // Lists gets copies of the list of servers from other entry VMs: from one of its roots, or
 // from the VM that the root sends it on to. It implements buckthorndyke.ListSource.
 type Lists struct {
@@ -80,8 +83,11 @@
 	case got.ReadDirectory:
 		return known, errNoPeer
 	case got.VersionTag == q.VersionTag:
-		known.At = l.clock.Now() - got.Age
+		known.At = max(known.At, l.clock.Now()-got.Age)
 		return known, nil
+	case got.List.At <= known.At:
+		// It may list servers that have left since.
+		return known, errOlder
 	}
 	l.logger.Info().EmbedObject(reporter.EventListCopied).Bool("known", true).Str("from", from).
 		Int("servers", got.List.Servers.Len()).Int64("age-ms", int64(got.Age)).Int64("ms", int64(l.clock.Now()-began)).Send()
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -286,6 +286,7 @@
 			t.view = t.view.WithBackends(l, t.clock.Now())
 			t.changed = true
 		case t.seenList = <-seenList:
+			clear(t.listChanges)
 		case t.seenRouting = <-seenRouting:
 		case term := <-terms:
 			t.changeTerm(term)
