--- a/selector/view_test.go
+++ b/selector/view_test.go
@@ -174,10 +174,17 @@
 		assertChosen(t, v, selector.Query{Key: hallKey, Now: now + 20*buckthorndyke.Second}, "a")
 		list := v.List()
 		list.At = now + 5*buckthorndyke.Second
+		list.ModelsAt = list.At
 		assertChosen(t, v.WithBackends(list), selector.Query{Key: hallKey, Now: list.At}, "a")
 		list.At = now + 6*buckthorndyke.Second
+		list.ModelsAt = list.At
 		assertNone(t, v.WithBackends(list), selector.Query{Key: hallKey, Now: list.At})
 	})
+	t.Run("a change of the list that was not read again leaves the leader's data valid", func(t *testing.T) {
+		v := viewOf(runner("a")).WithRunnerModels([]buckthorndyke.RunnerModels{loaded}, now)
+		list := v.List().WithChange(buckthorndyke.ListChange{}, now+6*buckthorndyke.Second)
+		assertChosen(t, v.WithBackends(list), selector.Query{Key: hallKey, Now: list.At}, "a")
+	})
 }
 
 // assertChosen reports an error unless v chooses the server want.
