fix(dispatcher): the default time limit does not cap longer limits

Cause: defaultDeadline, for requests without any limit, stood in the minimum with the client's and the route's. Ruled out: the connections and the reload, since the runner itself was told 30,000 ms. Change: it applies only without another limit.

--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -110,7 +110,7 @@
 		j.key.Model, j.key.Adapter = r.Model, r.Adapter
 	}
 	j.fingerprints = r.Fingerprints()
-	j.deadline = r.Arrived + shortest(r.Deadline, route.Timeout)
+	j.deadline = r.Arrived + timeLimit(r.Deadline, route.Timeout)
 	return j, nil
 }
 
@@ -237,14 +237,18 @@
 	return buckthorndyke.RefusalOf(a.err).WithRetryAfter(min(max(wait, minRetryAfter), maxRetryAfter))
 }
 
-// shortest returns the shortest of the times above 0, but at most defaultDeadline.
-func shortest(times ...buckthorndyke.Millis) buckthorndyke.Millis {
-	out := defaultDeadline
-	for _, t := range times {
-		if t > 0 {
-			out = min(out, t)
+// timeLimit returns the shortest of the given limits, of which those of 0 or less do not
+// exist, or defaultDeadline if none exists.
+func timeLimit(limits ...buckthorndyke.Millis) buckthorndyke.Millis {
+	var out buckthorndyke.Millis
+	for _, limit := range limits {
+		if limit > 0 && (out == 0 || limit < out) {
+			out = limit
 		}
 	}
+	if out == 0 {
+		return defaultDeadline
+	}
 	return out
 }
 
