fix(router): the default limit of a call does not cap the caller's

Callers: a call to a plain service ended after 30 s although request-timeout-ms, 5 minutes by default, allowed more. Cause: the router's limit applied beside that of the listener's context. Change: it applies only to a context without a deadline. Result: the new case of TestCall fails before (30 s instead of 1 minute) and passes; a call without a deadline still ends after 30 s.

--- a/supervisor/router/call.go
+++ b/supervisor/router/call.go
@@ -21,8 +21,11 @@
 		return buckthorndyke.ServiceResponse{}, refuse(buckthorndyke.CodeForbidden,
 			"the caller may not use service "+string(req.Call.Service))
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.options.callTimeout.Duration())
-	defer cancel()
+	if _, limited := ctx.Deadline(); !limited {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.options.callTimeout.Duration())
+		defer cancel()
+	}
 	c := &call{Router: r, request: req, repeatable: rule.IsIdempotent(req.Call.Method, req.Call.Path)}
 	if req.Key != "" && !c.repeatable {
 		return c.sendOnce(ctx)
--- a/supervisor/router/call_test.go
+++ b/supervisor/router/call_test.go
@@ -127,6 +127,25 @@
 		close(release)
 		asserter.Equal(t, counts, map[string]int{"s1": 2, "s2": 2, "s3": 2})
 	})
+	run(t, "a call ends at the limit that its caller sets, or at the default one", func(t *testing.T, f *fixture) {
+		f.addServers(func(ctx context.Context, _ buckthorndyke.ServiceCall) (buckthorndyke.ServiceResponse, error) {
+			<-ctx.Done()
+			return buckthorndyke.ServiceResponse{}, context.Cause(ctx)
+		}, "s1")
+		r := f.start(t)
+		for _, limit := range []time.Duration{time.Minute, time.Second} {
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			began := time.Now()
+			_, err := r.Call(ctx, newCall("POST", ""))
+			asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
+			asserter.Equal(t, time.Since(began), limit)
+			cancel()
+		}
+		began := time.Now()
+		_, err := r.Call(t.Context(), newCall("POST", ""))
+		asserter.Verdict(t, err, buckthorndyke.MayHaveRun)
+		asserter.Equal(t, time.Since(began), 30*time.Second)
+	})
 	run(t, "a service without a rule is refused", func(t *testing.T, f *fixture) {
 		req := newCall("GET", "")
 		req.Call.Service = "other"
--- a/supervisor/router/options.go
+++ b/supervisor/router/options.go
@@ -20,7 +20,8 @@
 	vmListInterval buckthorndyke.Millis
 }
 
-// WithCallTimeout limits a call to a plain service, including retries.
+// WithCallTimeout limits a call to a plain service, including retries, if its context has
+// no deadline.
 func WithCallTimeout(d buckthorndyke.Millis) Option {
 	return func(o *options) { o.callTimeout = d }
 }
