fix(dispatcher,platform): one account limits the memory of all responses

Callers: servers whose responses do not end took the process beyond the machine's memory; all its clients' requests ended with it. Cause: each response had a bound of its own, and nothing bounded their sum. Change: the task accountant keeps one account of 40 % of the machine's memory, which the settings name (memory-mb). A response that finds no memory is passed on as it arrives; an event or a head that finds none fails without a verdict that it has not run. Large messages leave a part to smaller ones. The garbage collector keeps to 70 % of the memory.

--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,7 @@
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/recorder"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/accountant"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/entrance"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/exporter"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/reloader"
@@ -30,6 +32,12 @@
 	// grantTime is how long a grant to lead lasts without a renewal. It is half of the
 	// lease in the deployments' settings, which separates the orders of two leaders.
 	grantTime = 1500 * buckthorndyke.Millisecond
+	// heapPermille is the part of the machine's memory, in thousandths, that the Go runtime
+	// may use. The program's file and the sockets use the rest.
+	heapPermille = 700
+	// messageMemoryPermille is the part of the machine's memory, in thousandths, that
+	// requests and responses may take together.
+	messageMemoryPermille = 400
 	// leaderShare is the fraction of a CPU core below which a VM is only a standby
 	// leader, because a leader processes the demand reports of the whole fleet.
 	leaderShare = 0.35
@@ -60,7 +68,9 @@
 		VM:          s.VM,
 	}
 	store := platform.NewStore(s.StoreAddress)
-	pool := platform.NewBackendPool(clock)
+	limitHeap(s.MemoryMB)
+	memory := accountant.New(s.MemoryMB<<20/1000*messageMemoryPermille, metrics, clock, logger)
+	pool := platform.NewBackendPool(clock, platform.WithPoolMemory(memory))
 	peers := connector.NewConnectDirectoryPeers(s.Peers.Key.Text, clock)
 	platformClients := relayer.Platform{
 		CrashPeers: peers,
@@ -69,6 +79,7 @@
 		Election:    platform.NewElection(store, self, grantTime, clock),
 		Lists:       bootstrapper.NewLists(peers, s.Seeds, self.PeerAddress, clock, logger),
 		Leaders:     connector.NewConnectLeaderClient(s.Peers.Key.Text),
+		Memory:      memory,
 		Observer:    platform.NewElection(store, self, grantTime, clock),
 		Pool:        recorder.NewBackendPool(pool, metrics, clock),
 		Quarantines: platform.NewQuarantines(store),
@@ -89,7 +100,7 @@
 	signal.Notify(reloadSignals, syscall.SIGHUP)
 	defer signal.Stop(reloadSignals)
 	reloadTask := reloader.New(readSettings, applySettings, reloadSignals, clock, logger)
-	tree.AddBase(pool, reloadTask, exporter.New(s.MetricsAddress, metrics.Text),
+	tree.AddBase(memory, pool, reloadTask, exporter.New(s.MetricsAddress, metrics.Text),
 		responder.NewRelayResponder(s.Peers.Address, s.Peers.Key.Text, tree.LeaderService(), tree.DirectoryService()))
 	tree.AddFront(entrance.Addresses{Clients: s.ClientsAddress, Readiness: s.ReadinessAddress},
 		platform.NewHandler(recorder.NewRelay(tree.Relay(), metrics, clock), bodyLimit, clock), clock)
@@ -102,6 +113,14 @@
 	return err
 }
 
+// limitHeap makes the garbage collector keep the process within a machine's memory. The
+// operator's own limit in the environment takes precedence.
+func limitHeap(memoryMB int) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(memoryMB) << 20 / 1000 * heapPermille)
+	}
+}
+
 // applySettings applies the log level in changed settings. All other settings require
 // a restart. It returns an error if the settings have faults.
 func applySettings(data []byte) error {
--- a/configurer/relay.go
+++ b/configurer/relay.go
@@ -11,10 +11,13 @@
 	defaultChangeLimit       = 2 * buckthorndyke.Second
 	maxChangeLimit           = buckthorndyke.Minute
 	minChangeLimit           = 200 * buckthorndyke.Millisecond
+	defaultMemoryMB          = 256
 	defaultRelayDrainSeconds = 8
 	defaultRetryBurst        = 56
+	maxMemoryMB              = 1 << 20
 	maxRelayDrainSeconds     = 600
 	maxRetryBurst            = 100_000
+	minMemoryMB              = 64
 )
 
 // Relay holds the settings of an entry VM that relays requests to backend servers
@@ -42,6 +45,8 @@
 	Lease buckthorndyke.Millis
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
+	// MemoryMB is the machine's memory in megabytes.
+	MemoryMB int
 	// MetricsAddress is the address from which the metrics are scraped.
 	MetricsAddress string
 	Peers          Peers
@@ -76,6 +81,7 @@
 		LeaveLimit:         root.roundedMillis("leave-limit-ms", defaultChangeLimit, minChangeLimit, maxChangeLimit, math.Floor),
 		Lease:              root.roundedMillis("lease-ms", defaultLease, minLease, maxLease, math.Ceil),
 		LogLevel:           root.choice("log-level", "info", "debug", "warn", "error"),
+		MemoryMB:           root.rounded("memory-mb", defaultMemoryMB, minMemoryMB, maxMemoryMB, math.Floor),
 		MetricsAddress:     root.sectionAddress("metrics"),
 		Peers:              root.peers(),
 		ReadinessAddress:   root.sectionAddress("readiness"),
--- a/configurer/relay_test.go
+++ b/configurer/relay_test.go
@@ -48,6 +48,7 @@
 		"drain-limit-s":   func(s configurer.Relay) int { return int(s.DrainLimit / buckthorndyke.Second) },
 		"lease-ms":        func(s configurer.Relay) int { return int(s.Lease) },
 		"leave-limit-ms":  func(s configurer.Relay) int { return int(s.LeaveLimit) },
+		"memory-mb":       func(s configurer.Relay) int { return s.MemoryMB },
 		"retry-burst":     func(s configurer.Relay) int { return s.RetryBurst },
 	}
 	// withNumber returns settings in which the number under key is literal.
--- a/endtoend/relay_test.go
+++ b/endtoend/relay_test.go
@@ -87,7 +87,7 @@
 		s.addresses = append(s.addresses, free[0])
 		s.settings = append(s.settings, map[string]any{
 			"clients": map[string]any{"address": free[0]}, "drain-limit-s": 8, "failure-domain": "z",
-			"lease-ms": 1000, "log-level": "warn", "metrics": map[string]any{"address": free[1]},
+			"lease-ms": 1000, "log-level": "warn", "memory-mb": memoryMB, "metrics": map[string]any{"address": free[1]},
 			"peers": map[string]any{"address": seeds[i], "key": launcher.FleetKey}, "seeds": seeds,
 			"readiness": map[string]any{"address": free[2]}, "runners": map[string]any{"check-fence": checksFencing},
 			"store": map[string]any{"address": storeAddress}, "vm": fmt.Sprintf("entry-%d", i),
--- a/metric.go
+++ b/metric.go
@@ -13,6 +13,7 @@
 	MetricLoadTime        Metric = "load-ms"
 	MetricLogDown         Metric = "log-down"
 	MetricMembers         Metric = "members"
+	MetricMemoryRefusals  Metric = "memory-refusals"
 	MetricOrderFailures   Metric = "order-failures"
 	MetricOrders          Metric = "orders"
 	MetricOrderTime       Metric = "order-ms"
--- a/refusal.go
+++ b/refusal.go
@@ -23,6 +23,7 @@
 	CodeKeyInvalid         Code = "key-invalid"
 	CodeKeyReused          Code = "key-reused"
 	CodeLogUnavailable     Code = "log-unavailable"
+	CodeMemoryShort        Code = "memory-short"
 	CodeModelUnknown       Code = "model-unknown"
 	CodeNotOwner           Code = "not-owner"
 	CodeNotReady           Code = "not-ready"
--- a/relay.go
+++ b/relay.go
@@ -122,6 +122,8 @@
 	Header             http.Header
 	// Leaving is set if the server says that it is shutting down.
 	Leaving bool
+	// Length is the size of the body in bytes, or -1 if it is not known.
+	Length int64
 	// NotRun is set if the server reports that it has not run the request.
 	NotRun bool
 	// Pause is how long the server wants no requests from this VM, or 0.
--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -27,6 +27,7 @@
 	EventDrainEnded     Event = "drain-ended"
 	EventDrainStep      Event = "drain-step"
 	EventLeaderFound    Event = "leader-found"
+	EventMemoryShort    Event = "memory-short"
 	EventOrderEnded     Event = "order-ended"
 	EventOrderSent      Event = "order-sent"
 	EventProcessStarted Event = "process-started"
--- a/supervisor/relayer/dispatcher/answer.go
+++ b/supervisor/relayer/dispatcher/answer.go
@@ -39,12 +39,32 @@
 
 // writeWhole sends a response that is not a stream. It fails if a stream has begun.
 func (a *answer) writeWhole(status int, header http.Header, body []byte) error {
+	err := a.beginWhole(status, header, int64(len(body)))
+	if err == nil {
+		err = a.writePart(body)
+	}
+	return err
+}
+
+// beginWhole sends the head of a response that is not a stream, whose body has the given
+// length, or an unknown one if that is negative. It fails if a stream has begun.
+func (a *answer) beginWhole(status int, header http.Header, length int64) error {
 	if a.begun {
 		return errBegun
 	}
 	a.begun = true
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	if a.w.Begin(status, header) != nil || a.w.Write(body) != nil {
+	if length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	if a.w.Begin(status, header) != nil {
+		return errClientGone
+	}
+	return nil
+}
+
+// writePart sends a part of a response whose head was sent.
+func (a *answer) writePart(part []byte) error {
+	if a.w.Write(part) != nil {
 		return errClientGone
 	}
 	return nil
--- a/supervisor/relayer/dispatcher/attempt.go
+++ b/supervisor/relayer/dispatcher/attempt.go
@@ -80,23 +80,10 @@
 	case j.route.Kind == buckthorndyke.RouteStream && a.Status < http.StatusMultipleChoices && isStream(a.Header):
 		return j.relayStream(ctx, backend, a)
 	default:
-		return j.copyBuffered(ctx, backend, a)
+		return j.copyResponse(ctx, backend, a)
 	}
 }
 
-// copyBuffered reads a whole response before it passes it on to the client.
-func (j *job) copyBuffered(ctx context.Context, backend buckthorndyke.Backend, a buckthorndyke.DispatchResponse) (bool, error) {
-	body, err := readAll(a.Body)
-	if err != nil {
-		return j.handleFailure(ctx, backend, err)
-	}
-	j.noteAttempt(backend, "status %d", a.Status)
-	j.executions++
-	j.begun = a.Signed && a.Status < http.StatusInternalServerError
-	j.releaseServer(ctx, backend, resultOf(a.Status))
-	return false, j.answer.writeWhole(a.Status, a.Header, body)
-}
-
 // refuseContinuation handles a response, or its beginning, that cannot be passed on because
 // the client has been sent a part of a stream. What the client has may still be resumed.
 func (j *job) refuseContinuation(ctx context.Context, backend buckthorndyke.Backend, a buckthorndyke.DispatchResponse) (bool, error) {
@@ -117,7 +104,11 @@
 		return false, errTimeout
 	}
 	j.noteAttempt(backend, "failed: %v", err)
-	j.releaseServer(ctx, backend, resultFailed)
+	if errors.Is(err, buckthorndyke.ErrMemory) || errors.Is(err, errEventMemory) {
+		j.releaseServer(ctx, backend, resultNeutral)
+	} else {
+		j.releaseServer(ctx, backend, resultFailed)
+	}
 	j.excluded = append(j.excluded, backend.ID)
 	verdict := buckthorndyke.VerdictOf(err)
 	refusal := buckthorndyke.NewRefusal(buckthorndyke.CodeServiceUnavailable, verdict, "the server did not respond")
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/gatherer"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
 )
 
@@ -25,6 +26,7 @@
 	domain      buckthorndyke.DomainID
 	lists       *mailer.Feed[buckthorndyke.Backends]
 	logger      zerolog.Logger
+	memory      buckthorndyke.MemoryAccount
 	pool        buckthorndyke.BackendPool
 	retryBurst  int
 	routings    *mailer.Feed[buckthorndyke.Routing]
@@ -44,6 +46,11 @@
 	return func(d *Dispatcher) { d.logger = l }
 }
 
+// WithMemory reserves memory for responses from account.
+func WithMemory(account buckthorndyke.MemoryAccount) Option {
+	return func(d *Dispatcher) { d.memory = account }
+}
+
 // WithRetryBurst bounds the burst of retries that all entry VMs together send to a
 // service.
 func WithRetryBurst(n int) Option {
@@ -61,6 +68,7 @@
 		clock:       clock,
 		lists:       lists,
 		logger:      zerolog.Nop(),
+		memory:      gatherer.Unlimited{},
 		pool:        pool,
 		workWaiting: make(chan struct{}, 1),
 		retryBurst:  defaultRetryBurst,
--- a/supervisor/relayer/dispatcher/fixture_test.go
+++ b/supervisor/relayer/dispatcher/fixture_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -38,7 +39,7 @@
 
 // withFixture runs test with a dispatcher that has a configuration, three servers of a
 // service without models and two runners.
-func withFixture(t *testing.T, test func(s *fixture)) {
+func withFixture(t *testing.T, test func(s *fixture), opts ...dispatcher.Option) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -48,7 +49,7 @@
 			pool: newFakePool(ctx), routings: mailer.NewFeed[buckthorndyke.Routing](),
 			starts: make(map[buckthorndyke.RunnerID]buckthorndyke.Incarnation), t: t,
 		}
-		s.dispatcher = dispatcher.New(s.pool, s.routings, s.lists, s.clock)
+		s.dispatcher = dispatcher.New(s.pool, s.routings, s.lists, s.clock, opts...)
 		for _, serve := range []func(context.Context) error{
 			s.lists.Serve, s.routings.Serve, s.pool.serve, s.dispatcher.Serve,
 		} {
@@ -122,6 +123,8 @@
 	err                error
 	hang               bool
 	leaving            bool
+	// length is the length that the response declares, or 0 for none.
+	length int64
 	// mediaType is that of the response, or empty if it does not name one.
 	mediaType string
 	notRun    bool
@@ -198,7 +201,7 @@
 		header.Set("Content-Type", next.mediaType)
 	}
 	return buckthorndyke.DispatchResponse{
-		Body: io.NopCloser(body), EndsWithConnection: next.endsWithConnection, Header: header, Leaving: next.leaving, NotRun: next.notRun, Pause: next.pause, Signed: !next.unsigned && !next.notRun,
+		Body: io.NopCloser(body), EndsWithConnection: next.endsWithConnection, Header: header, Leaving: next.leaving, Length: cmp.Or(next.length, -1), NotRun: next.notRun, Pause: next.pause, Signed: !next.unsigned && !next.notRun,
 		Status: next.status,
 	}, nil
 }
--- a/supervisor/relayer/dispatcher/stream.go
+++ b/supervisor/relayer/dispatcher/stream.go
@@ -10,21 +10,20 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/gatherer"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 )
 
 const (
-	// maxResponseBytes bounds a response that is not a stream. It is held in memory
-	// until it is complete.
-	maxResponseBytes = 4 << 20
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
 	// maxLoggedParts bounds the parts of a prompt in a line.
 	maxLoggedParts = 16
-	// readBytes is the size of one read from a stream.
-	readBytes = 8 << 10
 )
 
+// errEventMemory means that the VM has too little free memory for an event.
+var errEventMemory = errors.New("the VM has too little free memory for an event")
+
 var (
 	// eventEnd ends an event.
 	eventEnd = []byte("\n\n")
@@ -36,7 +35,7 @@
 // at another server if the route allows that.
 func (j *job) relayStream(ctx context.Context, backend buckthorndyke.Backend, a buckthorndyke.DispatchResponse) (bool, error) {
 	j.heard = false
-	err := j.forwardEvents(a)
+	err := j.forwardEvents(ctx, a)
 	switch {
 	case err == nil:
 		j.noteAttempt(backend, "streamed up to event %s", j.answer.lastEventID)
@@ -58,14 +57,15 @@
 }
 
 // forwardEvents forwards whole events until the stream ends.
-func (j *job) forwardEvents(a buckthorndyke.DispatchResponse) error {
-	var pending []byte
-	buffer := make([]byte, readBytes)
+func (j *job) forwardEvents(ctx context.Context, a buckthorndyke.DispatchResponse) error {
+	events := gatherer.New(j.memory)
+	defer events.Close()
 	for {
-		n, err := a.Body.Read(buffer)
+		known := len(events.Bytes())
+		_, err := events.ReadOnce(ctx, a.Body)
+		pending := events.Bytes()
 		// Only the new bytes can end an event, together with the last one before them.
-		from := max(len(pending)-len(eventEnd)+1, 0)
-		pending = append(pending, buffer[:n]...)
+		from := max(known-len(eventEnd)+1, 0)
 		ended := errors.Is(err, io.EOF)
 		whole := 0
 		if i := bytes.LastIndex(pending[from:], eventEnd); i >= 0 {
@@ -78,12 +78,14 @@
 			if failed := j.writeEvents(a, pending[:whole]); failed != nil {
 				return failed
 			}
-			pending = append(pending[:0], pending[whole:]...)
+			events.Discard(whole)
 		}
 		switch {
+		case errors.Is(err, buckthorndyke.ErrMemory):
+			return errEventMemory
 		case ended || err != nil:
 			return err
-		case len(pending) > maxEventBytes:
+		case len(events.Bytes()) > maxEventBytes:
 			return errors.New("an event exceeds the size limit")
 		}
 	}
@@ -162,15 +164,3 @@
 	at := j.clock.Now() - j.request.Arrived
 	j.trail = append(j.trail, fmt.Sprintf("%s at %d ms ", backend.ID, at)+fmt.Sprintf(format, args...))
 }
-
-// readAll reads a response body up to maxResponseBytes.
-func readAll(body io.Reader) ([]byte, error) {
-	all, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read the response")
-	}
-	if len(all) > maxResponseBytes {
-		return nil, errors.New("the response exceeds the size limit")
-	}
-	return all, nil
-}
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -37,7 +37,9 @@
 	Election buckthorndyke.Election
 	Leaders  buckthorndyke.LeaderClient
 	// Lists has other VMs' copies of large lists of servers.
-	Lists    buckthorndyke.ListSource
+	Lists buckthorndyke.ListSource
+	// Memory is the account of the memory for requests and responses.
+	Memory   buckthorndyke.MemoryAccount
 	Observer buckthorndyke.Election
 	Pool     buckthorndyke.BackendPool
 	// Quarantines keeps the quarantines.
@@ -95,7 +97,8 @@
 	}
 	terms := mailer.NewFeed[buckthorndyke.Term]()
 	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock,
-		dispatcher.WithDomain(self.Domain), dispatcher.WithLogger(logger), dispatcher.WithRetryBurst(s.RetryBurst))
+		dispatcher.WithDomain(self.Domain), dispatcher.WithLogger(logger), dispatcher.WithMemory(platform.Memory),
+		dispatcher.WithRetryBurst(s.RetryBurst))
 	losses, found, fullSpeedLoads := mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[int]()
 	lists, routings := newWatchFeeds(terms), newWatchFeeds(terms)
 	t.loader = loader.New(self, platform.Pool, platform.Leaders,
