fix(platform): bodies of requests take their memory from the account

Cause: each body was held whole in a buffer that grew by copies, and copied once more to be sent; nothing bounded the bodies held at a time. Change: a body's declared length is reserved at once and read in place. One that finds no memory is refused with 503 and Retry-After before it is read; the times differ, so that refused clients do not return together.

--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -103,7 +103,7 @@
 	tree.AddBase(memory, pool, reloadTask, exporter.New(s.MetricsAddress, metrics.Text),
 		responder.NewRelayResponder(s.Peers.Address, s.Peers.Key.Text, tree.LeaderService(), tree.DirectoryService()))
 	tree.AddFront(entrance.Addresses{Clients: s.ClientsAddress, Readiness: s.ReadinessAddress},
-		platform.NewHandler(recorder.NewRelay(tree.Relay(), metrics, clock), bodyLimit, clock), clock)
+		platform.NewHandler(recorder.NewRelay(tree.Relay(), metrics, clock), bodyLimit, clock, platform.WithMemory(memory)), clock)
 	logger.Info().EmbedObject(reporter.EventProcessStarted).Uint64("incarnation", uint64(self.Incarnation)).Send()
 	err = tree.Serve(ctx)
 	logger.Info().EmbedObject(reporter.EventProcessStopped).Send()
