fix(dispatcher,entrance): a VM that is stopping sends only what will be answered

Callers: in a planned stop, requests whose bodies ended late in the grace were sent to servers, unsafe calls too, and cut at its end without a response. Cause: nothing compared the time that a request takes with what is left of the stop, and the end of the stop closed connections without a response. Change: while the VM is stopping, a request is sent only if its deadline, or the longest recent request of its route and a quarter more, ends in time; others are refused at once as not run. Shortly before the end, requests in progress get a response with their verdict.

--- a/endtoend/soak_test.go
+++ b/endtoend/soak_test.go
@@ -217,7 +217,7 @@
 }
 
 // servers returns all fake backend servers.
-func (s *soak) servers() []*imitator.Server { return slices.Concat(s.callServers, s.runners) }
+func (s *relayFixture) servers() []*imitator.Server { return slices.Concat(s.callServers, s.runners) }
 
 // sleepRandom waits for a random time below limit.
 func (s *soak) sleepRandom(limit time.Duration) {
--- a/refusal.go
+++ b/refusal.go
@@ -50,6 +50,9 @@
 	verdict    Verdict
 }
 
+// ErrStopping means that a VM serves no more requests because it is stopping. Others do.
+var ErrStopping = NewRefusal(CodeDraining, NotRun, "the VM is stopping").WithRetryAfter(100 * Millisecond)
+
 // NewRefusal returns a refusal with the given code, verdict and message.
 func NewRefusal(code Code, verdict Verdict, message string) *RefusalError {
 	return &RefusalError{code: code, message: message, verdict: verdict}
--- a/supervisor/relayer/dispatcher/attempt.go
+++ b/supervisor/relayer/dispatcher/attempt.go
@@ -97,10 +97,14 @@
 
 // handleFailure handles an attempt that ended without a complete response.
 func (j *job) handleFailure(ctx context.Context, backend buckthorndyke.Backend, err error) (bool, error) {
-	if errors.Is(err, errTimeout) || errors.Is(err, context.Canceled) {
+	stopping := errors.Is(err, buckthorndyke.ErrStopping)
+	if stopping || errors.Is(err, errTimeout) || errors.Is(err, context.Canceled) {
 		j.noteAttempt(backend, "ended by this VM")
 		j.releaseServer(ctx, backend, j.resultOfCancelled())
 		j.executions++
+		if stopping {
+			return false, buckthorndyke.ErrStopping
+		}
 		return false, errTimeout
 	}
 	j.noteAttempt(backend, "failed: %v", err)
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -95,10 +95,11 @@
 	})
 }
 
-// Drain limits the time that requests, including those already waiting, wait for a
-// server to wait from now.
-func (d *Dispatcher) Drain(ctx context.Context, wait buckthorndyke.Millis) error {
-	return d.box.Send(ctx, drainStarted{until: d.clock.Now() + wait})
+// Drain tells the dispatcher that the VM is stopping. From now on, requests wait for a server
+// for at most wait, and those that will not have been answered after end are refused.
+func (d *Dispatcher) Drain(ctx context.Context, wait, end buckthorndyke.Millis) error {
+	now := d.clock.Now()
+	return d.box.Send(ctx, drainStarted{drain: drain{end: now + end, waitUntil: now + wait}})
 }
 
 // HandleCrashEvidence implements buckthorndyke.CrashSource.
--- a/supervisor/relayer/dispatcher/dispatcher_test.go
+++ b/supervisor/relayer/dispatcher/dispatcher_test.go
@@ -276,7 +276,7 @@
 		withFixture(t, func(s *fixture) {
 			s.leads()
 			began := s.clock.Now()
-			asserter.NoError(t, s.dispatcher.Drain(s.ctx, 500))
+			asserter.NoError(t, s.dispatcher.Drain(s.ctx, 500, buckthorndyke.Minute))
 			_, err := s.relay(streamRequest("/stream/x", gym))
 			asserter.Verdict(t, err, buckthorndyke.NotRun)
 			asserter.Equal(t, s.clock.Now()-began, 500*buckthorndyke.Millisecond)
--- a/supervisor/relayer/dispatcher/fixture_test.go
+++ b/supervisor/relayer/dispatcher/fixture_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -82,6 +83,19 @@
 func (s *fixture) relayFor(ctx context.Context, r buckthorndyke.RelayRequest) (*response, error) {
 	s.t.Helper()
 	r.Arrived = s.clock.Now()
+	return s.send(ctx, r)
+}
+
+// relayAt is like relay for a request that arrived at an earlier instant.
+func (s *fixture) relayAt(arrived buckthorndyke.Millis, r buckthorndyke.RelayRequest) (*response, error) {
+	s.t.Helper()
+	r.Arrived = arrived
+	return s.send(s.ctx, r)
+}
+
+// send passes a request to the dispatcher.
+func (s *fixture) send(ctx context.Context, r buckthorndyke.RelayRequest) (*response, error) {
+	s.t.Helper()
 	r.ID = "one"
 	w := &response{}
 	err := s.dispatcher.Relay(ctx, r, w)
@@ -116,6 +130,8 @@
 	// body is the body of the response. If broken is set the connection breaks after it.
 	body   string
 	broken bool
+	// delay is the time until the server responds.
+	delay buckthorndyke.Millis
 	// endless is set if the body repeats without end.
 	endless bool
 	// endsWithConnection is set if only the end of the connection ends the body.
@@ -179,6 +195,7 @@
 		s.responses = s.responses[1:]
 		return first
 	})
+	time.Sleep(next.delay.Duration())
 	if next.hang {
 		<-ctx.Done()
 		return buckthorndyke.DispatchResponse{}, context.Cause(ctx)
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
@@ -42,6 +43,7 @@
 	errNoRouting  = buckthorndyke.NewRefusal(buckthorndyke.CodeNotReady, buckthorndyke.NotRun,
 		"the configuration has not been read yet").WithRetryAfter(minRetryAfter)
 	errNoRoute = buckthorndyke.NewRefusal(buckthorndyke.CodeServiceUnknown, buckthorndyke.NotRun, "no route matches the host and path")
+	errTooLate = buckthorndyke.NewRefusal(buckthorndyke.CodeDeadline, buckthorndyke.NotRun, "the deadline of the request passed before it could be sent")
 	errTimeout = buckthorndyke.NewRefusal(buckthorndyke.CodeDeadline, buckthorndyke.MayHaveRun, "the deadline of the request has passed")
 )
 
@@ -91,7 +93,7 @@
 		return routingRequested{reply: reply}
 	})
 	if err != nil {
-		return j, errClientGone
+		return j, endOf(ctx)
 	}
 	if routing.Version == 0 {
 		return j, errNoRouting
@@ -116,13 +118,16 @@
 
 // run sends the request to servers until one has responded or no attempt is left.
 func (j *job) run(ctx context.Context) error {
+	if j.clock.Now() >= j.deadline-attemptMargin {
+		return errTooLate
+	}
 	for {
 		retry, err := j.attempt(ctx)
 		switch {
-		case ctx.Err() != nil:
-			return errClientGone
 		case err == nil:
 			return nil
+		case ctx.Err() != nil:
+			return j.withVerdict(endOf(ctx))
 		case !retry || j.attempts >= maxAttempts || j.clock.Now() >= j.deadline-attemptMargin:
 			return j.withVerdict(err)
 		}
@@ -132,6 +137,7 @@
 // acquireServer waits until the task assigns a server to the request.
 func (j *job) acquireServer(ctx context.Context) (buckthorndyke.Backend, error) {
 	now := j.clock.Now()
+	j.attemptStart = 0
 	m := admissionRequested{
 		job:  j,
 		load: j.load(),
@@ -143,7 +149,7 @@
 		retry:  j.attempts > 0,
 	}
 	if err := j.box.Send(ctx, m); err != nil {
-		return buckthorndyke.Backend{}, errClientGone
+		return buckthorndyke.Backend{}, endOf(ctx)
 	}
 	select {
 	case a := <-m.reply.Receive():
@@ -155,7 +161,7 @@
 	case <-ctx.Done():
 	}
 	j.cancelAdmission(ctx, m)
-	return buckthorndyke.Backend{}, errClientGone
+	return buckthorndyke.Backend{}, endOf(ctx)
 }
 
 // cancelAdmission tells the task that the request no longer waits for a server, because
@@ -179,6 +185,14 @@
 	}
 }
 
+// endOf returns why the context of a request has ended.
+func endOf(ctx context.Context) error {
+	if errors.Is(context.Cause(ctx), buckthorndyke.ErrStopping) {
+		return buckthorndyke.ErrStopping
+	}
+	return errClientGone
+}
+
 // load returns what the request adds to a server's load.
 func (j *job) load() selector.Load {
 	return selector.Load{Requests: 1, Tokens: j.request.PromptTokens}
@@ -211,6 +225,10 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout.Duration())
 	defer cancel()
 	m := attemptEnded{backend: backend, fingerprints: j.fingerprints, key: j.key, load: j.load(), result: r}
+	m.route = j.route.Name
+	if j.attemptStart > 0 {
+		m.duration = j.clock.Now() - j.attemptStart
+	}
 	m.begun, m.broken = j.begun, r == resultFailed && j.mayHaveCrashed
 	if err := j.box.Send(ctx, m); err != nil {
 		j.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -66,11 +66,15 @@
 		// begun is set if the server has begun to answer.
 		begun bool
 		// broken is set if the connection broke before the server had begun to answer.
-		broken       bool
+		broken bool
+		// duration is how long the attempt took.
+		duration     buckthorndyke.Millis
 		fingerprints []buckthorndyke.Fingerprint
 		key          buckthorndyke.ModelKey
 		load         selector.Load
 		result       result
+		// route is the name of the request's route.
+		route string
 	}
 
 	// crashChecked reports whether a server whose connections broke has ended.
@@ -104,9 +108,9 @@
 		reply  mailer.Reply[buckthorndyke.DemandReport]
 	}
 
-	// drainStarted says that no request may wait for a server after until.
+	// drainStarted says that the VM is stopping.
 	drainStarted struct {
-		until buckthorndyke.Millis
+		drain drain
 	}
 
 	// leaderReplied passes on the leader's reply to a demand report.
@@ -147,7 +151,7 @@
 }
 func (m crashesShared) apply(t *task)     { t.addCrashEvidence(m.evidence) }
 func (m demandRequested) apply(t *task)   { m.reply.Answer(t.demand(m.recent)) }
-func (m drainStarted) apply(t *task)      { t.drainUntil = m.until }
+func (m drainStarted) apply(t *task)      { t.drain = m.drain }
 func (m leaderReplied) apply(t *task)     { t.applyLeaderReply(m.reply) }
 func (m leaderUnavailable) apply(t *task) { t.hasLeader, t.crashSync = false, crashSync{} }
 func (m serverTold) apply(t *task)        { t.handleServerTold(m) }
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/chooser"
+	"github.com/buckthorndyke/buckthorndyke/estimator"
 	"github.com/buckthorndyke/buckthorndyke/quarantiner"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/selector"
@@ -52,8 +54,9 @@
 	crashes quarantiner.Evidence
 	// crashSync says what of the evidence this VM and the leader have told each other.
 	crashSync crashSync
-	// drainUntil is the instant after which no request waits, or 0.
-	drainUntil buckthorndyke.Millis
+	drain     drain
+	// durations holds the recent durations of the attempts on each route.
+	durations map[string]estimator.Peak
 	// expected holds the instants at which models are going to be loaded, from the
 	// leader's latest reply.
 	expected map[buckthorndyke.ModelKey]buckthorndyke.Millis
@@ -83,6 +86,7 @@
 		budgets:    make(map[buckthorndyke.ServiceID]chooser.Budget),
 		crashSigns: make(map[buckthorndyke.Lifetime]crashSign),
 		crashes:    quarantiner.New(),
+		durations:  make(map[string]estimator.Peak),
 		rates:      make(map[buckthorndyke.ModelKey]buckthorndyke.Rate),
 		runCtx:     ctx,
 		running:    make(map[buckthorndyke.ModelKey]int),
@@ -101,6 +105,7 @@
 			m.apply(t)
 		case r := <-routings:
 			t.routing = r
+			t.dropOldDurations()
 		case l := <-lists:
 			t.confirmCrashesByList(l)
 			t.view = t.view.WithBackends(l)
@@ -127,7 +132,7 @@
 		m.reply.Answer(admission{err: errBudget})
 		return
 	}
-	if t.tryAdmit(m) || t.refusePaused(m) {
+	if t.refuseStopping(m) || t.tryAdmit(m) || t.refusePaused(m) {
 		return
 	}
 	t.waiting = append(t.waiting, m)
@@ -229,6 +234,15 @@
 	return report
 }
 
+// dropOldDurations forgets the routes that have served no requests recently.
+func (t *task) dropOldDurations() {
+	now := t.clock.Now()
+	maps.DeleteFunc(t.durations, func(_ string, p estimator.Peak) bool {
+		_, known := p.Value(now)
+		return !known
+	})
+}
+
 // endAttempt applies the result of an attempt.
 func (t *task) endAttempt(m attemptEnded) {
 	now := t.clock.Now()
@@ -244,6 +258,7 @@
 	}
 	switch m.result {
 	case resultServed:
+		t.durations[m.route] = t.durations[m.route].With(m.duration, now)
 		t.view = t.view.WithSuccess(m.backend.ID).WithoutPause(m.backend.ID, now)
 	case resultModelMissing:
 		t.view = t.view.WithMissing(m.backend.ID, m.key, now)
@@ -291,7 +306,7 @@
 	kept := t.waiting[:0]
 	for _, m := range t.waiting {
 		switch {
-		case t.refuseQuarantined(m), t.tryAdmit(m), t.refusePaused(m):
+		case t.refuseQuarantined(m), t.refuseStopping(m), t.tryAdmit(m), t.refusePaused(m):
 		case now >= t.waitUntil(m):
 			m.reply.Answer(admission{err: errNoServer, expected: t.expected[m.query.Key]})
 		default:
@@ -336,5 +351,5 @@
 
 // waitUntil returns the instant until which a request may wait.
 func (t *task) waitUntil(m admissionRequested) buckthorndyke.Millis {
-	return m.limits.WithDrain(t.drainUntil).Until(m.query.Key, t.hasLeader, t.expected[m.query.Key])
+	return m.limits.WithDrain(t.drain.waitUntil).Until(m.query.Key, t.hasLeader, t.expected[m.query.Key])
 }
--- a/supervisor/relayer/entrance/entrance.go
+++ b/supervisor/relayer/entrance/entrance.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -23,14 +24,11 @@
 	idleTimeout = 30 * buckthorndyke.Second
 	// headerLimit bounds a request's header, in bytes.
 	headerLimit = 64 << 10
-	// drainGrace is how long new requests are accepted after the drain has begun. By then
-	// the load balancer has noticed that the VM is not ready.
-	drainGrace = 2600 * buckthorndyke.Millisecond
-	// stopMargin is the part of the drain limit that is left for the rest of the supervisor
-	// tree.
-	stopMargin = 800 * buckthorndyke.Millisecond
 )
 
+// errNotDone means that requests were still in progress when the connections were closed.
+var errNotDone = errors.New("requests were still in progress")
+
 // Entrance is the task that serves clients.
 type Entrance struct {
 	address    string
@@ -75,11 +73,12 @@
 }
 
 // Serve implements suture.Service. When ctx ends it reports that it is not ready, accepts
-// requests until the load balancer has noticed, and returns once all requests are done.
+// requests until the load balancer has noticed, and returns once all requests are done. Requests that
+// take too long are ended with buckthorndyke.ErrStopping as the cause of their context.
 func (e *Entrance) Serve(ctx context.Context) error {
 	// The servers run on after ctx, until the drain has ended.
-	serverCtx, end := context.WithCancel(context.WithoutCancel(ctx))
-	defer end()
+	serverCtx, end := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer end(nil)
 	clientServer := &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return serverCtx },
 		Handler:           closeAfter(ctx, e.handler),
@@ -102,18 +101,34 @@
 		_ = clientServer.Close()
 		return err
 	}
-	e.drain(serverCtx, clientServer)
+	e.drain(clientServer, end)
 	return ctx.Err()
 }
 
-// drain shuts clientServer down once its requests are done.
-func (e *Entrance) drain(ctx context.Context, clientServer *http.Server) {
+// drain shuts clientServer down once its requests are done. It calls end for those that are
+// still in progress when the schedule says so.
+func (e *Entrance) drain(clientServer *http.Server, end context.CancelCauseFunc) {
 	e.logger.Info().EmbedObject(reporter.EventReadiness).Bool("ready", false).Send()
-	<-e.clock.After(min(drainGrace, e.drainLimit/2))
-	ctx, cancel := context.WithTimeout(ctx, max(e.drainLimit-drainGrace-stopMargin, 1).Duration())
+	schedule, began := NewSchedule(e.drainLimit), e.clock.Now()
+	left := func(at buckthorndyke.Millis) <-chan time.Time { return e.clock.After(max(began+at-e.clock.Now(), 0)) }
+	<-left(schedule.AcceptUntil)
+	shutdownCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if err := clientServer.Shutdown(ctx); err != nil {
-		e.logger.Warn().EmbedObject(reporter.EventDrainStep).Str("step", "close-front").Err(err).Send()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = clientServer.Shutdown(shutdownCtx)
+	}()
+	select {
+	case <-done:
+		return
+	case <-left(schedule.End):
+	}
+	end(buckthorndyke.ErrStopping)
+	select {
+	case <-done:
+	case <-left(schedule.Close):
+		e.logger.Warn().EmbedObject(reporter.EventDrainStep).Str("step", "close-front").Err(errNotDone).Send()
 		_ = clientServer.Close()
 	}
 }
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -152,14 +152,15 @@
 func (t *Tree) Relay() buckthorndyke.Relay { return t.dispatcher }
 
 // Serve implements suture.Service. When ctx ends it stops within the drain limit,
-// without interrupting requests.
+// without interrupting requests that can be served until then.
 func (t *Tree) Serve(ctx context.Context) error {
 	t.base.Start(ctx)
 	t.front.Start(ctx)
 	<-ctx.Done()
 	t.logger.Info().EmbedObject(reporter.EventDrainBegun).Send()
 	// Requests that wait for a server get their responses through the front branch.
-	t.logStep("end-waiting", t.dispatcher.Drain(context.WithoutCancel(ctx), t.drainLimit/drainWaitDivisor))
+	t.logStep("end-waiting", t.dispatcher.Drain(context.WithoutCancel(ctx), t.drainLimit/drainWaitDivisor,
+		entrance.NewSchedule(t.drainLimit).End))
 	t.logStep("close-front", t.front.Stop())
 	t.logStep("end-base", t.base.Stop())
 	t.logger.Info().EmbedObject(reporter.EventDrainEnded).Send()
