fix(listener): requests in progress at the drain limit get a response

Callers: at the end of a drain the product's own interface closed the connections of requests in progress; they could not tell what had become of them. Cause: as in the relaying role, the end of the drain closed the server without ending the requests first. Change: shortly before the limit the requests' context ends, and they get a refusal with their verdict. Result: the new case of TestDrain fails before with EOF and passes.

--- a/supervisor/listener/listener.go
+++ b/supervisor/listener/listener.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
@@ -18,6 +19,8 @@
 const (
 	headerTimeout = 5 * buckthorndyke.Second
 	idleTimeout   = 2 * buckthorndyke.Minute
+	// maxRefusalTime is the time for the responses to requests that a drain ends.
+	maxRefusalTime = 500 * buckthorndyke.Millisecond
 )
 
 // Limits are the resource limits of a listener.
@@ -118,7 +121,11 @@
 	if err != nil {
 		return err
 	}
+	// Requests run on after ctx, until the drain has ended.
+	serverCtx, end := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer end(nil)
 	server := &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return serverCtx },
 		Handler:           handler,
 		IdleTimeout:       idleTimeout.Duration(),
 		MaxHeaderBytes:    l.limits.Header,
@@ -131,18 +138,22 @@
 	case err := <-stopped:
 		return errors.Wrap(err, "serve callers over HTTP")
 	case <-ctx.Done():
-		l.drain(context.WithoutCancel(ctx), server)
+		l.drain(server, end)
 		return ctx.Err()
 	}
 }
 
-// drain waits for the grace period and then shuts server down. Requests that are
-// still in progress at the drain limit are cut off.
-func (l *Listener) drain(ctx context.Context, server *http.Server) {
+// drain waits for the grace period and then shuts server down. It calls end for the requests
+// that are still in progress shortly before the drain limit, so that they get a response, and
+// closes all connections at the limit.
+func (l *Listener) drain(server *http.Server, end context.CancelCauseFunc) {
 	if l.limits.Grace > 0 {
 		<-l.clock.After(l.limits.Grace)
 	}
-	ctx, cancel := context.WithTimeout(ctx, l.limits.Drain.Duration())
+	refusalTime := min(maxRefusalTime, l.limits.Drain/8)
+	stop := time.AfterFunc((l.limits.Drain - refusalTime).Duration(), func() { end(buckthorndyke.ErrStopping) })
+	defer stop.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), l.limits.Drain.Duration())
 	defer cancel()
 	if server.Shutdown(ctx) != nil {
 		_ = server.Close()
--- a/supervisor/listener/listener_test.go
+++ b/supervisor/listener/listener_test.go
@@ -144,11 +144,22 @@
 		asserter.Contains(t, string(body), "[DONE]")
 		asserter.Equal(t, errors.Is(<-done, context.Canceled), true)
 	})
+	t.Run("a request in progress at the drain limit gets a response", func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		gateway := &fakeGateway{called: stop}
+		url, done := start(ctx, t, gateway, func(l *listener.Limits) { l.Drain = 2 * buckthorndyke.Second })
+		status, body := post(t, url, "/services/bookings/halls", testToken, "")
+		asserter.Equal(t, status, http.StatusBadGateway)
+		assertRefusal(t, body, "draining", buckthorndyke.MayHaveRun)
+		asserter.Equal(t, errors.Is(<-done, context.Canceled), true)
+	})
 }
 
 // fakeGateway responds with tokens many tokens.
 type fakeGateway struct {
 	call buckthorndyke.CallRequest
+	// called, if set, is called by a call, which then takes until its context ends.
+	called func()
 	// closed, if set, is closed with the stream.
 	closed chan struct{}
 	// endless streams wait after the last token until the caller disconnects.
@@ -169,8 +180,13 @@
 	return buckthorndyke.CallerRule{ID: "clerk"}, nil
 }
 
-func (g *fakeGateway) Call(_ context.Context, r buckthorndyke.CallRequest) (buckthorndyke.ServiceResponse, error) {
+func (g *fakeGateway) Call(ctx context.Context, r buckthorndyke.CallRequest) (buckthorndyke.ServiceResponse, error) {
 	g.call = r
+	if g.called != nil {
+		g.called()
+		<-ctx.Done()
+		return buckthorndyke.ServiceResponse{}, buckthorndyke.RefusalOf(context.Cause(ctx)).WithVerdict(buckthorndyke.MayHaveRun)
+	}
 	return g.response, g.refused
 }
 
@@ -226,12 +242,15 @@
 
 // start runs a listener until ctx ends. It returns its URL and a channel with the
 // result of Serve.
-func start(ctx context.Context, t *testing.T, gateway buckthorndyke.Gateway) (string, <-chan error) {
+func start(ctx context.Context, t *testing.T, gateway buckthorndyke.Gateway, opts ...func(l *listener.Limits)) (string, <-chan error) {
 	t.Helper()
 	socket, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
 	asserter.NoError(t, err)
 	limits := listener.DefaultLimits()
 	limits.Body = bodyLimit
+	for _, opt := range opts {
+		opt(&limits)
+	}
 	l := listener.New("", gateway, timekeeper.NewRealClock(), listener.WithListener(socket), listener.WithLimits(limits))
 	done := make(chan error, 1)
 	go func() { done <- l.Serve(ctx) }()
