fix(platform): the path as sent selects the route

Cause: the route was chosen by the decoded path and the undecoded one was forwarded. Change: RelayRequest.Path is the path as sent.

--- a/relay.go
+++ b/relay.go
@@ -38,7 +38,7 @@
 	Model ModelID
 	// OutputTokens is the maximum length of the response in tokens.
 	OutputTokens int
-	// Path is the path without the query, which selects the route.
+	// Path is the path without the query, as sent by the client. It selects the route.
 	Path string
 	// Prompt lists the parts of the prompt in order.
 	Prompt       []PromptPart
