fix(watcher): a VM announces the list that it has read, not the servers it keeps

Cause: a VM keeps missing servers for 2.4 s after an outage of its own reads, and the leader announced the list with these servers as the version it had read. The others took that for a confirmation and read the list later. Change: the version of the list as read is announced. Result: TestOutageNotice fails before and passes.

--- a/supervisor/relayer/watcher/backends.go
+++ b/supervisor/relayer/watcher/backends.go
@@ -158,11 +158,14 @@
 		r.keepUntil = r.watch.failedAt + outageGrace
 	}
 	next = next.WithNewestEntries(r.current)
+	// Other VMs may not have had the outage. They are told the version that was read, without
+	// the servers that this VM keeps.
+	versionTag := next.VersionTag()
 	if r.clock.Now() < r.keepUntil {
 		next = withMissing(next, r.current)
 	}
 	r.watch.schedule = r.watch.schedule.WithServers(next.Servers.Len())
-	if err := r.watch.succeeded(ctx, next.At, next.VersionTag()); err != nil {
+	if err := r.watch.succeeded(ctx, next.At, versionTag); err != nil {
 		return err
 	}
 	return r.publish(ctx, next)
--- a/supervisor/relayer/watcher/watcher_test.go
+++ b/supervisor/relayer/watcher/watcher_test.go
@@ -105,6 +105,42 @@
 	})
 }
 
+// TestOutageNotice guards against a VM that was cut off from the store and confirms its list,
+// with servers that have left in the meantime, to VMs that read the list all the while.
+func TestOutageNotice(t *testing.T) {
+	t.Run("the version that a VM announces after an outage is the one that it has read", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			clock := timekeeper.NewRealClock()
+			feed, feeds := mailer.NewFeed[buckthorndyke.Backends](), newFeeds(ctx)
+			go func() { _ = feed.Serve(ctx) }()
+			published, seen := feed.Subscribe(ctx), feeds.Seen.Subscribe(ctx)
+			synctest.Wait()
+			began := clock.Now()
+			const outage = 3 * buckthorndyke.Second
+			d := &outageDirectory{
+				clock: clock, from: began + buckthorndyke.Second, until: began + outage,
+				list: listOf(buckthorndyke.Backend{Heartbeats: 4, ID: "a", Incarnation: 1}),
+			}
+			go func() { _ = watcher.NewBackends(d, feed, feeds, limit, clock, zerolog.Nop()).Serve(ctx) }()
+			kept := 0
+			for list := range published {
+				announced := <-seen
+				if clock.Now() <= began+outage {
+					continue
+				}
+				asserter.Equal(t, announced.VersionTag, buckthorndyke.Backends{}.VersionTag())
+				if list.Servers.Len() == 0 {
+					break
+				}
+				kept++
+			}
+			asserter.True(t, kept > 0, "the server was not kept after the outage")
+		})
+	})
+}
+
 func TestListChange(t *testing.T) {
 	before := listOf(buckthorndyke.Backend{ID: "a", Incarnation: 1})
 	after := listOf(buckthorndyke.Backend{ID: "b", Incarnation: 1})
