--- a/endtoend/late_test.go
+++ b/endtoend/late_test.go
@@ -21,7 +21,7 @@
 	// lateDuration is how long the servers take.
 	lateDuration = 2 * time.Second
 	// servedBefore is the time after SIGTERM before which a request is served, and
-	// refusedAfter that after which it is not: about when lateDuration and a quarter more
+	// refusedAfter that after which it is not: about when lateDuration and an eighth more
 	// are left of the 7 s.
 	servedBefore = 4 * time.Second
 	refusedAfter = 5 * time.Second
--- a/supervisor/relayer/dispatcher/drain.go
+++ b/supervisor/relayer/dispatcher/drain.go
@@ -4,7 +4,7 @@
 
 // durationMarginDivisor divides the longest recent duration of a route's requests: a request
 // is expected to take longer by that part.
-const durationMarginDivisor = 4
+const durationMarginDivisor = 8
 
 // drain says until when a VM that is stopping serves requests. It is immutable.
 type drain struct {
