fix(connector): one account limits the memory of services' responses

Callers of the product's own interface: as for the relaying role, responses without end of plain services, each within 8 MiB, together exceeded the memory of the process. Cause: nothing bounded the sum. Change: the responses take their memory from an account; one that finds none fails with the verdict that the call may have run. memory-mb is a setting of both roles. The accountant moves beside the tasks that both roles share.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"io"
+	"os"
+	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,6 +19,7 @@
 	"github.com/buckthorndyke/buckthorndyke/parser"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/supervisor"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/accountant"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/follower"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/gatekeeper"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/listener"
@@ -41,6 +44,15 @@
 	readsPerLease = 3
 )
 
+// Parts of the machine's memory, in thousandths.
+const (
+	// heapPermille is the part that the Go runtime may use. The program's file and the
+	// sockets use the rest.
+	heapPermille = 700
+	// messageMemoryPermille is the part that requests and responses may take together.
+	messageMemoryPermille = 400
+)
+
 // Assembler builds and runs entry VMs.
 type Assembler struct {
 	output io.Writer
@@ -61,6 +73,8 @@
 	metrics := reporter.NewMetrics()
 	rules := parser.NewRules()
 	records := encoder.NewProto(rules)
+	limitHeap(s.MemoryMB)
+	memory := accountant.New(messageMemory(s.MemoryMB), metrics, clock, logger)
 	self := buckthorndyke.Self{
 		Domain:      s.Domain,
 		Incarnation: buckthorndyke.Incarnation(clock.Now()),
@@ -71,13 +85,14 @@
 		Engines: recorder.NewEngines(connector.NewHTTPEngines(), metrics, clock),
 		Log:     connector.NewHTTPLog(s.LogAddress),
 		Peers:   connector.NewConnectPeers(s.Peers.Key.Text, records),
-		Service: connector.NewHTTPService(),
+		Service: connector.NewHTTPService(connector.WithMemory(memory)),
 		VMList:  connector.NewHTTPVMList(s.VMListAddress),
 	}
 	stateMachine := arbiter.New(rules, arbiter.WithDiff(parser.Diff))
 	options := append(treeOptions(s), supervisor.WithLogger(logger), supervisor.WithRouter(router.WithMeter(metrics)))
 	tree := supervisor.New(self, platform, stateMachine, records, clock, options...)
 	tree.AddWork(
+		memory,
 		responder.New(s.Peers.Address, s.Peers.Key.Text, tree.Peer(), records),
 		recorder.New(self, tree.Follower(), metrics),
 		operator.New(tree.Follower(), tree.Proposer(),
@@ -119,6 +134,20 @@
 	return limits
 }
 
+// limitHeap makes the garbage collector keep the process within a machine's memory. The
+// operator's own limit in the environment takes precedence.
+func limitHeap(memoryMB int) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(memoryMB) << 20 / 1000 * heapPermille)
+	}
+}
+
+// messageMemory returns how many bytes requests and responses may take together on a machine
+// with the given memory.
+func messageMemory(memoryMB int) int {
+	return memoryMB << 20 / 1000 * messageMemoryPermille
+}
+
 // treeOptions returns the options of the supervisor tree for the settings.
 func treeOptions(s configurer.Serve) []supervisor.Option {
 	return []supervisor.Option{
--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -16,9 +15,9 @@
 	"github.com/buckthorndyke/buckthorndyke/connector"
 	"github.com/buckthorndyke/buckthorndyke/platform"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/accountant"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/recorder"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer"
-	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/accountant"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/entrance"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/exporter"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/reloader"
@@ -32,12 +31,6 @@
 	// grantTime is how long a grant to lead lasts without a renewal. It is half of the
 	// lease in the deployments' settings, which separates the orders of two leaders.
 	grantTime = 1500 * buckthorndyke.Millisecond
-	// heapPermille is the part of the machine's memory, in thousandths, that the Go runtime
-	// may use. The program's file and the sockets use the rest.
-	heapPermille = 700
-	// messageMemoryPermille is the part of the machine's memory, in thousandths, that
-	// requests and responses may take together.
-	messageMemoryPermille = 400
 	// leaderShare is the fraction of a CPU core below which a VM is only a standby
 	// leader, because a leader processes the demand reports of the whole fleet.
 	leaderShare = 0.35
@@ -69,7 +62,7 @@
 	}
 	store := platform.NewStore(s.StoreAddress)
 	limitHeap(s.MemoryMB)
-	memory := accountant.New(s.MemoryMB<<20/1000*messageMemoryPermille, metrics, clock, logger)
+	memory := accountant.New(messageMemory(s.MemoryMB), metrics, clock, logger)
 	pool := platform.NewBackendPool(clock, platform.WithPoolMemory(memory))
 	peers := connector.NewConnectDirectoryPeers(s.Peers.Key.Text, clock)
 	platformClients := relayer.Platform{
@@ -113,14 +106,6 @@
 	return err
 }
 
-// limitHeap makes the garbage collector keep the process within a machine's memory. The
-// operator's own limit in the environment takes precedence.
-func limitHeap(memoryMB int) {
-	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(int64(memoryMB) << 20 / 1000 * heapPermille)
-	}
-}
-
 // applySettings applies the log level in changed settings. All other settings require
 // a restart. It returns an error if the settings have faults.
 func applySettings(data []byte) error {
--- a/configurer/parseserve.go
+++ b/configurer/parseserve.go
@@ -70,6 +70,7 @@
 		Lease:           root.millis("lease-ms", defaultLease, minLease, maxLease),
 		LogAddress:      root.sectionAddress("log"),
 		LogLevel:        root.choice("log-level", "info", "debug", "warn", "error"),
+		MemoryMB:        root.integer("memory-mb", defaultMemoryMB, minMemoryMB, maxMemoryMB),
 		Operator:        root.operator(),
 		Peers:           root.peers(),
 		ProbeInterval:   root.millis("probe-interval-ms", defaultProbeInterval, minProbeInterval, maxProbeInterval),
--- a/configurer/serve.go
+++ b/configurer/serve.go
@@ -25,6 +25,8 @@
 	LogAddress string
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
+	// MemoryMB is the machine's memory in megabytes.
+	MemoryMB int
 	Operator Operator
 	Peers    Peers
 	// ProbeInterval is the time between two probes of a peer.
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -10,6 +10,7 @@
 	"net/http"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/gatherer"
 )
 
 // Defaults of the options, with sizes in bytes, and limits of connections.
@@ -31,6 +32,7 @@
 	bodyLimit   int64
 	dialTimeout buckthorndyke.Millis
 	headerLimit int64
+	memory      buckthorndyke.MemoryAccount
 }
 
 // WithBodyLimit limits the body of a request and of a response to n bytes.
@@ -48,8 +50,15 @@
 	return func(o *options) { o.headerLimit = n }
 }
 
+// WithMemory reserves memory for the bodies of responses from account.
+func WithMemory(account buckthorndyke.MemoryAccount) Option {
+	return func(o *options) { o.memory = account }
+}
+
 func newOptions(opts []Option) options {
-	o := options{bodyLimit: defaultBodyLimit, dialTimeout: defaultDialTimeout, headerLimit: defaultHeaderLimit}
+	o := options{
+		bodyLimit: defaultBodyLimit, dialTimeout: defaultDialTimeout, headerLimit: defaultHeaderLimit, memory: gatherer.Unlimited{},
+	}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/gatherer"
 )
 
 // exchange is one HTTP request, which is sent at most once, and its response.
@@ -21,19 +23,31 @@
 	// leave this process.
 	connected bool
 	http      *http.Client
+	// memory is the account of the memory for the response, or nil.
+	memory buckthorndyke.MemoryAccount
 }
 
-// read returns the body of a response. It fails if the body exceeds the limit.
+// read returns the body of a response. It fails if the body exceeds the limit, or if there is
+// too little memory for it.
 func (e *exchange) read(ctx context.Context, resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, e.bodyLimit+1))
-	if err != nil {
-		return nil, e.wrapError(ctx, err)
+	var account buckthorndyke.MemoryAccount = gatherer.Unlimited{}
+	if e.memory != nil {
+		account = e.memory
 	}
-	if int64(len(body)) > e.bodyLimit {
+	body := gatherer.New(account)
+	defer body.Close()
+	err := body.ReadAll(ctx, resp.Body, int(e.bodyLimit))
+	switch {
+	case err == nil:
+		return body.Bytes(), nil
+	case errors.Is(err, gatherer.ErrTooLarge):
 		return nil, buckthorndyke.NewRefusal(buckthorndyke.CodeTooLarge, buckthorndyke.MayHaveRun,
 			fmt.Sprintf("the response exceeds %d bytes", e.bodyLimit))
+	case errors.Is(err, buckthorndyke.ErrMemory):
+		return nil, buckthorndyke.ErrMemory.WithVerdict(buckthorndyke.MayHaveRun)
+	default:
+		return nil, e.wrapError(ctx, err)
 	}
-	return body, nil
 }
 
 // send sends the request and returns the response, whose body the caller closes.
--- a/connector/httpservice.go
+++ b/connector/httpservice.go
@@ -23,12 +23,13 @@
 type HTTPService struct {
 	bodyLimit int64
 	http      *http.Client
+	memory    buckthorndyke.MemoryAccount
 }
 
 // NewHTTPService returns a client of plain services.
 func NewHTTPService(opts ...Option) *HTTPService {
 	o := newOptions(opts)
-	return &HTTPService{bodyLimit: o.bodyLimit, http: newHTTPClient(o, false)}
+	return &HTTPService{bodyLimit: o.bodyLimit, http: newHTTPClient(o, false), memory: o.memory}
 }
 
 // Call implements buckthorndyke.Service. A response is returned without an error,
@@ -36,7 +37,7 @@
 func (s *HTTPService) Call(
 	ctx context.Context, address string, call buckthorndyke.ServiceCall,
 ) (buckthorndyke.ServiceResponse, error) {
-	e := &exchange{bodyLimit: s.bodyLimit, code: buckthorndyke.CodeServiceUnavailable, http: s.http}
+	e := &exchange{bodyLimit: s.bodyLimit, code: buckthorndyke.CodeServiceUnavailable, http: s.http, memory: s.memory}
 	header := withoutHopHeaders(call.Header)
 	header.Set(encoder.RequestHeader, string(call.Request))
 	resp, err := e.send(ctx, call.Method, callURL(address, call), header, call.Body)
--- a/supervisor/relayer/accountant/accountant.go
+++ b/supervisor/accountant/accountant.go
@@ -1,5 +1,5 @@
 // Package accountant keeps the account of the memory that the requests and responses of an
-// entry VM take.
+// entry VM take together.
 package accountant
 
 import (
--- a/supervisor/relayer/accountant/accountant_test.go
+++ b/supervisor/accountant/accountant_test.go
@@ -14,7 +14,7 @@
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
-	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/accountant"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/accountant"
 	"github.com/buckthorndyke/buckthorndyke/timekeeper"
 )
 
