--- a/endtoend/endless_test.go
+++ b/endtoend/endless_test.go
@@ -1,11 +1,8 @@
 package endtoend
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -24,64 +21,26 @@
 	endlessRequests = 200
 	// endlessDeadline is the time limit of each of them.
 	endlessDeadline = 3 * time.Second
-	// endlessPart and endlessPause determine the rate of the bytes of one response: 8 MiB
-	// a second.
-	endlessPart  = 64 << 10
-	endlessPause = 8 * time.Millisecond
 )
 
-// endlessResponse is what a faulty server sends: a head, in which %s stands for the
-// request's id, and then parts without end.
+// endlessResponse is the response of a faulty server, and whether its requests ask for streams.
 type endlessResponse struct {
-	head, part string
-	stream     bool
-}
-
-// endlessServer is a server that answers each request with bytes that do not end.
-type endlessServer struct {
-	response endlessResponse
-}
-
-// serve serves on l until ctx ends.
-func (s endlessServer) serve(ctx context.Context, l net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
-	defer stop()
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return err
-		}
-		go s.respond(ctx, conn)
-	}
-}
-
-// respond reads the head of a request from conn and responds until the peer closes conn.
-func (s endlessServer) respond(ctx context.Context, conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	r, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	_, err = io.WriteString(conn, strings.ReplaceAll(s.response.head, "%s", r.Header.Get("Request-Id")))
-	parts := []byte(strings.Repeat(s.response.part, 1+endlessPart/len(s.response.part)))
-	for err == nil && ctx.Err() == nil {
-		_, err = conn.Write(parts)
-		<-time.After(endlessPause)
-	}
+	imitator.Endless
+	stream bool
 }
 
 // TestEndlessResponses guards against servers whose responses do not end, which together
 // took more memory than the VM has and ended the requests of all its clients.
 func TestEndlessResponses(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: x\r\n"
+	const head = imitator.SignedHead
 	const streamHead = head + "Content-Type: text/event-stream\r\n"
 	for name, response := range map[string]endlessResponse{
-		"a body in chunks":                     {head: head + "Transfer-Encoding: chunked\r\n\r\n", part: "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
-		"a body that the connection ends":      {head: head + "\r\n", part: "x"},
-		"a body that never reaches its length": {head: head + "Content-Length: 1099511627776\r\n\r\n", part: "x"},
-		"a head field":                         {head: head + "X-Long: ", part: "x"},
-		"the fields of a head":                 {head: head, part: "X-More: of them\r\n"},
-		"an event":                             {head: streamHead + "\r\nid: 1\ndata: ", part: "x", stream: true},
+		"a body in chunks":                     {Endless: imitator.Endless{Head: head + "Transfer-Encoding: chunked\r\n\r\n", Part: "400\r\n" + strings.Repeat("x", 1024) + "\r\n"}},
+		"a body that the connection ends":      {Endless: imitator.Endless{Head: head + "\r\n", Part: "x"}},
+		"a body that never reaches its length": {Endless: imitator.Endless{Head: head + "Content-Length: 1099511627776\r\n\r\n", Part: "x"}},
+		"a head field":                         {Endless: imitator.Endless{Head: head + "X-Long: ", Part: "x"}},
+		"the fields of a head":                 {Endless: imitator.Endless{Head: head, Part: "X-More: of them\r\n"}},
+		"an event":                             {Endless: imitator.Endless{Head: streamHead + "\r\nid: 1\ndata: ", Part: "x"}, stream: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := startRelayFixture(t, true)
@@ -105,7 +64,7 @@
 		service = "engines"
 		models = append(models, map[string]any{"adapters": []string{}, "name": "cold-2", "version": 1})
 	}
-	address := s.listen(endlessServer{response: response}.serve)
+	address := s.listen(response.Serve)
 	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ServersTopic, "endless", map[string]any{
 		"address": address, "born": 1, "models": models, "seq": 1, "service": service, "slots": 1000, "state": "ready", "zone": "z",
 	}))
