--- a/connector/client.go
+++ b/connector/client.go
@@ -26,13 +26,14 @@
 	bodyLimit int64
 	// code is the code of the error if a request fails without a refusal from the
 	// server.
-	code buckthorndyke.Code
-	http *http.Client
+	code   buckthorndyke.Code
+	http   *http.Client
+	memory buckthorndyke.MemoryAccount
 }
 
 func newClient(address string, code buckthorndyke.Code, opts []Option) client {
 	o := newOptions(opts)
-	return client{address: address, bodyLimit: o.bodyLimit, code: code, http: newHTTPClient(o, true)}
+	return client{address: address, bodyLimit: o.bodyLimit, code: code, http: newHTTPClient(o, true), memory: o.memory}
 }
 
 // call sends in, unless it is nil, and decodes the response into out, unless that
@@ -55,7 +56,7 @@
 }
 
 func (c client) exchange() *exchange {
-	return &exchange{bodyLimit: c.bodyLimit, code: c.code, http: c.http}
+	return &exchange{bodyLimit: c.bodyLimit, code: c.code, http: c.http, memory: c.memory}
 }
 
 // send sends in, unless it is nil, and returns the response if its status is 2xx.
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -23,18 +23,14 @@
 	// leave this process.
 	connected bool
 	http      *http.Client
-	// memory is the account of the memory for the response, or nil.
+	// memory is the account of the memory for the response.
 	memory buckthorndyke.MemoryAccount
 }
 
 // read returns the body of a response. It fails if the body exceeds the limit, or if there is
 // too little memory for it.
 func (e *exchange) read(ctx context.Context, resp *http.Response) ([]byte, error) {
-	var account buckthorndyke.MemoryAccount = gatherer.Unlimited{}
-	if e.memory != nil {
-		account = e.memory
-	}
-	body := gatherer.New(account)
+	body := gatherer.New(e.memory)
 	defer body.Close()
 	err := body.ReadAll(ctx, resp.Body, int(e.bodyLimit))
 	switch {
