feat: types and messages for callers, allotments and prompt tokens in flight

Cause: nothing in the code knows callers' keys or limits on the platform with a metadata store, and VMs do not tell each other how many prompt tokens they have in flight. Parts that are built side by side need the same types.

Change: root types Caller, Callers, Allotment, AllotmentUse and AllotmentGrant; fields of the demand report, its reply and the configuration's copy, with their translation.

--- a/demand.go
+++ b/demand.go
@@ -22,6 +22,8 @@
 	// requests if the leader asked for them.
 	Arrivals int
 	Key      ModelKey
+	// Priority is that of the most urgent waiting request. 0 is the most urgent one.
+	Priority int
 	// Running is the number of requests that were sent to runners.
 	Running int
 	// TimeLeft is how long the most pressing request can wait before it has to
@@ -33,8 +35,11 @@
 
 // ServerLoad is the number of requests in flight at a server.
 type ServerLoad struct {
-	Requests int
-	Server   RunnerID
+	// PromptTokens is the number of prompt tokens of the requests that the server has
+	// not begun to answer.
+	PromptTokens int
+	Requests     int
+	Server       RunnerID
 }
 
 // AttemptCounts counts the requests sent to a server by their outcome.
@@ -47,6 +52,8 @@
 
 // DemandReport is the report that each VM sends to the leader periodically.
 type DemandReport struct {
+	// Allotments is what the VM has used of callers' allotments.
+	Allotments []AllotmentUse
 	// Attempts counts the outcomes of the VM's requests since its last report.
 	Attempts []AttemptCounts
 	// Crashes is what the VM has learned of crashes since its last report.
@@ -55,6 +62,8 @@
 	// received last, or 0.
 	CrashesSeen uint64
 	Entries     []DemandEntry
+	// Incarnation is that of the VM's process, from whose start Allotments count.
+	Incarnation Incarnation
 	// ListVersionTag is the version tag of the VM's list of servers, or 0 if it has
 	// none.
 	ListVersionTag uint64
@@ -84,6 +93,8 @@
 
 // DemandReply is the leader's reply to a DemandReport.
 type DemandReply struct {
+	// Allotments is what the VM may use of callers' allotments.
+	Allotments []AllotmentGrant
 	// Crashes is what the leader has learned of crashes since the version that the VM
 	// has received.
 	Crashes CrashEvidence
--- a/relay.go
+++ b/relay.go
@@ -23,9 +23,13 @@
 	// Arrived is the instant at which the request was received.
 	Arrived Millis
 	Body    []byte
+	// Caller is the caller who sends the request, or empty if it is not known.
+	Caller CallerID
 	// Deadline is how long the client waits, counted from Arrived, or 0 if it gave
 	// none.
 	Deadline Millis
+	// HasTokenCount is set if the client has stated the numbers of tokens.
+	HasTokenCount bool
 	// Header holds the header fields to forward to the backend server.
 	Header http.Header
 	// Host is the host that the client requested.
@@ -54,6 +58,12 @@
 	return r
 }
 
+// WithCaller returns a request that is known to be sent by caller.
+func (r RelayRequest) WithCaller(caller CallerID) RelayRequest {
+	r.Caller = caller
+	return r
+}
+
 // Fingerprint returns a digest of the request's content: a request that is sent again
 // has the same, whatever its ID and deadline.
 func (r RelayRequest) Fingerprint() Fingerprint {
--- a/routing.go
+++ b/routing.go
@@ -46,6 +46,8 @@
 	Prefix string
 	// Priority is 0 for the most urgent requests.
 	Priority int
+	// Public is set if requests need no key of a caller.
+	Public bool
 	// Resumable is set if another backend server may continue a stream that was cut.
 	Resumable bool
 	Targets   []RouteTarget
@@ -94,6 +96,9 @@
 type EngineConfig struct {
 	// AdapterSlots is the maximum number of adapters in a runner's memory.
 	AdapterSlots int
+	// CacheTokens is the memory of a runner for the tokens of running requests and of
+	// cached prompts, or 0 if unknown.
+	CacheTokens int
 	// LoadsPerSecond is the maximum rate of loads from the weight store, over all
 	// runners.
 	LoadsPerSecond float64
@@ -124,6 +129,8 @@
 
 // Routing is one version of the operator's configuration. It is immutable.
 type Routing struct {
+	// Callers are the zero value if the configuration has none.
+	Callers  Callers
 	Limits   ClientLimits
 	Services Table[ServiceID, BackendService]
 	// Version increases with each configuration. It is 0 before the first one.
--- a/translator/demand.go
+++ b/translator/demand.go
@@ -8,6 +8,7 @@
 // DemandReplyFromWire returns the leader's reply in m.
 func DemandReplyFromWire(m *wire.DemandResponse) buckthorndyke.DemandReply {
 	out := buckthorndyke.DemandReply{
+		Allotments:         allotmentGrantsFromWire(m.Allotments),
 		Crashes:            CrashEvidenceFromWire(m.Crashes),
 		FullSpeedLoads:     int(m.AtOnce),
 		Leading:            m.Leading,
@@ -39,6 +40,7 @@
 // DemandReplyToWire returns the message that carries r.
 func DemandReplyToWire(r buckthorndyke.DemandReply) *wire.DemandResponse {
 	out := &wire.DemandResponse{
+		Allotments: allotmentGrantsToWire(r.Allotments),
 		AskRecent:  r.WantRecentArrivals,
 		AtOnce:     int32(r.FullSpeedLoads),
 		Contest:    r.ShouldCampaign,
@@ -67,7 +69,8 @@
 // DemandReportFromWire returns the report in m.
 func DemandReportFromWire(m *wire.DemandRequest) buckthorndyke.DemandReport {
 	out := buckthorndyke.DemandReport{
-		Crashes: CrashEvidenceFromWire(m.Crashes), CrashesSeen: m.CrashesSeen, ListVersionTag: m.ListMark,
+		Allotments: allotmentUsesFromWire(m.Allotments), Crashes: CrashEvidenceFromWire(m.Crashes), CrashesSeen: m.CrashesSeen,
+		Incarnation: buckthorndyke.Incarnation(m.Started), ListVersionTag: m.ListMark,
 		ServerLoads: serverLoadsFromWire(m.Loads),
 	}
 	for _, a := range m.Evidence {
@@ -80,6 +83,7 @@
 		out.Entries = append(out.Entries, buckthorndyke.DemandEntry{
 			Arrivals: int(e.Arrivals),
 			Key:      modelKeyFromWire(e),
+			Priority: int(e.Priority),
 			Running:  int(e.Running),
 			TimeLeft: buckthorndyke.Millis(e.DueMs),
 			Waiting:  int(e.Waiting),
@@ -91,8 +95,8 @@
 // DemandReportToWire returns the message that carries the report r of vm.
 func DemandReportToWire(vm buckthorndyke.VMID, r buckthorndyke.DemandReport) *wire.DemandRequest {
 	out := &wire.DemandRequest{
-		Crashes: CrashEvidenceToWire(r.Crashes), CrashesSeen: r.CrashesSeen, ListMark: r.ListVersionTag,
-		Loads: serverLoadsToWire(r.ServerLoads), Vm: string(vm),
+		Allotments: allotmentUsesToWire(r.Allotments), Crashes: CrashEvidenceToWire(r.Crashes), CrashesSeen: r.CrashesSeen,
+		ListMark: r.ListVersionTag, Loads: serverLoadsToWire(r.ServerLoads), Started: uint64(r.Incarnation), Vm: string(vm),
 	}
 	for _, a := range r.Attempts {
 		out.Evidence = append(out.Evidence, &wire.Evidence{
@@ -105,6 +109,7 @@
 			Arrivals: int32(e.Arrivals),
 			DueMs:    int64(e.TimeLeft),
 			Model:    string(e.Key.Model),
+			Priority: int32(e.Priority),
 			Running:  int32(e.Running),
 			Service:  string(e.Key.Service),
 			Waiting:  int32(e.Waiting),
@@ -129,7 +134,9 @@
 func serverLoadsFromWire(list []*wire.ServerLoad) []buckthorndyke.ServerLoad {
 	var out []buckthorndyke.ServerLoad
 	for _, l := range list {
-		out = append(out, buckthorndyke.ServerLoad{Requests: int(l.Requests), Server: buckthorndyke.RunnerID(l.Server)})
+		out = append(out, buckthorndyke.ServerLoad{
+			PromptTokens: int(l.PromptTokens), Requests: int(l.Requests), Server: buckthorndyke.RunnerID(l.Server),
+		})
 	}
 	return out
 }
@@ -138,7 +145,7 @@
 func serverLoadsToWire(list []buckthorndyke.ServerLoad) []*wire.ServerLoad {
 	var out []*wire.ServerLoad
 	for _, l := range list {
-		out = append(out, &wire.ServerLoad{Requests: int32(l.Requests), Server: string(l.Server)})
+		out = append(out, &wire.ServerLoad{PromptTokens: int64(l.PromptTokens), Requests: int32(l.Requests), Server: string(l.Server)})
 	}
 	return out
 }
--- a/translator/directorysnapshot.go
+++ b/translator/directorysnapshot.go
@@ -87,7 +87,8 @@
 		return nil
 	}
 	out := &buckthorndyke.EngineConfig{
-		AdapterSlots: int(m.AdapterSlots), LoadsPerSecond: m.LoadsPerSecond, MemoryMB: int(m.MemoryMb), Slots: int(m.Slots),
+		AdapterSlots: int(m.AdapterSlots), CacheTokens: int(m.CacheTokens), LoadsPerSecond: m.LoadsPerSecond, MemoryMB: int(m.MemoryMb),
+		Slots: int(m.Slots),
 	}
 	for _, f := range m.Models {
 		model := buckthorndyke.ModelConfig{
@@ -108,7 +109,8 @@
 		return nil
 	}
 	out := &wire.EngineFacts{
-		AdapterSlots: int32(c.AdapterSlots), LoadsPerSecond: c.LoadsPerSecond, MemoryMb: int32(c.MemoryMB), Slots: int32(c.Slots),
+		AdapterSlots: int32(c.AdapterSlots), CacheTokens: int64(c.CacheTokens), LoadsPerSecond: c.LoadsPerSecond,
+		MemoryMb: int32(c.MemoryMB), Slots: int32(c.Slots),
 	}
 	for id, model := range c.Models.All() {
 		m := &wire.ModelFacts{
@@ -175,6 +177,7 @@
 		Name:          m.Name,
 		Prefix:        m.Prefix,
 		Priority:      int(m.Priority),
+		Public:        m.Public,
 		Resumable:     m.Resumable,
 		Timeout:       buckthorndyke.Millis(m.TimeoutMs),
 	}
@@ -194,6 +197,7 @@
 		Name:        r.Name,
 		Prefix:      r.Prefix,
 		Priority:    int32(r.Priority),
+		Public:      r.Public,
 		Resumable:   r.Resumable,
 		TargetMs:    int64(r.LatencyTarget),
 		TimeoutMs:   int64(r.Timeout),
@@ -207,6 +211,7 @@
 // routingFromWire returns the configuration in m.
 func routingFromWire(m *wire.Routing) buckthorndyke.Routing {
 	out := buckthorndyke.Routing{
+		Callers: callersFromWire(m.GetCallers(), m.GetCallersRequired()),
 		Limits: buckthorndyke.ClientLimits{
 			BodyBytes:     m.GetBodyBytes(),
 			HeaderBytes:   int(m.GetHeaderBytes()),
@@ -231,6 +236,8 @@
 func routingToWire(r buckthorndyke.Routing) *wire.Routing {
 	out := &wire.Routing{
 		BodyBytes:       r.Limits.BodyBytes,
+		Callers:         callersToWire(r.Callers),
+		CallersRequired: r.Callers.Required(),
 		HeaderBytes:     int32(r.Limits.HeaderBytes),
 		HeaderTimeoutMs: int64(r.Limits.HeaderTimeout),
 		IdleTimeoutMs:   int64(r.Limits.IdleTimeout),
