feat(authenticator): check callers' keys in the relaying role

The configuration can list callers with keys. Until now the field with the key passed to servers unchecked, under whatever name the client had sent.

platform decodes the callers, each field on its own, so that an irregular value has no effect beyond itself and is reported without any key. A request leaves its decoding with a Credential, which prints as redacted in every format; its header fields are forwarded only if the configuration has no callers. The dispatcher identifies each request before anything else is decided. Each send has the name of the key's holder. A caller's priority replaces that of the route in the urgency and in the demand.

An unknown key is refused for good (401) only by a configuration that was confirmed within 1 s, by the leader's notice or the VM's own read. Otherwise the request waits for up to 0.7 s for a confirmation, which the VM asks for at most twice a second, and then gets 503. A configuration that another VM gave confirms nothing (Routing.Copied); until now it counted as read.

The pointer that held the content of a Credential at first was followed by fmt for verbs that do not apply to it (%s), so it is a function.

--- a/bootstrapper/directory.go
+++ b/bootstrapper/directory.go
@@ -56,6 +56,7 @@
 	if err != nil && !d.routed {
 		if s, askErr := d.askPeers(ctx, "configuration", err); askErr == nil {
 			routing, changed, err = s.Routing, true, nil
+			routing.Copied = true
 		}
 	}
 	d.routed = d.routed || changed
--- a/caller.go
+++ b/caller.go
@@ -1,8 +1,10 @@
 package buckthorndyke
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"iter"
+	"slices"
 )
 
 // Units in which an allotment is counted.
@@ -51,6 +53,17 @@
 // DigestKey returns the digest of key.
 func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
 
+// CallerFault is an irregular value in a caller of the operator's configuration. It never
+// contains a key.
+type CallerFault struct {
+	// Caller is empty if the caller has no valid name.
+	Caller CallerID
+	// Index is the place of the caller in the configuration, from 0.
+	Index int
+	// Problem says what is irregular and what takes its place.
+	Problem string
+}
+
 // Caller is a caller in the operator's configuration.
 type Caller struct {
 	Allotment
@@ -105,16 +118,52 @@
 // Required reports whether requests need the key of a caller.
 func (c Callers) Required() bool { return c.required }
 
+// CallersOf returns the callers in list. For many entries it allocates much less memory
+// than a call of WithCaller for each. A key stays with the first caller that holds it.
+func CallersOf(list []Caller) Callers {
+	holders := make(map[KeyDigest]CallerID, len(list))
+	kept := make([]Caller, 0, len(list))
+	for _, caller := range list {
+		// Each key has one holder in Keys too, so that a copy of the callers in another
+		// order has the same holders.
+		caller.Keys = slices.DeleteFunc(slices.Clone(caller.Keys), func(d KeyDigest) bool {
+			holder, ok := holders[d]
+			holders[d] = cmp.Or(holder, caller.ID)
+			return ok && holder != caller.ID
+		})
+		kept = append(kept, caller)
+	}
+	return Callers{
+		byID: TableOf(kept, func(c Caller) CallerID { return c.ID }),
+		byKey: NewTable(func(yield func(string, CallerID) bool) {
+			for d, id := range holders {
+				if !yield(string(d[:]), id) {
+					return
+				}
+			}
+		}),
+		required: true,
+	}
+}
+
 // WithCaller returns a copy of c that includes caller. A key that another caller holds
 // already stays with that one.
 func (c Callers) WithCaller(caller Caller) Callers {
-	c.required = true
-	c.byID = c.byID.With(caller.ID, caller)
+	if old, ok := c.byID.Get(caller.ID); ok {
+		for _, d := range old.Keys {
+			c.byKey = c.byKey.Without(string(d[:]))
+		}
+	}
+	var keys []KeyDigest
 	for _, d := range caller.Keys {
-		if !c.byKey.Has(string(d[:])) {
-			c.byKey = c.byKey.With(string(d[:]), caller.ID)
+		if holder, ok := c.byKey.Get(string(d[:])); ok && holder != caller.ID {
+			continue
 		}
+		c.byKey = c.byKey.With(string(d[:]), caller.ID)
+		keys = append(keys, d)
 	}
+	caller.Keys = keys
+	c.byID, c.required = c.byID.With(caller.ID, caller), true
 	return c
 }
 
--- a/relay.go
+++ b/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 
@@ -25,6 +26,9 @@
 	Body    []byte
 	// Caller is the caller who sends the request, or empty if it is not known.
 	Caller CallerID
+	// Credential is what the client has sent to show who it is. It is the zero value once
+	// the caller is known.
+	Credential Credential
 	// Deadline is how long the client waits, counted from Arrived, or 0 if it gave
 	// none.
 	Deadline Millis
@@ -58,9 +62,21 @@
 	return r
 }
 
-// WithCaller returns a request that is known to be sent by caller.
+// WithCaller returns a request that is known to be sent by caller, or by a client without a
+// name if caller is empty. It no longer has the credential.
 func (r RelayRequest) WithCaller(caller CallerID) RelayRequest {
-	r.Caller = caller
+	r.Caller, r.Credential = caller, Credential{}
+	return r
+}
+
+// WithCredentialForwarded returns a request that is forwarded with the header fields of its
+// credential, for a configuration without callers.
+func (r RelayRequest) WithCredentialForwarded() RelayRequest {
+	if fields := r.Credential.Fields(); len(fields) > 0 {
+		r.Header = r.Header.Clone()
+		maps.Copy(r.Header, fields)
+	}
+	r.Credential = Credential{}
 	return r
 }
 
--- a/routing.go
+++ b/routing.go
@@ -129,8 +129,13 @@
 
 // Routing is one version of the operator's configuration. It is immutable.
 type Routing struct {
+	// CallerFaults are the irregular values in the callers of a configuration that this VM
+	// has read itself.
+	CallerFaults []CallerFault
 	// Callers are the zero value if the configuration has none.
-	Callers  Callers
+	Callers Callers
+	// Copied is set if another VM gave the configuration, whose age is not known.
+	Copied   bool
 	Limits   ClientLimits
 	Services Table[ServiceID, BackendService]
 	// Version increases with each configuration. It is 0 before the first one.
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -21,21 +21,33 @@
 // Dispatcher is the task that selects backend servers for requests. It implements
 // buckthorndyke.Relay, buckthorndyke.DemandSource and buckthorndyke.CrashSource.
 type Dispatcher struct {
-	box         *mailer.Mailbox[message]
-	clock       buckthorndyke.Clock
-	domain      buckthorndyke.DomainID
-	lists       *mailer.Feed[buckthorndyke.Backends]
-	logger      zerolog.Logger
-	memory      buckthorndyke.MemoryAccount
-	pool        buckthorndyke.BackendPool
-	retryBurst  int
-	routings    *mailer.Feed[buckthorndyke.Routing]
-	workWaiting chan struct{}
+	box    *mailer.Mailbox[message]
+	clock  buckthorndyke.Clock
+	domain buckthorndyke.DomainID
+	lists  *mailer.Feed[buckthorndyke.Backends]
+	logger zerolog.Logger
+	memory buckthorndyke.MemoryAccount
+	pool   buckthorndyke.BackendPool
+	// refreshes gets the instants at which the configuration's version has to be confirmed,
+	// or is nil.
+	refreshes  *mailer.Feed[buckthorndyke.Millis]
+	retryBurst int
+	// routingNotices and seenRoutings have the versions of the configuration that the leader
+	// and this VM have read, or are nil.
+	routingNotices, seenRoutings *mailer.Feed[buckthorndyke.SeenVersion]
+	routings                     *mailer.Feed[buckthorndyke.Routing]
+	workWaiting                  chan struct{}
 }
 
 // Option configures a Dispatcher.
 type Option func(*Dispatcher)
 
+// WithConfirmations makes the dispatcher follow the versions of the configuration that this
+// VM and the leader have read, and ask for a newer read by a value in refreshes.
+func WithConfirmations(seen, notices *mailer.Feed[buckthorndyke.SeenVersion], refreshes *mailer.Feed[buckthorndyke.Millis]) Option {
+	return func(d *Dispatcher) { d.seenRoutings, d.routingNotices, d.refreshes = seen, notices, refreshes }
+}
+
 // WithDomain prefers servers in the given failure domain.
 func WithDomain(domain buckthorndyke.DomainID) Option {
 	return func(d *Dispatcher) { d.domain = domain }
@@ -127,6 +139,14 @@
 	return err
 }
 
+// subscribe returns the values of feed, or nil if there is none.
+func subscribe[V any](ctx context.Context, feed *mailer.Feed[V]) <-chan V {
+	if feed == nil {
+		return nil
+	}
+	return feed.Subscribe(ctx)
+}
+
 // Serve implements suture.Service.
 func (d *Dispatcher) Serve(ctx context.Context) error {
 	return newTask(ctx, d).run(ctx)
--- a/supervisor/relayer/dispatcher/fixture_test.go
+++ b/supervisor/relayer/dispatcher/fixture_test.go
@@ -31,8 +31,13 @@
 	ctx        context.Context
 	dispatcher *dispatcher.Dispatcher
 	lists      *mailer.Feed[buckthorndyke.Backends]
-	pool       *fakePool
-	routings   *mailer.Feed[buckthorndyke.Routing]
+	// notices and seen are the versions of the configuration that the leader and this VM
+	// have read.
+	notices, seen *mailer.Feed[buckthorndyke.SeenVersion]
+	pool          *fakePool
+	// refreshes gets the requests for a confirmation of the configuration's version.
+	refreshes *mailer.Feed[buckthorndyke.Millis]
+	routings  *mailer.Feed[buckthorndyke.Routing]
 	// starts holds the incarnations of the servers that have started again.
 	starts map[buckthorndyke.RunnerID]buckthorndyke.Incarnation
 	t      *testing.T
@@ -47,12 +52,15 @@
 		defer cancel()
 		s := &fixture{
 			clock: timekeeper.NewRealClock(), ctx: ctx, lists: mailer.NewFeed[buckthorndyke.Backends](),
-			pool: newFakePool(ctx), routings: mailer.NewFeed[buckthorndyke.Routing](),
+			notices: mailer.NewFeed[buckthorndyke.SeenVersion](), pool: newFakePool(ctx),
+			refreshes: mailer.NewFeed[buckthorndyke.Millis](), routings: mailer.NewFeed[buckthorndyke.Routing](),
+			seen:   mailer.NewFeed[buckthorndyke.SeenVersion](),
 			starts: make(map[buckthorndyke.RunnerID]buckthorndyke.Incarnation), t: t,
 		}
+		opts = append([]dispatcher.Option{dispatcher.WithConfirmations(s.seen, s.notices, s.refreshes)}, opts...)
 		s.dispatcher = dispatcher.New(s.pool, s.routings, s.lists, s.clock, opts...)
 		for _, serve := range []func(context.Context) error{
-			s.lists.Serve, s.routings.Serve, s.pool.serve, s.dispatcher.Serve,
+			s.lists.Serve, s.notices.Serve, s.refreshes.Serve, s.routings.Serve, s.seen.Serve, s.pool.serve, s.dispatcher.Serve,
 		} {
 			go func() { _ = serve(ctx) }()
 		}
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/authenticator"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/selector"
@@ -70,10 +71,14 @@
 	firstEvent buckthorndyke.Millis
 	// heard is set once the server of the attempt has sent an event.
 	heard bool
-	key   buckthorndyke.ModelKey
+	// identity is what is known of who sends the request.
+	identity authenticator.Outcome
+	key      buckthorndyke.ModelKey
 	// mayHaveCrashed is set if the server of the attempt broke the connection before it
 	// had begun to answer.
 	mayHaveCrashed bool
+	// priority is that of the caller, or that of the route. 0 is the most urgent one.
+	priority int
 	// queued is the total time that the request has waited for a server.
 	queued  buckthorndyke.Millis
 	request buckthorndyke.RelayRequest
@@ -81,7 +86,9 @@
 	// with its first event.
 	responded chan struct{}
 	route     buckthorndyke.Route
-	seed      uint64
+	// routingState is the configuration by which the request was identified.
+	routingState routingState
+	seed         uint64
 	// trail describes the attempts for the log.
 	trail []string
 }
@@ -89,15 +96,19 @@
 // newJob returns a job for r. The job is not nil if there is an error.
 func (d *Dispatcher) newJob(ctx context.Context, r buckthorndyke.RelayRequest, w buckthorndyke.RelayWriter) (*job, error) {
 	j := &job{Dispatcher: d, request: r, answer: answer{w: w}, seed: xxhash.Sum64String(string(r.ID))}
-	routing, err := mailer.Ask(ctx, d.box, func(reply mailer.Reply[buckthorndyke.Routing]) message {
+	state, err := mailer.Ask(ctx, d.box, func(reply mailer.Reply[routingState]) message {
 		return routingRequested{reply: reply}
 	})
 	if err != nil {
 		return j, endOf(ctx)
 	}
-	if routing.Version == 0 {
+	if state.routing.Version == 0 {
 		return j, errNoRouting
 	}
+	if state, err = j.identify(ctx, state); err != nil {
+		return j, err
+	}
+	routing := state.routing
 	route, ok := routing.Route(r.Host, r.Path)
 	if !ok {
 		return j, errNoRoute
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -135,11 +135,6 @@
 	serverSilent struct {
 		server buckthorndyke.RunnerID
 	}
-
-	// routingRequested asks for the configuration.
-	routingRequested struct {
-		reply mailer.Reply[buckthorndyke.Routing]
-	}
 )
 
 func (m admissionRequested) apply(t *task) { t.admit(m) }
@@ -156,4 +151,3 @@
 func (m leaderUnavailable) apply(t *task) { t.hasLeader, t.crashSync = false, crashSync{} }
 func (m serverTold) apply(t *task)        { t.handleServerTold(m) }
 func (m serverSilent) apply(t *task)      { t.view = t.view.WithSlow(m.server, t.clock.Now()) }
-func (m routingRequested) apply(t *task)  { m.reply.Answer(t.routing) }
--- a/supervisor/relayer/dispatcher/stream.go
+++ b/supervisor/relayer/dispatcher/stream.go
@@ -133,6 +133,7 @@
 		event = d.logger.Info().EmbedObject(reporter.EventRequestFailed).Err(err).Str("parts", sharedParts(r)).
 			Str("verdict", buckthorndyke.VerdictOf(err).String()).Str("code", string(buckthorndyke.RefusalOf(err).Code()))
 	}
+	j.logIdentity(event)
 	event.Str("request", string(r.ID)).Str("fingerprint", j.fingerprint()).Str("route", j.route.Name).Str("service", string(j.key.Service)).
 		Str("model", string(j.key.Model)).Str("adapter", j.key.Adapter).Int("prompt-tokens", r.PromptTokens).
 		Int64("queue-ms", int64(j.queued)).Int64("first-ms", int64(j.firstEvent)).Int64("ms", int64(d.clock.Now()-r.Arrived)).Str("attempts", j.trailText()).Send()
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -47,6 +47,9 @@
 	// arrivals counts the requests since the previous demand report.
 	arrivals map[buckthorndyke.ModelKey]int
 	budgets  map[buckthorndyke.ServiceID]chooser.Budget
+	// confirmationAskedAt is the instant of the last request for a confirmation of the
+	// configuration's version, or 0.
+	confirmationAskedAt buckthorndyke.Millis
 	// crashSigns holds the servers whose connections broke, until it is known whether
 	// they have ended.
 	crashSigns map[buckthorndyke.Lifetime]crashSign
@@ -71,10 +74,16 @@
 	routing buckthorndyke.Routing
 	runCtx  context.Context
 	running map[buckthorndyke.ModelKey]int
+	// seenRouting is the version of the configuration that this VM or the leader has read
+	// last.
+	seenRouting buckthorndyke.SeenVersion
 	// suspects are the servers that fail requests of all VMs, from the leader's latest
 	// reply.
 	suspects []buckthorndyke.RunnerID
-	view     selector.View
+	// unconfirmed holds the requests that wait for a confirmation of the configuration's
+	// version.
+	unconfirmed []confirmationRequested
+	view        selector.View
 	// waiting holds the requests that wait for a server, in the order of their arrival.
 	waiting []admissionRequested
 }
@@ -97,6 +106,7 @@
 func (t *task) run(ctx context.Context) error {
 	routings := t.routings.Subscribe(ctx)
 	lists := t.lists.Subscribe(ctx)
+	reads, notices := subscribe(ctx, t.seenRoutings), subscribe(ctx, t.routingNotices)
 	for {
 		select {
 		case <-ctx.Done():
@@ -104,14 +114,18 @@
 		case m := <-t.box.Receive():
 			m.apply(t)
 		case r := <-routings:
-			t.routing = r
-			t.dropOldDurations()
+			t.applyRouting(r)
+		case seen := <-reads:
+			t.applySeenRouting(seen)
+		case seen := <-notices:
+			t.applySeenRouting(seen)
 		case l := <-lists:
 			t.confirmCrashesByList(l)
 			t.view = t.view.WithBackends(l)
 			t.retryWaiting()
-		case <-t.clock.After(t.nextWake()):
+		case <-t.clock.After(t.unconfirmedWake(t.nextWake())):
 			t.retryWaiting()
+			t.answerUnconfirmed()
 		}
 	}
 }
@@ -218,6 +232,9 @@
 		}
 		report.Waiting = true
 		change(m.query.Key, func(e *buckthorndyke.DemandEntry) {
+			if e.Waiting == 0 || m.job.priority < e.Priority {
+				e.Priority = m.job.priority
+			}
 			if left := max(m.limits.loading-now, 0); e.Waiting == 0 || left < e.TimeLeft {
 				e.TimeLeft = left
 			}
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -96,20 +96,21 @@
 		routings:   mailer.NewFeed[buckthorndyke.Routing](),
 	}
 	terms := mailer.NewFeed[buckthorndyke.Term]()
-	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock,
-		dispatcher.WithDomain(self.Domain), dispatcher.WithLogger(logger), dispatcher.WithMemory(platform.Memory),
-		dispatcher.WithRetryBurst(s.RetryBurst))
 	losses, found, fullSpeedLoads := mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[int]()
 	lists, routings := newWatchFeeds(terms), newWatchFeeds(terms)
+	refreshes, confirmations := mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[buckthorndyke.Millis]()
+	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock,
+		dispatcher.WithConfirmations(routings.Seen, routings.Notices, confirmations), dispatcher.WithDomain(self.Domain),
+		dispatcher.WithLogger(logger), dispatcher.WithMemory(platform.Memory), dispatcher.WithRetryBurst(s.RetryBurst))
 	t.loader = loader.New(self, platform.Pool, platform.Leaders,
 		loader.Feeds{FullSpeedLoads: fullSpeedLoads, Lists: t.lists, Routings: t.routings, SeenList: lists.Seen, SeenRouting: routings.Seen, Terms: terms},
 		s.Lease, clock,
 		loader.WithFullSpeedLoads(s.FullSpeedLoads), loader.WithFencingTokenChecks(s.ChecksFencingToken), loader.WithLogger(logger))
-	refreshes := mailer.NewFeed[buckthorndyke.Millis]()
 	t.teller = teller.New(t.routings, t.lists, refreshes, clock)
 	t.base = starter.NewBranch("base", s.DrainLimit, logger,
-		t.routings, t.lists, terms, losses, found, fullSpeedLoads, refreshes, lists.Seen, lists.Notices, routings.Seen, routings.Notices, t.dispatcher, t.loader, t.teller,
-		watcher.NewRoutings(platform.Directory, t.routings, routings, s.ChangeLimit, clock, logger),
+		t.routings, t.lists, terms, losses, found, fullSpeedLoads, refreshes, confirmations, lists.Seen, lists.Notices, routings.Seen, routings.Notices, t.dispatcher, t.loader, t.teller,
+		watcher.NewRoutings(platform.Directory, t.routings, routings, s.ChangeLimit, clock, logger,
+			watcher.WithConfirmations(confirmations)),
 		watcher.NewBackends(platform.Directory, t.lists, lists, s.LeaveLimit, clock, logger,
 			watcher.WithListSource(platform.Lists), watcher.WithRefreshes(refreshes)),
 		campaigner.New(platform.Election, s.Grant, losses, terms, clock, logger, campaigner.WithFound(found), campaigner.WithStandby(s.Standby)),
--- a/supervisor/relayer/watcher/backends.go
+++ b/supervisor/relayer/watcher/backends.go
@@ -69,6 +69,7 @@
 	r := &backendsRun{
 		Backends: b, watch: newRecordWatch(ctx, "list of servers", b.feeds, b.limit, b.clock, b.logger),
 	}
+	r.watch.refreshMargin = b.limit / copyAgeDivisor
 	if b.refreshes != nil {
 		r.watch.refreshes = b.refreshes.Subscribe(ctx)
 	}
--- a/supervisor/relayer/watcher/recordwatch.go
+++ b/supervisor/relayer/watcher/recordwatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/buckthorndyke/buckthorndyke"
@@ -29,6 +30,10 @@
 	notice  buckthorndyke.SeenVersion
 	notices <-chan buckthorndyke.SeenVersion
 	outage  outage
+	// refreshed is set if await has ended because the record is needed newer.
+	refreshed bool
+	// refreshMargin is the time after a read within which the record is new enough.
+	refreshMargin buckthorndyke.Millis
 	// refreshes delivers the instants at which the record is needed newer, or is nil.
 	refreshes <-chan buckthorndyke.Millis
 	// retryAt is the instant of the next read after a failed one.
@@ -66,6 +71,7 @@
 // that instant has passed, it only handles those that have already arrived. It returns
 // true as soon as the leader announces a change that this VM lacks and can get.
 func (w *recordWatch) await(ctx context.Context, due func() buckthorndyke.Millis) bool {
+	w.refreshed = false
 	for {
 		wait := due()
 		if w.outage.failures > 0 {
@@ -96,7 +102,8 @@
 				return true
 			}
 		case at := <-w.refreshes:
-			if w.outage.failures == 0 && w.schedule.NeedsRefresh(at) {
+			if w.outage.failures == 0 && w.schedule.NeedsRefresh(at, w.refreshMargin) {
+				w.refreshed = true
 				return false
 			}
 		case <-w.clock.After(wait):
@@ -104,6 +111,16 @@
 	}
 }
 
+// errCopied means that only another VM's copy of the record could be read.
+var errCopied = errors.New("only another VM's copy could be read")
+
+// copied records that another VM's copy of the given version was read instead of the record.
+// Its age is not known, so that it confirms nothing.
+func (w *recordWatch) copied(versionTag uint64) {
+	w.schedule = w.schedule.WithCopy(versionTag)
+	w.failed(errCopied)
+}
+
 // failed records a failed read.
 func (w *recordWatch) failed(err error) {
 	w.failedAt = w.clock.Now()
--- a/supervisor/relayer/watcher/schedule.go
+++ b/supervisor/relayer/watcher/schedule.go
@@ -55,10 +55,8 @@
 }
 
 // NeedsRefresh reports whether a VM that asked for a copy at the given instant needs a newer
-// one than that of the VM's own last read.
-func (s schedule) NeedsRefresh(at buckthorndyke.Millis) bool {
-	return at > s.read+s.limit/copyAgeDivisor
-}
+// one than that of the VM's own last read, which is new enough for the time margin.
+func (s schedule) NeedsRefresh(at, margin buckthorndyke.Millis) bool { return at > s.read+margin }
 
 // WithChangeApplied returns the schedule of a VM that has applied the change in a notice
 // from the leader.
@@ -68,6 +66,12 @@
 	return s
 }
 
+// WithCopy returns the schedule of a VM that has another VM's copy of the given version.
+func (s schedule) WithCopy(versionTag uint64) schedule {
+	s.versionTag = versionTag
+	return s
+}
+
 // WithLeading returns the schedule of a VM that leads or does not lead.
 func (s schedule) WithLeading(leading bool) schedule {
 	s.leading = leading
--- a/translator/caller.go
+++ b/translator/caller.go
@@ -47,10 +47,10 @@
 
 // callersFromWire returns the callers in list. A key that is no digest is left out.
 func callersFromWire(list []*wire.Caller, required bool) buckthorndyke.Callers {
-	var out buckthorndyke.Callers
-	if required {
-		out = buckthorndyke.NewCallers()
+	if !required && len(list) == 0 {
+		return buckthorndyke.Callers{}
 	}
+	callers := make([]buckthorndyke.Caller, 0, len(list))
 	for _, m := range list {
 		caller := buckthorndyke.Caller{
 			Allotment: buckthorndyke.Allotment{
@@ -65,9 +65,9 @@
 				caller.Keys = append(caller.Keys, buckthorndyke.KeyDigest(key))
 			}
 		}
-		out = out.WithCaller(caller)
+		callers = append(callers, caller)
 	}
-	return out
+	return buckthorndyke.CallersOf(callers)
 }
 
 // callersToWire returns the messages that carry c.
