feat(authenticator): one type and one check of keys in both roles

The product's own interface compared hexadecimal digests of tokens with a check of its own, and took the first of several Authorization fields.

CallerRule holds a KeyDigest, Gateway.Authenticate takes a Credential, and both roles read the field with authenticator.BearerKey and find the holder with authenticator.HolderOf. Fields that differ contain no key. The parser still accepts only lower-case digits.

--- a/bootstrapper/directory_test.go
+++ b/bootstrapper/directory_test.go
@@ -67,8 +67,13 @@
 	asserter.NoError(t, err)
 	asserter.True(t, changed, "no configuration was returned")
 	asserter.Equal(t, got.Version, want)
+	// A copy whose age is not known must not count as the newest configuration.
+	asserter.Equal(t, got.Copied, want != ownVersion)
 }
 
+// ownVersion is the version of the configuration that the platform's directory has.
+const ownVersion = 1
+
 // assertServers reports an error unless the list holds n servers.
 func assertServers(t *testing.T, d *bootstrapper.Directory, n int) {
 	t.Helper()
@@ -104,7 +109,7 @@
 
 // Routing implements buckthorndyke.Directory.
 func (r *fakeDirectory) Routing(context.Context, buckthorndyke.Millis) (buckthorndyke.Routing, bool, error) {
-	return buckthorndyke.Routing{Version: 1}, r.err == nil, r.err
+	return buckthorndyke.Routing{Version: ownVersion}, r.err == nil, r.err
 }
 
 // fakePeers are the snapshots of VMs by address. The VM called slow does not reply in time.
--- a/caller.go
+++ b/caller.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"crypto/sha256"
+	"encoding/hex"
 	"iter"
 	"slices"
+	"strings"
 )
 
 // Units in which an allotment is counted.
@@ -50,6 +52,17 @@
 // how much of a key is right.
 type KeyDigest [sha256.Size]byte
 
+// ParseKeyDigest returns the digest that text has in lower-case hexadecimal, or false if it
+// has none.
+func ParseKeyDigest(text string) (KeyDigest, bool) {
+	var out KeyDigest
+	if len(text) != hex.EncodedLen(len(out)) || strings.ToLower(text) != text {
+		return KeyDigest{}, false
+	}
+	_, err := hex.Decode(out[:], []byte(text))
+	return out, err == nil
+}
+
 // DigestKey returns the digest of key.
 func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
 
@@ -115,6 +128,17 @@
 // Len returns the number of callers.
 func (c Callers) Len() int { return c.byID.Len() }
 
+// Keys yields the digests of all keys with the callers that hold them.
+func (c Callers) Keys() iter.Seq2[KeyDigest, CallerID] {
+	return func(yield func(KeyDigest, CallerID) bool) {
+		for d, id := range c.byKey.All() {
+			if !yield(KeyDigest([]byte(d)), id) {
+				return
+			}
+		}
+	}
+}
+
 // Required reports whether requests need the key of a caller.
 func (c Callers) Required() bool { return c.required }
 
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -2,8 +2,6 @@
 package examples_test
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"os"
 	"testing"
 
@@ -42,8 +40,7 @@
 			asserter.Equal(t, got == tc.want, true)
 			asserter.Equal(t, rules.Services.Has(tc.service), true)
 			asserter.Equal(t, rules.Callers.Len() > 3, true)
-			digest := sha256.Sum256([]byte(tc.caller))
-			caller, ok := rules.CallerByToken(hex.EncodeToString(digest[:]))
+			caller, ok := rules.CallerByKey(buckthorndyke.DigestKey(string(tc.caller)))
 			asserter.Equal(t, ok, true)
 			asserter.Equal(t, caller.ID, tc.caller)
 		})
--- a/gateway.go
+++ b/gateway.go
@@ -24,8 +24,8 @@
 // Gateway serves callers' requests. It is independent of the protocol that the
 // requests were decoded from.
 type Gateway interface {
-	// Authenticate returns the caller that token belongs to, or a *RefusalError.
-	Authenticate(ctx context.Context, token string) (CallerRule, error)
+	// Authenticate returns the caller that holds the key in credential, or a *RefusalError.
+	Authenticate(ctx context.Context, credential Credential) (CallerRule, error)
 	// Call calls a plain service. Its errors are *RefusalErrors.
 	Call(ctx context.Context, r CallRequest) (ServiceResponse, error)
 	// Generate returns the response as a stream, which continues on another runner
--- a/parser/kinds.go
+++ b/parser/kinds.go
@@ -17,9 +17,6 @@
 	maxReplicas     = 1 << 12
 )
 
-// sha256Digits is the length of a SHA-256 in hexadecimal.
-const sha256Digits = 64
-
 func (p *parserState) parseAdapter(l line) {
 	name, ok := p.defineName(l)
 	f := scanFields(p, l, []string{keyBase, keyMemory}, nil)
@@ -44,8 +41,8 @@
 	rule := buckthorndyke.CallerRule{
 		RequestedBy: l.requestedBy,
 		ID:          buckthorndyke.CallerID(name.text),
+		Key:         p.tokenDigest(f),
 		Rank:        f.rank(),
-		TokenSHA256: p.tokenDigest(f),
 	}
 	for _, w := range f.list(keyModels) {
 		p.addReference(l, w, kindAdapter)
@@ -138,24 +135,25 @@
 	return rank
 }
 
-// tokenDigest returns the SHA-256 of a caller's token, or an empty string if it is
-// absent, invalid or the same as that of another caller.
-func (p *parserState) tokenDigest(f fields) string {
+// tokenDigest returns the digest of a caller's token, or the zero value if it is absent,
+// invalid or the same as that of another caller.
+func (p *parserState) tokenDigest(f fields) buckthorndyke.KeyDigest {
 	w, ok := f.values[keyTokenSHA256]
 	if !ok {
-		return ""
+		return buckthorndyke.KeyDigest{}
 	}
-	if len(w.text) != sha256Digits || strings.Trim(w.text, "0123456789abcdef") != "" {
+	digest, ok := buckthorndyke.ParseKeyDigest(w.text)
+	if !ok {
 		// The message does not quote the value, because it may be the token itself.
 		f.report(w, buckthorndyke.FaultValue, "the token is no SHA-256",
 			"write the token's SHA-256 as 64 lower-case hexadecimal digits, never the token")
-		return ""
+		return buckthorndyke.KeyDigest{}
 	}
 	if first, ok := p.tokens[w.text]; ok {
 		f.report(w, buckthorndyke.FaultDuplicate,
 			fmt.Sprintf("the caller on line %d has the same token", first.line.number), "give each caller its own token")
-		return ""
+		return buckthorndyke.KeyDigest{}
 	}
 	p.tokens[w.text] = position{line: f.line, word: w}
-	return w.text
+	return digest
 }
--- a/parser/rules_test.go
+++ b/parser/rules_test.go
@@ -35,10 +35,11 @@
 		assertEqual(t, adapter, buckthorndyke.ModelRule{
 			RequestedBy: "T. Lindqvist, 12 May", Base: "hall-reverb", ID: "gary-gyms", MemoryMB: 60,
 		})
-		caller, _ := rules.CallerByToken(tokenDigest)
+		digest, _ := buckthorndyke.ParseKeyDigest(tokenDigest)
+		caller, _ := rules.CallerByKey(digest)
 		assertEqual(t, caller, buckthorndyke.CallerRule{
 			RequestedBy: "M. Okafor", ID: "town-clerk", Models: []buckthorndyke.ModelID{"gary-gyms"},
-			Rank: buckthorndyke.RankUrgent, Services: []buckthorndyke.ServiceID{"bookings"}, TokenSHA256: tokenDigest,
+			Rank: buckthorndyke.RankUrgent, Services: []buckthorndyke.ServiceID{"bookings"}, Key: digest,
 		})
 		assertEqual(t, rules.RankRuleOf(buckthorndyke.RankUrgent), buckthorndyke.RankRule{
 			RequestedBy: "M. Okafor", FirstToken: 2000, MaxTokens: 512, QueueLimit: 64,
@@ -216,7 +217,7 @@
 		}
 	}
 	for id, c := range rules.Callers.All() {
-		if found, ok := rules.CallerByToken(c.TokenSHA256); !ok || found.ID != id {
+		if found, ok := rules.CallerByKey(c.Key); !ok || found.ID != id {
 			t.Errorf("caller %q is not found by its token", id)
 		}
 	}
--- a/rules.go
+++ b/rules.go
@@ -29,6 +29,8 @@
 // CallerRule permits a caller to use the system.
 type CallerRule struct {
 	ID CallerID
+	// Key is the digest of the caller's key: its bearer token.
+	Key KeyDigest
 	// Models lists the models and adapters that the caller may use. If it is empty,
 	// the caller may use all.
 	Models      []ModelID
@@ -37,9 +39,6 @@
 	// Services lists the services that the caller may use. If it is empty, the caller
 	// may use all.
 	Services []ServiceID
-	// TokenSHA256 is the SHA-256 of the caller's bearer token, in lower-case
-	// hexadecimal.
-	TokenSHA256 string
 }
 
 // RankRule sets the limits of a rank.
@@ -84,14 +83,13 @@
 	Models   Table[ModelID, ModelRule]
 	Ranks    Table[Rank, RankRule]
 	Services Table[ServiceID, ServiceRule]
-	// tokens maps TokenSHA256 to the caller.
-	tokens Table[string, CallerID]
+	// keys maps the callers' keys to the callers.
+	keys Table[string, CallerID]
 }
 
-// CallerByToken returns the rule of the caller whose token has the given SHA-256, in
-// lower-case hexadecimal.
-func (r Rules) CallerByToken(sha256 string) (CallerRule, bool) {
-	id, ok := r.tokens.Get(sha256)
+// CallerByKey returns the rule of the caller that holds the key with the given digest.
+func (r Rules) CallerByKey(d KeyDigest) (CallerRule, bool) {
+	id, ok := r.keys.Get(string(d[:]))
 	if !ok {
 		return CallerRule{}, false
 	}
@@ -109,7 +107,7 @@
 // WithCaller returns a copy of r that includes c.
 func (r Rules) WithCaller(c CallerRule) Rules {
 	r.Callers = r.Callers.With(c.ID, c)
-	r.tokens = r.tokens.With(c.TokenSHA256, c.ID)
+	r.keys = r.keys.With(string(c.Key[:]), c.ID)
 	return r
 }
 
--- a/supervisor/listener/completions.go
+++ b/supervisor/listener/completions.go
@@ -10,6 +10,7 @@
 	"github.com/kataras/iris/v12"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/authenticator"
 )
 
 // headerRequestID is the response header that carries the request ID.
@@ -30,12 +31,12 @@
 
 // authenticate returns the caller that the request's bearer token belongs to.
 func (l *Listener) authenticate(ctx iris.Context) (buckthorndyke.CallerRule, error) {
-	token, ok := strings.CutPrefix(ctx.GetHeader("Authorization"), "Bearer ")
-	if !ok || token == "" {
+	key := authenticator.BearerKey(ctx.Request().Header.Values("Authorization"))
+	if key == "" {
 		return buckthorndyke.CallerRule{}, buckthorndyke.NewRefusal(
 			buckthorndyke.CodeUnauthenticated, buckthorndyke.NotRun, "the request has no bearer token; expected the header Authorization: Bearer TOKEN")
 	}
-	return l.gateway.Authenticate(ctx.Request().Context(), token)
+	return l.gateway.Authenticate(ctx.Request().Context(), buckthorndyke.NewCredential(key))
 }
 
 // decode returns the validated body of a completion request.
--- a/supervisor/listener/listener_test.go
+++ b/supervisor/listener/listener_test.go
@@ -173,8 +173,8 @@
 	tokens    int
 }
 
-func (g *fakeGateway) Authenticate(_ context.Context, token string) (buckthorndyke.CallerRule, error) {
-	if token != testToken {
+func (g *fakeGateway) Authenticate(_ context.Context, credential buckthorndyke.Credential) (buckthorndyke.CallerRule, error) {
+	if digest, _ := credential.Digest(); digest != buckthorndyke.DigestKey(testToken) {
 		return buckthorndyke.CallerRule{}, refusal(buckthorndyke.CodeUnauthenticated, buckthorndyke.NotRun)
 	}
 	return buckthorndyke.CallerRule{ID: "clerk"}, nil
--- a/supervisor/relayer/dispatcher/identity.go
+++ b/supervisor/relayer/dispatcher/identity.go
@@ -34,6 +34,7 @@
 	// confirmedAt is the last instant at which the configuration was known to be the
 	// newest, or 0.
 	confirmedAt buckthorndyke.Millis
+	formerKeys  authenticator.FormerKeys
 	routing     buckthorndyke.Routing
 }
 
@@ -108,6 +109,9 @@
 	if j.identity == authenticator.Unknown || j.identity == authenticator.Unconfirmed {
 		_, hasKey := j.request.Credential.Digest()
 		event.Str("identity", string(j.identity)).Bool("has-key", hasKey).Int64("version", routing.Version)
+		if former, ok := j.routingState.formerKeys.HolderOf(j.request.Credential); ok {
+			event.Str("former-caller", string(former.Caller)).Int64("removed-in", former.Version)
+		}
 		if at := j.routingState.confirmedAt; at > 0 {
 			event.Int64("confirmed-ms-ago", int64(j.clock.Now()-at))
 		}
@@ -153,6 +157,7 @@
 	if r.Version > 0 && r.Version < t.routing.Version {
 		return
 	}
+	t.formerKeys = t.formerKeys.WithChange(t.routing.Callers, r.Callers, r.Version)
 	t.routing = r
 	t.dropOldDurations()
 	t.answerUnconfirmed()
@@ -181,7 +186,7 @@
 // routingState returns the configuration with its age. What is seen last counts: if that is
 // another version, the current one may not be the newest.
 func (t *task) routingState() routingState {
-	out := routingState{routing: t.routing}
+	out := routingState{formerKeys: t.formerKeys, routing: t.routing}
 	if t.seenRouting.VersionTag == t.routing.VersionTag() {
 		out.confirmedAt = t.seenRouting.At
 	}
--- a/supervisor/relayer/dispatcher/identity_test.go
+++ b/supervisor/relayer/dispatcher/identity_test.go
@@ -353,6 +353,16 @@
 		asserter.Contains(t, lines[1], `"caller":"a"`)
 		asserter.NotContains(t, log.String(), "key-")
 	})
+	t.Run("the line about a key that was removed names its last holder", func(t *testing.T) {
+		var log bytes.Buffer
+		withCallers(t, func(s *fixture) {
+			s.publish(callersRouting(3, "b"))
+			s.confirm(s.seen, 3)
+			s.assertRefused(withKey(request("/safe/x"), "key-a"), unauthenticated, 0)
+		}, dispatcher.WithLogger(zerolog.New(&log)))
+		asserter.Contains(t, log.String(), `"former-caller":"a","removed-in":3`)
+		asserter.NotContains(t, log.String(), "key-a")
+	})
 	t.Run("a line says nothing of callers if there are none", func(t *testing.T) {
 		var log bytes.Buffer
 		withFixture(t, func(s *fixture) {
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/authenticator"
 	"github.com/buckthorndyke/buckthorndyke/chooser"
 	"github.com/buckthorndyke/buckthorndyke/estimator"
 	"github.com/buckthorndyke/buckthorndyke/quarantiner"
@@ -65,6 +66,8 @@
 	expected map[buckthorndyke.ModelKey]buckthorndyke.Millis
 	// fleetSize is the number of entry VMs from the leader's latest reply, or 0.
 	fleetSize int
+	// formerKeys are the keys that were removed from the configuration.
+	formerKeys authenticator.FormerKeys
 	// hasLeader is set while a leader replies to demand reports.
 	hasLeader bool
 	// rates holds the average rates of arrivals.
--- a/supervisor/router/access.go
+++ b/supervisor/router/access.go
@@ -2,21 +2,19 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"slices"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/authenticator"
 )
 
 // Authenticate implements buckthorndyke.Gateway.
-func (r *Router) Authenticate(ctx context.Context, token string) (buckthorndyke.CallerRule, error) {
+func (r *Router) Authenticate(ctx context.Context, credential buckthorndyke.Credential) (buckthorndyke.CallerRule, error) {
 	st, err := r.readyState(ctx)
 	if err != nil {
 		return buckthorndyke.CallerRule{}, err
 	}
-	digest := sha256.Sum256([]byte(token))
-	caller, ok := st.update.State.Rules.CallerByToken(hex.EncodeToString(digest[:]))
+	caller, ok := authenticator.HolderOf(credential, st.update.State.Rules.CallerByKey)
 	if !ok {
 		return caller, refuse(buckthorndyke.CodeUnauthenticated, "no caller has this token")
 	}
--- a/supervisor/router/fixture_test.go
+++ b/supervisor/router/fixture_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"testing"
 	"testing/synctest"
 
@@ -64,11 +62,10 @@
 		ticketRequests: make(chan buckthorndyke.TicketRequest, recordCapacity),
 		updates:        make(chan buckthorndyke.StateUpdate, 1),
 	}
-	digest := sha256.Sum256([]byte("token"))
 	rules := buckthorndyke.Rules{}.
 		WithModel(buckthorndyke.ModelRule{ID: "m", Replicas: 2}).
 		WithCaller(buckthorndyke.CallerRule{
-			ID: "caller", Rank: buckthorndyke.RankUrgent, TokenSHA256: hex.EncodeToString(digest[:]),
+			ID: "caller", Key: buckthorndyke.DigestKey("token"), Rank: buckthorndyke.RankUrgent,
 		}).
 		WithRank(buckthorndyke.RankRule{
 			FirstToken: 2 * buckthorndyke.Second, MaxTokens: 8, Rank: buckthorndyke.RankUrgent,
--- a/supervisor/router/generate_test.go
+++ b/supervisor/router/generate_test.go
@@ -33,19 +33,19 @@
 
 func TestAccess(t *testing.T) {
 	run(t, "a valid token identifies its caller", func(t *testing.T, f *fixture) {
-		caller, err := f.start(t).Authenticate(t.Context(), "token")
+		caller, err := f.start(t).Authenticate(t.Context(), buckthorndyke.NewCredential("token"))
 		asserter.NoError(t, err)
 		asserter.Equal(t, caller.ID, "caller")
 	})
 	run(t, "an unknown token is refused", func(t *testing.T, f *fixture) {
-		_, err := f.start(t).Authenticate(t.Context(), "other")
+		_, err := f.start(t).Authenticate(t.Context(), buckthorndyke.NewCredential("other"))
 		asserter.Refused(t, err, buckthorndyke.CodeUnauthenticated, buckthorndyke.NotRun)
 	})
 	run(t, "requests are refused until the state has caught up", func(t *testing.T, f *fixture) {
 		r := f.start(t)
 		f.updates <- buckthorndyke.StateUpdate{State: f.state}
 		synctest.Wait()
-		_, err := r.Authenticate(t.Context(), "token")
+		_, err := r.Authenticate(t.Context(), buckthorndyke.NewCredential("token"))
 		asserter.Refused(t, err, buckthorndyke.CodeNotReady, buckthorndyke.NotRun)
 		_, err = read(t.Context(), r, request)
 		asserter.Refused(t, err, buckthorndyke.CodeNotReady, buckthorndyke.NotRun)
--- a/tester/traffic.go
+++ b/tester/traffic.go
@@ -77,7 +77,7 @@
 	}
 	defer n.listener.endRequest()
 	gateway := f.gateway(n)
-	caller, err := gateway.Authenticate(ctx, token)
+	caller, err := gateway.Authenticate(ctx, buckthorndyke.NewCredential(token))
 	if err != nil {
 		return buckthorndyke.ServiceResponse{}, err
 	}
@@ -137,7 +137,7 @@
 	}
 	defer n.listener.endRequest()
 	gateway := f.gateway(n)
-	caller, err := gateway.Authenticate(ctx, token)
+	caller, err := gateway.Authenticate(ctx, buckthorndyke.NewCredential(token))
 	if err != nil {
 		return err
 	}
