--- a/caller.go
+++ b/caller.go
@@ -1,8 +1,12 @@
 package buckthorndyke
 
 import (
+	"cmp"
 	"crypto/sha256"
+	"encoding/hex"
 	"iter"
+	"slices"
+	"strings"
 )
 
 // Units in which an allotment is counted.
@@ -48,9 +52,31 @@
 // how much of a key is right.
 type KeyDigest [sha256.Size]byte
 
+// ParseKeyDigest returns the digest that text has in lower-case hexadecimal, or false if it
+// has none.
+func ParseKeyDigest(text string) (KeyDigest, bool) {
+	var out KeyDigest
+	if len(text) != hex.EncodedLen(len(out)) || strings.ToLower(text) != text {
+		return KeyDigest{}, false
+	}
+	_, err := hex.Decode(out[:], []byte(text))
+	return out, err == nil
+}
+
 // DigestKey returns the digest of key.
 func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
 
+// CallerFault is an irregular value in a caller of the operator's configuration. It never
+// contains a key.
+type CallerFault struct {
+	// Caller is empty if the caller has no valid name.
+	Caller CallerID
+	// Index is the place of the caller in the configuration, from 0.
+	Index int
+	// Problem says what is irregular and what takes its place.
+	Problem string
+}
+
 // Caller is a caller in the operator's configuration.
 type Caller struct {
 	Allotment
@@ -102,19 +128,66 @@
 // Len returns the number of callers.
 func (c Callers) Len() int { return c.byID.Len() }
 
+// Keys yields the digests of all keys with the callers that hold them.
+func (c Callers) Keys() iter.Seq2[KeyDigest, CallerID] {
+	return func(yield func(KeyDigest, CallerID) bool) {
+		for d, id := range c.byKey.All() {
+			if !yield(KeyDigest([]byte(d)), id) {
+				return
+			}
+		}
+	}
+}
+
 // Required reports whether requests need the key of a caller.
 func (c Callers) Required() bool { return c.required }
 
+// CallersOf returns the callers in list. For many entries it allocates much less memory
+// than a call of WithCaller for each. A key stays with the first caller that holds it.
+func CallersOf(list []Caller) Callers {
+	holders := make(map[KeyDigest]CallerID, len(list))
+	kept := make([]Caller, 0, len(list))
+	for _, caller := range list {
+		// Each key has one holder in Keys too, so that a copy of the callers in another
+		// order has the same holders.
+		caller.Keys = slices.DeleteFunc(slices.Clone(caller.Keys), func(d KeyDigest) bool {
+			holder, ok := holders[d]
+			holders[d] = cmp.Or(holder, caller.ID)
+			return ok && holder != caller.ID
+		})
+		kept = append(kept, caller)
+	}
+	return Callers{
+		byID: TableOf(kept, func(c Caller) CallerID { return c.ID }),
+		byKey: NewTable(func(yield func(string, CallerID) bool) {
+			for d, id := range holders {
+				if !yield(string(d[:]), id) {
+					return
+				}
+			}
+		}),
+		required: true,
+	}
+}
+
 // WithCaller returns a copy of c that includes caller. A key that another caller holds
 // already stays with that one.
 func (c Callers) WithCaller(caller Caller) Callers {
-	c.required = true
-	c.byID = c.byID.With(caller.ID, caller)
+	if old, ok := c.byID.Get(caller.ID); ok {
+		for _, d := range old.Keys {
+			c.byKey = c.byKey.Without(string(d[:]))
+		}
+	}
+	var keys []KeyDigest
 	for _, d := range caller.Keys {
-		if !c.byKey.Has(string(d[:])) {
-			c.byKey = c.byKey.With(string(d[:]), caller.ID)
+		if holder, ok := c.byKey.Get(string(d[:])); ok && holder != caller.ID {
+			continue
 		}
+		c.byKey = c.byKey.With(string(d[:]), caller.ID)
+		keys = append(keys, d)
 	}
+	caller.Keys = keys
+	c.byID, c.required = c.byID.With(caller.ID, caller), true
 	return c
 }
 
