feat(apportioner): callers' allotments hold over all VMs

Nothing limited what a caller uses over all VMs: the configuration's rates and bursts were decoded and ignored.

The leader keeps a bucket for each limited caller and grants each VM a limit that counts from the start of its process (package apportioner, Usage and Ledger). The right to fill the allotment is divided into shares that add up to 1: the leader fills for the VMs that report to it, and a VM without a leader fills its own limit, so that two leaders, or VMs that are cut off, never fill more than the allotment together. A VM charges a request before it waits for a server. One that needs a grant waits for it in a queue of its own; without room it is refused with 429 and the time until there is room, and with 503 while the VM does not know. What waits for a server counts as unspent, because the bound is on what is sent. Reports carry the VM's share, what it has filled itself and a number, which the messages lacked.

Ruled out: a fixed part for VMs without a share. A twentieth of what a window may exceed the bound by, over 86 VMs, is 66 to 220 tokens per window for rates of 5,000 to 300,000, less than one request. A second refill by the leader for the time without reports: it let an idle VM spend its part twice.

--- a/caller.go
+++ b/caller.go
@@ -124,9 +124,14 @@
 	// Asked is what the caller has asked for, whether it was admitted or not.
 	Asked  float64
 	Caller CallerID
-	// Limit is how much the VM may admit in all, by the last grant that it has received.
+	// Filled is what the VM has added to its limit by itself, by its share.
+	Filled float64
+	// Limit is how much the VM may admit in all, by the last grant that it has received
+	// and what it has added itself since.
 	Limit float64
-	// Spent is what the VM has admitted.
+	// Share is the fraction of the allotment that the VM may use while there is no leader.
+	Share float64
+	// Spent is what the VM has sent to servers, without what no server has run.
 	Spent float64
 	// Waiting is what requests that wait for a grant need.
 	Waiting float64
--- a/configurer/relay.go
+++ b/configurer/relay.go
@@ -23,6 +23,8 @@
 // Relay holds the settings of an entry VM that relays requests to backend servers
 // on a platform with a metadata store. It is immutable.
 type Relay struct {
+	// Allotments says by how much requests may exceed the allotments of callers.
+	Allotments buckthorndyke.AllotmentBounds
 	// ChangeLimit is the time within which a changed configuration must be in force.
 	ChangeLimit buckthorndyke.Millis
 	// ChecksFencingToken is set if the runners refuse orders with an outdated fencing
@@ -70,7 +72,9 @@
 	root := d.parse()
 	runners := root.object("runners", false)
 	weights := root.object("weight-store", false)
+	allotments := root.object("allotments", false)
 	s := Relay{
+		Allotments:         allotments.allotmentBounds(),
 		ChangeLimit:        root.roundedMillis("change-limit-ms", defaultChangeLimit, minChangeLimit, maxChangeLimit, math.Floor),
 		ChecksFencingToken: runners.boolean("check-fence", false),
 		ClientsAddress:     root.sectionAddress("clients"),
@@ -92,6 +96,7 @@
 	}
 	runners.reportUnknownKeys()
 	weights.reportUnknownKeys()
+	allotments.reportUnknownKeys()
 	root.reportUnknownKeys()
 	if err := buckthorndyke.NewFaults(d.faults); err != nil {
 		return Relay{}, err
--- a/configurer/relay_test.go
+++ b/configurer/relay_test.go
@@ -34,6 +34,28 @@
 		asserter.Equal(t, got.Seeds, []string{"10.0.0.2:83", "10.0.0.3:83"})
 		asserter.True(t, got.ChecksFencingToken, "ChecksFencingToken is not set")
 	})
+	t.Run("the bounds on allotments may be rendered as fractions", func(t *testing.T) {
+		with := strings.Replace(relaySettings, `"lease-ms"`, `"allotments": {"window-s": 8.0, "overage": 0.1, "slack": 110000.0}, "lease-ms"`, 1)
+		got, err := configurer.ParseRelay([]byte(with))
+		asserter.NoError(t, err)
+		asserter.Equal(t, got.Allotments, buckthorndyke.AllotmentBounds{Overage: 0.1, Slack: 110_000, Window: 8 * buckthorndyke.Second})
+	})
+	t.Run("absent bounds on allotments have defaults", func(t *testing.T) {
+		for _, part := range []string{"", `"allotments": {}, `} {
+			got, err := configurer.ParseRelay([]byte(strings.Replace(relaySettings, `"lease-ms"`, part+`"lease-ms"`, 1)))
+			asserter.NoError(t, err)
+			asserter.Equal(t, got.Allotments, buckthorndyke.AllotmentBounds{Overage: 0.1, Window: 8 * buckthorndyke.Second})
+		}
+	})
+	t.Run("impossible bounds on allotments are reported with their positions", func(t *testing.T) {
+		for _, member := range []string{`"window-s": 0`, `"window-s": "8"`, `"overage": -0.1`, `"slack": -1`, `"slack": 1e999`, `"window": 8`} {
+			_, err := configurer.ParseRelay([]byte(strings.Replace(relaySettings, `"lease-ms"`, `"allotments": {`+member+`}, "lease-ms"`, 1)))
+			asserter.Error(t, err)
+			key, _, _ := strings.Cut(member, ":")
+			asserter.Contains(t, err.Error(), key)
+			asserter.Contains(t, err.Error(), "line ")
+		}
+	})
 	t.Run("all faults are reported with their positions", func(t *testing.T) {
 		broken := strings.NewReplacer(`"10.0.0.9:80"`, `"store:80"`, `"drain-limit-s": 8`, `"drain-limit-s": "8"`, `"10.0.0.3:83"`, `"entry-3"`,
 			`"vm"`, `"vmm"`).Replace(relaySettings)
--- a/configurer/values.go
+++ b/configurer/values.go
@@ -232,3 +232,19 @@
 	literal, ok := value.Value.(hujson.Literal)
 	return ok && slices.Contains(kinds, literal.Kind())
 }
+
+// decimal returns the number under key, which must be from low to high. It returns
+// fallback if the number is absent or invalid.
+func (o object) decimal(key string, fallback, low, high float64) float64 {
+	value, ok := o.member(key)
+	if !ok {
+		return fallback
+	}
+	n, err := strconv.ParseFloat(literalText(value), 64)
+	if !isKind(value, '0') || err != nil || n < low || n > high {
+		o.d.report(value.StartOffset, buckthorndyke.FaultRange, fmt.Sprintf("%q is %s", key, literalText(value)),
+			fmt.Sprintf("write a number from %v to %v", low, high))
+		return fallback
+	}
+	return n
+}
--- a/demand.go
+++ b/demand.go
@@ -67,6 +67,9 @@
 	// ListVersionTag is the version tag of the VM's list of servers, or 0 if it has
 	// none.
 	ListVersionTag uint64
+	// Number rises with each report of the process, so that one that arrives late is
+	// recognized.
+	Number uint64
 	// ServerLoads are the VM's requests in flight at servers.
 	ServerLoads []ServerLoad
 	// Waiting is set if any request waits for a server.
--- a/metric.go
+++ b/metric.go
@@ -2,6 +2,18 @@
 
 // Names of metrics.
 const (
+	// The metrics of allotments count amounts by caller. MetricAllotmentExceeded counts
+	// what was beyond the allotment, and MetricAllotmentUnknown what was refused although
+	// it may have been within it.
+	MetricAllotmentAdmitted  Metric = "allotment-admitted"
+	MetricAllotmentExceeded  Metric = "allotment-exceeded"
+	MetricAllotmentRequested Metric = "allotment-requested"
+	// MetricAllotmentShare is the VM's share in thousandths, MetricAllotmentShareAge the
+	// age of the leader's last grant in seconds.
+	MetricAllotmentShare    Metric = "allotment-share-permille"
+	MetricAllotmentShareAge Metric = "allotment-share-age-s"
+	MetricAllotmentUnknown  Metric = "allotment-unknown"
+
 	MetricAttempts        Metric = "attempts"
 	MetricControlOffset   Metric = "control-offset"
 	MetricEvictions       Metric = "evictions"
--- a/refusal.go
+++ b/refusal.go
@@ -9,6 +9,8 @@
 // Codes of refusals and failures. They are part of the caller interface and must
 // not change.
 const (
+	CodeAllotmentExceeded  Code = "allotment-exceeded"
+	CodeAllotmentUnknown   Code = "allotment-unknown"
 	CodeBadRequest         Code = "bad-request"
 	CodeCallerGone         Code = "caller-gone"
 	CodeClaimUnavailable   Code = "claim-unavailable"
--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -14,8 +14,10 @@
 
 // Events that log lines report.
 const (
-	EventDependencyBack Event = "dependency-back"
-	EventDependencyLost Event = "dependency-lost"
+	EventAllotmentExhausted Event = "allotment-exhausted"
+	EventAllotmentShare     Event = "allotment-share-changed"
+	EventDependencyBack     Event = "dependency-back"
+	EventDependencyLost     Event = "dependency-lost"
 	// EventDirectoryCopied reports that a VM asked the others for their copies of the
 	// directory, since it could not read the platform's.
 	EventDirectoryCopied Event = "knowledge-inherited"
--- a/supervisor/relayer/demander/demander.go
+++ b/supervisor/relayer/demander/demander.go
@@ -46,8 +46,10 @@
 	// fullSpeedLoads is the number of concurrent loads from the weight store in the
 	// leader's last reply, or 0.
 	fullSpeedLoads int
-	leaders        buckthorndyke.LeaderClient
-	logger         zerolog.Logger
+	// incarnation is that of the VM's process.
+	incarnation buckthorndyke.Incarnation
+	leaders     buckthorndyke.LeaderClient
+	logger      zerolog.Logger
 	// losses gets the instants at which no leader has replied, or at which the leader
 	// has asked the VM to take part in the election.
 	losses     *mailer.Feed[buckthorndyke.Millis]
@@ -75,17 +77,30 @@
 	Routings *mailer.Feed[buckthorndyke.SeenVersion]
 }
 
+// Option configures a Demander.
+type Option func(*Demander)
+
+// WithIncarnation sets the incarnation of the VM's process.
+func WithIncarnation(i buckthorndyke.Incarnation) Option {
+	return func(d *Demander) { d.incarnation = i }
+}
+
 // New returns a demander for the VM self. It publishes to losses when no leader
 // replies or when the leader asks the VM to take part in the election. It follows
 // seen for the version of the server list that the VM has.
 func New(
 	self buckthorndyke.VMID, source buckthorndyke.DemandSource, election buckthorndyke.Election, leaders buckthorndyke.LeaderClient,
 	losses *mailer.Feed[buckthorndyke.Millis], seen *mailer.Feed[buckthorndyke.SeenVersion], replyFeeds ReplyFeeds, clock buckthorndyke.Clock, logger zerolog.Logger,
+	opts ...Option,
 ) *Demander {
-	return &Demander{
+	d := &Demander{
 		clock: clock, election: election, leaders: leaders, logger: logger, losses: losses, replyFeeds: replyFeeds, seen: seen,
 		self: self, source: source,
 	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
 }
 
 // Serve implements suture.Service.
@@ -103,6 +118,9 @@
 		default:
 		}
 		demand.ListVersionTag = known.VersionTag
+		if demand.Number > 0 {
+			demand.Incarnation = d.incarnation
+		}
 		if recent = d.report(ctx, demand); recent {
 			continue
 		}
--- a/supervisor/relayer/demander/demander_test.go
+++ b/supervisor/relayer/demander/demander_test.go
@@ -42,6 +42,16 @@
 		asserter.Equal(t, got.list.Change.Removed, []buckthorndyke.RunnerID{"a"})
 		asserter.Equal(t, got.versionTag, 5)
 	})
+	t.Run("a numbered report has the incarnation of the process", func(t *testing.T) {
+		got := runDemander(t, func(f *fake) {
+			led(f)
+			f.number = 1
+		})
+		asserter.Equal(t, got.incarnation, 9)
+	})
+	t.Run("a report without a number has no incarnation", func(t *testing.T) {
+		asserter.Equal(t, runDemander(t, led).incarnation, 0)
+	})
 	t.Run("the number of loads at full speed is published", func(t *testing.T) {
 		got := runDemander(t, func(f *fake) {
 			led(f)
@@ -85,10 +95,13 @@
 // fake is the dispatcher, the leader and the election of a demander, and records what
 // they receive.
 type fake struct {
-	err       error
-	leader    string
-	reply     buckthorndyke.DemandReply
-	searchErr error
+	// incarnation is that of the last report, number the number of each report.
+	incarnation buckthorndyke.Incarnation
+	number      uint64
+	err         error
+	leader      string
+	reply       buckthorndyke.DemandReply
+	searchErr   error
 	// wantRecent is the number of replies that ask for all recent arrivals.
 	wantRecent int
 
@@ -108,7 +121,7 @@
 	if recent {
 		f.recent++
 	}
-	return buckthorndyke.DemandReport{}, nil
+	return buckthorndyke.DemandReport{Number: f.number}, nil
 }
 
 // HandleNoLeader implements buckthorndyke.DemandSource.
@@ -134,7 +147,7 @@
 	_ context.Context, _ string, _ buckthorndyke.VMID, demand buckthorndyke.DemandReport,
 ) (buckthorndyke.DemandReply, error) {
 	f.reports++
-	f.versionTag = demand.ListVersionTag
+	f.versionTag, f.incarnation = demand.ListVersionTag, demand.Incarnation
 	reply := f.reply
 	reply.WantRecentArrivals = f.reports <= f.wantRecent
 	return reply, f.err
@@ -174,7 +187,9 @@
 		asserter.NoError(t, seen.Publish(ctx, buckthorndyke.SeenVersion{VersionTag: 5}))
 		synctest.Wait()
 		done := make(chan error, 1)
-		go func() { done <- demander.New("vm-1", f, f, f, losses, seen, feeds, clock, zerolog.Nop()).Serve(ctx) }()
+		go func() {
+			done <- demander.New("vm-1", f, f, f, losses, seen, feeds, clock, zerolog.Nop(), demander.WithIncarnation(9)).Serve(ctx)
+		}()
 		for end := clock.After(span); ; {
 			select {
 			case <-lost:
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -21,21 +21,29 @@
 // Dispatcher is the task that selects backend servers for requests. It implements
 // buckthorndyke.Relay, buckthorndyke.DemandSource and buckthorndyke.CrashSource.
 type Dispatcher struct {
-	box         *mailer.Mailbox[message]
-	clock       buckthorndyke.Clock
-	domain      buckthorndyke.DomainID
-	lists       *mailer.Feed[buckthorndyke.Backends]
-	logger      zerolog.Logger
-	memory      buckthorndyke.MemoryAccount
-	pool        buckthorndyke.BackendPool
-	retryBurst  int
-	routings    *mailer.Feed[buckthorndyke.Routing]
-	workWaiting chan struct{}
+	// allotmentBounds says by how much requests may exceed callers' allotments.
+	allotmentBounds buckthorndyke.AllotmentBounds
+	box             *mailer.Mailbox[message]
+	clock           buckthorndyke.Clock
+	domain          buckthorndyke.DomainID
+	lists           *mailer.Feed[buckthorndyke.Backends]
+	logger          zerolog.Logger
+	memory          buckthorndyke.MemoryAccount
+	meter           buckthorndyke.Meter
+	pool            buckthorndyke.BackendPool
+	retryBurst      int
+	routings        *mailer.Feed[buckthorndyke.Routing]
+	workWaiting     chan struct{}
 }
 
 // Option configures a Dispatcher.
 type Option func(*Dispatcher)
 
+// WithAllotmentBounds sets by how much requests may exceed callers' allotments.
+func WithAllotmentBounds(b buckthorndyke.AllotmentBounds) Option {
+	return func(d *Dispatcher) { d.allotmentBounds = b }
+}
+
 // WithDomain prefers servers in the given failure domain.
 func WithDomain(domain buckthorndyke.DomainID) Option {
 	return func(d *Dispatcher) { d.domain = domain }
@@ -51,6 +59,11 @@
 	return func(d *Dispatcher) { d.memory = account }
 }
 
+// WithMeter counts what callers use of their allotments with m.
+func WithMeter(m buckthorndyke.Meter) Option {
+	return func(d *Dispatcher) { d.meter = m }
+}
+
 // WithRetryBurst bounds the burst of retries that all entry VMs together send to a
 // service.
 func WithRetryBurst(n int) Option {
@@ -69,6 +82,7 @@
 		lists:       lists,
 		logger:      zerolog.Nop(),
 		memory:      gatherer.Unlimited{},
+		meter:       noMeter{},
 		pool:        pool,
 		workWaiting: make(chan struct{}, 1),
 		retryBurst:  defaultRetryBurst,
@@ -123,6 +137,7 @@
 	if err == nil {
 		err = j.run(ctx)
 	}
+	j.endCharge(ctx, err)
 	d.log(r, j, err)
 	return err
 }
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -77,6 +77,13 @@
 		route string
 	}
 
+	// chargeEnded says that a request whose caller is known has ended.
+	chargeEnded struct {
+		job *job
+		// ran is set if a server may have run the request.
+		ran bool
+	}
+
 	// crashChecked reports whether a server whose connections broke has ended.
 	crashChecked struct {
 		backend buckthorndyke.Backend
@@ -145,15 +152,19 @@
 func (m admissionRequested) apply(t *task) { t.admit(m) }
 func (m admissionCancelled) apply(t *task) { t.cancelAdmission(m) }
 func (m attemptEnded) apply(t *task)       { t.endAttempt(m) }
+func (m chargeEnded) apply(t *task)        { t.endCharge(m) }
 func (m crashChecked) apply(t *task)       { t.handleCrashCheck(m) }
 func (m crashesRequested) apply(t *task) {
 	m.reply.Answer(crashesReply{evidence: t.crashes.Since(0, t.clock.Now()), hasLeader: t.hasLeader})
 }
-func (m crashesShared) apply(t *task)     { t.addCrashEvidence(m.evidence) }
-func (m demandRequested) apply(t *task)   { m.reply.Answer(t.demand(m.recent)) }
-func (m drainStarted) apply(t *task)      { t.drain = m.drain }
-func (m leaderReplied) apply(t *task)     { t.applyLeaderReply(m.reply) }
-func (m leaderUnavailable) apply(t *task) { t.hasLeader, t.crashSync = false, crashSync{} }
-func (m serverTold) apply(t *task)        { t.handleServerTold(m) }
-func (m serverSilent) apply(t *task)      { t.view = t.view.WithSlow(m.server, t.clock.Now()) }
-func (m routingRequested) apply(t *task)  { m.reply.Answer(t.routing) }
+func (m crashesShared) apply(t *task)   { t.addCrashEvidence(m.evidence) }
+func (m demandRequested) apply(t *task) { m.reply.Answer(t.demand(m.recent)) }
+func (m drainStarted) apply(t *task)    { t.drain = m.drain }
+func (m leaderReplied) apply(t *task)   { t.applyLeaderReply(m.reply) }
+func (m leaderUnavailable) apply(t *task) {
+	t.hasLeader, t.crashSync = false, crashSync{}
+	t.loseAllotments()
+}
+func (m serverTold) apply(t *task)       { t.handleServerTold(m) }
+func (m serverSilent) apply(t *task)     { t.view = t.view.WithSlow(m.server, t.clock.Now()) }
+func (m routingRequested) apply(t *task) { m.reply.Answer(t.routing) }
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -44,6 +44,7 @@
 // task is the state of one run of a dispatcher. Only its goroutine accesses it.
 type task struct {
 	*Dispatcher
+	allotments allotments
 	// arrivals counts the requests since the previous demand report.
 	arrivals map[buckthorndyke.ModelKey]int
 	budgets  map[buckthorndyke.ServiceID]chooser.Budget
@@ -82,6 +83,7 @@
 func newTask(ctx context.Context, d *Dispatcher) *task {
 	return &task{
 		Dispatcher: d,
+		allotments: newAllotments(d.allotmentBounds),
 		arrivals:   make(map[buckthorndyke.ModelKey]int),
 		budgets:    make(map[buckthorndyke.ServiceID]chooser.Budget),
 		crashSigns: make(map[buckthorndyke.Lifetime]crashSign),
@@ -106,11 +108,13 @@
 		case r := <-routings:
 			t.routing = r
 			t.dropOldDurations()
+			t.applyCallers(r.Callers)
 		case l := <-lists:
 			t.confirmCrashesByList(l)
 			t.view = t.view.WithBackends(l)
 			t.retryWaiting()
 		case <-t.clock.After(t.nextWake()):
+			t.retryGrants(t.clock.Now(), false)
 			t.retryWaiting()
 		}
 	}
@@ -118,9 +122,15 @@
 
 // admit assigns a server to a request or queues the request.
 func (t *task) admit(m admissionRequested) {
-	if t.refuseQuarantined(m) {
+	if t.refuseQuarantined(m) || !m.retry && !t.charge(m) {
 		return
 	}
+	t.admitCharged(m)
+}
+
+// admitCharged assigns a server to a request that its caller's allotment admits, or queues
+// the request.
+func (t *task) admitCharged(m admissionRequested) {
 	key := m.query.Key
 	if !m.retry {
 		t.budgets[key.Service] = t.budget(key.Service).WithRequest()
@@ -146,6 +156,7 @@
 	now := t.clock.Now()
 	t.hasLeader = true
 	t.applyLeaderCrashes(reply)
+	t.applyGrants(reply.Allotments, now)
 	if reply.ReportingVMs > 0 && reply.ReportingVMs != t.fleetSize {
 		t.fleetSize = reply.ReportingVMs
 		for service, b := range t.budgets {
@@ -183,6 +194,7 @@
 
 // cancelAdmission removes a request that no longer waits.
 func (t *task) cancelAdmission(cancelled admissionCancelled) {
+	t.cancelGrantWait(cancelled.job)
 	t.waiting = slices.DeleteFunc(t.waiting, func(m admissionRequested) bool { return m.job == cancelled.job })
 	cancelled.reply.Answer(struct{}{})
 }
@@ -212,6 +224,7 @@
 		ServerLoads: t.view.OwnLoads(),
 	}
 	t.view = t.view.WithoutAttemptCounts()
+	t.allotmentUses(&report, now)
 	for _, m := range t.waiting {
 		if m.query.Key.Model == "" {
 			continue
@@ -289,7 +302,7 @@
 // server may become available.
 func (t *task) nextWake() buckthorndyke.Millis {
 	now := t.clock.Now()
-	wake := maxWake
+	wake := t.grantWake(now, maxWake)
 	if len(t.waiting) > 0 {
 		wake = t.view.NextRetry(now, wake)
 	}
@@ -341,6 +354,7 @@
 	if m.retry {
 		t.budgets[key.Service] = t.budget(key.Service).WithRetry()
 	}
+	t.noteSent(m.job)
 	t.view = t.view.WithLoad(backend.ID, m.load)
 	if key.Model != "" {
 		t.running[key]++
--- a/supervisor/relayer/loader/loader.go
+++ b/supervisor/relayer/loader/loader.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/apportioner"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
 	"github.com/buckthorndyke/buckthorndyke/quarantiner"
 	"github.com/buckthorndyke/buckthorndyke/stager"
@@ -24,7 +25,9 @@
 
 // Loader is the task that loads and unloads models while its VM leads.
 type Loader struct {
-	box *mailer.Mailbox[message]
+	// allotmentBounds says by how much requests may exceed callers' allotments.
+	allotmentBounds buckthorndyke.AllotmentBounds
+	box             *mailer.Mailbox[message]
 	// checksFencingTokens is set if the runners refuse orders with an old fencing
 	// token.
 	checksFencingTokens bool
@@ -55,6 +58,11 @@
 // Option configures a Loader.
 type Option func(*Loader)
 
+// WithAllotmentBounds sets by how much requests may exceed callers' allotments.
+func WithAllotmentBounds(b buckthorndyke.AllotmentBounds) Option {
+	return func(l *Loader) { l.allotmentBounds = b }
+}
+
 // WithFullSpeedLoads sets the number of concurrent loads that the weight store serves
 // at full speed.
 func WithFullSpeedLoads(n int) Option {
@@ -107,7 +115,7 @@
 
 // Serve implements suture.Service.
 func (l *Loader) Serve(ctx context.Context) error {
-	t := &task{Loader: l, listChanges: make(map[uint64]*buckthorndyke.ListChange), crashes: quarantiner.New(), view: stager.NewView(l.fullSpeedLoads), runCtx: ctx, polling: make(map[buckthorndyke.RunnerID]bool), repliedAt: make(map[buckthorndyke.VMID]buckthorndyke.Millis)}
+	t := &task{Loader: l, ledger: apportioner.NewLedger(l.allotmentBounds), listChanges: make(map[uint64]*buckthorndyke.ListChange), crashes: quarantiner.New(), view: stager.NewView(l.fullSpeedLoads), runCtx: ctx, polling: make(map[buckthorndyke.RunnerID]bool), repliedAt: make(map[buckthorndyke.VMID]buckthorndyke.Millis)}
 	return t.run(ctx)
 }
 
--- a/supervisor/relayer/loader/messages.go
+++ b/supervisor/relayer/loader/messages.go
@@ -22,8 +22,10 @@
 		demand buckthorndyke.DemandReport
 		// first is set if the VM has not reported to this leader before.
 		first bool
-		reply mailer.Reply[buckthorndyke.DemandReply]
-		vm    buckthorndyke.VMID
+		// grants are the grants of callers' allotments for the VM.
+		grants []buckthorndyke.AllotmentGrant
+		reply  mailer.Reply[buckthorndyke.DemandReply]
+		vm     buckthorndyke.VMID
 	}
 
 	// orderReplied carries a runner's reply to an order.
--- a/supervisor/relayer/loader/replies.go
+++ b/supervisor/relayer/loader/replies.go
@@ -44,7 +44,8 @@
 	t.assessment = t.assessment.WithAttemptCounts(m.demand.Attempts, now)
 	t.crashes = t.crashes.With(m.demand.Crashes, now)
 	t.index = t.view.Index(t.index, now)
-	if !t.leads(now) || !m.demand.Waiting || m.first || t.canServe(m.demand.Entries) {
+	m.grants = t.grantAllotments(m, now)
+	if !t.leads(now) || !m.demand.Waiting || m.first || waitsForGrant(m.demand) || t.canServe(m.demand.Entries) {
 		t.reply(m, now)
 		return
 	}
@@ -73,6 +74,7 @@
 		crashesSeen = 0
 	}
 	m.reply.Answer(buckthorndyke.DemandReply{
+		Allotments:         m.grants,
 		Crashes:            t.crashes.Since(crashesSeen, now),
 		FullSpeedLoads:     t.view.FullSpeedLoads(),
 		Leading:            t.leads(now),
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/apportioner"
 	"github.com/buckthorndyke/buckthorndyke/assessor"
 	"github.com/buckthorndyke/buckthorndyke/quarantiner"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
@@ -60,6 +61,8 @@
 	index stager.Index
 	// lastOrderAt is the instant of the last order, or 0.
 	lastOrderAt buckthorndyke.Millis
+	// ledger records what VMs hold of callers' allotments.
+	ledger apportioner.Ledger
 	// listChanges holds the differences from earlier lists to the newest one that VMs have
 	// been sent, by the version tag of the earlier list.
 	listChanges map[uint64]*buckthorndyke.ListChange
@@ -107,6 +110,7 @@
 	if term.Leading && (!t.term.Leading || term.FencingToken != t.term.FencingToken) {
 		now := t.clock.Now()
 		t.view = t.view.WithTerm(now)
+		t.ledger = t.ledger.WithTerm(now)
 		clear(t.repliedAt)
 		t.ordersFrom = now
 		if term.PreviousLeader != "" || !t.checksFencingTokens {
@@ -279,6 +283,7 @@
 			m.apply(t)
 		case r := <-routings:
 			t.view = t.view.WithRouting(r)
+			t.ledger = t.ledger.WithCallers(r.Callers)
 		case l := <-lists:
 			t.lists = t.lists.with(l)
 			clear(t.listChanges)
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -39,7 +39,9 @@
 	// Lists has other VMs' copies of large lists of servers.
 	Lists buckthorndyke.ListSource
 	// Memory is the account of the memory for requests and responses.
-	Memory   buckthorndyke.MemoryAccount
+	Memory buckthorndyke.MemoryAccount
+	// Meter counts what callers use of their allotments.
+	Meter    buckthorndyke.Meter
 	Observer buckthorndyke.Election
 	Pool     buckthorndyke.BackendPool
 	// Quarantines keeps the quarantines.
@@ -48,6 +50,8 @@
 
 // Settings are the tree's limits.
 type Settings struct {
+	// Allotments says by how much requests may exceed callers' allotments.
+	Allotments buckthorndyke.AllotmentBounds
 	// ChangeLimit is the time within which a changed configuration has to be in force.
 	ChangeLimit buckthorndyke.Millis
 	// ChecksFencingToken is set if the runners refuse orders with an outdated fencing
@@ -98,13 +102,14 @@
 	terms := mailer.NewFeed[buckthorndyke.Term]()
 	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock,
 		dispatcher.WithDomain(self.Domain), dispatcher.WithLogger(logger), dispatcher.WithMemory(platform.Memory),
-		dispatcher.WithRetryBurst(s.RetryBurst))
+		dispatcher.WithRetryBurst(s.RetryBurst), dispatcher.WithAllotmentBounds(s.Allotments), dispatcher.WithMeter(platform.Meter))
 	losses, found, fullSpeedLoads := mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[int]()
 	lists, routings := newWatchFeeds(terms), newWatchFeeds(terms)
 	t.loader = loader.New(self, platform.Pool, platform.Leaders,
 		loader.Feeds{FullSpeedLoads: fullSpeedLoads, Lists: t.lists, Routings: t.routings, SeenList: lists.Seen, SeenRouting: routings.Seen, Terms: terms},
 		s.Lease, clock,
-		loader.WithFullSpeedLoads(s.FullSpeedLoads), loader.WithFencingTokenChecks(s.ChecksFencingToken), loader.WithLogger(logger))
+		loader.WithFullSpeedLoads(s.FullSpeedLoads), loader.WithFencingTokenChecks(s.ChecksFencingToken), loader.WithLogger(logger),
+		loader.WithAllotmentBounds(s.Allotments))
 	refreshes := mailer.NewFeed[buckthorndyke.Millis]()
 	t.teller = teller.New(t.routings, t.lists, refreshes, clock)
 	t.base = starter.NewBranch("base", s.DrainLimit, logger,
@@ -114,7 +119,8 @@
 			watcher.WithListSource(platform.Lists), watcher.WithRefreshes(refreshes)),
 		campaigner.New(platform.Election, s.Grant, losses, terms, clock, logger, campaigner.WithFound(found), campaigner.WithStandby(s.Standby)),
 		demander.New(self.VM, t.dispatcher, platform.Observer, platform.Leaders, losses, lists.Seen,
-			demander.ReplyFeeds{Found: found, FullSpeedLoads: fullSpeedLoads, Lists: lists.Notices, Routings: routings.Notices}, clock, logger),
+			demander.ReplyFeeds{Found: found, FullSpeedLoads: fullSpeedLoads, Lists: lists.Notices, Routings: routings.Notices}, clock, logger,
+			demander.WithIncarnation(self.Incarnation)),
 		keeper.New(platform.Quarantines, t.dispatcher, terms, clock, logger),
 		sharer.New(platform.CrashPeers, t.dispatcher, slices.DeleteFunc(slices.Clone(s.Seeds), func(a string) bool { return a == self.PeerAddress }), clock, logger),
 	)
--- a/translator/caller.go
+++ b/translator/caller.go
@@ -30,7 +30,8 @@
 	var out []buckthorndyke.AllotmentUse
 	for _, u := range list {
 		out = append(out, buckthorndyke.AllotmentUse{
-			Asked: u.Asked, Caller: buckthorndyke.CallerID(u.Caller), Limit: u.Limit, Spent: u.Spent, Waiting: u.Waiting,
+			Asked: u.Asked, Caller: buckthorndyke.CallerID(u.Caller), Filled: u.Filled, Limit: u.Limit, Share: u.Share,
+			Spent: u.Spent, Waiting: u.Waiting,
 		})
 	}
 	return out
@@ -40,7 +41,9 @@
 func allotmentUsesToWire(list []buckthorndyke.AllotmentUse) []*wire.AllotmentUse {
 	var out []*wire.AllotmentUse
 	for _, u := range list {
-		out = append(out, &wire.AllotmentUse{Asked: u.Asked, Caller: string(u.Caller), Limit: u.Limit, Spent: u.Spent, Waiting: u.Waiting})
+		out = append(out, &wire.AllotmentUse{
+			Asked: u.Asked, Caller: string(u.Caller), Filled: u.Filled, Limit: u.Limit, Share: u.Share, Spent: u.Spent, Waiting: u.Waiting,
+		})
 	}
 	return out
 }
--- a/translator/refusal.go
+++ b/translator/refusal.go
@@ -16,19 +16,20 @@
 // httpStatuses holds the HTTP status of each code whose status does not depend on the
 // verdict.
 var httpStatuses = map[buckthorndyke.Code]int{
-	buckthorndyke.CodeBadRequest:      http.StatusBadRequest,
-	buckthorndyke.CodeCrashSuspect:    http.StatusUnprocessableEntity,
-	buckthorndyke.CodeDuplicate:       http.StatusConflict,
-	buckthorndyke.CodeForbidden:       http.StatusForbidden,
-	buckthorndyke.CodeKeyExpired:      http.StatusConflict,
-	buckthorndyke.CodeKeyInvalid:      http.StatusBadRequest,
-	buckthorndyke.CodeKeyReused:       http.StatusUnprocessableEntity,
-	buckthorndyke.CodeModelUnknown:    http.StatusNotFound,
-	buckthorndyke.CodeOverloaded:      http.StatusTooManyRequests,
-	buckthorndyke.CodeQuarantined:     http.StatusUnprocessableEntity,
-	buckthorndyke.CodeServiceUnknown:  http.StatusNotFound,
-	buckthorndyke.CodeTooLarge:        http.StatusRequestEntityTooLarge,
-	buckthorndyke.CodeUnauthenticated: http.StatusUnauthorized,
+	buckthorndyke.CodeAllotmentExceeded: http.StatusTooManyRequests,
+	buckthorndyke.CodeBadRequest:        http.StatusBadRequest,
+	buckthorndyke.CodeCrashSuspect:      http.StatusUnprocessableEntity,
+	buckthorndyke.CodeDuplicate:         http.StatusConflict,
+	buckthorndyke.CodeForbidden:         http.StatusForbidden,
+	buckthorndyke.CodeKeyExpired:        http.StatusConflict,
+	buckthorndyke.CodeKeyInvalid:        http.StatusBadRequest,
+	buckthorndyke.CodeKeyReused:         http.StatusUnprocessableEntity,
+	buckthorndyke.CodeModelUnknown:      http.StatusNotFound,
+	buckthorndyke.CodeOverloaded:        http.StatusTooManyRequests,
+	buckthorndyke.CodeQuarantined:       http.StatusUnprocessableEntity,
+	buckthorndyke.CodeServiceUnknown:    http.StatusNotFound,
+	buckthorndyke.CodeTooLarge:          http.StatusRequestEntityTooLarge,
+	buckthorndyke.CodeUnauthenticated:   http.StatusUnauthorized,
 }
 
 // HTTPStatus returns the status code of an HTTP response that reports r. A code
