--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -14,6 +14,8 @@
 
 // Events that log lines report.
 const (
+	EventAllotmentExhausted Event = "allotment-exhausted"
+	EventAllotmentShare     Event = "allotment-share-changed"
 	// EventCallerIrregular reports an irregular value of a caller in the configuration.
 	EventCallerIrregular Event = "caller-irregular"
 	EventDependencyBack  Event = "dependency-back"
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -21,13 +21,16 @@
 // Dispatcher is the task that selects backend servers for requests. It implements
 // buckthorndyke.Relay, buckthorndyke.DemandSource and buckthorndyke.CrashSource.
 type Dispatcher struct {
-	box    *mailer.Mailbox[message]
-	clock  buckthorndyke.Clock
-	domain buckthorndyke.DomainID
-	lists  *mailer.Feed[buckthorndyke.Backends]
-	logger zerolog.Logger
-	memory buckthorndyke.MemoryAccount
-	pool   buckthorndyke.BackendPool
+	// allotmentBounds says by how much requests may exceed callers' allotments.
+	allotmentBounds buckthorndyke.AllotmentBounds
+	box             *mailer.Mailbox[message]
+	clock           buckthorndyke.Clock
+	domain          buckthorndyke.DomainID
+	lists           *mailer.Feed[buckthorndyke.Backends]
+	logger          zerolog.Logger
+	memory          buckthorndyke.MemoryAccount
+	meter           buckthorndyke.Meter
+	pool            buckthorndyke.BackendPool
 	// refreshes gets the instants at which the configuration's version has to be confirmed,
 	// or is nil.
 	refreshes  *mailer.Feed[buckthorndyke.Millis]
@@ -42,6 +45,11 @@
 // Option configures a Dispatcher.
 type Option func(*Dispatcher)
 
+// WithAllotmentBounds sets by how much requests may exceed callers' allotments.
+func WithAllotmentBounds(b buckthorndyke.AllotmentBounds) Option {
+	return func(d *Dispatcher) { d.allotmentBounds = b }
+}
+
 // WithConfirmations makes the dispatcher follow the versions of the configuration that this
 // VM and the leader have read, and ask for a newer read by a value in refreshes.
 func WithConfirmations(seen, notices *mailer.Feed[buckthorndyke.SeenVersion], refreshes *mailer.Feed[buckthorndyke.Millis]) Option {
@@ -63,6 +71,11 @@
 	return func(d *Dispatcher) { d.memory = account }
 }
 
+// WithMeter counts what callers use of their allotments with m.
+func WithMeter(m buckthorndyke.Meter) Option {
+	return func(d *Dispatcher) { d.meter = m }
+}
+
 // WithRetryBurst bounds the burst of retries that all entry VMs together send to a
 // service.
 func WithRetryBurst(n int) Option {
@@ -81,6 +94,7 @@
 		lists:       lists,
 		logger:      zerolog.Nop(),
 		memory:      gatherer.Unlimited{},
+		meter:       noMeter{},
 		pool:        pool,
 		workWaiting: make(chan struct{}, 1),
 		retryBurst:  defaultRetryBurst,
@@ -135,6 +149,7 @@
 	if err == nil {
 		err = j.run(ctx)
 	}
+	j.endCharge(ctx, err)
 	d.log(r, j, err)
 	return err
 }
--- a/supervisor/relayer/dispatcher/identity.go
+++ b/supervisor/relayer/dispatcher/identity.go
@@ -160,6 +160,7 @@
 	t.formerKeys = t.formerKeys.WithChange(t.routing.Callers, r.Callers, r.Version)
 	t.routing = r
 	t.dropOldDurations()
+	t.applyCallers(r.Callers)
 	t.answerUnconfirmed()
 }
 
