--- a/supervisor/relayer/dispatcher/allotments_test.go
+++ b/supervisor/relayer/dispatcher/allotments_test.go
@@ -11,7 +11,10 @@
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/dispatcher"
 )
 
-const limited = buckthorndyke.CallerID("limited")
+const (
+	limited    = buckthorndyke.CallerID("limited")
+	limitedKey = "key-of-limited"
+)
 
 // allotmentBounds leave room for one second of the allotment.
 var allotmentBounds = buckthorndyke.AllotmentBounds{Overage: 0.1, Window: 8 * buckthorndyke.Second}
@@ -33,6 +36,7 @@
 	r.Callers = buckthorndyke.NewCallers().WithCaller(buckthorndyke.Caller{
 		Allotment: buckthorndyke.Allotment{Burst: perSecond, PerSecond: perSecond, PlainTokens: 200, Unit: buckthorndyke.AllotmentTokens},
 		ID:        limited,
+		Keys:      []buckthorndyke.KeyDigest{buckthorndyke.DigestKey(limitedKey)},
 	})
 	asserter.NoError(s.t, s.routings.Publish(s.ctx, r))
 	synctest.Wait()
@@ -41,7 +45,7 @@
 // limitedRequest returns a request that costs 200 tokens.
 func limitedRequest() buckthorndyke.RelayRequest {
 	r := request("/safe/")
-	r.Caller = limited
+	r.Credential = buckthorndyke.NewCredential(limitedKey)
 	return r
 }
 
@@ -160,7 +164,7 @@
 	t.Run("a request that may have run is not refunded", func(t *testing.T) {
 		withAllotment(t, func(s *fixture) {
 			r := request("/unsafe/")
-			r.Caller = limited
+			r.Credential = buckthorndyke.NewCredential(limitedKey)
 			s.pool.setResponses(scriptedResponse{err: errNoResponse})
 			done := s.relayLater(r)
 			s.grant(buckthorndyke.AllotmentGrant{Limit: 200})
