--- a/Makefile
+++ b/Makefile
@@ -33,8 +33,8 @@
 	go build -o bin/bencher ./bencher
 	bin/bencher footprint bin/buckthorndyke
 	BUCKTHORNDYKE_CAPACITY=full go test -count=1 -v ./capacity
-	go test -run '^$$' -bench . -benchmem -benchtime 200ms ./arbiter ./connector ./detector ./encoder ./evictor \
-		./parser ./placer ./quarantiner ./scheduler ./supervisor/claimer ./supervisor/prober ./supervisor/router
+	go test -run '^$$' -bench . -benchmem -benchtime 200ms ./arbiter ./authenticator ./connector ./detector ./encoder ./evictor \
+		./parser ./placer ./platform ./quarantiner ./scheduler ./supervisor/claimer ./supervisor/prober ./supervisor/router
 
 check-generated: generate
 	git diff --exit-code -- wire
--- a/authenticator/former.go
+++ b/authenticator/former.go
@@ -30,17 +30,29 @@
 // WithChange returns the former keys after the callers old were replaced by those of the
 // given version. If they are too many, those of earlier versions are dropped.
 func (f FormerKeys) WithChange(old, next buckthorndyke.Callers, version int64) FormerKeys {
-	var removed buckthorndyke.Table[string, FormerHolder]
+	removed := make(map[string]FormerHolder)
 	for d, id := range old.Keys() {
-		if _, ok := next.ByKey(d); !ok && removed.Len() < maxFormerKeys {
-			removed = removed.With(string(d[:]), FormerHolder{Caller: id, Version: version})
+		if _, ok := next.ByKey(d); !ok && len(removed) < maxFormerKeys {
+			removed[string(d[:])] = FormerHolder{Caller: id, Version: version}
 		}
 	}
-	if f.holders.Len()+removed.Len() > maxFormerKeys {
-		return FormerKeys{holders: removed}
+	if len(removed) == 0 {
+		return f
 	}
-	for d, holder := range removed.All() {
-		f.holders = f.holders.With(d, holder)
+	kept := f.holders
+	if kept.Len()+len(removed) > maxFormerKeys {
+		kept = buckthorndyke.Table[string, FormerHolder]{}
 	}
-	return f
+	return FormerKeys{holders: buckthorndyke.NewTable(func(yield func(string, FormerHolder) bool) {
+		for d, holder := range kept.All() {
+			if _, again := removed[d]; !again && !yield(d, holder) {
+				return
+			}
+		}
+		for d, holder := range removed {
+			if !yield(d, holder) {
+				return
+			}
+		}
+	})}
 }
--- a/commander/status.go
+++ b/commander/status.go
@@ -11,7 +11,7 @@
 )
 
 func (c *Commander) statusCommand() *command {
-	cmd := newCommand("status", "Print the members with the rules version in force on each, the runners with their owners, and the placements.",
+	cmd := newCommand("status", "Print the members with the rules version in force on each, the runners with their owners, the placements, and the callers.",
 		"status --operator 10.0.0.7:9090 --token-file token")
 	var asJSON bool
 	var endpoint operatorEndpoint
@@ -58,6 +58,12 @@
 		rows = append(rows, []string{string(p.Model), joinRunners(p.Runners), joinRunners(p.Withdrawn)})
 	}
 	out.table(rows)
+	out.printf("\n")
+	rows = [][]string{{"CALLER", "RANK"}}
+	for _, c := range s.Callers {
+		rows = append(rows, []string{string(c.Caller), c.Rank})
+	}
+	out.table(rows)
 }
 
 // memberRows returns a table of the members with the rules version in force on each.
--- a/endtoend/relay_test.go
+++ b/endtoend/relay_test.go
@@ -42,6 +42,7 @@
 		{"each VM serves each kind of request", (*relayFixture).serveEachKind},
 		{"a cold model is loaded once, by one leader", (*relayFixture).loadColdModel},
 		{"each VM applies a configuration change", (*relayFixture).changeRoutes},
+		{"each VM checks the keys of callers", (*relayFixture).checkKeys},
 		{"requests are served while the store does not respond", (*relayFixture).serveWithoutStore},
 		{"a VM that starts while the store does not respond serves requests", (*relayFixture).startWithoutStore},
 		{"a reload of an invalid settings file changes nothing", (*relayFixture).reloadInvalidSettings},
@@ -111,6 +112,53 @@
 	}
 }
 
+// checkKeys checks that each VM accepts and refuses keys as the configuration says, and that
+// servers get the name of the caller alone. Then it removes the callers.
+func (s *relayFixture) checkKeys() {
+	send := func(vm int, key string) int {
+		return imitator.Request{Body: "body", Key: key, Target: "/calls/x"}.Send(s.ctx, http.DefaultClient, s.addresses[vm]).Status
+	}
+	put := func(config map[string]any) {
+		asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, config))
+	}
+	put(imitator.WithCallers(imitator.Config(7, "/calls/"), imitator.Caller("clerk", "first", "second")))
+	for i := range relayVMs {
+		asserter.Eventually(s.t, waitLimit, func() bool { return send(i, "unknown") == http.StatusUnauthorized })
+	}
+	// Until now a VM may have passed a key on, because its configuration had no callers.
+	before := make([]int, len(s.callServers))
+	for i, server := range s.callServers {
+		executions, err := server.Executions(s.ctx)
+		asserter.NoError(s.t, err)
+		before[i] = len(executions)
+	}
+	for i := range relayVMs {
+		asserter.Equal(s.t, send(i, "first"), http.StatusOK)
+	}
+	put(imitator.WithCallers(imitator.Config(8, "/calls/"), imitator.Caller("clerk", "second", "third")))
+	for i := range relayVMs {
+		asserter.Eventually(s.t, waitLimit, func() bool { return send(i, "first") == http.StatusUnauthorized })
+		asserter.Equal(s.t, send(i, "second"), http.StatusOK)
+		asserter.Equal(s.t, send(i, "third"), http.StatusOK)
+	}
+	named := 0
+	for i, server := range s.callServers {
+		executions, err := server.Executions(s.ctx)
+		asserter.NoError(s.t, err)
+		for _, e := range executions[before[i]:] {
+			asserter.Equal(s.t, e.Header.Get("Authorization"), "")
+			if e.Header.Get("Tenant") == "clerk" {
+				named++
+			}
+		}
+	}
+	asserter.True(s.t, named >= 3*relayVMs, "a server has got a request without the caller's name")
+	put(imitator.Config(9, "/calls/"))
+	for i := range relayVMs {
+		asserter.Eventually(s.t, waitLimit, func() bool { return send(i, "") == http.StatusOK })
+	}
+}
+
 // killLeader kills the VM that sent the last order, and checks that another VM has
 // a cold model loaded and that fencing tokens rise.
 func (s *relayFixture) killLeader() {
@@ -199,9 +247,9 @@
 	asserter.Equal(s.t, s.sendRequest(2, "/calls/x", "").Status, http.StatusOK)
 	asserter.True(s.t, s.sendRequest(2, "/streams/x", "m1").CompleteStream(6), "incomplete stream")
 	asserter.NoError(s.t, s.store.SetFaults(s.ctx, imitator.StoreFaults{}))
-	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, imitator.Config(8, "/again/")))
+	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, imitator.Config(10, "/again/")))
 	asserter.Eventually(s.t, waitLimit, func() bool { return s.sendRequest(2, "/again/x", "").Status == http.StatusOK })
-	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, imitator.Config(9, "/calls/")))
+	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, imitator.Config(11, "/calls/")))
 	for i := range relayVMs {
 		asserter.Eventually(s.t, waitLimit, func() bool { return s.sendRequest(i, "/calls/x", "").Status == http.StatusOK })
 	}
--- a/metric.go
+++ b/metric.go
@@ -20,6 +20,7 @@
 	MetricRequestsRefused Metric = "requests-refused"
 	MetricRequestsServed  Metric = "requests-served"
 	MetricRetries         Metric = "retries"
+	MetricCallers         Metric = "callers"
 	MetricRoutingVersion  Metric = "routing-version"
 	MetricRulesVersion    Metric = "rules-version"
 	MetricRunnersOwned    Metric = "runners-owned"
--- a/supervisor/operator/encoding.go
+++ b/supervisor/operator/encoding.go
@@ -78,6 +78,7 @@
 func statusResponse(s Status) StatusResponse {
 	state := s.Update.State
 	response := StatusResponse{
+		Callers:        []CallerItem{},
 		CaughtUp:       s.Update.CaughtUp,
 		LogDown:        s.Update.LogDown,
 		Members:        []MemberItem{},
@@ -88,6 +89,9 @@
 		UnknownRecords: state.UnknownRecords,
 		VMs:            vmItems(s.VMs),
 	}
+	for _, c := range state.Rules.Callers.All() {
+		response.Callers = append(response.Callers, CallerItem{Caller: c.ID, Rank: c.Rank.String()})
+	}
 	for _, m := range state.Members.All() {
 		response.Members = append(response.Members, MemberItem{
 			Domain: m.Domain, Incarnation: m.Incarnation, Leaving: m.Leaving, PeerAddress: m.PeerAddress, VM: m.VM,
--- a/supervisor/operator/messages.go
+++ b/supervisor/operator/messages.go
@@ -111,8 +111,15 @@
 	Runner             buckthorndyke.RunnerID `json:"runner"`
 }
 
+// CallerItem is a caller in the rules in force, without its token.
+type CallerItem struct {
+	Caller buckthorndyke.CallerID `json:"caller"`
+	Rank   string                 `json:"rank"`
+}
+
 // StatusResponse is the response body of GET /status.
 type StatusResponse struct {
+	Callers        []CallerItem         `json:"callers"`
 	CaughtUp       bool                 `json:"at-tail"`
 	LogDown        bool                 `json:"log-down"`
 	Members        []MemberItem         `json:"members"`
--- a/supervisor/operator/operator_test.go
+++ b/supervisor/operator/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net"
@@ -155,6 +156,16 @@
 		asserter.Contains(t, body, `"epoch":4,"owner":"entry-1","runner":"runner-1"`)
 		asserter.Contains(t, body, `"vms":[{"rules-version":8,"vm":"entry-1"},{"error":"cut off","rules-version":0,"vm":"entry-2"}]`)
 	})
+	t.Run("the status shows callers without their tokens", func(t *testing.T) {
+		digest := buckthorndyke.DigestKey("token")
+		update := testUpdate()
+		update.State = update.State.WithRules(buckthorndyke.Rules{}.WithCaller(buckthorndyke.CallerRule{
+			ID: "clerk", Key: digest, Rank: buckthorndyke.RankOrdinary,
+		}), oldText, 8)
+		_, body := client{follower: newFakeFollower(update, update)}.get(t, operator.PathStatus)
+		asserter.Contains(t, body, `"callers":[{"caller":"clerk","rank":"ordinary"}]`)
+		asserter.NotContains(t, body, hex.EncodeToString(digest[:]))
+	})
 	t.Run("metrics", func(t *testing.T) {
 		_, body := client{}.get(t, operator.PathMetrics)
 		asserter.Contains(t, body, `"rules-version":{"value":8}`)
--- a/supervisor/recorder/directory.go
+++ b/supervisor/recorder/directory.go
@@ -35,6 +35,7 @@
 	routing, changed, err := d.directory.Routing(ctx, wait)
 	d.recordCall("configuration", began, err)
 	if changed {
+		d.meter.Set(buckthorndyke.MetricCallers, int64(routing.Callers.Len()))
 		d.meter.Set(buckthorndyke.MetricRoutingVersion, routing.Version)
 	}
 	return routing, changed, err
