--- a/supervisor/relayer/dispatcher/identity_test.go
+++ b/supervisor/relayer/dispatcher/identity_test.go
@@ -276,6 +276,33 @@
 	})
 }
 
+// TestUnconfirmedLimit guards against unknown keys that hold memory without limit.
+func TestUnconfirmedLimit(t *testing.T) {
+	t.Run("a bounded number of requests waits for a confirmation, and others are refused at once", func(t *testing.T) {
+		withCallers(t, func(s *fixture) {
+			const requests, limit = 1100, 1024
+			began := s.clock.Now()
+			took := make(chan buckthorndyke.Millis, requests)
+			for range requests {
+				go func() {
+					r := withKey(request("/safe/x"), "other")
+					r.Arrived = began
+					err := s.dispatcher.Relay(s.ctx, r, &response{})
+					asserter.Code(t, err, notReady)
+					took <- s.clock.Now() - began
+				}()
+			}
+			refused := 0
+			for range requests {
+				if <-took == 0 {
+					refused++
+				}
+			}
+			asserter.Equal(t, refused, requests-limit)
+		})
+	})
+}
+
 // answerRefreshes calls answer after the time d for each request for a confirmation.
 func (s *fixture) answerRefreshes(answer func(), d buckthorndyke.Millis) {
 	refreshes := s.refreshes.Subscribe(s.ctx)
