fix(stager): a load that ends too late does not stop a faster one elsewhere

Cause: placeWaiting passed over each model that some runner was loading. A load from the weight store (13.2 s on deployment K) therefore kept a model from all other runners, although its requests wait about 2 s and a runner had a copy on its disk. On K, one model with 25 to 45 requests a second was served by no runner for 15 s.

Change: the plan knows the expected end of each load in progress, with the share of the weight store's bandwidth and, for an overdue load, the time by which it is overdue. If all loads of a model end after the most pressing of its waiting requests has to start (DemandEntry.TimeLeft), a load that ends earlier is planned, and only such a one: no second load from the weight store, none that is overtaken anyway. The same holds for a replica of an overloaded model that requests wait for.

Tests: eight subtests of TestPlan; five of them fail without the change, the others keep it from ordering too much.

Ruled out: cancelling the load from the weight store, for which there is no order.

--- a/stager/loadoption.go
+++ b/stager/loadoption.go
@@ -9,7 +9,11 @@
 	cost float64
 	// evict is the model to unload first, or empty.
 	evict buckthorndyke.ModelID
-	tier  buckthorndyke.Tier
+	// evictions is the number of models to unload first.
+	evictions int
+	// loadTime is the time of the load itself.
+	loadTime buckthorndyke.Millis
+	tier     buckthorndyke.Tier
 }
 
 // evictionCost returns the cost of unloading a model of s, in requests per second.
@@ -47,7 +51,8 @@
 	if option.tier == buckthorndyke.TierRemote && !p.mayLoadRemote(cfg, key) {
 		return loadOption{}, false
 	}
-	option.cost = float64(model.LoadTimes[option.tier]) / float64(buckthorndyke.Second)
+	option.loadTime = model.LoadTimes[option.tier]
+	option.cost = float64(option.loadTime) / float64(buckthorndyke.Second)
 	free := s.freeMB(cfg)
 	evicted := make(map[buckthorndyke.ModelID]bool)
 	if free < model.MemoryMB && p.now < p.unloadsFrom {
@@ -61,6 +66,7 @@
 		if option.evict == "" {
 			option.evict = victim.Model
 		}
+		option.evictions++
 		evicted[victim.Model] = true
 		value -= cost
 		option.cost += cost
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -80,7 +80,8 @@
 	v.demand = v.demand.WithoutExpired(now)
 	p := planner{
 		View: v, loading: make(map[buckthorndyke.ModelKey]int), holderCounts: make(map[buckthorndyke.ModelKey]int), now: now,
-		rates: make(map[buckthorndyke.ModelKey]float64), demands: v.demand.totals(),
+		loadEnds: make(map[buckthorndyke.ModelKey]buckthorndyke.Millis),
+		rates:    make(map[buckthorndyke.ModelKey]float64), demands: v.demand.totals(),
 	}
 	p.countRunners()
 	p.countCopies()
@@ -104,6 +105,8 @@
 	// holderCounts is the number of runners that have loaded a model or adapter and
 	// do not unload it.
 	holderCounts map[buckthorndyke.ModelKey]int
+	// loadEnds is the earliest expected end of the loads of a model in progress.
+	loadEnds map[buckthorndyke.ModelKey]buckthorndyke.Millis
 	// loading is the number of runners that are loading a model or adapter.
 	loading map[buckthorndyke.ModelKey]int
 	now     buckthorndyke.Millis
@@ -133,12 +136,13 @@
 	if o.FromWeightStore() {
 		p.remoteLoads++
 	}
-	service := p.serviceOf(o.Runner)
+	s, _ := p.runners.Get(o.Runner)
+	service := s.backend.Service
 	switch {
 	case o.Kind == buckthorndyke.OrderLoad:
-		p.loading[buckthorndyke.ModelKey{Adapter: o.Adapter, Model: o.Model, Service: service}]++
+		p.noteLoad(s, buckthorndyke.ModelKey{Adapter: o.Adapter, Model: o.Model, Service: service})
 	case o.TargetModel != "":
-		p.loading[buckthorndyke.ModelKey{Model: o.TargetModel, Service: service}]++
+		p.noteLoad(s, buckthorndyke.ModelKey{Model: o.TargetModel, Service: service})
 	}
 	if o.Kind == buckthorndyke.OrderUnload {
 		p.holderCounts[buckthorndyke.ModelKey{Adapter: o.Adapter, Model: o.Model, Service: service}]--
@@ -209,7 +213,7 @@
 			p.remoteLoads++
 		}
 		for _, key := range s.loadingKeys() {
-			p.loading[key]++
+			p.noteLoad(s, key)
 		}
 		if s.backend.Leaving || s.unresponsive() {
 			continue
@@ -269,6 +273,9 @@
 	if replicas == 0 {
 		return 0
 	}
+	if _, late := p.lateLoad(d); late {
+		loading = 0
+	}
 	perReplica := max(cfg.Slots*permille, 1)
 	needed := (d.running*1000 + perReplica - 1) / perReplica
 	if permille == replicaBatchPermille {
@@ -288,8 +295,10 @@
 }
 
 // place plans the first order to load the model of d on the best runner, and reports
-// whether there is one.
+// whether there is one. If all loads of the model in progress end too late, only a load
+// that ends earlier than these is planned.
 func (p *planner) place(d totalDemand, cfg buckthorndyke.EngineConfig, value float64) bool {
+	lateEnd, late := p.lateLoad(d)
 	var best runnerState
 	var bestOption loadOption
 	found := false
@@ -299,7 +308,7 @@
 			continue
 		}
 		option, ok := p.loadOption(s, cfg, d.key, value)
-		if ok && (!found || option.cost < bestOption.cost) {
+		if ok && (!late || option.endsBefore(lateEnd, p.now)) && (!found || option.cost < bestOption.cost) {
 			best, bestOption, found = s, option, true
 		}
 	}
@@ -315,7 +324,10 @@
 func (p *planner) placeWaiting() {
 	for _, d := range p.sortedDemands(func(d totalDemand) bool { return d.waiting > 0 }) {
 		cfg := p.engineConfig(d.key.Service)
-		if cfg == nil || p.replicas(d.key) > 0 || p.isLoading(d.key) {
+		if cfg == nil || p.replicas(d.key) > 0 {
+			continue
+		}
+		if _, late := p.lateLoad(d); p.isLoading(d.key) && !late {
 			continue
 		}
 		if d.key.Adapter != "" {
@@ -344,12 +356,6 @@
 	return p.holderCounts[key]
 }
 
-// serviceOf returns the service of a runner.
-func (p *planner) serviceOf(id buckthorndyke.RunnerID) buckthorndyke.ServiceID {
-	s, _ := p.runners.Get(id)
-	return s.backend.Service
-}
-
 // sortedDemands returns the demands for which keep returns true, the most urgent
 // first.
 func (p *planner) sortedDemands(keep func(d totalDemand) bool) []totalDemand {
--- a/stager/view_test.go
+++ b/stager/view_test.go
@@ -197,6 +197,53 @@
 		assertOrders(t, busy(400), "load m0 at c from remote")
 		assertOrders(t, busy(300))
 	})
+	t.Run("a load that ends too late for the waiting requests does not stop one from a disk", func(t *testing.T) {
+		v := viewOf(runner("a"), withCopies(runner("b", 1)), runner("c"))
+		v = v.WithOrder(loadOrder(5, "a", buckthorndyke.TierRemote), now).WithAccepted("a", 1)
+		assertOrders(t, withWaiting(v, 5), "load m5 at b from disk")
+	})
+	t.Run("a load that makes room first does not stop one from a disk either", func(t *testing.T) {
+		v := viewOf(runner("a", 1, 2, 3), withCopies(runner("b", 4)))
+		unload := stager.PlannedOrder{Kind: buckthorndyke.OrderUnload, Model: "m1", Runner: "a", TargetModel: "m5", Tier: buckthorndyke.TierRemote}
+		assertOrders(t, withWaiting(v.WithOrder(unload, now), 5), "load m5 at b from disk")
+	})
+	t.Run("a full runner with a copy makes room for a model that would be loaded too late", func(t *testing.T) {
+		v := viewOf(runner("a"), withCopies(runner("b", 1, 2, 3)))
+		v = v.WithOrder(loadOrder(5, "a", buckthorndyke.TierRemote), now).WithAccepted("a", 1)
+		assertOrders(t, withWaiting(v, 5), "unload m1 at b from memory")
+	})
+	t.Run("a late load is not doubled from the weight store or by two disks", func(t *testing.T) {
+		v := viewOf(runner("a"), runner("b"), runner("c"))
+		v = v.WithOrder(loadOrder(5, "a", buckthorndyke.TierRemote), now).WithAccepted("a", 1)
+		assertOrders(t, withWaiting(v, 5))
+		v = viewOf(runner("a"), withCopies(runner("b")), withCopies(runner("c")))
+		v = v.WithOrder(loadOrder(5, "a", buckthorndyke.TierRemote), now).WithOrder(loadOrder(5, "b", buckthorndyke.TierDisk), now)
+		assertOrders(t, withWaiting(v, 5))
+	})
+	t.Run("a replica that is loaded too late does not stop one from a disk", func(t *testing.T) {
+		v := viewOf(withCopies(runner("a", 5)), runner("b"), withCopies(runner("c", 1)))
+		v = v.WithOrder(loadOrder(5, "b", buckthorndyke.TierRemote), now).WithAccepted("b", 1)
+		overloaded := func(waiting int) stager.View {
+			return v.WithDemand(vm, []buckthorndyke.DemandEntry{{Key: key(5), Running: 40, TimeLeft: buckthorndyke.Second, Waiting: waiting}}, now)
+		}
+		assertOrders(t, overloaded(0))
+		assertOrders(t, overloaded(3), "load m5 at c from disk")
+	})
+	t.Run("requests that can wait for a load cause no other", func(t *testing.T) {
+		v := viewOf(runner("a"), withCopies(runner("b", 1)))
+		v = v.WithOrder(loadOrder(5, "a", buckthorndyke.TierRemote), now).WithAccepted("a", 1)
+		assertOrders(t, v.WithDemand(vm, []buckthorndyke.DemandEntry{{Key: key(5), TimeLeft: 8 * buckthorndyke.Second, Waiting: 1}}, now))
+	})
+	t.Run("a load that is about to end is not overtaken", func(t *testing.T) {
+		v := viewOf(runner("a"), withCopies(runner("b", 1)))
+		v = v.WithOrder(loadOrder(5, "a", buckthorndyke.TierRemote), now-5500).WithAccepted("a", 1)
+		assertOrders(t, v.WithDemand(vm, []buckthorndyke.DemandEntry{{Key: key(5), TimeLeft: 100, Waiting: 1}}, now))
+	})
+	t.Run("a load that takes far longer than expected does not stop one from a disk", func(t *testing.T) {
+		v := viewOf(runner("a"), withCopies(runner("b", 1)))
+		v = v.WithOrder(loadOrder(5, "a", buckthorndyke.TierRemote), now-15*buckthorndyke.Second).WithAccepted("a", 1)
+		assertOrders(t, withWaiting(v, 5), "load m5 at b from disk")
+	})
 	t.Run("an adapter is loaded on the runner with the fewest adapters", func(t *testing.T) {
 		a, b := runner("a", 0), runner("b", 0)
 		a.LoadedModels[0].Adapters = []string{"a1"}
@@ -321,6 +368,11 @@
 	return buckthorndyke.ModelKey{Model: buckthorndyke.ModelID(fmt.Sprintf("m%d", n)), Service: engines}
 }
 
+// loadOrder returns an order to load model n on a runner.
+func loadOrder(n int, id buckthorndyke.RunnerID, tier buckthorndyke.Tier) stager.PlannedOrder {
+	return stager.PlannedOrder{Kind: buckthorndyke.OrderLoad, Model: key(n).Model, Runner: id, TargetModel: key(n).Model, Tier: tier}
+}
+
 // listOf returns a list of the given servers.
 func listOf(servers ...buckthorndyke.Backend) buckthorndyke.Backends {
 	var list buckthorndyke.Backends
