feat(stager,loader): VMs are told of a load as soon as it takes no longer

Cause: the end of a load from a disk (0.4 s on deployment K) was known only from a report, whose contents are 200 ms old and which was requested every 120 ms. The end of an unload, before which no load is ordered, was found in the same way.

Change: the mechanism for adapters (an accepted load counts as carried out after the time that it takes) now covers models on a runner's disk or in its memory: the configured time, multiplied by what reports have shown, plus 2 in 100 and 15 ms. The runner may get another order from then on, which it refuses if it has not finished. A report from before the end changes nothing; a later one that lacks the model takes it back, ends the prediction for this order and lengthens later ones. The memory of a load that was wrongly taken for complete stays reserved, also beside a later order, until reports show the model or the order counts as lost; its model is not evicted before. Estimates that VMs get use the same time. A report is requested at the instant at which it can first show the end of an order.

Not done here: an unload as complete once accepted. Loads from the weight store are not predicted, since they slow each other down.

--- a/stager/loadend.go
+++ b/stager/loadend.go
@@ -2,26 +2,21 @@
 
 import "github.com/buckthorndyke/buckthorndyke"
 
-// expectedEnd returns the instant at which a report is expected to show the end of the
+// expectedEnd returns the instant at which VMs are expected to be told of the end of the
 // load from s, in progress or prepared by an unload, of the model of key. Loads from the
 // weight store share its bandwidth. A load that is overdue counts as needing as long
 // again as it is overdue: the order may have been lost, or is carried out late.
 func (p *planner) expectedEnd(s runnerState, key buckthorndyke.ModelKey) buckthorndyke.Millis {
-	cfg := p.engineConfig(key.Service)
-	if cfg == nil {
-		return p.now
-	}
-	model, _ := cfg.Models.Get(key.Model)
 	order := s.pending
 	if order == nil || order.kind != buckthorndyke.OrderLoad || order.model != key.Model {
-		return p.now + unloadTime + model.LoadTimes[s.backend.Tier(key.Model)] + reportLag
+		return p.now + unloadTime + p.loadDuration(key, s.backend.Tier(key.Model))
 	}
-	takes := model.LoadTimes[order.tier]
+	takes := p.loadDuration(key, order.tier)
 	if order.concurrentLoads > p.fullSpeedLoads && p.fullSpeedLoads > 0 {
 		takes = takes * buckthorndyke.Millis(order.concurrentLoads) / buckthorndyke.Millis(p.fullSpeedLoads)
 	}
 	end := order.sent + takes
-	return max(end, 2*p.now-end) + reportLag
+	return max(end, 2*p.now-end+predictionMargin)
 }
 
 // lateLoad returns the earliest end of the loads in progress of the model of d if they
@@ -47,5 +42,5 @@
 // endsBefore reports whether a load by this option, started at now, ends before the given
 // instant.
 func (o loadOption) endsBefore(instant, now buckthorndyke.Millis) bool {
-	return now+buckthorndyke.Millis(o.evictions)*unloadTime+o.loadTime+reportLag < instant
+	return now+buckthorndyke.Millis(o.evictions)*unloadTime+o.duration < instant
 }
--- a/stager/loadestimate.go
+++ b/stager/loadestimate.go
@@ -25,18 +25,13 @@
 // loadEstimate returns the time until a runner has loaded the model of key, or false
 // if none has or loads it.
 func (v View) loadEstimate(key buckthorndyke.ModelKey, now buckthorndyke.Millis) (buckthorndyke.Millis, bool) {
-	service, _ := v.routing.Services.Get(key.Service)
-	if service.Engine == nil {
-		return 0, false
-	}
-	model, _ := service.Engine.Models.Get(key.Model)
 	var least buckthorndyke.Millis
 	found := false
 	for _, s := range v.runners.All() {
 		if s.backend.Service != key.Service {
 			continue
 		}
-		if in, ok := s.loadEstimate(key, model, now); ok && (!found || in < least) {
+		if in, ok := v.runnerLoadEstimate(s, key, now); ok && (!found || in < least) {
 			least, found = in, true
 		}
 	}
@@ -64,3 +59,18 @@
 	// The first of the loads in progress ends, then the model itself is loaded.
 	return full/buckthorndyke.Millis(active+1) + full + reportLag, true
 }
+
+// runnerLoadEstimate returns the time until s has loaded the model of key, or false if it
+// has not loaded it and is not loading it.
+func (v View) runnerLoadEstimate(s runnerState, key buckthorndyke.ModelKey, now buckthorndyke.Millis) (buckthorndyke.Millis, bool) {
+	switch {
+	case s.holds(key.Base()):
+		return 0, true
+	case s.isLoading(key.Base()) && s.pending != nil && s.pending.kind == buckthorndyke.OrderLoad && s.pending.model == key.Model:
+		return max(s.pending.sent+v.loadDuration(key, s.pending.tier)-now, predictionMargin), true
+	case s.isLoading(key.Base()):
+		return unloadTime + v.loadDuration(key, s.backend.Tier(key.Model)), true
+	default:
+		return 0, false
+	}
+}
--- a/stager/loadoption.go
+++ b/stager/loadoption.go
@@ -11,8 +11,8 @@
 	evict buckthorndyke.ModelID
 	// evictions is the number of models to unload first.
 	evictions int
-	// loadTime is the time of the load itself.
-	loadTime buckthorndyke.Millis
+	// duration is the time from the order to load until VMs are told that it is loaded.
+	duration buckthorndyke.Millis
 	tier     buckthorndyke.Tier
 }
 
@@ -51,8 +51,8 @@
 	if option.tier == buckthorndyke.TierRemote && !p.mayLoadRemote(cfg, key) {
 		return loadOption{}, false
 	}
-	option.loadTime = model.LoadTimes[option.tier]
-	option.cost = float64(option.loadTime) / float64(buckthorndyke.Second)
+	option.duration = p.loadDuration(key, option.tier)
+	option.cost = float64(model.LoadTimes[option.tier]) / float64(buckthorndyke.Second)
 	free := s.freeMB(cfg)
 	evicted := make(map[buckthorndyke.ModelID]bool)
 	if free < model.MemoryMB && p.now < p.unloadsFrom {
@@ -84,13 +84,14 @@
 }
 
 // victim returns the model of s that is the cheapest to evict and its cost in
-// requests per second. It leaves out the models in evicted.
+// requests per second. It leaves out the models in evicted, and one whose load may not be
+// complete.
 func (p *planner) victim(s runnerState, evicted map[buckthorndyke.ModelID]bool) (buckthorndyke.LoadedModel, float64, bool) {
 	var best buckthorndyke.LoadedModel
 	var least float64
 	found := false
 	for _, loaded := range s.backend.LoadedModels {
-		if evicted[loaded.Model] {
+		if evicted[loaded.Model] || s.predicted != nil && s.predicted.order.model == loaded.Model {
 			continue
 		}
 		if cost := p.evictionCost(s, loaded.Model); !found || cost < least {
--- a/stager/runnerstate.go
+++ b/stager/runnerstate.go
@@ -30,6 +30,8 @@
 	sent buckthorndyke.Millis
 	// tier is the tier that the runner loads from.
 	tier buckthorndyke.Tier
+	// unpredictable is set if reports have contradicted the predicted end of the load.
+	unpredictable bool
 }
 
 // completedIn reports whether b shows that the order was carried out.
@@ -77,6 +79,8 @@
 	knownAt buckthorndyke.Millis
 	// pending is the outstanding order, or nil.
 	pending *pendingOrder
+	// predicted is a load that counts as complete although no report shows it yet, or nil.
+	predicted *predictedLoad
 	// retryAt is the instant from which on the runner may get another order.
 	retryAt buckthorndyke.Millis
 	// targetModel is the model that is being loaded or that room is made for, or
@@ -98,7 +102,8 @@
 	return n
 }
 
-// freeMB returns the free memory in megabytes, after the pending load.
+// freeMB returns the free memory in megabytes, after the pending load and one that was
+// wrongly predicted to be complete.
 func (s runnerState) freeMB(cfg buckthorndyke.EngineConfig) int {
 	free := cfg.MemoryMB
 	for _, h := range s.backend.LoadedModels {
@@ -113,6 +118,12 @@
 			free -= m.AdapterMB
 		}
 	}
+	if s.predicted != nil {
+		if _, loaded := s.backend.LoadedModel(s.predicted.order.model); !loaded {
+			m, _ := cfg.Models.Get(s.predicted.order.model)
+			free -= m.MemoryMB
+		}
+	}
 	return free
 }
 
@@ -128,23 +139,6 @@
 	return slices.Contains(s.loadingKeys(), key)
 }
 
-// loadEstimate returns the time until the runner has loaded the model of key, or
-// false if it has not loaded it and is not loading it.
-func (s runnerState) loadEstimate(
-	key buckthorndyke.ModelKey, model buckthorndyke.ModelConfig, now buckthorndyke.Millis,
-) (buckthorndyke.Millis, bool) {
-	switch {
-	case s.holds(key.Base()):
-		return 0, true
-	case s.isLoading(key.Base()) && s.pending != nil && s.pending.kind == buckthorndyke.OrderLoad && s.pending.model == key.Model:
-		return max(s.pending.sent+model.LoadTimes[s.pending.tier]-now, 0) + reportLag, true
-	case s.isLoading(key.Base()):
-		return unloadTime + model.LoadTimes[s.backend.Tier(key.Model)] + reportLag, true
-	default:
-		return 0, false
-	}
-}
-
 // loadingKeys returns what the runner is loading or makes room for.
 func (s runnerState) loadingKeys() []buckthorndyke.ModelKey {
 	if s.unresponsive() {
--- a/stager/view.go
+++ b/stager/view.go
@@ -61,6 +61,9 @@
 	remoteLoadStarts []buckthorndyke.Millis
 	routing          buckthorndyke.Routing
 	runners          buckthorndyke.Table[buckthorndyke.RunnerID, runnerState]
+	// slowness holds the learned time of loads by service and tier, as a multiple of the
+	// configured one.
+	slowness buckthorndyke.Table[string, float64]
 	// unloadsFrom is the instant from which the demand is known well enough to unload
 	// models.
 	unloadsFrom buckthorndyke.Millis
--- a/stager/viewchange.go
+++ b/stager/viewchange.go
@@ -120,16 +120,17 @@
 	if !ok || s.backend.Incarnation != r.Backend.Incarnation || s.acceptedOrders != unknownOrders && r.AcceptedOrders < s.acceptedOrders {
 		return v
 	}
-	if !slices.EqualFunc(s.backend.LoadedModels, r.Backend.LoadedModels, buckthorndyke.LoadedModel.Same) {
+	loaded, leaving := s.backend.LoadedModels, s.backend.Leaving
+	s.backend = r.Backend
+	v, s = v.withCheckedPrediction(s, now)
+	if !slices.EqualFunc(loaded, s.backend.LoadedModels, buckthorndyke.LoadedModel.Same) {
 		s.changedAt = now
 	}
-	leaving := s.backend.Leaving
-	s.backend = r.Backend
 	s.backend.Leaving = leaving || r.Backend.Leaving
 	s.knownAt = now
 	s.failedReports = 0
 	s.acceptedOrders = r.AcceptedOrders
-	s.busy = s.pending == nil && r.Busy
+	s.busy = s.pending == nil && s.predicted == nil && r.Busy
 	if s.busy {
 		// The runner carries out another leader's order, whose effect would not show
 		// in the number of accepted orders.
--- a/supervisor/relayer/loader/loader_test.go
+++ b/supervisor/relayer/loader/loader_test.go
@@ -287,6 +287,55 @@
 	})
 }
 
+// TestPredictedLoads guards against VMs that learn of the end of a load only from a
+// report, which is old, and against a prediction that outlives the reports against it.
+func TestPredictedLoads(t *testing.T) {
+	t.Run("the reply has a model as soon as its load takes no longer, until reports contradict it", func(t *testing.T) {
+		withFixture(t, func(f *fixture) {
+			f.startTerm(7)
+			f.wait(lease + 500)
+			f.reportDemand(hallKey)
+			asserter.Equal(t, f.pool.sent()[0].Kind, buckthorndyke.OrderLoad)
+			// The load from the disk takes 2 s by the configuration, and 55 ms more with the
+			// margin; the reply to a report is held back for 250 ms.
+			f.wait(1500)
+			asserter.Equal(t, len(f.report(hallKey).RunnerModels), 0)
+			before := f.clock.Now()
+			told := f.report(hallKey)
+			asserter.Equal(t, len(told.RunnerModels), 1)
+			asserter.Equal(t, told.RunnerModels[0].LoadedModels[0].Model, hall)
+			asserter.True(t, f.clock.Now()-before < 200, "the reply is held back after the end of the load")
+			// The runner's reports never show the model.
+			f.wait(600)
+			contradicted := f.report(hallKey)
+			asserter.Equal(t, len(contradicted.RunnerModels), 1)
+			asserter.Equal(t, len(contradicted.RunnerModels[0].LoadedModels), 0)
+		})
+	})
+}
+
+// TestReportTimes guards against a runner that stays idle after an unload until the next
+// regular poll.
+func TestReportTimes(t *testing.T) {
+	t.Run("a report is requested as soon as it can show the end of an unload", func(t *testing.T) {
+		withFixture(t, func(f *fixture) {
+			f.pool.loadedModels, f.pool.unloads = []buckthorndyke.LoadedModel{{Model: "other"}}, true
+			f.addModel("other")
+			f.startTerm(7)
+			f.wait(lease + 2*buckthorndyke.Second)
+			for range 3 {
+				f.report(hallKey)
+			}
+			sent := f.pool.history()
+			// The report shows the unload after 200 ms, and plans are made every 30 ms.
+			asserter.Equal(t, len(sent), 2)
+			asserter.Equal(t, sent[0].Kind, buckthorndyke.OrderUnload)
+			asserter.Equal(t, sent[1].Kind, buckthorndyke.OrderLoad)
+			asserter.True(t, sent[1].at-sent[0].at <= 230, "the load waits for the next regular poll")
+		})
+	})
+}
+
 // fixture is a loader with one runner, in a synctest bubble.
 type fixture struct {
 	cancel  context.CancelFunc
@@ -313,8 +362,9 @@
 				Routings:       mailer.NewFeed[buckthorndyke.Routing](), SeenList: mailer.NewFeed[buckthorndyke.SeenVersion](),
 				SeenRouting: mailer.NewFeed[buckthorndyke.SeenVersion](), Terms: mailer.NewFeed[buckthorndyke.Term](),
 			},
-			leaders: &leaders{}, pool: newPool(ctx), t: t,
+			leaders: &leaders{}, t: t,
 		}
+		f.pool = newPool(ctx, f.clock)
 		f.loader = loader.New(buckthorndyke.Self{PeerAddress: "10.0.0.1:1", VM: self}, f.pool, f.leaders, f.feeds, lease, f.clock, opts...)
 		for _, serve := range []func(context.Context) error{
 			f.feeds.FullSpeedLoads.Serve, f.feeds.Lists.Serve, f.feeds.Routings.Serve, f.feeds.SeenList.Serve, f.feeds.SeenRouting.Serve, f.feeds.Terms.Serve, f.pool.serve, f.loader.Serve,
@@ -330,6 +380,17 @@
 	})
 }
 
+// addModel adds a model of the size of hall to the configuration.
+func (f *fixture) addModel(id buckthorndyke.ModelID) {
+	f.t.Helper()
+	r := routing()
+	service, _ := r.Services.Get(engines)
+	model, _ := service.Engine.Models.Get(hall)
+	service.Engine.Models = service.Engine.Models.With(id, model)
+	asserter.NoError(f.t, f.feeds.Routings.Publish(f.ctx, r.WithService(service)))
+	synctest.Wait()
+}
+
 // addRunner adds a runner to the list.
 func (f *fixture) addRunner(id buckthorndyke.RunnerID) {
 	f.t.Helper()
@@ -398,21 +459,30 @@
 	return l.reply, l.err
 }
 
-// pool has one runner, which accepts orders and whose report never changes.
+// sentOrder is an order and the instant at which it was sent.
+type sentOrder struct {
+	buckthorndyke.ModelOrder
+	at buckthorndyke.Millis
+}
+
+// pool has one runner, which accepts orders and whose report never changes, except that
+// it shows unloads 200 ms late if unloads is set.
 type pool struct {
 	buckthorndyke.BackendPool
+	clock        buckthorndyke.Clock
 	ctx          context.Context
 	loadedModels []buckthorndyke.LoadedModel
 	orders       *mailer.Mailbox[buckthorndyke.ModelOrder]
 	outcome      buckthorndyke.ModelOrderOutcome
-	reads        *mailer.Mailbox[mailer.Reply[[]buckthorndyke.ModelOrder]]
+	reads        *mailer.Mailbox[mailer.Reply[[]sentOrder]]
+	unloads      bool
 }
 
-func newPool(ctx context.Context) *pool {
+func newPool(ctx context.Context, clock buckthorndyke.Clock) *pool {
 	return &pool{
-		ctx:    ctx,
+		clock: clock, ctx: ctx,
 		orders: mailer.NewMailbox[buckthorndyke.ModelOrder](), outcome: buckthorndyke.ModelOrderAccepted,
-		reads: mailer.NewMailbox[mailer.Reply[[]buckthorndyke.ModelOrder]](),
+		reads: mailer.NewMailbox[mailer.Reply[[]sentOrder]](),
 	}
 }
 
@@ -423,30 +493,42 @@
 
 // Report implements buckthorndyke.BackendPool.
 func (p *pool) Report(_ context.Context, b buckthorndyke.Backend) (buckthorndyke.BackendReport, error) {
+	sent := p.history()
 	b.Cached, b.LoadedModels = map[buckthorndyke.ModelID]buckthorndyke.Tier{hall: buckthorndyke.TierDisk}, p.loadedModels
-	return buckthorndyke.BackendReport{Backend: b, AcceptedOrders: int64(len(p.sent()))}, nil
+	for _, o := range sent {
+		if p.unloads && o.Kind == buckthorndyke.OrderUnload && p.clock.Now() >= o.at+200 {
+			b.LoadedModels = nil
+		}
+	}
+	return buckthorndyke.BackendReport{Backend: b, AcceptedOrders: int64(len(sent))}, nil
+}
+
+// history returns the orders that were sent with their times.
+func (p *pool) history() []sentOrder {
+	orders, _ := mailer.Ask(p.ctx, p.reads, func(reply mailer.Reply[[]sentOrder]) mailer.Reply[[]sentOrder] { return reply })
+	return orders
 }
 
 // sent returns the orders that were sent.
 func (p *pool) sent() []buckthorndyke.ModelOrder {
-	orders, _ := mailer.Ask(p.ctx, p.reads,
-		func(reply mailer.Reply[[]buckthorndyke.ModelOrder]) mailer.Reply[[]buckthorndyke.ModelOrder] {
-			return reply
-		})
+	var orders []buckthorndyke.ModelOrder
+	for _, o := range p.history() {
+		orders = append(orders, o.ModelOrder)
+	}
 	return orders
 }
 
 // serve records the orders.
 func (p *pool) serve(ctx context.Context) error {
-	var sent []buckthorndyke.ModelOrder
+	var sent []sentOrder
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case o := <-p.orders.Receive():
-			sent = append(sent, o)
+			sent = append(sent, sentOrder{ModelOrder: o, at: p.clock.Now()})
 		case reply := <-p.reads.Receive():
-			reply.Answer(append([]buckthorndyke.ModelOrder(nil), sent...))
+			reply.Answer(append([]sentOrder(nil), sent...))
 		}
 	}
 }
--- a/supervisor/relayer/loader/messages.go
+++ b/supervisor/relayer/loader/messages.go
@@ -12,11 +12,6 @@
 }
 
 type (
-	// adapterLoaded reports that an order for an adapter has been carried out.
-	adapterLoaded struct {
-		order stager.PlannedOrder
-	}
-
 	// demandReported carries the demand of one VM.
 	demandReported struct {
 		demand buckthorndyke.DemandReport
@@ -26,6 +21,11 @@
 		vm    buckthorndyke.VMID
 	}
 
+	// loadExpected reports that the time has passed that an accepted load takes.
+	loadExpected struct {
+		order stager.PlannedOrder
+	}
+
 	// orderReplied carries a runner's reply to an order.
 	orderReplied struct {
 		err            error
@@ -41,6 +41,11 @@
 		reply        buckthorndyke.YieldReply
 	}
 
+	// reportDue asks for a report of a runner, which should show the end of an order.
+	reportDue struct {
+		runner buckthorndyke.RunnerID
+	}
+
 	// yieldRequested asks the VM to stop leading.
 	yieldRequested struct {
 		fencingToken int64
@@ -55,14 +60,15 @@
 	}
 )
 
-func (m adapterLoaded) apply(t *task) {
-	t.view = t.view.WithDone(m.order, t.clock.Now())
+func (m demandReported) apply(t *task) { t.handleDemand(m) }
+func (m loadExpected) apply(t *task) {
+	t.view = t.view.WithPredictedEnd(m.order, t.clock.Now())
 	t.changed = true
 }
-func (m demandReported) apply(t *task) { t.handleDemand(m) }
-func (m orderReplied) apply(t *task)   { t.handleOrderOutcome(m) }
+func (m orderReplied) apply(t *task) { t.handleOrderOutcome(m) }
 func (m predecessorReplied) apply(t *task) {
 	t.handlePredecessor(m)
 }
+func (m reportDue) apply(t *task)      { t.requestDueReport(m.runner) }
 func (m yieldRequested) apply(t *task) { t.yield(m) }
 func (m runnerReported) apply(t *task) { t.handleReport(m) }
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// adapterLoadTime is how long it takes to load an adapter: 10 ms by the
-	// deployments' data sheets, plus the network.
-	adapterLoadTime = 14 * buckthorndyke.Millisecond
 	// orderMargin is how long before the end of its grant a leader stops sending
 	// orders, so that none is in transit when the next leader begins.
 	orderMargin = 300 * buckthorndyke.Millisecond
@@ -119,18 +116,31 @@
 	t.term = term
 }
 
-// completeAdapterOrder treats an accepted order for an adapter as carried out after
-// the time that a load takes. The runner's reports lag behind by far more.
-func (t *task) completeAdapterOrder(order stager.PlannedOrder) {
+// expectEnd treats an accepted order as carried out after the time that its load is
+// expected to take: the runner's reports lag behind by far more. It requests a report as
+// soon as one can show the end of the order.
+func (t *task) expectEnd(order stager.PlannedOrder) {
+	takes, predicted := t.view.PredictedTime(order)
 	go func() {
-		select {
-		case <-t.runCtx.Done():
-		case <-t.clock.After(adapterLoadTime):
-			_ = t.box.Send(t.runCtx, adapterLoaded{order: order})
+		if predicted && !t.sendAfter(takes, loadExpected{order: order}) {
+			return
+		}
+		if order.Adapter == "" {
+			t.sendAfter(stager.ReportAge, reportDue{runner: order.Runner})
 		}
 	}()
 }
 
+// sendAfter sends m to the task after d. It returns false if the run ends before.
+func (t *task) sendAfter(d buckthorndyke.Millis, m message) bool {
+	select {
+	case <-t.runCtx.Done():
+		return false
+	case <-t.clock.After(d):
+		return t.box.Send(t.runCtx, m) == nil
+	}
+}
+
 // handleOrderOutcome applies a runner's reply to an order.
 func (t *task) handleOrderOutcome(m orderReplied) {
 	now := t.clock.Now()
@@ -141,11 +151,7 @@
 	switch m.outcome {
 	case buckthorndyke.ModelOrderAccepted:
 		t.view = t.view.WithAccepted(m.order.Runner, m.expectedOrders+1)
-		if m.order.Adapter != "" && m.order.Kind == buckthorndyke.OrderLoad {
-			// An accepted unload waits for the running requests of the adapter, so
-			// only a report shows its end.
-			t.completeAdapterOrder(m.order)
-		}
+		t.expectEnd(m.order)
 	case buckthorndyke.ModelOrderDone:
 		if m.order.Adapter != "" && m.order.Kind == buckthorndyke.OrderUnload {
 			t.view = t.view.WithAccepted(m.order.Runner, m.expectedOrders+1)
@@ -219,8 +225,8 @@
 	return t.leads(now+orderMargin) && now >= t.ordersFrom
 }
 
-// poll requests the reports of the runners with an outstanding order and, less often,
-// of the others whose state is unclear.
+// poll requests the reports of the runners with an outstanding order or with a load that
+// no report confirms yet, and, less often, of the others whose state is unclear.
 func (t *task) poll(now buckthorndyke.Millis) {
 	if now < t.polledAt+pollInterval {
 		return
@@ -232,6 +238,9 @@
 		}
 		t.requestReport(id)
 	}
+	for _, id := range t.view.Unconfirmed(now) {
+		t.requestReport(id)
+	}
 	if now < t.surveyedAt+surveyInterval || len(t.survey) > 0 {
 		return
 	}
@@ -261,6 +270,14 @@
 	}()
 }
 
+// requestDueReport requests the report of a runner whose order should have ended, unless
+// the report has shown it already.
+func (t *task) requestDueReport(id buckthorndyke.RunnerID) {
+	if t.mayOrder(t.clock.Now()) && t.view.AwaitsReport(id) {
+		t.requestReport(id)
+	}
+}
+
 // run handles messages until ctx ends.
 func (t *task) run(ctx context.Context) error {
 	routings := t.feeds.Routings.Subscribe(ctx)
