feat(stager,loader): loads behind accepted unloads, where runners refuse early ones

Cause: a cold start on a full runner waits 200 ms or more for the report that shows the end of an unload, also if no request used the model.

Change: with the new setting runners.early-loads (off by default), an accepted unload of a model at which no VM has requests counts as carried out, and the load follows at once. If the runner refuses the load, the unload is outstanding again, which costs one call. If a report shows the model beside an accepted load, or still there while the runner is idle, early loads end for the leader's run and a warning is logged.

Why a setting: the number of accepted orders that an order names shows that no other order came between, not that the earlier one has had its effect. A runner that refuses orders from the acceptance of one until its end makes the early load safe. One that carries an accepted order out late, or loses it, may accept the load and then holds more than its memory: TestLateRunners finds such a case, and an accepted unload of an adapter has done so before. The stand-ins of this repository do not show which kind the deployments have.

Tests: TestEarlyLoads, TestLateRunners (property for runners of the first kind), TestReportTimes.

--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -81,6 +81,7 @@
 		FullSpeedLoads:     s.FullSpeedLoads,
 		ChangeLimit:        s.ChangeLimit,
 		ChecksFencingToken: s.ChecksFencingToken,
+		EarlyLoads:         s.EarlyLoads,
 		DrainLimit:         s.DrainLimit,
 		Grant:              grantTime,
 		Lease:              s.Lease,
--- a/configurer/relay.go
+++ b/configurer/relay.go
@@ -35,6 +35,9 @@
 	Domain   buckthorndyke.DomainID
 	// DrainLimit is the maximum time that the process may take to stop.
 	DrainLimit buckthorndyke.Millis
+	// EarlyLoads is set if the runners refuse each order from the acceptance of another
+	// one until its end.
+	EarlyLoads bool
 	// FullSpeedLoads is how many loads of the whole fleet the weight store serves at
 	// once at full speed.
 	FullSpeedLoads int
@@ -77,6 +80,7 @@
 		CPUShare:           root.fraction("cpu-share", 1),
 		Domain:             buckthorndyke.DomainID(root.name("failure-domain")),
 		DrainLimit:         buckthorndyke.Millis(root.rounded("drain-limit-s", defaultRelayDrainSeconds, 1, maxRelayDrainSeconds, math.Floor)) * buckthorndyke.Second,
+		EarlyLoads:         runners.boolean("early-loads", false),
 		FullSpeedLoads:     weights.rounded("model-loads-at-once", defaultModelLoads, 1, maxLoads, math.Floor),
 		LeaveLimit:         root.roundedMillis("leave-limit-ms", defaultChangeLimit, minChangeLimit, maxChangeLimit, math.Floor),
 		Lease:              root.roundedMillis("lease-ms", defaultLease, minLease, maxLease, math.Ceil),
--- a/configurer/relay_test.go
+++ b/configurer/relay_test.go
@@ -17,7 +17,7 @@
   "clients": {"address": "10.0.0.1:80"}, "readiness": {"address": "10.0.0.1:81"},
   "metrics": {"address": "10.0.0.1:82"},
   "peers": {"address": "10.0.0.1:83", "key": "sixteen-characters"},
-  "store": {"address": "10.0.0.9:80"}, "runners": {"check-fence": true},
+  "store": {"address": "10.0.0.9:80"}, "runners": {"check-fence": true, "early-loads": true},
   "lease-ms": 3000, "change-limit-ms": 1500, "drain-limit-s": 8,
   "seeds": ["10.0.0.2:83", "10.0.0.3:83"],
 }`
@@ -33,6 +33,7 @@
 		asserter.Equal(t, got.FullSpeedLoads, 4)
 		asserter.Equal(t, got.Seeds, []string{"10.0.0.2:83", "10.0.0.3:83"})
 		asserter.True(t, got.ChecksFencingToken, "ChecksFencingToken is not set")
+		asserter.True(t, got.EarlyLoads, "EarlyLoads is not set")
 	})
 	t.Run("all faults are reported with their positions", func(t *testing.T) {
 		broken := strings.NewReplacer(`"10.0.0.9:80"`, `"store:80"`, `"drain-limit-s": 8`, `"drain-limit-s": "8"`, `"10.0.0.3:83"`, `"entry-3"`,
--- a/stager/prediction_test.go
+++ b/stager/prediction_test.go
@@ -127,23 +127,34 @@
 	parameters.MinSuccessfulTests = 150
 	properties := gopter.NewProperties(parameters)
 	properties.Property("memory is not exceeded", prop.ForAll(func(draws []int) string {
-		return lateRunnerFault(draws, false)
+		return lateRunnerFault(draws, lateRun{late: true})
+	}, gen.SliceOfN(80, gen.IntRange(0, 9999))))
+	properties.Property("memory is not exceeded with early loads at runners that begin orders at once", prop.ForAll(func(draws []int) string {
+		return lateRunnerFault(draws, lateRun{early: true})
 	}, gen.SliceOfN(80, gen.IntRange(0, 9999))))
 	properties.TestingRun(t)
-	t.Run("an unload that counts as complete once accepted exceeds it", func(t *testing.T) {
+	t.Run("early loads exceed it at runners that carry orders out late", func(t *testing.T) {
 		asserter.True(t, exceedsForSomeDraws(), "the variant exceeds no memory")
 	})
 }
 
+// lateRun says how orders are played to a runner.
+type lateRun struct {
+	// early is set if an accepted unload counts as carried out.
+	early bool
+	// late is set if the runner carries some orders out late and loses some.
+	late bool
+}
+
 // exceedsForSomeDraws reports whether a leader that takes accepted unloads for complete
-// exceeds a runner's memory.
+// exceeds the memory of a runner that carries orders out late.
 func exceedsForSomeDraws() bool {
 	for seed := range 200 {
 		draws := make([]int, 80)
 		for i := range draws {
 			draws[i] = (seed*7919 + i*i*31 + i*101) % 10000
 		}
-		if lateRunnerFault(draws, true) != "" {
+		if lateRunnerFault(draws, lateRun{early: true, late: true}) != "" {
 			return true
 		}
 	}
@@ -189,9 +200,8 @@
 }
 
 // lateRunnerFault plays orders to a late runner, drawn from draws, and says how its memory
-// was exceeded, or returns an empty string. If eager, an accepted unload counts as
-// complete.
-func lateRunnerFault(draws []int, eager bool) string {
+// was exceeded, or returns an empty string.
+func lateRunnerFault(draws []int, run lateRun) string {
 	r := &lateRunner{loaded: []int{0, 1, 2}}
 	v := viewOf(withCopies(runner("a", 0, 1, 2)))
 	var expected []stager.PlannedOrder
@@ -230,17 +240,20 @@
 					r.step(r.ends)
 				}
 				late := buckthorndyke.Millis(draw / 7 % 3 * 400)
+				if !run.late {
+					late = 0
+				}
 				takes := buckthorndyke.Millis(200)
 				if o.Kind == buckthorndyke.OrderLoad {
 					takes = buckthorndyke.Millis(700 + draw/21%4*300)
 				}
-				r.model, r.unload, r.lost, r.begins, r.ends = n, o.Kind == buckthorndyke.OrderUnload, draw%11 == 0, at+late, at+late+takes
+				r.model, r.unload, r.lost, r.begins, r.ends = n, o.Kind == buckthorndyke.OrderUnload, run.late && draw%11 == 0, at+late, at+late+takes
 				v = v.WithAccepted("a", r.accepted)
 				if takes, ok := v.PredictedTime(o); ok {
 					expected, due = append(expected, o), append(due, at+takes)
 				}
-				if eager && o.Kind == buckthorndyke.OrderUnload {
-					v = v.WithDone(o, at)
+				if run.early {
+					v = v.WithEarlyUnload(o, at)
 				}
 			}
 		}
--- a/stager/runnerstate.go
+++ b/stager/runnerstate.go
@@ -73,6 +73,9 @@
 	busy bool
 	// changedAt is the instant at which the loaded models changed last, or 0.
 	changedAt buckthorndyke.Millis
+	// earlyUnload is an unload that counts as carried out although no report shows it
+	// yet, or nil.
+	earlyUnload *earlyUnload
 	// failedReports counts the consecutive failed requests for a report.
 	failedReports int
 	// knownAt is the instant of the last report or completed order.
--- a/stager/view.go
+++ b/stager/view.go
@@ -53,6 +53,9 @@
 // immutable.
 type View struct {
 	demand Demand
+	// earlyLoadsRefuted is set if a runner has accepted a load before an accepted unload
+	// had an effect.
+	earlyLoadsRefuted bool
 	// fullSpeedLoads is the number of concurrent loads that the weight store serves
 	// at full speed.
 	fullSpeedLoads int
--- a/stager/viewchange.go
+++ b/stager/viewchange.go
@@ -76,8 +76,12 @@
 	if !ok || s.pending == nil || !s.pending.matches(o) {
 		return v
 	}
-	s.pending = nil
-	s.targetModel = ""
+	if s.earlyUnload != nil && o.Kind == buckthorndyke.OrderLoad && o.Adapter == "" {
+		s = s.withoutEarlyUnload(o.TargetModel)
+	} else {
+		s.pending = nil
+		s.targetModel = ""
+	}
 	s.acceptedOrders = unknownOrders
 	s.retryAt = now + refusalBackoff
 	v.runners = v.runners.With(id, s)
@@ -123,6 +127,7 @@
 	loaded, leaving := s.backend.LoadedModels, s.backend.Leaving
 	s.backend = r.Backend
 	v, s = v.withCheckedPrediction(s, now)
+	v, s = v.withCheckedUnload(s, r, now)
 	if !slices.EqualFunc(loaded, s.backend.LoadedModels, buckthorndyke.LoadedModel.Same) {
 		s.changedAt = now
 	}
--- a/supervisor/relayer/loader/loader.go
+++ b/supervisor/relayer/loader/loader.go
@@ -29,13 +29,16 @@
 	// token.
 	checksFencingTokens bool
 	clock               buckthorndyke.Clock
-	feeds               Feeds
-	fullSpeedLoads      int
-	leaders             buckthorndyke.LeaderClient
-	lease               buckthorndyke.Millis
-	logger              zerolog.Logger
-	pool                buckthorndyke.BackendPool
-	self                buckthorndyke.Self
+	// earlyLoads is set if a load may be ordered behind an accepted unload that no report
+	// shows yet.
+	earlyLoads     bool
+	feeds          Feeds
+	fullSpeedLoads int
+	leaders        buckthorndyke.LeaderClient
+	lease          buckthorndyke.Millis
+	logger         zerolog.Logger
+	pool           buckthorndyke.BackendPool
+	self           buckthorndyke.Self
 }
 
 // Feeds are the feeds that a loader subscribes to.
@@ -67,6 +70,14 @@
 	return func(l *Loader) { l.checksFencingTokens = checks }
 }
 
+// WithEarlyLoads sets whether a load is ordered as soon as the unload of an idle model
+// that makes room for it is accepted. It must be set only if the runners refuse each
+// order from the acceptance of another one until its end, also if they carry it out late.
+// A runner that does not, or that loses the unload, would load more than its memory holds.
+func WithEarlyLoads(early bool) Option {
+	return func(l *Loader) { l.earlyLoads = early }
+}
+
 // WithLogger logs orders to logger.
 func WithLogger(logger zerolog.Logger) Option {
 	return func(l *Loader) { l.logger = logger }
--- a/supervisor/relayer/loader/loader_test.go
+++ b/supervisor/relayer/loader/loader_test.go
@@ -317,23 +317,32 @@
 // TestReportTimes guards against a runner that stays idle after an unload until the next
 // regular poll.
 func TestReportTimes(t *testing.T) {
+	// delay returns the time from an unload to the load that it makes room for.
+	delay := func(f *fixture) buckthorndyke.Millis {
+		f.pool.loadedModels, f.pool.unloads = []buckthorndyke.LoadedModel{{Model: "other"}}, true
+		f.addModel("other")
+		f.startTerm(7)
+		f.wait(lease + 2*buckthorndyke.Second)
+		for range 3 {
+			f.report(hallKey)
+		}
+		sent := f.pool.history()
+		asserter.Equal(f.t, len(sent), 2)
+		asserter.Equal(f.t, sent[0].Kind, buckthorndyke.OrderUnload)
+		asserter.Equal(f.t, sent[1].Kind, buckthorndyke.OrderLoad)
+		return sent[1].at - sent[0].at
+	}
+	// Plans are made every 30 ms.
 	t.Run("a report is requested as soon as it can show the end of an unload", func(t *testing.T) {
 		withFixture(t, func(f *fixture) {
-			f.pool.loadedModels, f.pool.unloads = []buckthorndyke.LoadedModel{{Model: "other"}}, true
-			f.addModel("other")
-			f.startTerm(7)
-			f.wait(lease + 2*buckthorndyke.Second)
-			for range 3 {
-				f.report(hallKey)
-			}
-			sent := f.pool.history()
-			// The report shows the unload after 200 ms, and plans are made every 30 ms.
-			asserter.Equal(t, len(sent), 2)
-			asserter.Equal(t, sent[0].Kind, buckthorndyke.OrderUnload)
-			asserter.Equal(t, sent[1].Kind, buckthorndyke.OrderLoad)
-			asserter.True(t, sent[1].at-sent[0].at <= 230, "the load waits for the next regular poll")
+			asserter.True(t, delay(f) <= 230, "the load waits for the next regular poll")
 		})
 	})
+	t.Run("the load waits for no report with early loads", func(t *testing.T) {
+		withFixture(t, func(f *fixture) {
+			asserter.True(t, delay(f) <= 30, "the load waits for a report")
+		}, loader.WithEarlyLoads(true))
+	})
 }
 
 // fixture is a loader with one runner, in a synctest bubble.
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -152,6 +152,9 @@
 	case buckthorndyke.ModelOrderAccepted:
 		t.view = t.view.WithAccepted(m.order.Runner, m.expectedOrders+1)
 		t.expectEnd(m.order)
+		if t.earlyLoads {
+			t.view = t.view.WithEarlyUnload(m.order, now)
+		}
 	case buckthorndyke.ModelOrderDone:
 		if m.order.Adapter != "" && m.order.Kind == buckthorndyke.OrderUnload {
 			t.view = t.view.WithAccepted(m.order.Runner, m.expectedOrders+1)
@@ -199,7 +202,11 @@
 			Err(m.err).Send()
 		return
 	}
+	refuted := t.view.EarlyLoadsRefuted()
 	t.view = t.view.WithReport(m.report, t.clock.Now())
+	if t.view.EarlyLoadsRefuted() && !refuted {
+		t.logger.Warn().EmbedObject(reporter.EventOrderEnded).Str("runner", string(m.runner)).Str("outcome", "early-loads-refuted").Send()
+	}
 	t.changed = true
 }
 
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -54,6 +54,9 @@
 	// token.
 	ChecksFencingToken bool
 	DrainLimit         buckthorndyke.Millis
+	// EarlyLoads is set if a load may be ordered behind an accepted unload that no report
+	// shows yet.
+	EarlyLoads bool
 	// FullSpeedLoads is the number of concurrent loads that the weight store serves at
 	// full speed.
 	FullSpeedLoads int
@@ -104,7 +107,8 @@
 	t.loader = loader.New(self, platform.Pool, platform.Leaders,
 		loader.Feeds{FullSpeedLoads: fullSpeedLoads, Lists: t.lists, Routings: t.routings, SeenList: lists.Seen, SeenRouting: routings.Seen, Terms: terms},
 		s.Lease, clock,
-		loader.WithFullSpeedLoads(s.FullSpeedLoads), loader.WithFencingTokenChecks(s.ChecksFencingToken), loader.WithLogger(logger))
+		loader.WithFullSpeedLoads(s.FullSpeedLoads), loader.WithFencingTokenChecks(s.ChecksFencingToken),
+		loader.WithEarlyLoads(s.EarlyLoads), loader.WithLogger(logger))
 	refreshes := mailer.NewFeed[buckthorndyke.Millis]()
 	t.teller = teller.New(t.routings, t.lists, refreshes, clock)
 	t.base = starter.NewBranch("base", s.DrainLimit, logger,
