feat(stager): evictions cost what it takes to load the model again

Cause: an eviction cost the demand for the model, plus 0.2 requests a second if this runner had no copy of it, whatever a reload takes.

Change: the cost includes the requests that come during the reload, from the fastest copy on an available runner or from the weight store with its loads in progress. They count as lost if the reload takes longer than the least patient route of the service waits, and else as delayed by that part of the wait. A model with demand that has been loaded for less than an unload and its reload take costs as much as 1.75 waiting requests, so that it is not evicted for a single one. A load that ends before the waiting requests have to start is preferred to one that does not, whatever it evicts. Without routes with a time limit, only the last two apply.

Plans: the costs of a runner's models are computed once per plan, and ties are broken without building keys.

--- a/stager/loadoption.go
+++ b/stager/loadoption.go
@@ -33,12 +33,71 @@
 			return redundantReplicaCost + redundantReplicaCost*cost
 		}
 	}
-	if s.backend.Tier(model) == buckthorndyke.TierRemote {
+	return p.reloadCost(s, key, cost)
+}
+
+// reloadCost returns the cost of evicting the model of key from s, its only replica, given
+// the demand for it in requests per second. Requests that come while the model is loaded
+// again are delayed, or lost if that takes longer than they wait.
+func (p *planner) reloadCost(s runnerState, key buckthorndyke.ModelKey, demand float64) float64 {
+	reload := p.reloadTime(key)
+	patience, ok := p.patience[key.Service]
+	cost := demand
+	switch rate := p.rate(key); {
+	case !ok || patience <= 0:
+	case reload > patience:
+		cost += waitingRequestValue * rate * float64(reload) / float64(buckthorndyke.Second)
+	default:
+		cost += rate * float64(reload) / float64(patience)
+	}
+	if !p.copies[key].cached {
 		cost += remoteReloadCost
 	}
+	if demand > 0 && s.loadedSince(key.Model, p.now-unloadTime-reload) {
+		cost = max(cost, recentLoadValue)
+	}
 	return cost
 }
 
+// reloadTime returns the time of a load of the model of key after its eviction: from the
+// fastest copy, or from the weight store, whose loads in progress share its bandwidth.
+func (p *planner) reloadTime(key buckthorndyke.ModelKey) buckthorndyke.Millis {
+	if c := p.copies[key]; c.cached {
+		return p.loadDuration(key, c.tier)
+	}
+	takes := p.loadDuration(key, buckthorndyke.TierRemote)
+	return takes * buckthorndyke.Millis(max(p.remoteLoads+1, p.fullSpeedLoads)) / buckthorndyke.Millis(max(p.fullSpeedLoads, 1))
+}
+
+// evictionCosts returns the costs of unloading the loaded models of s, in their order.
+func (p *planner) evictionCosts(s runnerState) []float64 {
+	costs, ok := p.costs[s.backend.ID]
+	if ok {
+		return costs
+	}
+	costs = make([]float64, 0, len(s.backend.LoadedModels))
+	for _, loaded := range s.backend.LoadedModels {
+		costs = append(costs, p.evictionCost(s, loaded.Model))
+	}
+	p.costs[s.backend.ID] = costs
+	return costs
+}
+
+// forgetCosts drops the costs that an order changes: those of its runner and, if it
+// unloads a model, those of the runners that have loaded the model as well.
+func (p *planner) forgetCosts(o PlannedOrder) {
+	delete(p.costs, o.Runner)
+	if o.Kind != buckthorndyke.OrderUnload || o.Adapter != "" {
+		return
+	}
+	for id := range p.costs {
+		s, _ := p.runners.Get(id)
+		if _, loaded := s.backend.LoadedModel(o.Model); loaded {
+			delete(p.costs, id)
+		}
+	}
+}
+
 // loadOption returns how to load the model of key on s. It returns false if that is
 // not possible, or if the models to evict cost more than value, the benefit in
 // requests per second.
@@ -90,12 +149,13 @@
 	var best buckthorndyke.LoadedModel
 	var least float64
 	found := false
-	for _, loaded := range s.backend.LoadedModels {
+	costs := p.evictionCosts(s)
+	for i, loaded := range s.backend.LoadedModels {
 		if evicted[loaded.Model] || s.predicted != nil && s.predicted.order.model == loaded.Model {
 			continue
 		}
-		if cost := p.evictionCost(s, loaded.Model); !found || cost < least {
-			best, least, found = loaded, cost, true
+		if !found || costs[i] < least {
+			best, least, found = loaded, costs[i], true
 		}
 	}
 	return best, least, found
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// remoteReloadCost is the extra cost of evicting a model that the runner could
-	// only load again from the weight store, in requests per second.
+	// remoteReloadCost is the least extra cost of evicting a model that could only be
+	// loaded again from the weight store, in requests per second.
 	remoteReloadCost = 0.2
 	// replicaBatchPermille is the batch use of a model's runners, in thousandths of
 	// their slots, above which the model gets another replica.
@@ -52,6 +52,10 @@
 	// firstCopyValue is the value of a model's first copy on a runner, in requests
 	// per second.
 	firstCopyValue = 0.15
+	// recentLoadValue is the least cost of evicting a model with demand that has not been
+	// loaded for as long as it takes to load it again, in requests per second. One waiting
+	// request of another model is worth less, two are worth more.
+	recentLoadValue = 1.75 * waitingRequestValue
 	// waitingRequestValue is the value of a waiting request, in requests per second.
 	waitingRequestValue = 2.0
 )
@@ -80,6 +84,7 @@
 	v.demand = v.demand.WithoutExpired(now)
 	p := planner{
 		View: v, loading: make(map[buckthorndyke.ModelKey]int), holderCounts: make(map[buckthorndyke.ModelKey]int), now: now,
+		costs:    make(map[buckthorndyke.RunnerID][]float64),
 		loadEnds: make(map[buckthorndyke.ModelKey]buckthorndyke.Millis),
 		rates:    make(map[buckthorndyke.ModelKey]float64), demands: v.demand.totals(),
 	}
@@ -96,8 +101,10 @@
 // planner is the state while a plan is made.
 type planner struct {
 	View
-	// copies is the number of runners with a copy of a model's checkpoint.
-	copies map[buckthorndyke.ModelKey]int
+	// copies counts the runners with a copy of a model's checkpoint.
+	copies map[buckthorndyke.ModelKey]copyCount
+	// costs caches the costs of unloading the models of a runner.
+	costs map[buckthorndyke.RunnerID][]float64
 	// demands is the demand by model and adapter.
 	demands map[buckthorndyke.ModelKey]totalDemand
 	// freeRunners are the runners that accept an order.
@@ -136,6 +143,7 @@
 	if o.FromWeightStore() {
 		p.remoteLoads++
 	}
+	p.forgetCosts(o)
 	s, _ := p.runners.Get(o.Runner)
 	service := s.backend.Service
 	switch {
@@ -308,7 +316,14 @@
 			continue
 		}
 		option, ok := p.loadOption(s, cfg, d.key, value)
-		if ok && (!late || option.endsBefore(lateEnd, p.now)) && (!found || option.cost < bestOption.cost) {
+		if !ok || late && !option.endsBefore(lateEnd, p.now) {
+			continue
+		}
+		if d.waiting > 0 && !option.endsBefore(d.due+1, p.now) {
+			// A load that ends in time is preferred, whatever it evicts.
+			option.cost += value
+		}
+		if !found || option.cost < bestOption.cost {
 			best, bestOption, found = s, option, true
 		}
 	}
@@ -366,11 +381,16 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b totalDemand) int {
-		return cmp.Or(cmp.Compare(b.waiting, a.waiting), cmp.Compare(a.due, b.due), cmp.Compare(tableKey(a.key), tableKey(b.key)))
+		return cmp.Or(cmp.Compare(b.waiting, a.waiting), cmp.Compare(a.due, b.due), compareKeys(a.key, b.key))
 	})
 	return out
 }
 
+// compareKeys orders models and adapters.
+func compareKeys(a, b buckthorndyke.ModelKey) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+}
+
 // value returns the benefit of having the model of key loaded, in requests per
 // second.
 func (p *planner) value(key buckthorndyke.ModelKey) float64 {
--- a/stager/prediction_test.go
+++ b/stager/prediction_test.go
@@ -111,6 +111,12 @@
 	})
 }
 
+// assertKinds reports an error unless orders have the given kinds.
+func assertKinds(t *testing.T, orders []stager.PlannedOrder, want ...buckthorndyke.OrderKind) {
+	t.Helper()
+	asserter.Equal(t, kindsOf(orders), want)
+}
+
 // kindsOf returns the kinds of orders.
 func kindsOf(orders []stager.PlannedOrder) []buckthorndyke.OrderKind {
 	var out []buckthorndyke.OrderKind
--- a/stager/prefetch.go
+++ b/stager/prefetch.go
@@ -23,21 +23,41 @@
 	value float64
 }
 
+// copyCount counts the runners with a copy of a model's checkpoint.
+type copyCount struct {
+	// cached is set if one of the copies outlasts an unload, on a disk or in host memory.
+	cached  bool
+	runners int
+	// tier is the fastest tier of these.
+	tier buckthorndyke.Tier
+}
+
+// with returns the count with another copy. At TierRemote it is only in use, and lost by an
+// unload.
+func (c copyCount) with(tier buckthorndyke.Tier) copyCount {
+	c.runners++
+	if tier != buckthorndyke.TierRemote && (!c.cached || tier < c.tier) {
+		c.cached, c.tier = true, tier
+	}
+	return c
+}
+
 // countCopies counts the runners with a copy of each model's checkpoint.
 func (p *planner) countCopies() {
-	p.copies = make(map[buckthorndyke.ModelKey]int)
+	p.copies = make(map[buckthorndyke.ModelKey]copyCount)
 	for _, s := range p.runners.All() {
 		if s.backend.Leaving || s.unresponsive() {
 			continue
 		}
 		key := buckthorndyke.ModelKey{Service: s.backend.Service}
-		for key.Model = range s.backend.Cached {
-			p.copies[key]++
+		for model, tier := range s.backend.Cached {
+			key.Model = model
+			p.copies[key] = p.copies[key].with(tier)
 		}
 		for _, h := range s.backend.LoadedModels {
 			key.Model = h.Model
 			if s.backend.Tier(h.Model) == buckthorndyke.TierRemote {
-				p.copies[key]++
+				p.copies[key] = p.copies[key].with(buckthorndyke.TierRemote)
 			}
 		}
 	}
@@ -46,7 +66,7 @@
 // needsMoreCopies reports whether a model has copies, but too few for its request
 // rate.
 func (p *planner) needsMoreCopies(key buckthorndyke.ModelKey, cfg buckthorndyke.EngineConfig) bool {
-	return p.copies[key] > 0 && p.rate(key)*copySlotsPerRequest >= float64(p.copies[key]*cfg.Slots)
+	return p.copies[key].runners > 0 && p.rate(key)*copySlotsPerRequest >= float64(p.copies[key].runners*cfg.Slots)
 }
 
 // prefetchCopies plans loads of models that no runner has a copy of, and of models
@@ -75,10 +95,10 @@
 		key := buckthorndyke.ModelKey{Model: model, Service: id}
 		switch {
 		case p.isLoading(key):
-		case p.copies[key] == 0:
+		case p.copies[key].runners == 0:
 			list = append(list, prefetch{key: key, value: firstCopyValue + p.value(key)})
 		case p.needsMoreCopies(key, cfg):
-			list = append(list, prefetch{key: key, value: p.rate(key) / float64(p.copies[key])})
+			list = append(list, prefetch{key: key, value: p.rate(key) / float64(p.copies[key].runners)})
 		}
 	}
 	slices.SortFunc(list, func(a, b prefetch) int {
--- a/stager/runnerstate.go
+++ b/stager/runnerstate.go
@@ -60,6 +60,12 @@
 	return orderTimeout
 }
 
+// loadEnd is the end of a load.
+type loadEnd struct {
+	at    buckthorndyke.Millis
+	model buckthorndyke.ModelID
+}
+
 // runnerState is the leader's state of a runner.
 type runnerState struct {
 	// acceptedOrders is the number of orders that the runner has accepted, or
@@ -80,6 +86,8 @@
 	failedReports int
 	// knownAt is the instant of the last report or completed order.
 	knownAt buckthorndyke.Millis
+	// loads are the instants at which the models that this leader has loaded were complete.
+	loads []loadEnd
 	// pending is the outstanding order, or nil.
 	pending *pendingOrder
 	// predicted is a load that counts as complete although no report shows it yet, or nil.
@@ -198,11 +206,33 @@
 	if s.targetModel == o.model && o.kind == buckthorndyke.OrderLoad {
 		s.targetModel = ""
 	}
+	if o.kind == buckthorndyke.OrderLoad && o.adapter == "" {
+		s = s.withLoadEnd(o.model, now)
+	}
 	s.pending = nil
 	s.changedAt, s.knownAt = now, now
 	return s
 }
 
+// loadedSince reports whether this leader has loaded model, completely after the given
+// instant.
+func (s runnerState) loadedSince(model buckthorndyke.ModelID, instant buckthorndyke.Millis) bool {
+	return slices.ContainsFunc(s.loads, func(l loadEnd) bool { return l.model == model && l.at > instant })
+}
+
+// withLoadEnd returns the state with the end of a load at now, and without those of models
+// that are no longer loaded.
+func (s runnerState) withLoadEnd(model buckthorndyke.ModelID, now buckthorndyke.Millis) runnerState {
+	kept := []loadEnd{{at: now, model: model}}
+	for _, l := range s.loads {
+		if _, loaded := s.backend.LoadedModel(l.model); loaded && l.model != model {
+			kept = append(kept, l)
+		}
+	}
+	s.loads = kept
+	return s
+}
+
 // withLoaded returns b with a loaded model or adapter added.
 func withLoaded(b buckthorndyke.Backend, model buckthorndyke.ModelID, adapter string) buckthorndyke.Backend {
 	b.LoadedModels = slices.Clone(b.LoadedModels)
--- a/stager/view.go
+++ b/stager/view.go
@@ -62,8 +62,10 @@
 	// remoteLoadStarts holds the start times of the latest loads from the weight
 	// store.
 	remoteLoadStarts []buckthorndyke.Millis
-	routing          buckthorndyke.Routing
-	runners          buckthorndyke.Table[buckthorndyke.RunnerID, runnerState]
+	// patience is how long the least patient requests for models of a service wait.
+	patience map[buckthorndyke.ServiceID]buckthorndyke.Millis
+	routing  buckthorndyke.Routing
+	runners  buckthorndyke.Table[buckthorndyke.RunnerID, runnerState]
 	// slowness holds the learned time of loads by service and tier, as a multiple of the
 	// configured one.
 	slowness buckthorndyke.Table[string, float64]
--- a/stager/viewchange.go
+++ b/stager/viewchange.go
@@ -167,7 +167,7 @@
 
 // WithRouting returns a view with another configuration.
 func (v View) WithRouting(r buckthorndyke.Routing) View {
-	v.routing = r
+	v.routing, v.patience = r, patienceOf(r)
 	return v
 }
 
