--- a/configurer/relay_test.go
+++ b/configurer/relay_test.go
@@ -17,7 +17,7 @@
   "clients": {"address": "10.0.0.1:80"}, "readiness": {"address": "10.0.0.1:81"},
   "metrics": {"address": "10.0.0.1:82"},
   "peers": {"address": "10.0.0.1:83", "key": "sixteen-characters"},
-  "store": {"address": "10.0.0.9:80"}, "runners": {"check-fence": true},
+  "store": {"address": "10.0.0.9:80"}, "runners": {"check-fence": true, "early-loads": true},
   "lease-ms": 3000, "change-limit-ms": 1500, "drain-limit-s": 8,
   "seeds": ["10.0.0.2:83", "10.0.0.3:83"],
 }`
@@ -33,6 +33,7 @@
 		asserter.Equal(t, got.FullSpeedLoads, 4)
 		asserter.Equal(t, got.Seeds, []string{"10.0.0.2:83", "10.0.0.3:83"})
 		asserter.True(t, got.ChecksFencingToken, "ChecksFencingToken is not set")
+		asserter.True(t, got.EarlyLoads, "EarlyLoads is not set")
 	})
 	t.Run("the bounds on allotments may be rendered as fractions", func(t *testing.T) {
 		with := strings.Replace(relaySettings, `"lease-ms"`, `"allotments": {"window-s": 8.0, "overage": 0.1, "slack": 110000.0}, "lease-ms"`, 1)
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// remoteReloadCost is the extra cost of evicting a model that the runner could
-	// only load again from the weight store, in requests per second.
+	// remoteReloadCost is the least extra cost of evicting a model that could only be
+	// loaded again from the weight store, in requests per second.
 	remoteReloadCost = 0.2
 	// replicaBatchPermille is the batch use of a model's runners, in thousandths of
 	// their slots, above which the model gets another replica.
@@ -52,6 +52,10 @@
 	// firstCopyValue is the value of a model's first copy on a runner, in requests
 	// per second.
 	firstCopyValue = 0.15
+	// recentLoadValue is the least cost of evicting a model with demand that has not been
+	// loaded for as long as it takes to load it again, in requests per second. One waiting
+	// request of another model is worth less, two are worth more.
+	recentLoadValue = 1.75 * waitingRequestValue
 	// waitingRequestValue is the value of a waiting request, in requests per second.
 	waitingRequestValue = 2.0
 )
@@ -80,7 +84,9 @@
 	v.demand = v.demand.WithoutExpired(now)
 	p := planner{
 		View: v, loading: make(map[buckthorndyke.ModelKey]int), holderCounts: make(map[buckthorndyke.ModelKey]int), now: now,
-		rates: make(map[buckthorndyke.ModelKey]float64), demands: v.demand.totals(),
+		costs:    make(map[buckthorndyke.RunnerID][]float64),
+		loadEnds: make(map[buckthorndyke.ModelKey]buckthorndyke.Millis),
+		rates:    make(map[buckthorndyke.ModelKey]float64), demands: v.demand.totals(),
 	}
 	p.countRunners()
 	p.countCopies()
@@ -95,8 +101,10 @@
 // planner is the state while a plan is made.
 type planner struct {
 	View
-	// copies is the number of runners with a copy of a model's checkpoint.
-	copies map[buckthorndyke.ModelKey]int
+	// copies counts the runners with a copy of a model's checkpoint.
+	copies map[buckthorndyke.ModelKey]copyCount
+	// costs caches the costs of unloading the models of a runner.
+	costs map[buckthorndyke.RunnerID][]float64
 	// demands is the demand by model and adapter.
 	demands map[buckthorndyke.ModelKey]totalDemand
 	// freeRunners are the runners that accept an order.
@@ -104,6 +112,8 @@
 	// holderCounts is the number of runners that have loaded a model or adapter and
 	// do not unload it.
 	holderCounts map[buckthorndyke.ModelKey]int
+	// loadEnds is the earliest expected end of the loads of a model in progress.
+	loadEnds map[buckthorndyke.ModelKey]buckthorndyke.Millis
 	// loading is the number of runners that are loading a model or adapter.
 	loading map[buckthorndyke.ModelKey]int
 	now     buckthorndyke.Millis
@@ -133,12 +143,14 @@
 	if o.FromWeightStore() {
 		p.remoteLoads++
 	}
-	service := p.serviceOf(o.Runner)
+	p.forgetCosts(o)
+	s, _ := p.runners.Get(o.Runner)
+	service := s.backend.Service
 	switch {
 	case o.Kind == buckthorndyke.OrderLoad:
-		p.loading[buckthorndyke.ModelKey{Adapter: o.Adapter, Model: o.Model, Service: service}]++
+		p.noteLoad(s, buckthorndyke.ModelKey{Adapter: o.Adapter, Model: o.Model, Service: service})
 	case o.TargetModel != "":
-		p.loading[buckthorndyke.ModelKey{Model: o.TargetModel, Service: service}]++
+		p.noteLoad(s, buckthorndyke.ModelKey{Model: o.TargetModel, Service: service})
 	}
 	if o.Kind == buckthorndyke.OrderUnload {
 		p.holderCounts[buckthorndyke.ModelKey{Adapter: o.Adapter, Model: o.Model, Service: service}]--
@@ -209,7 +221,7 @@
 			p.remoteLoads++
 		}
 		for _, key := range s.loadingKeys() {
-			p.loading[key]++
+			p.noteLoad(s, key)
 		}
 		if s.backend.Leaving || s.unresponsive() {
 			continue
@@ -269,6 +281,9 @@
 	if replicas == 0 {
 		return 0
 	}
+	if _, late := p.lateLoad(d); late {
+		loading = 0
+	}
 	perReplica := max(cfg.Slots*permille, 1)
 	needed := (d.running*1000 + perReplica - 1) / perReplica
 	if permille == replicaBatchPermille {
@@ -288,8 +303,10 @@
 }
 
 // place plans the first order to load the model of d on the best runner, and reports
-// whether there is one.
+// whether there is one. If all loads of the model in progress end too late, only a load
+// that ends earlier than these is planned.
 func (p *planner) place(d totalDemand, cfg buckthorndyke.EngineConfig, value float64) bool {
+	lateEnd, late := p.lateLoad(d)
 	var best runnerState
 	var bestOption loadOption
 	found := false
@@ -299,7 +316,14 @@
 			continue
 		}
 		option, ok := p.loadOption(s, cfg, d.key, value)
-		if ok && (!found || option.cost < bestOption.cost) {
+		if !ok || late && !option.endsBefore(lateEnd, p.now) {
+			continue
+		}
+		if d.waiting > 0 && !option.endsBefore(d.due+1, p.now) {
+			// A load that ends in time is preferred, whatever it evicts.
+			option.cost += value
+		}
+		if !found || option.cost < bestOption.cost {
 			best, bestOption, found = s, option, true
 		}
 	}
@@ -315,7 +339,10 @@
 func (p *planner) placeWaiting() {
 	for _, d := range p.sortedDemands(func(d totalDemand) bool { return d.waiting > 0 }) {
 		cfg := p.engineConfig(d.key.Service)
-		if cfg == nil || p.replicas(d.key) > 0 || p.isLoading(d.key) {
+		if cfg == nil || p.replicas(d.key) > 0 {
+			continue
+		}
+		if _, late := p.lateLoad(d); p.isLoading(d.key) && !late {
 			continue
 		}
 		if d.key.Adapter != "" {
@@ -344,12 +371,6 @@
 	return p.holderCounts[key]
 }
 
-// serviceOf returns the service of a runner.
-func (p *planner) serviceOf(id buckthorndyke.RunnerID) buckthorndyke.ServiceID {
-	s, _ := p.runners.Get(id)
-	return s.backend.Service
-}
-
 // sortedDemands returns the demands for which keep returns true, the most urgent
 // first.
 func (p *planner) sortedDemands(keep func(d totalDemand) bool) []totalDemand {
@@ -360,11 +381,16 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b totalDemand) int {
-		return cmp.Or(cmp.Compare(b.waiting, a.waiting), cmp.Compare(a.due, b.due), cmp.Compare(tableKey(a.key), tableKey(b.key)))
+		return cmp.Or(cmp.Compare(b.waiting, a.waiting), cmp.Compare(a.due, b.due), compareKeys(a.key, b.key))
 	})
 	return out
 }
 
+// compareKeys orders models and adapters.
+func compareKeys(a, b buckthorndyke.ModelKey) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+}
+
 // value returns the benefit of having the model of key loaded, in requests per
 // second.
 func (p *planner) value(key buckthorndyke.ModelKey) float64 {
--- a/stager/runnerstate.go
+++ b/stager/runnerstate.go
@@ -30,6 +30,8 @@
 	sent buckthorndyke.Millis
 	// tier is the tier that the runner loads from.
 	tier buckthorndyke.Tier
+	// unpredictable is set if reports have contradicted the predicted end of the load.
+	unpredictable bool
 }
 
 // completedIn reports whether b shows that the order was carried out.
@@ -58,6 +60,12 @@
 	return orderTimeout
 }
 
+// loadEnd is the end of a load.
+type loadEnd struct {
+	at    buckthorndyke.Millis
+	model buckthorndyke.ModelID
+}
+
 // runnerState is the leader's state of a runner.
 type runnerState struct {
 	// acceptedOrders is the number of orders that the runner has accepted, or
@@ -71,12 +79,19 @@
 	busy bool
 	// changedAt is the instant at which the loaded models changed last, or 0.
 	changedAt buckthorndyke.Millis
+	// earlyUnload is an unload that counts as carried out although no report shows it
+	// yet, or nil.
+	earlyUnload *earlyUnload
 	// failedReports counts the consecutive failed requests for a report.
 	failedReports int
 	// knownAt is the instant of the last report or completed order.
 	knownAt buckthorndyke.Millis
+	// loads are the instants at which the models that this leader has loaded were complete.
+	loads []loadEnd
 	// pending is the outstanding order, or nil.
 	pending *pendingOrder
+	// predicted is a load that counts as complete although no report shows it yet, or nil.
+	predicted *predictedLoad
 	// retryAt is the instant from which on the runner may get another order.
 	retryAt buckthorndyke.Millis
 	// targetModel is the model that is being loaded or that room is made for, or
@@ -98,7 +113,8 @@
 	return n
 }
 
-// freeMB returns the free memory in megabytes, after the pending load.
+// freeMB returns the free memory in megabytes, after the pending load and one that was
+// wrongly predicted to be complete.
 func (s runnerState) freeMB(cfg buckthorndyke.EngineConfig) int {
 	free := cfg.MemoryMB
 	for _, h := range s.backend.LoadedModels {
@@ -113,6 +129,12 @@
 			free -= m.AdapterMB
 		}
 	}
+	if s.predicted != nil {
+		if _, loaded := s.backend.LoadedModel(s.predicted.order.model); !loaded {
+			m, _ := cfg.Models.Get(s.predicted.order.model)
+			free -= m.MemoryMB
+		}
+	}
 	return free
 }
 
@@ -128,23 +150,6 @@
 	return slices.Contains(s.loadingKeys(), key)
 }
 
-// loadEstimate returns the time until the runner has loaded the model of key, or
-// false if it has not loaded it and is not loading it.
-func (s runnerState) loadEstimate(
-	key buckthorndyke.ModelKey, model buckthorndyke.ModelConfig, now buckthorndyke.Millis,
-) (buckthorndyke.Millis, bool) {
-	switch {
-	case s.holds(key.Base()):
-		return 0, true
-	case s.isLoading(key.Base()) && s.pending != nil && s.pending.kind == buckthorndyke.OrderLoad && s.pending.model == key.Model:
-		return max(s.pending.sent+model.LoadTimes[s.pending.tier]-now, 0) + reportLag, true
-	case s.isLoading(key.Base()):
-		return unloadTime + model.LoadTimes[s.backend.Tier(key.Model)] + reportLag, true
-	default:
-		return 0, false
-	}
-}
-
 // loadingKeys returns what the runner is loading or makes room for.
 func (s runnerState) loadingKeys() []buckthorndyke.ModelKey {
 	if s.unresponsive() {
@@ -201,11 +206,33 @@
 	if s.targetModel == o.model && o.kind == buckthorndyke.OrderLoad {
 		s.targetModel = ""
 	}
+	if o.kind == buckthorndyke.OrderLoad && o.adapter == "" {
+		s = s.withLoadEnd(o.model, now)
+	}
 	s.pending = nil
 	s.changedAt, s.knownAt = now, now
 	return s
 }
 
+// loadedSince reports whether this leader has loaded model, completely after the given
+// instant.
+func (s runnerState) loadedSince(model buckthorndyke.ModelID, instant buckthorndyke.Millis) bool {
+	return slices.ContainsFunc(s.loads, func(l loadEnd) bool { return l.model == model && l.at > instant })
+}
+
+// withLoadEnd returns the state with the end of a load at now, and without those of models
+// that are no longer loaded.
+func (s runnerState) withLoadEnd(model buckthorndyke.ModelID, now buckthorndyke.Millis) runnerState {
+	kept := []loadEnd{{at: now, model: model}}
+	for _, l := range s.loads {
+		if _, loaded := s.backend.LoadedModel(l.model); loaded && l.model != model {
+			kept = append(kept, l)
+		}
+	}
+	s.loads = kept
+	return s
+}
+
 // withLoaded returns b with a loaded model or adapter added.
 func withLoaded(b buckthorndyke.Backend, model buckthorndyke.ModelID, adapter string) buckthorndyke.Backend {
 	b.LoadedModels = slices.Clone(b.LoadedModels)
--- a/stager/view.go
+++ b/stager/view.go
@@ -53,14 +53,22 @@
 // immutable.
 type View struct {
 	demand Demand
+	// earlyLoadsRefuted is set if a runner has accepted a load before an accepted unload
+	// had an effect.
+	earlyLoadsRefuted bool
 	// fullSpeedLoads is the number of concurrent loads that the weight store serves
 	// at full speed.
 	fullSpeedLoads int
 	// remoteLoadStarts holds the start times of the latest loads from the weight
 	// store.
 	remoteLoadStarts []buckthorndyke.Millis
-	routing          buckthorndyke.Routing
-	runners          buckthorndyke.Table[buckthorndyke.RunnerID, runnerState]
+	// patience is how long the least patient requests for models of a service wait.
+	patience map[buckthorndyke.ServiceID]buckthorndyke.Millis
+	routing  buckthorndyke.Routing
+	runners  buckthorndyke.Table[buckthorndyke.RunnerID, runnerState]
+	// slowness holds the learned time of loads by service and tier, as a multiple of the
+	// configured one.
+	slowness buckthorndyke.Table[string, float64]
 	// unloadsFrom is the instant from which the demand is known well enough to unload
 	// models.
 	unloadsFrom buckthorndyke.Millis
--- a/stager/viewchange.go
+++ b/stager/viewchange.go
@@ -76,8 +76,12 @@
 	if !ok || s.pending == nil || !s.pending.matches(o) {
 		return v
 	}
-	s.pending = nil
-	s.targetModel = ""
+	if s.earlyUnload != nil && o.Kind == buckthorndyke.OrderLoad && o.Adapter == "" {
+		s = s.withoutEarlyUnload(o.TargetModel)
+	} else {
+		s.pending = nil
+		s.targetModel = ""
+	}
 	s.acceptedOrders = unknownOrders
 	s.retryAt = now + refusalBackoff
 	v.runners = v.runners.With(id, s)
@@ -120,16 +124,18 @@
 	if !ok || s.backend.Incarnation != r.Backend.Incarnation || s.acceptedOrders != unknownOrders && r.AcceptedOrders < s.acceptedOrders {
 		return v
 	}
-	if !slices.EqualFunc(s.backend.LoadedModels, r.Backend.LoadedModels, buckthorndyke.LoadedModel.Same) {
+	loaded, leaving := s.backend.LoadedModels, s.backend.Leaving
+	s.backend = r.Backend
+	v, s = v.withCheckedPrediction(s, now)
+	v, s = v.withCheckedUnload(s, r, now)
+	if !slices.EqualFunc(loaded, s.backend.LoadedModels, buckthorndyke.LoadedModel.Same) {
 		s.changedAt = now
 	}
-	leaving := s.backend.Leaving
-	s.backend = r.Backend
 	s.backend.Leaving = leaving || r.Backend.Leaving
 	s.knownAt = now
 	s.failedReports = 0
 	s.acceptedOrders = r.AcceptedOrders
-	s.busy = s.pending == nil && r.Busy
+	s.busy = s.pending == nil && s.predicted == nil && r.Busy
 	if s.busy {
 		// The runner carries out another leader's order, whose effect would not show
 		// in the number of accepted orders.
@@ -161,7 +167,7 @@
 
 // WithRouting returns a view with another configuration.
 func (v View) WithRouting(r buckthorndyke.Routing) View {
-	v.routing = r
+	v.routing, v.patience = r, patienceOf(r)
 	return v
 }
 
