feat(sequencer): an ordered queue of the requests that wait for a server

The dispatcher kept waiting requests in a list in order of arrival, and each wake-up tried each of them at each server. An urgent request waited behind others, a caller that sends much delayed the rest, and a request that had just arrived passed those that waited for the same model.

Package sequencer holds them in an immutable queue, grouped by key. Free slots are offered by priority, by callers' shares of the cost (start-time fair queueing; within four average requests targets decide), by what can still be met, and by slack. Of eight slots of a service one goes to the request that has used most of the time it may wait. A key without a free slot is left out of the rest of the pass. The end of a request offers its server's slots at once.

Limits are those of waitLimits, now kept in an index. A wake-up that falls on the instant of another message is no longer lost.

Ruled out: ageing by rank alone. Under a lasting overload it serves all less urgent requests first, shortly before they expire.

Tests: sequencer, selector, dispatcher, with -race.

--- /dev/null
+++ b/sequencer/lane.go
@@ -0,0 +1,93 @@
+package sequencer
+
+import "github.com/buckthorndyke/buckthorndyke"
+
+// Classes of requests by what they can still meet, in the order in which they are served.
+const (
+	classOnTime class = iota
+	classLate
+	classExpired
+)
+
+// class says what a request can still meet: its target, its deadline or neither.
+type class uint8
+
+// lane holds the requests of one key, caller and priority. It is immutable.
+type lane struct {
+	// byDue holds the requests by the latest start at which they meet their targets,
+	// byEnd by the latest start at which they meet their deadlines.
+	byDue, byEnd index
+}
+
+// head is the request of a lane that is offered a slot first.
+type head struct {
+	// at is the latest start that decides among requests of the same class.
+	at buckthorndyke.Millis
+	// ahead counts the quanta that the request's caller is ahead of the others.
+	ahead   int
+	class   class
+	request Request
+}
+
+// head returns the first request of the lane that is not in skipped: of those that can
+// meet their targets the one with the least slack, then of those that can meet their
+// deadlines.
+func (l lane) head(now buckthorndyke.Millis, skipped map[Ticket]bool) (head, bool) {
+	for p, r := range l.byDue.all(now) {
+		if !skipped[r.Ticket] {
+			return head{at: p.at, class: classOnTime, request: r}, true
+		}
+	}
+	for p, r := range l.byEnd.all(now) {
+		if !skipped[r.Ticket] {
+			return head{at: p.at, class: classLate, request: r}, true
+		}
+	}
+	for p, r := range l.byEnd.all(earliest) {
+		if !skipped[r.Ticket] {
+			return head{at: p.at, class: classExpired, request: r}, true
+		}
+	}
+	return head{}, false
+}
+
+// with returns the lane with r.
+func (l lane) with(r Request) lane {
+	l.byDue, l.byEnd = l.byDue.with(r.due(), r), l.byEnd.with(r.end(), r)
+	return l
+}
+
+// without returns the lane without r.
+func (l lane) without(r Request) lane {
+	l.byDue, l.byEnd = l.byDue.without(r.due(), r.Ticket), l.byEnd.without(r.end(), r.Ticket)
+	return l
+}
+
+// group holds the requests for one key. It is immutable.
+type group struct {
+	// byAged holds the requests by the instants from which on they count as aged.
+	byAged index
+	key    buckthorndyke.ModelKey
+	lanes  buckthorndyke.Table[string, lane]
+}
+
+// with returns the group with r.
+func (g group) with(r Request) group {
+	id := laneID(r)
+	l, _ := g.lanes.Get(id)
+	g.byAged, g.key, g.lanes = g.byAged.with(r.agedAt(), r), r.Key, g.lanes.With(id, l.with(r))
+	return g
+}
+
+// without returns the group without r.
+func (g group) without(r Request) group {
+	id := laneID(r)
+	l, _ := g.lanes.Get(id)
+	if l = l.without(r); l.byEnd.len() == 0 {
+		g.lanes = g.lanes.Without(id)
+	} else {
+		g.lanes = g.lanes.With(id, l)
+	}
+	g.byAged = g.byAged.without(r.agedAt(), r.Ticket)
+	return g
+}
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -8,6 +8,7 @@
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/gatherer"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/sequencer"
 )
 
 const (
@@ -27,6 +28,7 @@
 	lists       *mailer.Feed[buckthorndyke.Backends]
 	logger      zerolog.Logger
 	memory      buckthorndyke.MemoryAccount
+	order       []sequencer.Option
 	pool        buckthorndyke.BackendPool
 	retryBurst  int
 	routings    *mailer.Feed[buckthorndyke.Routing]
@@ -51,6 +53,12 @@
 	return func(d *Dispatcher) { d.memory = account }
 }
 
+// WithArrivalOrder serves waiting requests in the order of their arrival, and refuses them
+// only when they have waited as long as they may.
+func WithArrivalOrder() Option {
+	return func(d *Dispatcher) { d.order = []sequencer.Option{sequencer.WithArrivalOrder()} }
+}
+
 // WithRetryBurst bounds the burst of retries that all entry VMs together send to a
 // service.
 func WithRetryBurst(n int) Option {
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -149,11 +149,20 @@
 func (m crashesRequested) apply(t *task) {
 	m.reply.Answer(crashesReply{evidence: t.crashes.Since(0, t.clock.Now()), hasLeader: t.hasLeader})
 }
-func (m crashesShared) apply(t *task)     { t.addCrashEvidence(m.evidence) }
-func (m demandRequested) apply(t *task)   { m.reply.Answer(t.demand(m.recent)) }
-func (m drainStarted) apply(t *task)      { t.drain = m.drain }
-func (m leaderReplied) apply(t *task)     { t.applyLeaderReply(m.reply) }
-func (m leaderUnavailable) apply(t *task) { t.hasLeader, t.crashSync = false, crashSync{} }
-func (m serverTold) apply(t *task)        { t.handleServerTold(m) }
-func (m serverSilent) apply(t *task)      { t.view = t.view.WithSlow(m.server, t.clock.Now()) }
-func (m routingRequested) apply(t *task)  { m.reply.Answer(t.routing) }
+func (m crashesShared) apply(t *task)   { t.addCrashEvidence(m.evidence) }
+func (m demandRequested) apply(t *task) { m.reply.Answer(t.demand(m.recent)) }
+func (m drainStarted) apply(t *task) {
+	t.drain = m.drain
+	t.updateLimits()
+}
+func (m leaderReplied) apply(t *task) { t.applyLeaderReply(m.reply) }
+func (m leaderUnavailable) apply(t *task) {
+	had := t.hasLeader
+	t.hasLeader, t.crashSync = false, crashSync{}
+	if had {
+		t.updateLimits()
+	}
+}
+func (m serverTold) apply(t *task)       { t.handleServerTold(m) }
+func (m serverSilent) apply(t *task)     { t.view = t.view.WithSlow(m.server, t.clock.Now()) }
+func (m routingRequested) apply(t *task) { m.reply.Answer(t.routing) }
--- a/supervisor/relayer/dispatcher/quarantine.go
+++ b/supervisor/relayer/dispatcher/quarantine.go
@@ -38,7 +38,7 @@
 		}
 	}
 	if len(quarantined) > 0 {
-		t.retryWaiting()
+		t.forgetIf(t.refuseQuarantined)
 	}
 }
 
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -12,6 +12,7 @@
 	"github.com/buckthorndyke/buckthorndyke/quarantiner"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/selector"
+	"github.com/buckthorndyke/buckthorndyke/sequencer"
 )
 
 const (
@@ -75,8 +76,8 @@
 	// reply.
 	suspects []buckthorndyke.RunnerID
 	view     selector.View
-	// waiting holds the requests that wait for a server, in the order of their arrival.
-	waiting []admissionRequested
+	// waiting holds the requests that wait for a server.
+	waiting waiting
 }
 
 func newTask(ctx context.Context, d *Dispatcher) *task {
@@ -90,6 +91,7 @@
 		rates:      make(map[buckthorndyke.ModelKey]buckthorndyke.Rate),
 		runCtx:     ctx,
 		running:    make(map[buckthorndyke.ModelKey]int),
+		waiting:    newWaiting(sequencer.New(d.order...)),
 	}
 }
 
@@ -98,6 +100,7 @@
 	routings := t.routings.Subscribe(ctx)
 	lists := t.lists.Subscribe(ctx)
 	for {
+		t.handleDue()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -109,9 +112,8 @@
 		case l := <-lists:
 			t.confirmCrashesByList(l)
 			t.view = t.view.WithBackends(l)
-			t.retryWaiting()
+			t.offerAll()
 		case <-t.clock.After(t.nextWake()):
-			t.retryWaiting()
 		}
 	}
 }
@@ -132,12 +134,8 @@
 		m.reply.Answer(admission{err: errBudget})
 		return
 	}
-	if t.refuseStopping(m) || t.tryAdmit(m) || t.refusePaused(m) {
-		return
-	}
-	t.waiting = append(t.waiting, m)
-	if key.Model != "" {
-		t.signalWaiting()
+	if !t.refuseStopping(m) {
+		t.enqueue(m)
 	}
 }
 
@@ -162,7 +160,8 @@
 	}
 	t.view = t.view.WithRunnerModels(reply.RunnerModels, now).WithOtherVMsLoads(reply.ServerLoads, now).
 		WithSuspects(reply.Suspects, now)
-	t.retryWaiting()
+	t.updateLimits()
+	t.offerAll()
 }
 
 // budget returns the retries that this VM may still send to a service.
@@ -183,7 +182,9 @@
 
 // cancelAdmission removes a request that no longer waits.
 func (t *task) cancelAdmission(cancelled admissionCancelled) {
-	t.waiting = slices.DeleteFunc(t.waiting, func(m admissionRequested) bool { return m.job == cancelled.job })
+	if ticket, ok := t.waiting.tickets[cancelled.job]; ok {
+		t.forget(ticket)
+	}
 	cancelled.reply.Answer(struct{}{})
 }
 
@@ -212,7 +213,7 @@
 		ServerLoads: t.view.OwnLoads(),
 	}
 	t.view = t.view.WithoutAttemptCounts()
-	for _, m := range t.waiting {
+	for _, m := range t.waiting.requests {
 		if m.query.Key.Model == "" {
 			continue
 		}
@@ -221,6 +222,9 @@
 			if left := max(m.limits.loading-now, 0); e.Waiting == 0 || left < e.TimeLeft {
 				e.TimeLeft = left
 			}
+			if priority := m.job.route.Priority; e.Waiting == 0 || priority < e.Priority {
+				e.Priority = priority
+			}
 			e.Waiting++
 		})
 	}
@@ -270,6 +274,7 @@
 	case resultBusy:
 		t.view = t.view.WithFull(m.backend.ID, now)
 	}
+	t.offerServer(m.backend.ID)
 }
 
 // includeRecent counts all recent arrivals as not reported yet.
@@ -285,37 +290,6 @@
 	}
 }
 
-// nextWake returns the time until a waiting request has waited too long, or until a
-// server may become available.
-func (t *task) nextWake() buckthorndyke.Millis {
-	now := t.clock.Now()
-	wake := maxWake
-	if len(t.waiting) > 0 {
-		wake = t.view.NextRetry(now, wake)
-	}
-	for _, m := range t.waiting {
-		wake = min(wake, max(t.waitUntil(m)-now, 1))
-	}
-	return wake
-}
-
-// retryWaiting assigns available servers to the waiting requests and refuses those that
-// have waited too long.
-func (t *task) retryWaiting() {
-	now := t.clock.Now()
-	kept := t.waiting[:0]
-	for _, m := range t.waiting {
-		switch {
-		case t.refuseQuarantined(m), t.refuseStopping(m), t.tryAdmit(m), t.refusePaused(m):
-		case now >= t.waitUntil(m):
-			m.reply.Answer(admission{err: errNoServer, expected: t.expected[m.query.Key]})
-		default:
-			kept = append(kept, m)
-		}
-	}
-	t.waiting = kept
-}
-
 // signalWaiting makes the demand source report early: a request has begun to wait, or a
 // server has failed.
 func (t *task) signalWaiting() {
@@ -327,15 +301,15 @@
 
 // tryAdmit assigns a server to a request if one is available. A retry also waits until
 // the service's retry budget allows it.
-func (t *task) tryAdmit(m admissionRequested) bool {
+func (t *task) tryAdmit(m admissionRequested) outcome {
 	if m.retry && !t.budget(m.query.Key.Service).Allows() {
-		return false
+		return outcomeNoBudget
 	}
 	m.query.Now = t.clock.Now()
 	m.query.Domain = t.domain
 	backend, ok := t.view.Choose(m.query)
 	if !ok {
-		return false
+		return outcomeNoServer
 	}
 	key := m.query.Key
 	if m.retry {
@@ -346,7 +320,7 @@
 		t.running[key]++
 	}
 	m.reply.Answer(admission{backend: backend})
-	return true
+	return outcomeAdmitted
 }
 
 // waitUntil returns the instant until which a request may wait.
