feat(dispatcher): requests that cannot be met are refused at once

Requests waited until their limits behind more others than could be served, or for a model that was loaded after their deadline, and were then refused; all clients that waited for one load were told to return at the same instant.

For each key, the queue observes the time between two slots while requests wait, and predicts the wait of a request from those that go before it, with a caller's share of the others and the clients that were told to return. A request is refused at once if the predicted wait exceeds what it may still wait by more than half, and so is one whose model is on no server and will be loaded that late. The time after which a client is told to return is the predicted one, spread by the request's id and at most a third of the time that the client has left. A client that returns then goes before new ones of its rank; one that repeats its request earlier does not. Requests that may have run are never refused by a prediction, and unknown rates predict nothing.

The setting admission.order = arrival goes back to the order of arrival without predictions. Lines and metrics show waits, refusals and who was passed over.

Ruled out: a rate over a fixed window, whose length would have to fit the deployment; the average of the last 32 intervals follows its pace.

Tests: sequencer, dispatcher, selector, configurer, reporter, with -race.

--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -88,6 +88,8 @@
 		Standby:            s.CPUShare < leaderShare,
 		RetryBurst:         s.RetryBurst,
 		Seeds:              s.Seeds,
+		ArrivalOrder:       s.ArrivalOrder,
+		Meter:              metrics,
 	}, clock, logger)
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
--- a/configurer/relay.go
+++ b/configurer/relay.go
@@ -20,9 +20,20 @@
 	minMemoryMB              = 64
 )
 
+// Orders in which waiting requests are served.
+const (
+	// orderArrival is the order in which the requests began to wait.
+	orderArrival = "arrival"
+	// orderSlack is by priority, callers' shares, and the time left to target and deadline.
+	orderSlack = "slack"
+)
+
 // Relay holds the settings of an entry VM that relays requests to backend servers
 // on a platform with a metadata store. It is immutable.
 type Relay struct {
+	// ArrivalOrder is set if waiting requests are served in the order of their arrival and
+	// never refused by a prediction.
+	ArrivalOrder bool
 	// ChangeLimit is the time within which a changed configuration must be in force.
 	ChangeLimit buckthorndyke.Millis
 	// ChecksFencingToken is set if the runners refuse orders with an outdated fencing
@@ -68,9 +79,11 @@
 func ParseRelay(data []byte) (Relay, error) {
 	d := &document{data: data}
 	root := d.parse()
+	admission := root.object("admission", false)
 	runners := root.object("runners", false)
 	weights := root.object("weight-store", false)
 	s := Relay{
+		ArrivalOrder:       admission.choice("order", orderSlack, orderArrival) == orderArrival,
 		ChangeLimit:        root.roundedMillis("change-limit-ms", defaultChangeLimit, minChangeLimit, maxChangeLimit, math.Floor),
 		ChecksFencingToken: runners.boolean("check-fence", false),
 		ClientsAddress:     root.sectionAddress("clients"),
@@ -90,6 +103,7 @@
 		StoreAddress:       root.sectionAddress("store"),
 		VM:                 buckthorndyke.VMID(root.name("vm")),
 	}
+	admission.reportUnknownKeys()
 	runners.reportUnknownKeys()
 	weights.reportUnknownKeys()
 	root.reportUnknownKeys()
--- a/configurer/relay_test.go
+++ b/configurer/relay_test.go
@@ -43,6 +43,23 @@
 			asserter.Contains(t, err.Error(), part)
 		}
 	})
+	t.Run("waiting requests are served by slack, unless the order of arrival is chosen", func(t *testing.T) {
+		withAdmission := func(admission string) (configurer.Relay, error) {
+			return configurer.ParseRelay([]byte(strings.Replace(relaySettings, `"lease-ms"`, `"admission": `+admission+`, "lease-ms"`, 1)))
+		}
+		for admission, arrival := range map[string]bool{`{}`: false, `{"order": "slack"}`: false, `{"order": "arrival"}`: true} {
+			got, err := withAdmission(admission)
+			asserter.NoError(t, err)
+			asserter.Equal(t, got.ArrivalOrder, arrival)
+		}
+		for admission, fault := range map[string]string{
+			`{"order": "random"}`: `"order" is "random"`, `{"orders": "slack"}`: `"orders"`, `"arrival"`: `"admission" must be an object`,
+		} {
+			_, err := withAdmission(admission)
+			asserter.Error(t, err)
+			asserter.Contains(t, err.Error(), fault)
+		}
+	})
 	numbers := map[string]func(s configurer.Relay) int{
 		"change-limit-ms": func(s configurer.Relay) int { return int(s.ChangeLimit) },
 		"drain-limit-s":   func(s configurer.Relay) int { return int(s.DrainLimit / buckthorndyke.Second) },
--- a/metric.go
+++ b/metric.go
@@ -17,6 +17,7 @@
 	MetricOrderFailures   Metric = "order-failures"
 	MetricOrders          Metric = "orders"
 	MetricOrderTime       Metric = "order-ms"
+	MetricPassedOver      Metric = "waits-passed-over"
 	MetricRequestsRefused Metric = "requests-refused"
 	MetricRequestsServed  Metric = "requests-served"
 	MetricRetries         Metric = "retries"
@@ -28,6 +29,12 @@
 	MetricStoreTime       Metric = "store-call-ms"
 	MetricStreamsResumed  Metric = "streams-resumed"
 	MetricUnknownRecords  Metric = "unknown-records"
+	MetricWait            Metric = "wait-ms"
+	MetricWaitError       Metric = "wait-error-ms"
+	MetricWaiting         Metric = "waiting"
+	MetricWaitsPromised   Metric = "returns-expected"
+	MetricWaitsRefused    Metric = "waits-refused"
+	MetricWaitsReturned   Metric = "returns"
 )
 
 // Metric is the kebab-case name of a metric. Names that end in -ms are distributions
--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -62,6 +62,11 @@
 	EventTaskPanicked     Event = "task-panicked"
 	EventTaskStuck        Event = "task-stuck"
 	EventTermChanged      Event = "term-changed"
+	// EventWaitEnded compares the wait of a request that has got a server with the
+	// predicted one.
+	EventWaitEnded Event = "wait-ended"
+	// EventWaitRefused reports why a waiting request was refused.
+	EventWaitRefused Event = "wait-refused"
 )
 
 // Keys of fields that all log lines have in common.
--- a/selector/holds.go
+++ b/selector/holds.go
@@ -8,3 +8,14 @@
 	listed, ok := v.list.Servers.Get(id)
 	return ok && listed.Service == key.Service && !v.Leaves(listed) && v.holdsModel(listed, Query{Key: key, Now: now})
 }
+
+// Loaded reports whether some server serves a key, whether or not it has a free slot.
+func (v View) Loaded(key buckthorndyke.ModelKey, now buckthorndyke.Millis) bool {
+	q := Query{Key: key, Now: now}
+	for _, listed := range v.list.Servers.All() {
+		if listed.Service == key.Service && !v.Leaves(listed) && v.holdsModel(listed, q) {
+			return true
+		}
+	}
+	return false
+}
--- a/sequencer/lane.go
+++ b/sequencer/lane.go
@@ -1,6 +1,10 @@
 package sequencer
 
-import "github.com/buckthorndyke/buckthorndyke"
+import (
+	"iter"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
 
 // Classes of requests by what they can still meet, in the order in which they are served.
 const (
@@ -17,6 +21,7 @@
 	// byDue holds the requests by the latest start at which they meet their targets,
 	// byEnd by the latest start at which they meet their deadlines.
 	byDue, byEnd index
+	priority     int
 }
 
 // head is the request of a lane that is offered a slot first.
@@ -51,9 +56,34 @@
 	return head{}, false
 }
 
+// ordered yields the requests of the lane in the order in which they are served if all were
+// served at now.
+func (l lane) ordered(now buckthorndyke.Millis) iter.Seq[Request] {
+	return func(yield func(Request) bool) {
+		for _, r := range l.byDue.all(now) {
+			if !yield(r) {
+				return
+			}
+		}
+		for _, r := range l.byEnd.all(now) {
+			if r.due() < now && !yield(r) {
+				return
+			}
+		}
+		for _, r := range l.byEnd.all(earliest) {
+			if r.end() >= now {
+				return
+			}
+			if r.due() < now && !yield(r) {
+				return
+			}
+		}
+	}
+}
+
 // with returns the lane with r.
 func (l lane) with(r Request) lane {
-	l.byDue, l.byEnd = l.byDue.with(r.due(), r), l.byEnd.with(r.end(), r)
+	l.byDue, l.byEnd, l.priority = l.byDue.with(r.due(), r), l.byEnd.with(r.end(), r), r.Priority
 	return l
 }
 
@@ -67,6 +97,7 @@
 type group struct {
 	// byAged holds the requests by the instants from which on they count as aged.
 	byAged index
+	flow   flow
 	key    buckthorndyke.ModelKey
 	lanes  buckthorndyke.Table[string, lane]
 }
--- a/sequencer/pass.go
+++ b/sequencer/pass.go
@@ -99,6 +99,10 @@
 	case ok:
 		n++
 	}
+	if g, ok := p.queue.groups.Get(groupID(r.Key)); ok {
+		g.flow = g.flow.withSlot(p.now)
+		p.queue.groups = p.queue.groups.With(groupID(r.Key), g)
+	}
 	p.queue = p.queue.without(r)
 	p.queue.turns = p.queue.turns.With(service, n)
 	if !p.queue.arrivalOrder {
--- a/sequencer/queue.go
+++ b/sequencer/queue.go
@@ -15,6 +15,7 @@
 	byUntil      index
 	groups       buckthorndyke.Table[string, group]
 	last         Ticket
+	promises     promises
 	shares       buckthorndyke.Table[string, shares]
 	// turns counts for each service the slots since the last one that went to a request
 	// because of its age.
@@ -82,6 +83,12 @@
 	return valuesOf(g.byAged)
 }
 
+// Predicts reports whether the queue predicts waits. In the order of arrival it does not.
+func (q Queue) Predicts() bool { return !q.arrivalOrder }
+
+// Promised returns the number of clients that are expected to return.
+func (q Queue) Promised() int { return q.promises.byAt.len() }
+
 // Waits reports whether a request waits for a key.
 func (q Queue) Waits(key buckthorndyke.ModelKey) bool { return q.groups.Has(groupID(key)) }
 
@@ -103,6 +110,32 @@
 	return q.with(r)
 }
 
+// WithPromise returns a queue that expects a client, refused at now, to return with the same
+// content at an instant.
+func (q Queue) WithPromise(f buckthorndyke.Fingerprint, r Request, at, now buckthorndyke.Millis) Queue {
+	if !q.arrivalOrder {
+		q.promises = q.promises.with(f, r, at, now)
+	}
+	return q
+}
+
+// WithRejected returns a queue after a server has turned away a request for a key.
+func (q Queue) WithRejected(key buckthorndyke.ModelKey) Queue {
+	if g, ok := q.groups.Get(groupID(key)); ok {
+		g.flow = g.flow.withRejected()
+		q.groups = q.groups.With(groupID(key), g)
+	}
+	return q
+}
+
+// WithReturn returns a queue after a request with a content has arrived at now, and whether
+// its client was refused before and has returned as it was told.
+func (q Queue) WithReturn(f buckthorndyke.Fingerprint, now buckthorndyke.Millis) (Queue, bool) {
+	var returned bool
+	q.promises, returned = q.promises.kept(f, now)
+	return q, returned
+}
+
 // Without returns a queue in which a request no longer waits.
 func (q Queue) Without(ticket Ticket) Queue {
 	if r, ok := q.Get(ticket); ok {
--- a/sequencer/request.go
+++ b/sequencer/request.go
@@ -19,6 +19,9 @@
 	// Deadline is the instant by which the request has to be finished.
 	Deadline buckthorndyke.Millis
 	Key      buckthorndyke.ModelKey
+	// MayHaveRun is set if a server may have run the request. It is not refused by a
+	// prediction.
+	MayHaveRun bool
 	// Priority is 0 for the most urgent requests.
 	Priority int
 	// Restricted is set if the request can be sent to a part of the servers only, or only
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -28,6 +28,7 @@
 	lists       *mailer.Feed[buckthorndyke.Backends]
 	logger      zerolog.Logger
 	memory      buckthorndyke.MemoryAccount
+	meter       buckthorndyke.Meter
 	order       []sequencer.Option
 	pool        buckthorndyke.BackendPool
 	retryBurst  int
@@ -59,6 +60,11 @@
 	return func(d *Dispatcher) { d.order = []sequencer.Option{sequencer.WithArrivalOrder()} }
 }
 
+// WithMeter records the requests that wait to m.
+func WithMeter(m buckthorndyke.Meter) Option {
+	return func(d *Dispatcher) { d.meter = m }
+}
+
 // WithRetryBurst bounds the burst of retries that all entry VMs together send to a
 // service.
 func WithRetryBurst(n int) Option {
@@ -77,6 +83,7 @@
 		lists:       lists,
 		logger:      zerolog.Nop(),
 		memory:      gatherer.Unlimited{},
+		meter:       noMeter{},
 		pool:        pool,
 		workWaiting: make(chan struct{}, 1),
 		retryBurst:  defaultRetryBurst,
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -228,6 +228,9 @@
 	m.route = j.route.Name
 	if j.attemptStart > 0 {
 		m.duration = j.clock.Now() - j.attemptStart
+		if m.first = m.duration; j.route.Kind == buckthorndyke.RouteStream {
+			m.first = max(j.request.Arrived+j.firstEvent-j.attemptStart, 0)
+		}
 	}
 	m.begun, m.broken = j.begun, r == resultFailed && j.mayHaveCrashed
 	if err := j.box.Send(ctx, m); err != nil {
@@ -247,12 +250,7 @@
 		return a.err
 	}
 	now := j.clock.Now()
-	left := j.deadline - now
-	wait := left / unexpectedDivisor
-	if a.expected > now {
-		wait = min(a.expected-now, left/expectedDivisor)
-	}
-	return buckthorndyke.RefusalOf(a.err).WithRetryAfter(min(max(wait, minRetryAfter), maxRetryAfter))
+	return buckthorndyke.RefusalOf(a.err).WithRetryAfter(retryAfterOf(j.seed, j.deadline-now, a.expected-now))
 }
 
 // timeLimit returns the shortest of the given limits, of which those of 0 or less do not
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -4,6 +4,7 @@
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
 	"github.com/buckthorndyke/buckthorndyke/selector"
+	"github.com/buckthorndyke/buckthorndyke/sequencer"
 )
 
 // message is a message to the task.
@@ -44,12 +45,16 @@
 type (
 	// admissionRequested asks the task for a server.
 	admissionRequested struct {
-		job *job
+		// forecast is the prediction of the wait at its beginning.
+		forecast sequencer.Forecast
+		job      *job
 		// limits determines how long the request may wait.
 		limits waitLimits
 		load   selector.Load
 		query  selector.Query
-		reply  mailer.Reply[admission]
+		// queuedAt is the instant at which the request began to wait.
+		queuedAt buckthorndyke.Millis
+		reply    mailer.Reply[admission]
 		// retry is set if the request was sent to a server before.
 		retry bool
 	}
@@ -70,9 +75,12 @@
 		// duration is how long the attempt took.
 		duration     buckthorndyke.Millis
 		fingerprints []buckthorndyke.Fingerprint
-		key          buckthorndyke.ModelKey
-		load         selector.Load
-		result       result
+		// first is the time from the attempt's start to the first event or the response, or
+		// 0 if there was none.
+		first  buckthorndyke.Millis
+		key    buckthorndyke.ModelKey
+		load   selector.Load
+		result result
 		// route is the name of the request's route.
 		route string
 	}
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -75,7 +75,10 @@
 	// suspects are the servers that fail requests of all VMs, from the leader's latest
 	// reply.
 	suspects []buckthorndyke.RunnerID
-	view     selector.View
+	// spans holds how long the requests of each route take until their first event or
+	// response.
+	spans map[string]sequencer.Span
+	view  selector.View
 	// waiting holds the requests that wait for a server.
 	waiting waiting
 }
@@ -91,6 +94,7 @@
 		rates:      make(map[buckthorndyke.ModelKey]buckthorndyke.Rate),
 		runCtx:     ctx,
 		running:    make(map[buckthorndyke.ModelKey]int),
+		spans:      make(map[string]sequencer.Span),
 		waiting:    newWaiting(sequencer.New(d.order...)),
 	}
 }
@@ -213,6 +217,8 @@
 		ServerLoads: t.view.OwnLoads(),
 	}
 	t.view = t.view.WithoutAttemptCounts()
+	t.meter.Set(buckthorndyke.MetricWaiting, int64(t.waiting.queue.Len()))
+	t.meter.Set(buckthorndyke.MetricWaitsPromised, int64(t.waiting.queue.Promised()))
 	for _, m := range t.waiting.requests {
 		if m.query.Key.Model == "" {
 			continue
@@ -245,6 +251,10 @@
 		_, known := p.Value(now)
 		return !known
 	})
+	maps.DeleteFunc(t.spans, func(route string, _ sequencer.Span) bool {
+		_, known := t.durations[route]
+		return !known
+	})
 }
 
 // endAttempt applies the result of an attempt.
@@ -263,8 +273,12 @@
 	switch m.result {
 	case resultServed:
 		t.durations[m.route] = t.durations[m.route].With(m.duration, now)
+		if m.first > 0 {
+			t.spans[m.route] = t.spans[m.route].With(m.first)
+		}
 		t.view = t.view.WithSuccess(m.backend.ID).WithoutPause(m.backend.ID, now)
 	case resultModelMissing:
+		t.waiting.queue = t.waiting.queue.WithRejected(m.key)
 		t.view = t.view.WithMissing(m.backend.ID, m.key, now)
 	case resultFailed:
 		t.view = t.view.WithFailure(m.backend.ID, now)
@@ -272,6 +286,7 @@
 	case resultServerError:
 		t.view = t.view.WithFailedAttempt(m.backend.ID)
 	case resultBusy:
+		t.waiting.queue = t.waiting.queue.WithRejected(m.key)
 		t.view = t.view.WithFull(m.backend.ID, now)
 	}
 	t.offerServer(m.backend.ID)
--- a/supervisor/relayer/dispatcher/waiting.go
+++ b/supervisor/relayer/dispatcher/waiting.go
@@ -6,6 +6,12 @@
 	"github.com/buckthorndyke/buckthorndyke/sequencer"
 )
 
+// Lines per second on predicted waits that have ended, and on refusals of waiting requests.
+const (
+	forecastLines = 1
+	refusalLines  = 8
+)
+
 // Outcomes of an attempt to assign a server to a request.
 const (
 	outcomeAdmitted outcome = iota
@@ -20,6 +26,9 @@
 
 // waiting holds the requests that wait for a server. Only the task accesses it.
 type waiting struct {
+	// forecasts and refusals bound the lines on predictions and on refusals.
+	forecasts, refusals lineLimit
+	labels              labels
 	// offerAt is the instant at which free slots are offered to all requests, or 0.
 	offerAt buckthorndyke.Millis
 	queue   sequencer.Queue
@@ -32,9 +41,12 @@
 // newWaiting returns a waiting without requests.
 func newWaiting(queue sequencer.Queue) waiting {
 	return waiting{
-		queue:    queue,
-		requests: make(map[sequencer.Ticket]admissionRequested),
-		tickets:  make(map[*job]sequencer.Ticket),
+		forecasts: lineLimit{perSecond: forecastLines},
+		labels:    make(labels),
+		queue:     queue,
+		refusals:  lineLimit{perSecond: refusalLines},
+		requests:  make(map[sequencer.Ticket]admissionRequested),
+		tickets:   make(map[*job]sequencer.Ticket),
 	}
 }
 
@@ -43,30 +55,49 @@
 	key := m.query.Key
 	// A request that finds others with its key waits with them, so that it does not pass
 	// those that go before it.
+	returning := t.hasReturned(m)
 	first := !t.waiting.queue.Waits(key)
 	if first && (t.tryAdmit(m) == outcomeAdmitted || t.refusePaused(m)) {
 		return
 	}
-	queue, r := t.waiting.queue.With(t.sequenced(m))
+	m.queuedAt = t.clock.Now()
+	queue, r := t.waiting.queue.With(t.sequenced(m, returning))
 	t.waiting.queue, t.waiting.requests[r.Ticket], t.waiting.tickets[m.job] = queue, m, r.Ticket
 	if !first {
 		t.offer(t.waiting.queue.PassOf(t.clock.Now(), key))
 	}
-	if _, ok := t.waiting.requests[r.Ticket]; ok && key.Model != "" {
+	if _, ok := t.waiting.requests[r.Ticket]; ok && !t.refuseIfHopeless(r) && key.Model != "" {
 		t.signalWaiting()
 	}
 }
 
+// hasReturned reports whether a request is from a client that was refused before and has
+// returned as it was told.
+func (t *task) hasReturned(m admissionRequested) bool {
+	if m.retry {
+		return false
+	}
+	queue, returned := t.waiting.queue.WithReturn(m.job.content(), t.clock.Now())
+	t.waiting.queue = queue
+	if returned {
+		t.meter.Count(buckthorndyke.MetricWaitsReturned, 1)
+	}
+	return returned
+}
+
 // sequenced returns a request as the queue orders it.
-func (t *task) sequenced(m admissionRequested) sequencer.Request {
+func (t *task) sequenced(m admissionRequested, returning bool) sequencer.Request {
 	j := m.job
 	r := sequencer.Request{
 		Caller:     j.request.Caller,
 		Cost:       1,
 		Deadline:   j.deadline,
 		Key:        m.query.Key,
+		MayHaveRun: j.executions > 0,
 		Priority:   j.route.Priority,
 		Restricted: m.retry || len(m.query.Excluded) > 0,
+		Returning:  returning,
+		Service:    t.spans[j.route.Name].Value(),
 		Since:      j.request.Arrived,
 		Until:      t.waitUntil(m),
 	}
@@ -115,6 +146,7 @@
 		m := t.waiting.requests[r.Ticket]
 		switch t.tryAdmit(m) {
 		case outcomeAdmitted:
+			t.noteGranted(pass, r, m)
 			pass = pass.WithGranted(r)
 			t.forgetMessage(r.Ticket)
 		case outcomeNoBudget:
@@ -148,6 +180,7 @@
 	t.waiting.offerAt = 0
 	t.offer(t.waiting.queue.Pass(t.clock.Now(), func(buckthorndyke.ModelKey) bool { return true }))
 	t.refuseExpired()
+	t.refuseHopeless()
 }
 
 // offerServer offers the free slots of one server.
@@ -159,15 +192,6 @@
 	t.offer(t.waiting.queue.Pass(now, func(key buckthorndyke.ModelKey) bool { return t.view.Serves(id, key, now) }))
 }
 
-// refuseExpired refuses the requests that have waited as long as they may.
-func (t *task) refuseExpired() {
-	for r := range t.waiting.queue.Expired(t.clock.Now()) {
-		m := t.waiting.requests[r.Ticket]
-		m.reply.Answer(admission{err: errNoServer, expected: t.expected[r.Key]})
-		t.forget(r.Ticket)
-	}
-}
-
 // refusePausedKey refuses the requests for a key, which has no free slot, if all servers
 // pause for too long.
 func (t *task) refusePausedKey(key buckthorndyke.ModelKey) {
--- /dev/null
+++ b/supervisor/relayer/dispatcher/waiting_test.go
@@ -0,0 +1,73 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/selector"
+)
+
+// fixedClock is a clock that the test sets. It implements buckthorndyke.Clock.
+type fixedClock struct {
+	now buckthorndyke.Millis
+}
+
+// After implements buckthorndyke.Clock.
+func (c *fixedClock) After(buckthorndyke.Millis) <-chan time.Time { return nil }
+
+// Now implements buckthorndyke.Clock.
+func (c *fixedClock) Now() buckthorndyke.Millis { return c.now }
+
+// waitingTask returns a task in which a request waits until 8,000 for a service without
+// servers.
+func waitingTask(t *testing.T) (*task, *fixedClock) {
+	t.Helper()
+	clock := &fixedClock{now: 1000}
+	d := New(nil, nil, nil, clock)
+	work := newTask(t.Context(), d)
+	work.enqueue(admissionRequested{
+		job:    &job{Dispatcher: d, deadline: 9000, request: buckthorndyke.RelayRequest{Arrived: 1000}},
+		limits: waitLimits{plain: 8000},
+		query:  selector.Query{Key: buckthorndyke.ModelKey{Service: "desk"}},
+		reply:  mailer.NewReply[admission](),
+	})
+	return work, clock
+}
+
+// TestNextWake guards against a task that is busy with messages and therefore never offers
+// the waiting requests the servers that have become available with time alone.
+func TestNextWake(t *testing.T) {
+	t.Run("messages do not delay the next offer", func(t *testing.T) {
+		work, clock := waitingTask(t)
+		asserter.Equal(t, work.nextWake(), maxWake)
+		clock.now += 900
+		work.handleDue()
+		asserter.Equal(t, work.nextWake(), 100)
+		clock.now += 100
+		work.handleDue()
+		asserter.Equal(t, work.nextWake(), maxWake)
+	})
+	t.Run("an offer whose instant has passed is made up for", func(t *testing.T) {
+		work, clock := waitingTask(t)
+		work.view = work.view.WithFull("a", clock.now)
+		asserter.Equal(t, work.nextWake(), 120)
+		clock.now += 120
+		asserter.Equal(t, work.nextWake(), 1)
+		work.handleDue()
+		asserter.Equal(t, work.nextWake(), maxWake)
+	})
+	t.Run("a request is refused at the instant until which it may wait", func(t *testing.T) {
+		work, clock := waitingTask(t)
+		clock.now = 7999
+		work.handleDue()
+		asserter.Equal(t, work.waiting.queue.Len(), 1)
+		asserter.Equal(t, work.nextWake(), 1)
+		clock.now = 8000
+		work.handleDue()
+		asserter.Equal(t, work.waiting.queue.Len(), 0)
+		asserter.Equal(t, len(work.waiting.requests)+len(work.waiting.tickets), 0)
+	})
+}
--- a/supervisor/relayer/dispatcher/waitlimits.go
+++ b/supervisor/relayer/dispatcher/waitlimits.go
@@ -76,6 +76,15 @@
 	return until
 }
 
+// Longest returns the instant after which the request is of no use, whatever is known of its
+// model.
+func (l waitLimits) Longest() buckthorndyke.Millis {
+	if l.drain > 0 {
+		return min(l.loading, l.drain)
+	}
+	return l.loading
+}
+
 // WithDrain returns the limits on a VM on which no request may wait after the given
 // instant.
 func (l waitLimits) WithDrain(until buckthorndyke.Millis) waitLimits {
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -48,6 +48,8 @@
 
 // Settings are the tree's limits.
 type Settings struct {
+	// ArrivalOrder is set if waiting requests are served in the order of their arrival.
+	ArrivalOrder bool
 	// ChangeLimit is the time within which a changed configuration has to be in force.
 	ChangeLimit buckthorndyke.Millis
 	// ChecksFencingToken is set if the runners refuse orders with an outdated fencing
@@ -63,6 +65,8 @@
 	Lease buckthorndyke.Millis
 	// LeaveLimit is the time within which a leaving server stops getting new requests.
 	LeaveLimit buckthorndyke.Millis
+	// Meter records the requests that wait, or is nil.
+	Meter      buckthorndyke.Meter
 	RetryBurst int
 	// Seeds are the addresses of some other VMs.
 	Seeds []string
@@ -96,9 +100,17 @@
 		routings:   mailer.NewFeed[buckthorndyke.Routing](),
 	}
 	terms := mailer.NewFeed[buckthorndyke.Term]()
-	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock,
+	options := []dispatcher.Option{
 		dispatcher.WithDomain(self.Domain), dispatcher.WithLogger(logger), dispatcher.WithMemory(platform.Memory),
-		dispatcher.WithRetryBurst(s.RetryBurst))
+		dispatcher.WithRetryBurst(s.RetryBurst),
+	}
+	if s.ArrivalOrder {
+		options = append(options, dispatcher.WithArrivalOrder())
+	}
+	if s.Meter != nil {
+		options = append(options, dispatcher.WithMeter(s.Meter))
+	}
+	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock, options...)
 	losses, found, fullSpeedLoads := mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[int]()
 	lists, routings := newWatchFeeds(terms), newWatchFeeds(terms)
 	t.loader = loader.New(self, platform.Pool, platform.Leaders,
