--- a/sequencer/flow.go
+++ b/sequencer/flow.go
@@ -3,50 +3,59 @@
 import "github.com/buckthorndyke/buckthorndyke"
 
 const (
-	// flowWeight is the number of slots over which the interval between them is averaged.
-	flowWeight = 32
-	// minFlow is the number of intervals from which on their average is used.
-	minFlow = 8
-	// maxStall is the number of average intervals without a slot after which the average
-	// says nothing of the present.
-	maxStall = 16
+	// minSlots and minSpan are the number of slots and the time over which an interval
+	// between slots is measured at least. Requests of a batch end together, so that the
+	// intervals between single slots say little.
+	minSlots = 8
+	minSpan  = 250 * buckthorndyke.Millisecond
+	// maxStall is the number of measurements without a slot after which the interval says
+	// nothing of the present.
+	maxStall = 3
 )
 
 // flow is the observed rate at which slots become free for a key while requests wait for it.
 // The time until the first slot does not count: a model may have to be loaded first. It is
 // immutable.
 type flow struct {
-	// interval is the average time between two slots.
+	// interval is the average time between two slots, or 0 if it is not known.
 	interval float64
-	// last is the instant of the last slot, or 0.
+	// last is the instant of the last slot.
 	last buckthorndyke.Millis
-	// n is the number of intervals that were observed.
-	n int
+	// slots counts the slots since the measurement began at start.
+	slots int
+	start buckthorndyke.Millis
 }
 
 // value returns the average time between two slots, or false if too few were observed or
 // none for a long time.
 func (f flow) value(now buckthorndyke.Millis) (float64, bool) {
-	if f.n < minFlow || f.interval <= 0 || float64(now-f.last) > maxStall*max(f.interval, 1) {
+	if f.interval <= 0 || float64(now-f.last) > maxStall*max(f.interval*minSlots, float64(minSpan)) {
 		return 0, false
 	}
 	return f.interval, true
 }
 
-// withSlot returns the flow after a request got a slot at now.
+// withSlot returns the flow after a request got a slot at now. The first slot begins the
+// measurement. Each measurement counts as much as all those before.
 func (f flow) withSlot(now buckthorndyke.Millis) flow {
-	if f.last > 0 {
-		f.n++
-		f.interval += (float64(now-f.last) - f.interval) / float64(min(f.n, flowWeight))
-	}
 	f.last = now
-	return f
+	if f.start == 0 {
+		f.start = now
+		return f
+	}
+	f.slots++
+	if f.slots < minSlots || now < f.start+minSpan {
+		return f
+	}
+	measured := float64(now-f.start) / float64(f.slots)
+	if f.interval > 0 {
+		measured = (measured + f.interval) / 2
+	}
+	return flow{interval: measured, last: now, start: now}
 }
 
 // withRejected returns the flow after a server has turned away a request that got a slot.
 func (f flow) withRejected() flow {
-	if n := float64(min(f.n, flowWeight)); n > 1 {
-		f.interval *= n / (n - 1)
-	}
+	f.slots = max(f.slots-1, 0)
 	return f
 }
--- a/sequencer/forecast.go
+++ b/sequencer/forecast.go
@@ -16,9 +16,11 @@
 	maxCounted = 1024
 	// uniformShift leaves 53 bits of a hash, which a float64 represents exactly.
 	uniformShift = 11
-	// spreadDivisor divides the time after which clients return: they are spread over
-	// that part of it.
+	// spreadDivisor divides the predicted wait: clients are spread over that part of it.
 	spreadDivisor = 4
+	// limitDivisor divides the limit of those that cannot wait as long: they are spread
+	// over that part of it.
+	limitDivisor = 2
 )
 
 // Forecast is the predicted wait of a request.
@@ -52,9 +54,10 @@
 		return Forecast{}
 	}
 	l, _ := g.lanes.Get(laneID(r))
-	out := Forecast{Ahead: g.ahead(laneID(r), r.Priority, l.before(r, now)), Known: true}
+	before := l.before(r, now)
+	out := Forecast{Ahead: g.ahead(laneID(r), r.Priority, before), Known: true}
 	if !r.Returning {
-		out.Ahead += q.promises.count(r.Key)
+		out.Ahead += q.promises.ahead(r, before)
 	}
 	out.Wait = waitOf(out.Ahead, interval)
 	return out
@@ -97,7 +100,7 @@
 	if later := wait + buckthorndyke.Millis(uniform*float64(wait)/spreadDivisor); later <= limit {
 		return later
 	}
-	return limit - buckthorndyke.Millis(uniform*float64(limit)/spreadDivisor)
+	return limit - buckthorndyke.Millis(uniform*float64(limit)/limitDivisor)
 }
 
 // ahead returns the number of requests that go before the one in a lane that has n others of
--- a/sequencer/lane.go
+++ b/sequencer/lane.go
@@ -100,6 +100,8 @@
 	flow   flow
 	key    buckthorndyke.ModelKey
 	lanes  buckthorndyke.Table[string, lane]
+	// turn is the number of the last turn of aged requests that the key had, or 0.
+	turn int
 }
 
 // with returns the group with r.
--- a/sequencer/pass.go
+++ b/sequencer/pass.go
@@ -12,9 +12,10 @@
 	// agedDivisor divides the time that a request may wait: after that part of it the
 	// request takes part in the turns of aged requests.
 	agedDivisor = 2
-	// agedTurn is the number of slots of a service of which one goes to the request that
-	// has used the largest part of the time it may wait, whatever its rank and class.
-	// The others go by rank, so that aged requests cannot displace the urgent ones.
+	// agedTurn is the number of slots of a service of which one goes to an aged request,
+	// whatever its rank and class: the keys take turns, so that a hot model cannot use up
+	// those of a rare one. The other slots go by rank, so that aged requests cannot
+	// displace the urgent ones.
 	agedTurn = 8
 )
 
@@ -38,6 +39,8 @@
 	hasAged bool
 	heads   []head
 	key     buckthorndyke.ModelKey
+	// turn is the number of the last turn of aged requests that the key had.
+	turn int
 }
 
 // Pass returns a pass over the requests for those keys that open reports to be able to have
@@ -92,17 +95,18 @@
 // WithGranted returns the pass after r got a slot.
 func (p Pass) WithGranted(r Request) Pass {
 	service := r.Key.Service
+	g, _ := p.queue.groups.Get(groupID(r.Key))
+	g.flow = g.flow.withSlot(p.now)
 	n, _ := p.queue.turns.Get(service)
 	switch aged, ok := p.oldestAged(service); {
 	case ok && aged.Ticket == r.Ticket:
 		n = 0
+		p.queue.lastTurn++
+		g.turn = p.queue.lastTurn
 	case ok:
 		n++
 	}
-	if g, ok := p.queue.groups.Get(groupID(r.Key)); ok {
-		g.flow = g.flow.withSlot(p.now)
-		p.queue.groups = p.queue.groups.With(groupID(r.Key), g)
-	}
+	p.queue.groups = p.queue.groups.With(groupID(r.Key), g)
 	p.queue = p.queue.without(r)
 	p.queue.turns = p.queue.turns.With(service, n)
 	if !p.queue.arrivalOrder {
@@ -145,7 +149,7 @@
 
 // groupOf returns the heads of a group.
 func (p Pass) groupOf(g group) passGroup {
-	out := passGroup{key: g.key}
+	out := passGroup{key: g.key, turn: g.turn}
 	barred := slices.Contains(p.restricted, g.key.Service)
 	for _, l := range g.lanes.All() {
 		if h, ok := l.head(p.now, p.skipped); ok && (!barred || !h.request.Restricted) {
@@ -179,17 +183,16 @@
 	return Request{}, false
 }
 
-// oldestAged returns the aged request for a service that has used the largest part of the
-// time it may wait.
+// oldestAged returns the aged request for a service whose key has had no turn for the longest
+// time.
 func (p Pass) oldestAged(service buckthorndyke.ServiceID) (Request, bool) {
-	var oldest Request
-	found := false
+	var oldest passGroup
 	for _, g := range p.groups {
-		if g.key.Service == service && g.hasAged && (!found || g.aged.usedShare(p.now) > oldest.usedShare(p.now)) {
-			oldest, found = g.aged, true
+		if g.key.Service == service && g.hasAged && (!oldest.hasAged || g.turn < oldest.turn) {
+			oldest = g
 		}
 	}
-	return oldest, found
+	return oldest.aged, oldest.hasAged
 }
 
 // refreshed returns the pass after the request r has left its group, or is skipped.
--- a/sequencer/promises.go
+++ b/sequencer/promises.go
@@ -1,6 +1,10 @@
 package sequencer
 
-import "github.com/buckthorndyke/buckthorndyke"
+import (
+	"strconv"
+
+	"github.com/buckthorndyke/buckthorndyke"
+)
 
 const (
 	// maxPromises bounds the clients that are expected to return.
@@ -20,15 +24,53 @@
 	byFingerprint buckthorndyke.Table[buckthorndyke.Fingerprint, position]
 	// byTicket holds the content of each request in byAt.
 	byTicket buckthorndyke.Table[Ticket, buckthorndyke.Fingerprint]
-	// byGroup counts the returns for each key.
-	byGroup buckthorndyke.Table[string, int]
+	// byGroup counts the returns for each key by caller and priority.
+	byGroup buckthorndyke.Table[string, buckthorndyke.Table[string, returns]]
 	last    Ticket
 }
 
-// count returns the number of clients that are expected to return for a key.
-func (p promises) count(key buckthorndyke.ModelKey) int {
-	n, _ := p.byGroup.Get(groupID(key))
-	return n
+// returns counts the expected returns of one caller and priority.
+type returns struct {
+	caller   buckthorndyke.CallerID
+	n        int
+	priority int
+}
+
+// returnsID identifies the returns of a caller and priority.
+func returnsID(r Request) string { return strconv.Itoa(r.Priority) + "\x00" + string(r.Caller) }
+
+// ahead returns the number of clients whose requests are expected to go before r once they
+// return: those that are more urgent or of the same caller and, of each other caller, one more
+// than r has others before it.
+func (p promises) ahead(r Request, before int) int {
+	out := 0
+	counts, _ := p.byGroup.Get(groupID(r.Key))
+	for _, c := range counts.All() {
+		switch {
+		case c.priority < r.Priority, c.priority == r.Priority && c.caller == r.Caller:
+			out += c.n
+		case c.priority == r.Priority:
+			out += min(c.n, before+1)
+		}
+	}
+	return out
+}
+
+// withCount returns the promises after the number of returns like r has changed.
+func (p promises) withCount(r Request, change int) promises {
+	counts, _ := p.byGroup.Get(groupID(r.Key))
+	c, _ := counts.Get(returnsID(r))
+	if c.n += change; c.n > 0 {
+		counts = counts.With(returnsID(r), returns{caller: r.Caller, n: c.n, priority: r.Priority})
+	} else {
+		counts = counts.Without(returnsID(r))
+	}
+	if counts.Len() > 0 {
+		p.byGroup = p.byGroup.With(groupID(r.Key), counts)
+	} else {
+		p.byGroup = p.byGroup.Without(groupID(r.Key))
+	}
+	return p
 }
 
 // with returns the promises with a client that is told at now to return at an instant.
@@ -41,8 +83,7 @@
 	r.Ticket, p.byTicket = p.last, p.byTicket.With(p.last, f)
 	p.byAt = p.byAt.with(at, r)
 	p.byFingerprint = p.byFingerprint.With(f, position{at: at, ticket: r.Ticket})
-	p.byGroup = p.byGroup.With(groupID(r.Key), p.count(r.Key)+1)
-	return p
+	return p.withCount(r, 1)
 }
 
 // kept returns the promises without the client that has returned at now with a content, and
@@ -75,10 +116,5 @@
 	p.byAt = p.byAt.without(at.at, at.ticket)
 	f, _ := p.byTicket.Get(at.ticket)
 	p.byFingerprint, p.byTicket = p.byFingerprint.Without(f), p.byTicket.Without(at.ticket)
-	if n := p.count(r.Key) - 1; n > 0 {
-		p.byGroup = p.byGroup.With(groupID(r.Key), n)
-	} else {
-		p.byGroup = p.byGroup.Without(groupID(r.Key))
-	}
-	return p
+	return p.withCount(r, -1)
 }
--- a/sequencer/queue.go
+++ b/sequencer/queue.go
@@ -17,8 +17,9 @@
 	last         Ticket
 	promises     promises
 	shares       buckthorndyke.Table[string, shares]
-	// turns counts for each service the slots since the last one that went to a request
-	// because of its age.
+	// lastTurn is the number of the last turn of aged requests.
+	lastTurn int
+	// turns counts for each service the slots since the last turn.
 	turns buckthorndyke.Table[buckthorndyke.ServiceID, int]
 }
 
--- a/sequencer/request.go
+++ b/sequencer/request.go
@@ -58,11 +58,6 @@
 // end returns the latest start at which the request meets its deadline.
 func (r Request) end() buckthorndyke.Millis { return r.Deadline - r.Service }
 
-// usedShare returns which part of the time that it may wait the request has used at now.
-func (r Request) usedShare(now buckthorndyke.Millis) float64 {
-	return float64(now-r.Since) / float64(max(r.Until-r.Since, 1))
-}
-
 // groupID identifies the requests for one key.
 func groupID(key buckthorndyke.ModelKey) string {
 	return string(key.Service) + "\x00" + string(key.Model) + "\x00" + key.Adapter
