perf(dispatcher): one scan of the servers for all waiting requests

An offer to all waiting requests asked for a server once for each key. Indices hold pointers to requests, and a slot renews the head of one lane. Requests that expire together offer each key once.

Tests: sequencer, selector, dispatcher, with -race.

--- a/sequencer/forecast_test.go
+++ b/sequencer/forecast_test.go
@@ -186,6 +186,16 @@
 		assertForecast(t, q, now, late, 820)
 		assertForecast(t, q, now, func(r *sequencer.Request) { late(r); r.Returning = true }, 40)
 	})
+	t.Run("the returns of a caller that floods count for another caller as its share only", func(t *testing.T) {
+		q, now := flowing(30, 20, 20, nil)
+		for n := range 100 {
+			r := request(func(r *sequencer.Request) { r.Caller, r.Priority = "flood", n%3 })
+			q = q.WithPromise(buckthorndyke.Fingerprint(fmt.Sprint(n)), r, now+200, now)
+		}
+		assertForecast(t, q, now, func(r *sequencer.Request) { r.Caller = "small" }, 60)
+		// 34 returns are more urgent, one of the 33 others of its priority goes before it.
+		assertForecast(t, q, now, func(r *sequencer.Request) { r.Caller, r.Priority = "small", 1 }, (30+34+1+1)*20)
+	})
 	t.Run("the number of expected returns is bounded, and old ones are dropped", func(t *testing.T) {
 		q := sequencer.New()
 		for n := range 10000 {
--- a/sequencer/index.go
+++ b/sequencer/index.go
@@ -28,9 +28,10 @@
 }
 
 // index holds requests in the order of an instant of theirs. It is immutable; the zero
-// value is empty.
+// value is empty. It holds pointers to requests, which do not change, because each change
+// copies a part of the index.
 type index struct {
-	m *immutable.SortedMap[position, Request]
+	m *immutable.SortedMap[position, *Request]
 }
 
 // all yields the requests from the instant at on, in order.
@@ -42,7 +43,7 @@
 		it := x.m.Iterator()
 		for it.Seek(position{at: at}); !it.Done(); {
 			p, r, _ := it.Next()
-			if !yield(p, r) {
+			if !yield(p, *r) {
 				return
 			}
 		}
@@ -62,7 +63,11 @@
 	if x.m == nil {
 		return Request{}, false
 	}
-	return x.m.Get(position{at: at, ticket: ticket})
+	r, ok := x.m.Get(position{at: at, ticket: ticket})
+	if !ok {
+		return Request{}, false
+	}
+	return *r, true
 }
 
 // len returns the number of requests.
@@ -74,10 +79,10 @@
 }
 
 // with returns the index with r at an instant.
-func (x index) with(at buckthorndyke.Millis, r Request) index {
+func (x index) with(at buckthorndyke.Millis, r *Request) index {
 	m := x.m
 	if m == nil {
-		m = immutable.NewSortedMap[position, Request](positionComparer{})
+		m = immutable.NewSortedMap[position, *Request](positionComparer{})
 	}
 	return index{m: m.Set(position{at: at, ticket: r.Ticket}, r)}
 }
--- a/sequencer/lane.go
+++ b/sequencer/lane.go
@@ -82,7 +82,7 @@
 }
 
 // with returns the lane with r.
-func (l lane) with(r Request) lane {
+func (l lane) with(r *Request) lane {
 	l.byDue, l.byEnd, l.priority = l.byDue.with(r.due(), r), l.byEnd.with(r.end(), r), r.Priority
 	return l
 }
@@ -105,8 +105,8 @@
 }
 
 // with returns the group with r.
-func (g group) with(r Request) group {
-	id := laneID(r)
+func (g group) with(r *Request) group {
+	id := laneID(*r)
 	l, _ := g.lanes.Get(id)
 	g.byAged, g.key, g.lanes = g.byAged.with(r.agedAt(), r), r.Key, g.lanes.With(id, l.with(r))
 	return g
--- a/sequencer/pass.go
+++ b/sequencer/pass.go
@@ -147,32 +147,51 @@
 	return p
 }
 
-// groupOf returns the heads of a group.
-func (p Pass) groupOf(g group) passGroup {
-	out := passGroup{key: g.key, turn: g.turn}
-	barred := slices.Contains(p.restricted, g.key.Service)
-	for _, l := range g.lanes.All() {
-		if h, ok := l.head(p.now, p.skipped); ok && (!barred || !h.request.Restricted) {
-			s, _ := p.queue.shares.Get(sharesID(h.request))
-			h.ahead = s.ahead(h.request.Caller)
-			out.heads = append(out.heads, h)
-		}
-	}
+// agedOf returns the aged request of a group that has counted as such for the longest time.
+func (p Pass) agedOf(g group) (Request, bool) {
 	if p.queue.arrivalOrder {
-		return out
+		return Request{}, false
 	}
 	for at, r := range g.byAged.all(earliest) {
 		if at.at > p.now {
 			break
 		}
-		if !p.skipped[r.Ticket] && (!barred || !r.Restricted) {
-			out.aged, out.hasAged = r, true
-			break
+		if !p.skipped[r.Ticket] && !p.bars(r) {
+			return r, true
+		}
+	}
+	return Request{}, false
+}
+
+// bars reports whether a request is restricted and its service's restricted requests are not
+// offered a slot.
+func (p Pass) bars(r Request) bool {
+	return r.Restricted && slices.Contains(p.restricted, r.Key.Service)
+}
+
+// groupOf returns the heads of a group.
+func (p Pass) groupOf(g group) passGroup {
+	out := passGroup{key: g.key, turn: g.turn}
+	for _, l := range g.lanes.All() {
+		if h, ok := p.headOf(l); ok {
+			out.heads = append(out.heads, h)
 		}
 	}
+	out.aged, out.hasAged = p.agedOf(g)
 	return out
 }
 
+// headOf returns the head of a lane.
+func (p Pass) headOf(l lane) (head, bool) {
+	h, ok := l.head(p.now, p.skipped)
+	if !ok || p.bars(h.request) {
+		return head{}, false
+	}
+	s, _ := p.queue.shares.Get(sharesID(h.request))
+	h.ahead = s.ahead(h.request.Caller)
+	return h, true
+}
+
 // nextAged returns the aged request whose turn it is.
 func (p Pass) nextAged() (Request, bool) {
 	for _, g := range p.groups {
@@ -195,17 +214,23 @@
 	return oldest.aged, oldest.hasAged
 }
 
-// refreshed returns the pass after the request r has left its group, or is skipped.
+// refreshed returns the pass after the request r has left its lane, or is skipped.
 func (p Pass) refreshed(r Request) Pass {
-	groups := slices.Clone(p.groups)
-	for i, g := range groups {
-		if g.key == r.Key {
-			waiting, _ := p.queue.groups.Get(groupID(r.Key))
-			groups[i] = p.groupOf(waiting)
-			groups[i].key = r.Key
-		}
+	at := slices.IndexFunc(p.groups, func(g passGroup) bool { return g.key == r.Key })
+	if at < 0 {
+		return p
 	}
-	p.groups = groups
+	waiting, _ := p.queue.groups.Get(groupID(r.Key))
+	l, _ := waiting.lanes.Get(laneID(r))
+	g := p.groups[at]
+	g.heads = slices.DeleteFunc(slices.Clone(g.heads), func(h head) bool { return h.request.sharesLane(r) })
+	if h, ok := p.headOf(l); ok {
+		g.heads = append(g.heads, h)
+	}
+	g.turn = waiting.turn
+	g.aged, g.hasAged = p.agedOf(waiting)
+	p.groups = slices.Clone(p.groups)
+	p.groups[at] = g
 	return p
 }
 
--- a/sequencer/promises.go
+++ b/sequencer/promises.go
@@ -81,7 +81,7 @@
 	}
 	p.last++
 	r.Ticket, p.byTicket = p.last, p.byTicket.With(p.last, f)
-	p.byAt = p.byAt.with(at, r)
+	p.byAt = p.byAt.with(at, &r)
 	p.byFingerprint = p.byFingerprint.With(f, position{at: at, ticket: r.Ticket})
 	return p.withCount(r, 1)
 }
--- a/sequencer/queue.go
+++ b/sequencer/queue.go
@@ -157,9 +157,9 @@
 // with returns the queue with r, which has its ticket.
 func (q Queue) with(r Request) Queue {
 	r = q.arranged(r)
-	q.byTicket, q.byUntil = q.byTicket.with(0, r), q.byUntil.with(r.Until, r)
+	q.byTicket, q.byUntil = q.byTicket.with(0, &r), q.byUntil.with(r.Until, &r)
 	g, _ := q.groups.Get(groupID(r.Key))
-	q.groups = q.groups.With(groupID(r.Key), g.with(r))
+	q.groups = q.groups.With(groupID(r.Key), g.with(&r))
 	s, _ := q.shares.Get(sharesID(r))
 	q.shares = q.shares.With(sharesID(r), s.withWaiting(r.Caller, 1))
 	return q
--- a/sequencer/request.go
+++ b/sequencer/request.go
@@ -67,3 +67,8 @@
 func laneID(r Request) string {
 	return strconv.Itoa(r.Priority) + "\x00" + strconv.FormatBool(r.Returning) + strconv.FormatBool(r.Restricted) + string(r.Caller)
 }
+
+// sharesLane reports whether r is in the same lane of a group as other.
+func (r Request) sharesLane(other Request) bool {
+	return r.Priority == other.Priority && r.Returning == other.Returning && r.Restricted == other.Restricted && r.Caller == other.Caller
+}
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -228,7 +228,7 @@
 			if left := max(m.limits.loading-now, 0); e.Waiting == 0 || left < e.TimeLeft {
 				e.TimeLeft = left
 			}
-			if priority := m.job.route.Priority; e.Waiting == 0 || priority < e.Priority {
+			if priority := m.priority(); e.Waiting == 0 || priority < e.Priority {
 				e.Priority = priority
 			}
 			e.Waiting++
--- a/supervisor/relayer/dispatcher/waiting.go
+++ b/supervisor/relayer/dispatcher/waiting.go
@@ -94,7 +94,7 @@
 		Deadline:   j.deadline,
 		Key:        m.query.Key,
 		MayHaveRun: j.executions > 0,
-		Priority:   j.route.Priority,
+		Priority:   m.priority(),
 		Restricted: m.retry || len(m.query.Excluded) > 0,
 		Returning:  returning,
 		Service:    t.spans[j.route.Name].Value(),
@@ -114,6 +114,9 @@
 	return r
 }
 
+// priority returns the priority of the request, 0 for the most urgent ones.
+func (m admissionRequested) priority() int { return m.job.route.Priority }
+
 // forget removes a request from the queue.
 func (t *task) forget(ticket sequencer.Ticket) {
 	t.waiting.queue = t.waiting.queue.Without(ticket)
@@ -178,7 +181,17 @@
 		t.forgetIf(t.refuseStopping)
 	}
 	t.waiting.offerAt = 0
-	t.offer(t.waiting.queue.Pass(t.clock.Now(), func(buckthorndyke.ModelKey) bool { return true }))
+	if t.waiting.queue.Len() == 0 {
+		return
+	}
+	now := t.clock.Now()
+	ready := t.view.Ready(now)
+	t.offer(t.waiting.queue.Pass(now, func(key buckthorndyke.ModelKey) bool { return ready[key.Base()] }))
+	if t.view.Pauses() {
+		for key := range t.waiting.queue.Keys() {
+			t.refusePausedKey(key)
+		}
+	}
 	t.refuseExpired()
 	t.refuseHopeless()
 }
@@ -189,7 +202,7 @@
 		return
 	}
 	now := t.clock.Now()
-	t.offer(t.waiting.queue.Pass(now, func(key buckthorndyke.ModelKey) bool { return t.view.Serves(id, key, now) }))
+	t.offer(t.waiting.queue.Pass(now, func(key buckthorndyke.ModelKey) bool { return t.view.Takes(id, key, now) }))
 }
 
 // refusePausedKey refuses the requests for a key, which has no free slot, if all servers
@@ -225,9 +238,11 @@
 		t.offerAll()
 		return
 	}
+	offered := make(map[buckthorndyke.ModelKey]bool)
 	for r := range t.waiting.queue.Expired(now) {
-		if _, ok := t.waiting.requests[r.Ticket]; ok {
+		if !offered[r.Key] {
 			// A server that is free now still counts.
+			offered[r.Key] = true
 			t.offer(t.waiting.queue.PassOf(now, r.Key))
 		}
 	}
--- a/supervisor/relayer/dispatcher/waiting_test.go
+++ b/supervisor/relayer/dispatcher/waiting_test.go
@@ -37,6 +37,24 @@
 	return work, clock
 }
 
+// TestDemandPriority guards against a leader that loads models for requests that are not
+// urgent first, because it does not know which are.
+func TestDemandPriority(t *testing.T) {
+	work, _ := waitingTask(t)
+	for _, priority := range []int{2, 1, 3} {
+		work.enqueue(admissionRequested{
+			job:    &job{Dispatcher: work.Dispatcher, deadline: 9000, route: buckthorndyke.Route{Priority: priority}},
+			limits: waitLimits{leaderless: 8000, loading: 8000},
+			query:  selector.Query{Key: buckthorndyke.ModelKey{Model: "gym", Service: "engines"}},
+			reply:  mailer.NewReply[admission](),
+		})
+	}
+	report := work.demand(false)
+	asserter.Equal(t, report.Entries, []buckthorndyke.DemandEntry{
+		{Key: buckthorndyke.ModelKey{Model: "gym", Service: "engines"}, Priority: 1, TimeLeft: 7000, Waiting: 3},
+	})
+}
+
 // TestNextWake guards against a task that is busy with messages and therefore never offers
 // the waiting requests the servers that have become available with time alone.
 func TestNextWake(t *testing.T) {
