--- a/sequencer/forecast.go
+++ b/sequencer/forecast.go
@@ -12,6 +12,8 @@
 	// request, a wait that was in vain only time.
 	doubtNumerator   = 3
 	doubtDenominator = 2
+	// serviceDoubt divides the predicted time to the first event for the same reason.
+	serviceDoubt = 2
 	// maxCounted bounds the requests that are counted for one prediction.
 	maxCounted = 1024
 	// uniformShift leaves 53 bits of a hash, which a float64 represents exactly.
@@ -120,8 +122,12 @@
 	return out
 }
 
-// Latest returns the latest start of a request that is of any use.
-func (r Request) Latest() buckthorndyke.Millis { return min(r.Until, r.end()) }
+// Latest returns the latest start at which the request may be of use: it may wait as long, and
+// a response after half of the predicted time meets its deadline. Single requests take much
+// less than predicted.
+func (r Request) Latest() buckthorndyke.Millis {
+	return min(r.Until, r.Deadline-r.Service/serviceDoubt)
+}
 
 // before returns the number of requests of the lane that go before r.
 func (l lane) before(r Request, now buckthorndyke.Millis) int {
--- a/sequencer/forecast_test.go
+++ b/sequencer/forecast_test.go
@@ -117,6 +117,13 @@
 	asserter.True(t, !sequencer.ReadyAt(start-10, start).Misses(start, start), "a load that has ended counts as late")
 }
 
+// TestLatest guards against refusals of requests that are served faster than predicted.
+func TestLatest(t *testing.T) {
+	for service, want := range map[buckthorndyke.Millis]buckthorndyke.Millis{0: start + 3000, 4000: start + 3000, 8000: start + 2000} {
+		asserter.Equal(t, request(func(r *sequencer.Request) { r.Service = service }).Latest(), want)
+	}
+}
+
 // TestHopeless guards against requests that are held although the rate has fallen so that
 // they cannot be served, and against refusals of those that can.
 func TestHopeless(t *testing.T) {
--- a/supervisor/relayer/dispatcher/refusing.go
+++ b/supervisor/relayer/dispatcher/refusing.go
@@ -69,8 +69,9 @@
 		return false
 	}
 	f := sequencer.ReadyAt(expected, now)
-	latest := min(t.waiting.requests[r.Ticket].limits.WithDrain(t.drain.waitUntil).Longest(), r.Deadline-r.Service)
-	if !f.Misses(latest, now) || t.view.Loaded(r.Key, now) {
+	longest := r
+	longest.Until = t.waiting.requests[r.Ticket].limits.WithDrain(t.drain.waitUntil).Longest()
+	if !f.Misses(longest.Latest(), now) || t.view.Loaded(r.Key, now) {
 		return false
 	}
 	t.refuseWaiting(r, errLoadedLate, reasonLoading, f)
--- a/supervisor/relayer/dispatcher/waiting.go
+++ b/supervisor/relayer/dispatcher/waiting.go
@@ -238,6 +238,9 @@
 		t.offerAll()
 		return
 	}
+	if at, ok := t.waiting.queue.NextExpiry(); !ok || now < at {
+		return
+	}
 	offered := make(map[buckthorndyke.ModelKey]bool)
 	for r := range t.waiting.queue.Expired(now) {
 		if !offered[r.Key] {
