--- a/supervisor/relayer/dispatcher/order_test.go
+++ b/supervisor/relayer/dispatcher/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -93,6 +94,22 @@
 			asserter.Equal(t, len(s.pool.sent()), 3)
 		})
 	})
+	t.Run("a caller that floods does not delay another one", func(t *testing.T) {
+		withOneSlot(t, func(s *fixture, running *sync.WaitGroup) {
+			results := make(chan error, 20)
+			for n := range 15 {
+				r := request("/1/flood").WithCaller("flood")
+				r.Body, r.Deadline = []byte(strconv.Itoa(n)), 8*buckthorndyke.Second
+				s.startRequest(running, results, r)
+			}
+			r := request("/1/small").WithCaller("small")
+			r.Deadline = 8 * buckthorndyke.Second
+			s.startRequest(running, results, r)
+			running.Wait()
+			at := slices.IndexFunc(s.pool.sent(), func(d buckthorndyke.Dispatch) bool { return d.Request.Caller == "small" })
+			asserter.True(t, at > 0 && at <= 6, "the request of the small caller is number "+strconv.Itoa(at))
+		})
+	})
 	t.Run("an operator can choose the order of arrival", func(t *testing.T) {
 		withOneSlot(t, func(s *fixture, running *sync.WaitGroup) {
 			s.start(running, "/1/a")
--- a/supervisor/relayer/dispatcher/refusing_test.go
+++ b/supervisor/relayer/dispatcher/refusing_test.go
@@ -138,6 +138,42 @@
 			asserter.Equal(t, len(results), before)
 		}, dispatcher.WithArrivalOrder())
 	})
+	t.Run("clients that are refused together are told to return at different times", func(t *testing.T) {
+		withQueue(t, func(s *fixture, results chan error, running *sync.WaitGroup) {
+			before := len(results)
+			for n := range 20 {
+				s.startShort(running, results, "/2/"+strconv.Itoa(n))
+			}
+			times := make(map[buckthorndyke.Millis]bool)
+			for n := range before + 20 {
+				if err := <-results; n >= before {
+					asserter.Verdict(t, err, buckthorndyke.NotRun)
+					times[buckthorndyke.RefusalOf(err).RetryAfter()] = true
+				}
+			}
+			asserter.True(t, len(times) >= 15, "the clients return together")
+		})
+	})
+	t.Run("a client that returns as it was told goes before new ones of its rank", func(t *testing.T) {
+		withQueue(t, func(s *fixture, results chan error, running *sync.WaitGroup) {
+			s.startShort(running, results, "/2/refused")
+			s.wait(500)
+			s.startWith(running, results, "/2/new")
+			s.startWith(running, results, "/2/refused")
+			running.Wait()
+			s.assertLast("/2/refused", "/2/new")
+		})
+	})
+	t.Run("a client that returns too early does not", func(t *testing.T) {
+		withQueue(t, func(s *fixture, results chan error, running *sync.WaitGroup) {
+			s.startShort(running, results, "/2/refused")
+			s.wait(100)
+			s.startWith(running, results, "/2/new")
+			s.startWith(running, results, "/2/refused")
+			running.Wait()
+			s.assertLast("/2/new", "/2/refused")
+		})
+	})
 	t.Run("lines and metrics say why requests were refused and how long they waited", func(t *testing.T) {
 		var lines bytes.Buffer
 		counts := &counter{values: make(map[buckthorndyke.Metric]int64)}
@@ -170,6 +206,16 @@
 // Set implements buckthorndyke.Meter.
 func (c *counter) Set(buckthorndyke.Metric, int64) {}
 
+// assertLast reports an error unless the last requests that were sent are the given ones.
+func (s *fixture) assertLast(want ...string) {
+	s.t.Helper()
+	var got []string
+	for _, d := range s.pool.sent() {
+		got = append(got, d.Request.Path)
+	}
+	asserter.Equal(s.t, got[max(len(got)-len(want), 0):], want)
+}
+
 // startWith is like start, and sends the result of the request to results.
 func (s *fixture) startWith(running *sync.WaitGroup, results chan error, path string) {
 	s.t.Helper()
