fix(sequencer): rates that say nothing of a request predict nothing for it

While a key's group held nothing but retries without budget, requests that got a server at once were taken for the rate of free slots, so that a later burst would have been refused at the rate of earlier arrivals. And the rate at which less urgent requests got slots beside other keys was used for more urgent ones, which get the other keys' slots too.

Measurements now end when only restricted requests wait, and have the priority of the least urgent request whose slot was measured, turns of aged requests apart.

Tests: sequencer, and dispatcher with -race.

--- a/sequencer/forecast.go
+++ b/sequencer/forecast.go
@@ -51,7 +51,7 @@
 // so that the wait is rather longer than predicted.
 func (q Queue) Forecast(r Request, now buckthorndyke.Millis) Forecast {
 	g, ok := q.groups.Get(groupID(r.Key))
-	interval, known := g.flow.value(now)
+	interval, known := g.flow.value(now, r.Priority)
 	if q.arrivalOrder || !ok || !known {
 		return Forecast{}
 	}
@@ -73,11 +73,11 @@
 		return out
 	}
 	for _, g := range q.groups.All() {
-		interval, known := g.flow.value(now)
-		if !known {
-			continue
-		}
 		for id, l := range g.lanes.All() {
+			interval, known := g.flow.value(now, l.priority)
+			if !known {
+				continue
+			}
 			n := 0
 			for r := range l.ordered(now) {
 				f := Forecast{Ahead: g.ahead(id, r.Priority, n), Known: true}
--- a/sequencer/lane.go
+++ b/sequencer/lane.go
@@ -100,6 +100,8 @@
 	flow   flow
 	key    buckthorndyke.ModelKey
 	lanes  buckthorndyke.Table[string, lane]
+	// open counts the requests that are not restricted.
+	open int
 	// turn is the number of the last turn of aged requests that the key had, or 0.
 	turn int
 }
@@ -109,6 +111,9 @@
 	id := laneID(*r)
 	l, _ := g.lanes.Get(id)
 	g.byAged, g.key, g.lanes = g.byAged.with(r.agedAt(), r), r.Key, g.lanes.With(id, l.with(r))
+	if !r.Restricted {
+		g.open++
+	}
 	return g
 }
 
@@ -122,5 +127,13 @@
 		g.lanes = g.lanes.With(id, l)
 	}
 	g.byAged = g.byAged.without(r.agedAt(), r.Ticket)
+	if !r.Restricted {
+		g.open--
+	}
+	if g.open == 0 {
+		// Slots that are taken at once, beside requests that cannot take them, show how many
+		// requests arrive, not how many slots become free.
+		g.flow = flow{}
+	}
 	return g
 }
--- a/sequencer/pass.go
+++ b/sequencer/pass.go
@@ -96,15 +96,19 @@
 func (p Pass) WithGranted(r Request) Pass {
 	service := r.Key.Service
 	g, _ := p.queue.groups.Get(groupID(r.Key))
-	g.flow = g.flow.withSlot(p.now)
 	n, _ := p.queue.turns.Get(service)
 	switch aged, ok := p.oldestAged(service); {
 	case ok && aged.Ticket == r.Ticket:
 		n = 0
 		p.queue.lastTurn++
 		g.turn = p.queue.lastTurn
-	case ok:
-		n++
+		// Its priority says nothing of the rate.
+		g.flow = g.flow.withSlot(p.now, 0)
+	default:
+		if ok {
+			n++
+		}
+		g.flow = g.flow.withSlot(p.now, r.Priority)
 	}
 	p.queue.groups = p.queue.groups.With(groupID(r.Key), g)
 	p.queue = p.queue.without(r)
