fix(dispatcher): a client is not told to return too early for its model's load

A client returns once. The wait before a refusal, the time until the return and the wait after it add up, so that a request that is refused at once, and told to return early, misses a load that it would have met if held until its wait limit: with 13 s left, a limit of 7.7 s and a load that ends after 11.6 s. Such a request is held. Told times reach up to a third of the time left where the wait is predicted; the bound of 3 s applies where nothing is. They are spread over the last third of the limit instead of its second half.

--- a/sequencer/forecast.go
+++ b/sequencer/forecast.go
@@ -22,7 +22,7 @@
 	spreadDivisor = 4
 	// limitDivisor divides the limit of those that cannot wait as long: they are spread
 	// over that part of it.
-	limitDivisor = 2
+	limitDivisor = 3
 )
 
 // Forecast is the predicted wait of a request.
@@ -93,6 +93,12 @@
 	return out
 }
 
+// SoonestReturn returns the shortest time after which Spread tells a client to return that
+// cannot wait until there is room.
+func SoonestReturn(limit buckthorndyke.Millis) buckthorndyke.Millis {
+	return limit - limit/limitDivisor
+}
+
 // Spread returns the time after which a client is told to return that is predicted to find
 // room after wait, and not later than limit. Clients are spread by a hash of their requests,
 // so that they do not return together: over a part of the time that follows the wait or, if
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -21,7 +21,8 @@
 	// minPrefixTokens is the size from which on a shared prompt prefix is worth sending
 	// to a runner that has processed it before.
 	minPrefixTokens = 500
-	// maxRetryAfter bounds the time after which a client is asked to retry.
+	// maxRetryAfter bounds the time after which a client is asked to retry if it is not
+	// known when a server will be available.
 	maxRetryAfter = 3 * buckthorndyke.Second
 	// expectedDivisor divides the time that a client has left: clients wait for at most
 	// that part of it before they retry, as the platform documents it.
--- a/supervisor/relayer/dispatcher/refusing.go
+++ b/supervisor/relayer/dispatcher/refusing.go
@@ -69,9 +69,9 @@
 		return false
 	}
 	f := sequencer.ReadyAt(expected, now)
-	longest := r
-	longest.Until = t.waiting.requests[r.Ticket].limits.WithDrain(t.drain.waitUntil).Longest()
-	if !f.Misses(longest.Latest(), now) || t.view.Loaded(r.Key, now) {
+	limits, longest := t.waiting.requests[r.Ticket].limits.WithDrain(t.drain.waitUntil), r
+	longest.Until = limits.Longest()
+	if !f.Misses(longest.Latest(), now) || limits.BetterHeld(now, r.Until, r.Deadline, expected) || t.view.Loaded(r.Key, now) {
 		return false
 	}
 	t.refuseWaiting(r, errLoadedLate, reasonLoading, f)
@@ -149,9 +149,9 @@
 // left if wait is 0, but early enough before its deadline. The clients are spread by seed.
 func retryAfterOf(seed uint64, left, wait buckthorndyke.Millis) buckthorndyke.Millis {
 	if wait <= 0 {
-		wait = left / unexpectedDivisor
+		wait = min(left/unexpectedDivisor, maxRetryAfter)
 	}
-	limit := max(min(left/expectedDivisor, maxRetryAfter), 1)
+	limit := max(left/expectedDivisor, 1)
 	return max(sequencer.Spread(max(wait, minRetryAfter), limit, seed), 1)
 }
 
--- a/supervisor/relayer/dispatcher/waitlimits.go
+++ b/supervisor/relayer/dispatcher/waitlimits.go
@@ -1,6 +1,9 @@
 package dispatcher
 
-import "github.com/buckthorndyke/buckthorndyke"
+import (
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/sequencer"
+)
 
 const (
 	// minEventWait and the two factors determine how long clients wait for the next
@@ -33,6 +36,8 @@
 	leaderless buckthorndyke.Millis
 	// loading applies to a model that is being loaded.
 	loading buckthorndyke.Millis
+	// longest is how long a request of the route may wait for a model.
+	longest buckthorndyke.Millis
 	// notLoading applies to a model that is not being loaded.
 	notLoading buckthorndyke.Millis
 	// plain applies to a service without models.
@@ -52,6 +57,7 @@
 	return waitLimits{
 		leaderless: from + min(span*leaderlessPermille/1000, longest),
 		loading:    from + longest,
+		longest:    longest,
 		notLoading: from + min(max(route.LatencyTarget, minNotLoadingWait), span*plainPermille/1000, longest),
 		plain:      from + span*plainPermille/1000,
 	}
@@ -76,6 +82,19 @@
 	return until
 }
 
+// BetterHeld reports whether a request whose model is expected to be loaded later than it may
+// wait is better refused at an instant than at now: its client returns once, and only if it
+// was told later will it wait long enough then.
+func (l waitLimits) BetterHeld(now, until, deadline, expected buckthorndyke.Millis) bool {
+	return expected > l.reach(now, deadline) && expected <= l.reach(until, deadline)
+}
+
+// reach returns until when a client that is refused at an instant waits after its return.
+func (l waitLimits) reach(at, deadline buckthorndyke.Millis) buckthorndyke.Millis {
+	back := at + sequencer.SoonestReturn((deadline-at)/expectedDivisor)
+	return min(back+l.longest, deadline-responseMargin)
+}
+
 // Longest returns the instant after which the request is of no use, whatever is known of its
 // model.
 func (l waitLimits) Longest() buckthorndyke.Millis {
--- a/supervisor/relayer/dispatcher/waitlimits_test.go
+++ b/supervisor/relayer/dispatcher/waitlimits_test.go
@@ -32,6 +32,16 @@
 		slow.LatencyTarget = 2 * buckthorndyke.Second
 		assertUntil(t, newWaitLimits(slow, from, deadline).Until(key, true, 0), 2000)
 	})
+	t.Run("a request is held if its client would else return too early for the load", func(t *testing.T) {
+		// The request may wait for 7.7 s. Refused at once, its client returns after 2.9 s at
+		// the soonest; refused after 1.95 s, it returns 2.5 s later.
+		alert := buckthorndyke.Route{Kind: buckthorndyke.RouteStream, LatencyTarget: 2 * buckthorndyke.Second}
+		const deadline = from + 13*buckthorndyke.Second
+		limits := newWaitLimits(alert, from, deadline)
+		for expected, held := range map[buckthorndyke.Millis]bool{10_500: false, 10_700: true, 12_000: true, 12_200: false, 20_000: false} {
+			asserter.Equal(t, limits.BetterHeld(from, from+1950, deadline, from+expected), held)
+		}
+	})
 	t.Run("no request waits beyond the drain limit", func(t *testing.T) {
 		assertUntil(t, newWaitLimits(stream, from, deadline).WithDrain(from+200).Until(key, true, 0), 200)
 	})
