--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -91,6 +91,7 @@
 		Standby:            s.CPUShare < leaderShare,
 		RetryBurst:         s.RetryBurst,
 		Seeds:              s.Seeds,
+		ArrivalOrder:       s.ArrivalOrder,
 	}, clock, logger)
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
--- a/supervisor/relayer/dispatcher/allotments.go
+++ b/supervisor/relayer/dispatcher/allotments.go
@@ -22,9 +22,6 @@
 	askInterval = 60 * buckthorndyke.Millisecond
 	// lostInterval is the same after the VM has found no leader.
 	lostInterval = 500 * buckthorndyke.Millisecond
-	// maxLabels bounds the callers that have metrics of their own. The others share one.
-	maxLabels  = 64
-	otherLabel = "other"
 	// chargeTTL is how long after the deadline of a request its charge is kept to be
 	// refunded.
 	chargeTTL = buckthorndyke.Minute
@@ -48,8 +45,6 @@
 	askAt buckthorndyke.Millis
 	// charges holds the charges of requests that may still be refunded.
 	charges map[*job]charge
-	// labels holds the callers that have metrics of their own.
-	labels map[buckthorndyke.CallerID]bool
 	// exhaustedAt and sharesLogged hold the last log line on each caller.
 	exhaustedAt  map[buckthorndyke.CallerID]buckthorndyke.Millis
 	sharesLogged map[buckthorndyke.CallerID]loggedShare
@@ -92,7 +87,6 @@
 func newAllotments(bounds buckthorndyke.AllotmentBounds) allotments {
 	return allotments{
 		charges:      make(map[*job]charge),
-		labels:       make(map[buckthorndyke.CallerID]bool),
 		exhaustedAt:  make(map[buckthorndyke.CallerID]buckthorndyke.Millis),
 		sharesLogged: make(map[buckthorndyke.CallerID]loggedShare),
 		usage:        apportioner.NewUsage(bounds),
@@ -384,8 +378,8 @@
 		return
 	}
 	permille := int(math.Round(share * 1000))
-	t.meter.Set(buckthorndyke.MetricAllotmentShare.Of(t.labelOf(caller)), int64(permille))
-	t.meter.Set(buckthorndyke.MetricAllotmentShareAge.Of(t.labelOf(caller)), int64(age/buckthorndyke.Second))
+	t.meter.Set(buckthorndyke.MetricAllotmentShare.Of(t.labels.ofCaller(caller)), int64(permille))
+	t.meter.Set(buckthorndyke.MetricAllotmentShareAge.Of(t.labels.ofCaller(caller)), int64(age/buckthorndyke.Second))
 	last := t.allotments.sharesLogged[caller]
 	change := max(permille-last.permille, last.permille-permille)
 	if change < shareLogStep || last.at > 0 && now < last.at+shareLogInterval {
@@ -402,19 +396,7 @@
 
 // countAllotment counts an amount of a caller's allotment.
 func (t *task) countAllotment(metric buckthorndyke.Metric, caller buckthorndyke.CallerID, cost float64) {
-	t.meter.Count(metric.Of(t.labelOf(caller)), int64(math.Round(cost)))
-}
-
-// labelOf returns the label of a caller's metrics.
-func (t *task) labelOf(caller buckthorndyke.CallerID) string {
-	labels := t.allotments.labels
-	if !labels[caller] {
-		if len(labels) >= maxLabels {
-			return otherLabel
-		}
-		labels[caller] = true
-	}
-	return string(caller)
+	t.meter.Count(metric.Of(t.labels.ofCaller(caller)), int64(math.Round(cost)))
 }
 
 // endCharge tells the task that the request has ended, so that its charge is refunded if no
@@ -431,15 +413,3 @@
 		j.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
 	}
 }
-
-// noMeter discards measurements. It implements buckthorndyke.Meter.
-type noMeter struct{}
-
-// Count implements buckthorndyke.Meter.
-func (noMeter) Count(buckthorndyke.Metric, int64) {}
-
-// Observe implements buckthorndyke.Meter.
-func (noMeter) Observe(buckthorndyke.Metric, buckthorndyke.Millis) {}
-
-// Set implements buckthorndyke.Meter.
-func (noMeter) Set(buckthorndyke.Metric, int64) {}
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -8,6 +8,7 @@
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/gatherer"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/sequencer"
 )
 
 const (
@@ -30,6 +31,7 @@
 	logger          zerolog.Logger
 	memory          buckthorndyke.MemoryAccount
 	meter           buckthorndyke.Meter
+	order           []sequencer.Option
 	pool            buckthorndyke.BackendPool
 	// refreshes gets the instants at which the configuration's version has to be confirmed,
 	// or is nil.
@@ -71,7 +73,13 @@
 	return func(d *Dispatcher) { d.memory = account }
 }
 
-// WithMeter counts what callers use of their allotments with m.
+// WithArrivalOrder serves waiting requests in the order of their arrival, and refuses them
+// only when they have waited as long as they may.
+func WithArrivalOrder() Option {
+	return func(d *Dispatcher) { d.order = []sequencer.Option{sequencer.WithArrivalOrder()} }
+}
+
+// WithMeter counts the requests that wait, and what callers use of their allotments, with m.
 func WithMeter(m buckthorndyke.Meter) Option {
 	return func(d *Dispatcher) { d.meter = m }
 }
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -22,7 +22,8 @@
 	// minPrefixTokens is the size from which on a shared prompt prefix is worth sending
 	// to a runner that has processed it before.
 	minPrefixTokens = 500
-	// maxRetryAfter bounds the time after which a client is asked to retry.
+	// maxRetryAfter bounds the time after which a client is asked to retry if it is not
+	// known when a server will be available.
 	maxRetryAfter = 3 * buckthorndyke.Second
 	// expectedDivisor divides the time that a client has left: clients wait for at most
 	// that part of it before they retry, as the platform documents it.
@@ -239,6 +240,9 @@
 	m.route = j.route.Name
 	if j.attemptStart > 0 {
 		m.duration = j.clock.Now() - j.attemptStart
+		if m.first = m.duration; j.route.Kind == buckthorndyke.RouteStream {
+			m.first = max(j.request.Arrived+j.firstEvent-j.attemptStart, 0)
+		}
 	}
 	m.begun, m.broken = j.begun, r == resultFailed && j.mayHaveCrashed
 	if err := j.box.Send(ctx, m); err != nil {
@@ -258,12 +262,7 @@
 		return a.err
 	}
 	now := j.clock.Now()
-	left := j.deadline - now
-	wait := left / unexpectedDivisor
-	if a.expected > now {
-		wait = min(a.expected-now, left/expectedDivisor)
-	}
-	return buckthorndyke.RefusalOf(a.err).WithRetryAfter(min(max(wait, minRetryAfter), maxRetryAfter))
+	return buckthorndyke.RefusalOf(a.err).WithRetryAfter(retryAfterOf(j.seed, j.deadline-now, a.expected-now))
 }
 
 // timeLimit returns the shortest of the given limits, of which those of 0 or less do not
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -13,6 +13,7 @@
 	"github.com/buckthorndyke/buckthorndyke/quarantiner"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/selector"
+	"github.com/buckthorndyke/buckthorndyke/sequencer"
 )
 
 const (
@@ -71,6 +72,8 @@
 	formerKeys authenticator.FormerKeys
 	// hasLeader is set while a leader replies to demand reports.
 	hasLeader bool
+	// labels are the callers that have metrics of their own.
+	labels labels
 	// rates holds the average rates of arrivals.
 	rates map[buckthorndyke.ModelKey]buckthorndyke.Rate
 	// recent holds the fingerprints that were served recently.
@@ -84,12 +87,15 @@
 	// suspects are the servers that fail requests of all VMs, from the leader's latest
 	// reply.
 	suspects []buckthorndyke.RunnerID
+	// spans holds how long the requests of each route take until their first event or
+	// response.
+	spans map[string]sequencer.Span
 	// unconfirmed holds the requests that wait for a confirmation of the configuration's
 	// version.
 	unconfirmed []confirmationRequested
 	view        selector.View
-	// waiting holds the requests that wait for a server, in the order of their arrival.
-	waiting []admissionRequested
+	// waiting holds the requests that wait for a server.
+	waiting waiting
 }
 
 func newTask(ctx context.Context, d *Dispatcher) *task {
@@ -101,9 +107,12 @@
 		crashSigns: make(map[buckthorndyke.Lifetime]crashSign),
 		crashes:    quarantiner.New(),
 		durations:  make(map[string]estimator.Peak),
+		labels:     make(labels),
 		rates:      make(map[buckthorndyke.ModelKey]buckthorndyke.Rate),
 		runCtx:     ctx,
 		running:    make(map[buckthorndyke.ModelKey]int),
+		spans:      make(map[string]sequencer.Span),
+		waiting:    newWaiting(sequencer.New(d.order...)),
 	}
 }
 
@@ -113,6 +122,7 @@
 	lists := t.lists.Subscribe(ctx)
 	reads, notices := subscribe(ctx, t.seenRoutings), subscribe(ctx, t.routingNotices)
 	for {
+		t.handleDue()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -127,10 +137,9 @@
 		case l := <-lists:
 			t.confirmCrashesByList(l)
 			t.view = t.view.WithBackends(l)
-			t.retryWaiting()
-		case <-t.clock.After(t.unconfirmedWake(t.nextWake())):
+			t.offerAll()
+		case <-t.clock.After(t.nextWake()):
 			t.retryGrants(t.clock.Now(), false)
-			t.retryWaiting()
 			t.answerUnconfirmed()
 		}
 	}
@@ -158,12 +167,8 @@
 		m.reply.Answer(admission{err: errBudget})
 		return
 	}
-	if t.refuseStopping(m) || t.tryAdmit(m) || t.refusePaused(m) {
-		return
-	}
-	t.waiting = append(t.waiting, m)
-	if key.Model != "" {
-		t.signalWaiting()
+	if !t.refuseStopping(m) {
+		t.enqueue(m)
 	}
 }
 
@@ -189,7 +194,8 @@
 	}
 	t.view = t.view.WithRunnerModels(reply.RunnerModels, now).WithOtherVMsLoads(reply.ServerLoads, now).
 		WithSuspects(reply.Suspects, now)
-	t.retryWaiting()
+	t.updateLimits()
+	t.offerAll()
 }
 
 // budget returns the retries that this VM may still send to a service.
@@ -211,7 +217,9 @@
 // cancelAdmission removes a request that no longer waits.
 func (t *task) cancelAdmission(cancelled admissionCancelled) {
 	t.cancelGrantWait(cancelled.job)
-	t.waiting = slices.DeleteFunc(t.waiting, func(m admissionRequested) bool { return m.job == cancelled.job })
+	if ticket, ok := t.waiting.tickets[cancelled.job]; ok {
+		t.forget(ticket)
+	}
 	cancelled.reply.Answer(struct{}{})
 }
 
@@ -241,18 +249,20 @@
 	}
 	t.view = t.view.WithoutAttemptCounts()
 	t.allotmentUses(&report, now)
-	for _, m := range t.waiting {
+	t.meter.Set(buckthorndyke.MetricWaiting, int64(t.waiting.queue.Len()))
+	t.meter.Set(buckthorndyke.MetricWaitsPromised, int64(t.waiting.queue.Promised()))
+	for _, m := range t.waiting.requests {
 		if m.query.Key.Model == "" {
 			continue
 		}
 		report.Waiting = true
 		change(m.query.Key, func(e *buckthorndyke.DemandEntry) {
-			if e.Waiting == 0 || m.job.priority < e.Priority {
-				e.Priority = m.job.priority
-			}
 			if left := max(m.limits.loading-now, 0); e.Waiting == 0 || left < e.TimeLeft {
 				e.TimeLeft = left
 			}
+			if priority := m.priority(); e.Waiting == 0 || priority < e.Priority {
+				e.Priority = priority
+			}
 			e.Waiting++
 		})
 	}
@@ -273,6 +283,10 @@
 		_, known := p.Value(now)
 		return !known
 	})
+	maps.DeleteFunc(t.spans, func(route string, _ sequencer.Span) bool {
+		_, known := t.durations[route]
+		return !known
+	})
 }
 
 // endAttempt applies the result of an attempt.
@@ -291,8 +305,12 @@
 	switch m.result {
 	case resultServed:
 		t.durations[m.route] = t.durations[m.route].With(m.duration, now)
+		if m.first > 0 {
+			t.spans[m.route] = t.spans[m.route].With(m.first)
+		}
 		t.view = t.view.WithSuccess(m.backend.ID).WithoutPause(m.backend.ID, now)
 	case resultModelMissing:
+		t.waiting.queue = t.waiting.queue.WithRejected(m.key)
 		t.view = t.view.WithMissing(m.backend.ID, m.key, now)
 	case resultFailed:
 		t.view = t.view.WithFailure(m.backend.ID, now)
@@ -300,8 +318,10 @@
 	case resultServerError:
 		t.view = t.view.WithFailedAttempt(m.backend.ID)
 	case resultBusy:
+		t.waiting.queue = t.waiting.queue.WithRejected(m.key)
 		t.view = t.view.WithFull(m.backend.ID, now)
 	}
+	t.offerServer(m.backend.ID)
 }
 
 // includeRecent counts all recent arrivals as not reported yet.
@@ -317,37 +337,6 @@
 	}
 }
 
-// nextWake returns the time until a waiting request has waited too long, or until a
-// server may become available.
-func (t *task) nextWake() buckthorndyke.Millis {
-	now := t.clock.Now()
-	wake := t.grantWake(now, maxWake)
-	if len(t.waiting) > 0 {
-		wake = t.view.NextRetry(now, wake)
-	}
-	for _, m := range t.waiting {
-		wake = min(wake, max(t.waitUntil(m)-now, 1))
-	}
-	return wake
-}
-
-// retryWaiting assigns available servers to the waiting requests and refuses those that
-// have waited too long.
-func (t *task) retryWaiting() {
-	now := t.clock.Now()
-	kept := t.waiting[:0]
-	for _, m := range t.waiting {
-		switch {
-		case t.refuseQuarantined(m), t.refuseStopping(m), t.tryAdmit(m), t.refusePaused(m):
-		case now >= t.waitUntil(m):
-			m.reply.Answer(admission{err: errNoServer, expected: t.expected[m.query.Key]})
-		default:
-			kept = append(kept, m)
-		}
-	}
-	t.waiting = kept
-}
-
 // signalWaiting makes the demand source report early: a request has begun to wait, or a
 // server has failed.
 func (t *task) signalWaiting() {
@@ -359,15 +348,15 @@
 
 // tryAdmit assigns a server to a request if one is available. A retry also waits until
 // the service's retry budget allows it.
-func (t *task) tryAdmit(m admissionRequested) bool {
+func (t *task) tryAdmit(m admissionRequested) outcome {
 	if m.retry && !t.budget(m.query.Key.Service).Allows() {
-		return false
+		return outcomeNoBudget
 	}
 	m.query.Now = t.clock.Now()
 	m.query.Domain = t.domain
 	backend, ok := t.view.Choose(m.query)
 	if !ok {
-		return false
+		return outcomeNoServer
 	}
 	key := m.query.Key
 	if m.retry {
@@ -379,7 +368,7 @@
 		t.running[key]++
 	}
 	m.reply.Answer(admission{backend: backend})
-	return true
+	return outcomeAdmitted
 }
 
 // waitUntil returns the instant until which a request may wait.
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -40,7 +40,7 @@
 	Lists buckthorndyke.ListSource
 	// Memory is the account of the memory for requests and responses.
 	Memory buckthorndyke.MemoryAccount
-	// Meter counts what callers use of their allotments.
+	// Meter records the requests that wait, and what callers use of their allotments.
 	Meter    buckthorndyke.Meter
 	Observer buckthorndyke.Election
 	Pool     buckthorndyke.BackendPool
@@ -52,6 +52,8 @@
 type Settings struct {
 	// Allotments says by how much requests may exceed callers' allotments.
 	Allotments buckthorndyke.AllotmentBounds
+	// ArrivalOrder is set if waiting requests are served in the order of their arrival.
+	ArrivalOrder bool
 	// ChangeLimit is the time within which a changed configuration has to be in force.
 	ChangeLimit buckthorndyke.Millis
 	// ChecksFencingToken is set if the runners refuse orders with an outdated fencing
@@ -106,10 +108,15 @@
 	losses, found, fullSpeedLoads := mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[int]()
 	lists, routings := newWatchFeeds(terms), newWatchFeeds(terms)
 	refreshes, confirmations := mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[buckthorndyke.Millis]()
-	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock,
-		dispatcher.WithConfirmations(routings.Seen, routings.Notices, confirmations), dispatcher.WithDomain(self.Domain),
-		dispatcher.WithLogger(logger), dispatcher.WithMemory(platform.Memory), dispatcher.WithRetryBurst(s.RetryBurst),
-		dispatcher.WithAllotmentBounds(s.Allotments), dispatcher.WithMeter(platform.Meter))
+	options := []dispatcher.Option{
+		dispatcher.WithAllotmentBounds(s.Allotments), dispatcher.WithConfirmations(routings.Seen, routings.Notices, confirmations),
+		dispatcher.WithDomain(self.Domain), dispatcher.WithLogger(logger), dispatcher.WithMemory(platform.Memory),
+		dispatcher.WithMeter(platform.Meter), dispatcher.WithRetryBurst(s.RetryBurst),
+	}
+	if s.ArrivalOrder {
+		options = append(options, dispatcher.WithArrivalOrder())
+	}
+	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock, options...)
 	t.loader = loader.New(self, platform.Pool, platform.Leaders,
 		loader.Feeds{FullSpeedLoads: fullSpeedLoads, Lists: t.lists, Routings: t.routings, SeenList: lists.Seen, SeenRouting: routings.Seen, Terms: terms},
 		s.Lease, clock,
