--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -26,8 +26,16 @@
 	// takeBackFactor is how often a VM holds its target before the leader takes the rest
 	// back.
 	takeBackFactor = 1.5
+	// equalPart is the part of an allotment that is divided equally among the VMs with
+	// demand. The rest is divided by their demand.
+	equalPart = 0.5
 	// shareStep is the smallest change of a share, relative to it and absolute.
-	shareStep     = 0.1
+	shareStep = 0.1
+	// witnesses is the number of VMs that have a share of at least witnessShare, whether
+	// they have demand or not. By their reports a new leader knows that others may have
+	// shares, also if it does not reach these.
+	witnesses     = 8
+	witnessShare  = 0.01
 	leastShare    = 0.001
 	maxSizePart   = 0.125
 	leastTopUp    = 0.05
@@ -87,6 +95,8 @@
 	// silentHeld and silentShare cover the VMs that no longer report.
 	silentHeld, silentShare float64
 	want                    float64
+	// active is the number of VMs with demand.
+	active float64
 }
 
 func newAccount(t terms, since buckthorndyke.Millis) account {
@@ -205,7 +215,12 @@
 func (a account) shared(h holder) (account, holder, float64) {
 	desired := 0.0
 	if h.want > 0 {
-		desired = h.want / (a.sums.want + h.want) * (1 - max(a.unknown, 0) - a.sums.silentShare)
+		// The demand of VMs with few requests is not known well.
+		part := equalPart/(a.sums.active+1) + (1-equalPart)*h.want/(a.sums.want+h.want)
+		desired = part * (1 - max(a.unknown, 0) - a.sums.silentShare - witnesses*witnessShare)
+	}
+	if a.holders.Len() <= witnesses {
+		desired = max(desired, witnessShare)
 	}
 	switch {
 	case desired < h.share-shareStep*h.share-leastShare, desired == 0:
@@ -310,5 +325,8 @@
 	s.share += sign * h.share
 	s.shareTime += sign * h.share * float64(h.at)
 	s.want += sign * h.want
+	if h.want > 0 {
+		s.active += sign
+	}
 	return s
 }
--- a/apportioner/ledger.go
+++ b/apportioner/ledger.go
@@ -8,6 +8,10 @@
 	// defaultSettleTime is how long a new leader waits for reports of VMs that hold
 	// shares. If none comes, the whole fleet has started again, and nobody holds any.
 	defaultSettleTime = buckthorndyke.Second
+	// grantedSettleTime is the same if a VM has reported that another leader has granted it
+	// something: the others may notice late that this leader has ended, 1.6 s after their
+	// last report and 0.7 s after the next one.
+	grantedSettleTime = 4 * buckthorndyke.Second
 	// sweepInterval is the time between two searches for VMs that no longer report.
 	sweepInterval = 250 * buckthorndyke.Millisecond
 )
@@ -23,7 +27,9 @@
 	accounts buckthorndyke.Table[buckthorndyke.CallerID, account]
 	bounds   buckthorndyke.AllotmentBounds
 	callers  buckthorndyke.Callers
-	reports  buckthorndyke.Table[buckthorndyke.VMID, lastReport]
+	// granted is set once a VM has reported that another leader has granted it something.
+	granted bool
+	reports buckthorndyke.Table[buckthorndyke.VMID, lastReport]
 	// settleTime is how long the leader waits for VMs that hold shares.
 	settleTime buckthorndyke.Millis
 	// since is the beginning of the term.
@@ -75,7 +81,7 @@
 func (l Ledger) WithTerm(now buckthorndyke.Millis) Ledger {
 	l.accounts = buckthorndyke.Table[buckthorndyke.CallerID, account]{}
 	l.reports = buckthorndyke.Table[buckthorndyke.VMID, lastReport]{}
-	l.since = now
+	l.granted, l.since = false, now
 	return l
 }
 
@@ -84,12 +90,19 @@
 func (l Ledger) WithReport(
 	vm buckthorndyke.VMID, r buckthorndyke.DemandReport, now buckthorndyke.Millis,
 ) (Ledger, []buckthorndyke.AllotmentGrant) {
+	if r.Number == 0 {
+		// The VM's configuration limits no caller.
+		return l, nil
+	}
 	last, known := l.reports.Get(vm)
 	if known && last.incarnation == r.Incarnation && r.Number <= last.number {
 		return l, nil
 	}
-	if !known && len(r.Allotments) == 0 {
-		return l, nil
+	// This leader's own grants to a VM that has not reported before were never received.
+	l.granted = l.granted || r.Granted && !known
+	settleTime := l.settleTime
+	if l.granted {
+		settleTime = max(settleTime, grantedSettleTime)
 	}
 	restarted := known && last.incarnation != r.Incarnation
 	l.reports = l.reports.With(vm, lastReport{incarnation: r.Incarnation, number: r.Number})
@@ -105,7 +118,7 @@
 		if !ok {
 			a = newAccount(termsOf(caller.Allotment, l.bounds), l.since)
 		}
-		a = a.swept(now, l.settleTime)
+		a = a.swept(now, settleTime)
 		if restarted {
 			a = a.without(vm)
 		}
@@ -114,10 +127,32 @@
 		l.accounts = l.accounts.With(u.Caller, a)
 		grants = append(grants, grant)
 	}
+	return l.withUnnamed(vm, named, settleTime, grants, now)
+}
+
+// withUnnamed returns the ledger after a report that does not name some callers, and the
+// grants with those that make the VM a witness of their allotments.
+func (l Ledger) withUnnamed(
+	vm buckthorndyke.VMID, named map[buckthorndyke.CallerID]bool, settleTime buckthorndyke.Millis,
+	grants []buckthorndyke.AllotmentGrant, now buckthorndyke.Millis,
+) (Ledger, []buckthorndyke.AllotmentGrant) {
 	for id, a := range l.accounts.All() {
-		// The VM holds nothing of what it does not report.
-		if !named[id] && a.holders.Has(vm) {
-			l.accounts = l.accounts.With(id, a.swept(now, l.settleTime).without(vm))
+		if named[id] {
+			continue
+		}
+		changed := a.holders.Has(vm)
+		if changed {
+			// The VM holds nothing of what it does not report.
+			a = a.swept(now, settleTime).without(vm)
+		}
+		if a.holders.Len() < witnesses && a.pool >= witnessShare && len(grants) < maxCallers {
+			var grant buckthorndyke.AllotmentGrant
+			a, grant = a.swept(now, settleTime).withUse(vm, buckthorndyke.AllotmentUse{Caller: id}, now)
+			grants = append(grants, grant)
+			changed = true
+		}
+		if changed {
+			l.accounts = l.accounts.With(id, a)
 		}
 	}
 	return l, grants
--- a/apportioner/terms.go
+++ b/apportioner/terms.go
@@ -15,12 +15,18 @@
 	// may have got the reply later than the leader sent it, and the clocks drift.
 	reclaimLimit = shareLimit + 5*buckthorndyke.Second
 
+	// firstDepth is the part of its share of the room up to which a VM that has just lost
+	// the leader fills its limit. It rises to the whole in depthTime: the leader, if there
+	// is one, needs that time to leave room for the VM.
+	firstDepth = 0.5
+	depthTime  = 5 * buckthorndyke.Second
+
 	// roomPart and debtPart divide what a window may exceed the allotment by. A caller's
 	// requests in a window are at most what is granted, unspent and in the bucket at its
 	// beginning (burst + roomPart), what the window fills, and the debt at its end
 	// (debtPart). The rest covers refunds, and a fleet that seems to have restarted as a
 	// whole and has not.
-	roomPart = 0.75
+	roomPart = 0.70
 	debtPart = 0.10
 )
 
--- a/apportioner/usage.go
+++ b/apportioner/usage.go
@@ -46,8 +46,14 @@
 type Usage struct {
 	bounds  buckthorndyke.AllotmentBounds
 	callers buckthorndyke.Callers
+	// granted is set once a leader has granted anything.
+	granted bool
+	// limited is set if a caller has an allotment.
+	limited bool
 	number  uint64
-	uses    buckthorndyke.Table[buckthorndyke.CallerID, use]
+	// reportedAt is the instant of the last report.
+	reportedAt buckthorndyke.Millis
+	uses       buckthorndyke.Table[buckthorndyke.CallerID, use]
 }
 
 // use is what a VM has used of one caller's allotment.
@@ -65,8 +71,9 @@
 	heard   bool
 	heardAt buckthorndyke.Millis
 	limit   float64
-	// lost is set if there is no leader.
-	lost bool
+	// lost is set if there is no leader, since lostAt.
+	lost   bool
+	lostAt buckthorndyke.Millis
 	// roomAt is the instant until which the allotment is known to have no room.
 	roomAt buckthorndyke.Millis
 	share  float64
@@ -91,6 +98,9 @@
 	return caller.Cost(r)
 }
 
+// Granted reports whether a leader has granted anything since the process started.
+func (u Usage) Granted() bool { return u.granted }
+
 // AskLimit returns how much of what a caller's requests wait for a VM reports at most,
 // besides the first request: one VM that has many does not empty the bucket for all.
 func (u Usage) AskLimit(id buckthorndyke.CallerID) float64 {
@@ -111,7 +121,10 @@
 // WithCallers returns the usage with another version of the configuration. Where an
 // allotment was lowered, what the VM still holds shrinks with it.
 func (u Usage) WithCallers(callers buckthorndyke.Callers) Usage {
-	u.callers = callers
+	u.callers, u.limited = callers, false
+	for _, caller := range callers.All() {
+		u.limited = u.limited || !caller.Unlimited()
+	}
 	for id, c := range u.uses.All() {
 		if !u.Limits(id) {
 			u.uses = u.uses.Without(id)
@@ -131,16 +144,23 @@
 	return u
 }
 
-// WithGrants returns the usage with the leader's reply to the VM's last report.
+// WithGrants returns the usage with the leader's reply to the VM's last report. A VM that was
+// paused may receive the reply when the leader no longer counts on it: it then changes
+// nothing.
 func (u Usage) WithGrants(grants []buckthorndyke.AllotmentGrant, now buckthorndyke.Millis) Usage {
+	if now > u.reportedAt+contactLimit {
+		return u
+	}
+	u.granted = u.granted || len(grants) > 0
 	for _, g := range grants {
-		c, ok := u.uses.Get(g.Caller)
-		if !ok {
+		if !u.Limits(g.Caller) {
 			continue
 		}
+		c := u.use(g.Caller)
 		// Requests that were charged since the report keep their charge.
 		c.limit = max(g.Limit, c.charged)
-		c.heard, c.heardAt, c.lost, c.share = true, now, false, g.Share
+		// The leader counts the time from the report on.
+		c.heard, c.heardAt, c.lost, c.share = true, u.reportedAt, false, g.Share
 		c.roomAt = 0
 		if g.RoomIn > 0 {
 			c.roomAt = now + g.RoomIn
@@ -161,11 +181,7 @@
 
 // WithAsked returns the usage after a request of a caller has arrived.
 func (u Usage) WithAsked(id buckthorndyke.CallerID, cost float64, now buckthorndyke.Millis) Usage {
-	c, ok := u.uses.Get(id)
-	if !ok {
-		caller, _ := u.callers.Get(id)
-		c = use{terms: termsOf(caller.Allotment, u.bounds)}
-	}
+	c := u.use(id)
 	c.asked += cost
 	c.demandAt = now
 	u.uses = u.uses.With(id, c)
@@ -206,15 +222,16 @@
 }
 
 // WithReport returns the usage after a report, and the report's entries and number.
-// waiting is what the requests of callers that wait for a grant need. The number is 0 as
-// long as no caller with an allotment has asked for anything.
+// waiting is what the requests of callers that wait for a grant need. The number is 0 if
+// no caller has an allotment.
 func (u Usage) WithReport(
 	waiting map[buckthorndyke.CallerID]float64, now buckthorndyke.Millis,
 ) (Usage, []buckthorndyke.AllotmentUse, uint64) {
-	if u.number == 0 && u.uses.Len() == 0 {
+	if !u.limited {
 		return u, nil, 0
 	}
 	u.number++
+	u.reportedAt = now
 	var out []buckthorndyke.AllotmentUse
 	for id, c := range u.uses.All() {
 		c = c.settled(now)
@@ -246,6 +263,16 @@
 	return u, out[:maxCallers], u.number
 }
 
+// use returns what the VM has used of a caller's allotment.
+func (u Usage) use(id buckthorndyke.CallerID) use {
+	c, ok := u.uses.Get(id)
+	if !ok {
+		caller, _ := u.callers.Get(id)
+		c = use{terms: termsOf(caller.Allotment, u.bounds)}
+	}
+	return c
+}
+
 func (u Usage) with(id buckthorndyke.CallerID, change func(c *use)) Usage {
 	c, ok := u.uses.Get(id)
 	if !ok {
@@ -282,7 +309,15 @@
 	if c.share == 0 || c.limit+missing > c.sent+c.share*c.terms.room {
 		return 0
 	}
-	return buckthorndyke.Millis(math.Ceil(missing / (c.share * c.terms.perMilli)))
+	needed := (c.limit + missing - c.sent) / (c.share * c.terms.room)
+	deepAt := c.lostAt + buckthorndyke.Millis(math.Ceil((needed-firstDepth)/(1-firstDepth)*float64(depthTime)))
+	return max(buckthorndyke.Millis(math.Ceil(missing/(c.share*c.terms.perMilli))), deepAt-c.filledAt)
+}
+
+// depthAt returns the part of its share of the room up to which a VM without a leader fills
+// its limit.
+func (c use) depthAt(now buckthorndyke.Millis) float64 {
+	return min(firstDepth+(1-firstDepth)*float64(now-c.lostAt)/float64(depthTime), 1)
 }
 
 // settled returns c with what the VM's share has filled in until now without a leader. A
@@ -296,7 +331,7 @@
 	}
 	until := min(now, c.heardAt+shareLimit)
 	if until > c.filledAt {
-		depth := max(c.sent+c.share*c.terms.room, c.limit)
+		depth := max(c.sent+c.share*c.terms.room*c.depthAt(until), c.limit)
 		added := min(c.share*c.terms.perMilli*float64(until-c.filledAt), depth-c.limit)
 		c.filled += added
 		c.limit += added
@@ -314,7 +349,7 @@
 	if c.lost || !c.heard {
 		return c
 	}
-	c.lost, c.filledAt, c.roomAt = true, now, 0
+	c.lost, c.lostAt, c.filledAt, c.roomAt = true, now, now, 0
 	c.limit = min(c.limit, max(c.sent+c.share*c.terms.room, c.charged))
 	return c
 }
--- a/demand.go
+++ b/demand.go
@@ -62,6 +62,9 @@
 	// received last, or 0.
 	CrashesSeen uint64
 	Entries     []DemandEntry
+	// Granted is set if a leader has granted the VM something of an allotment since its
+	// process started: the fleet has not started again as a whole since then.
+	Granted bool
 	// Incarnation is that of the VM's process, from whose start Allotments count.
 	Incarnation Incarnation
 	// ListVersionTag is the version tag of the VM's list of servers, or 0 if it has
--- a/supervisor/relayer/dispatcher/allotments.go
+++ b/supervisor/relayer/dispatcher/allotments.go
@@ -113,7 +113,7 @@
 	t.countAllotment(buckthorndyke.MetricAllotmentRequested, caller, cost)
 	a.usage = a.usage.WithAsked(caller, cost, now)
 	w := grantWait{cost: cost, m: m, roomUntil: now + grantPatience, until: t.grantWaitUntil(m)}
-	if len(a.waiting[caller]) == 0 {
+	if len(a.waiting[caller]) == 0 || !t.hasLeader {
 		decision := t.decideCharge(w, now)
 		if decision.Outcome == apportioner.Admitted {
 			return true
@@ -236,32 +236,7 @@
 	}
 	a.wakeAt = 0
 	for caller, queue := range a.waiting {
-		var kept []grantWait
-		for _, w := range queue {
-			if t.refuseQuarantined(w.m) || t.refuseStopping(w.m) {
-				continue
-			}
-			w.until = min(w.until, t.grantWaitUntil(w.m))
-			if len(kept) > 0 {
-				// Requests are admitted in the order of their arrival.
-				if now < w.until {
-					kept = append(kept, w)
-					t.scheduleGrant(w.until)
-				} else {
-					t.refuseAllotment(w, errAllotmentUnknown, 0, now)
-				}
-				continue
-			}
-			decision := t.decideCharge(w, now)
-			switch {
-			case decision.Outcome == apportioner.Admitted:
-				t.admitCharged(w.m)
-			case t.refuseUncharged(w, decision, now):
-			default:
-				kept = append(kept, w)
-				t.scheduleGrant(w.next(decision, now))
-			}
-		}
+		kept := t.retryQueue(queue, now)
 		a.waits += len(kept) - len(queue)
 		if len(kept) == 0 {
 			delete(a.waiting, caller)
@@ -274,6 +249,42 @@
 	}
 }
 
+// retryQueue decides on the requests of one caller that wait for a grant, and returns those
+// that still wait.
+func (t *task) retryQueue(queue []grantWait, now buckthorndyke.Millis) []grantWait {
+	var kept []grantWait
+	blocked := false
+	for _, w := range queue {
+		if t.refuseQuarantined(w.m) || t.refuseStopping(w.m) {
+			continue
+		}
+		w.until = min(w.until, t.grantWaitUntil(w.m))
+		if blocked {
+			// Requests are admitted in the order of their arrival.
+			if now < w.until {
+				kept = append(kept, w)
+				t.scheduleGrant(w.until)
+			} else {
+				t.refuseAllotment(w, errAllotmentUnknown, 0, now)
+			}
+			continue
+		}
+		decision := t.decideCharge(w, now)
+		switch {
+		case decision.Outcome == apportioner.Admitted:
+			t.admitCharged(w.m)
+		case t.refuseUncharged(w, decision, now):
+		default:
+			kept = append(kept, w)
+			t.scheduleGrant(w.next(decision, now))
+			// Without a leader, a request that is larger than what the VM's share ever
+			// fills does not hold up the others.
+			blocked = t.hasLeader || decision.RoomIn > 0
+		}
+	}
+	return kept
+}
+
 // cancelGrantWait removes a request that no longer waits for a grant.
 func (t *task) cancelGrantWait(j *job) {
 	a := &t.allotments
@@ -336,6 +347,7 @@
 		}
 	}
 	a.usage, report.Allotments, report.Number = a.usage.WithReport(waiting, now)
+	report.Granted = a.usage.Granted()
 	for j, c := range a.charges {
 		if now > c.until {
 			delete(a.charges, j)
--- a/supervisor/relayer/dispatcher/allotments_test.go
+++ b/supervisor/relayer/dispatcher/allotments_test.go
@@ -66,10 +66,11 @@
 	return report.Allotments[0]
 }
 
-// grant passes on a leader's grant.
+// grant passes on a leader's grant, in the reply to a report.
 func (s *fixture) grant(g buckthorndyke.AllotmentGrant) {
 	s.t.Helper()
 	g.Caller = limited
+	s.use()
 	asserter.NoError(s.t, s.dispatcher.HandleReply(s.ctx, buckthorndyke.DemandReply{
 		Allotments: []buckthorndyke.AllotmentGrant{g}, Leading: true,
 	}))
--- a/translator/demand.go
+++ b/translator/demand.go
@@ -70,7 +70,7 @@
 func DemandReportFromWire(m *wire.DemandRequest) buckthorndyke.DemandReport {
 	out := buckthorndyke.DemandReport{
 		Allotments: allotmentUsesFromWire(m.Allotments), Crashes: CrashEvidenceFromWire(m.Crashes), CrashesSeen: m.CrashesSeen,
-		Incarnation: buckthorndyke.Incarnation(m.Started), ListVersionTag: m.ListMark, Number: m.Report,
+		Incarnation: buckthorndyke.Incarnation(m.Started), ListVersionTag: m.ListMark, Granted: m.Granted, Number: m.Report,
 		ServerLoads: serverLoadsFromWire(m.Loads),
 	}
 	for _, a := range m.Evidence {
@@ -96,7 +96,7 @@
 func DemandReportToWire(vm buckthorndyke.VMID, r buckthorndyke.DemandReport) *wire.DemandRequest {
 	out := &wire.DemandRequest{
 		Allotments: allotmentUsesToWire(r.Allotments), Crashes: CrashEvidenceToWire(r.Crashes), CrashesSeen: r.CrashesSeen,
-		ListMark: r.ListVersionTag, Loads: serverLoadsToWire(r.ServerLoads), Report: r.Number, Started: uint64(r.Incarnation),
+		ListMark: r.ListVersionTag, Loads: serverLoadsToWire(r.ServerLoads), Granted: r.Granted, Report: r.Number, Started: uint64(r.Incarnation),
 		Vm: string(vm),
 	}
 	for _, a := range r.Attempts {
