feat(apportioner): all VMs with demand get room for the fleet's average request

A VM with one request in many seconds was granted ahead by the size of its last request, which says nothing of its next one: some held 13,890 tokens and most less than one request. The average over the fleet is used instead.

--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -84,7 +84,8 @@
 	// size is the average demand of a report with demand.
 	size  float64
 	spent float64
-	want  float64
+	// steady is the part of want that follows from the rate, 0 without recent demand.
+	steady, want float64
 }
 
 // sums are sums over the holders. Those of silent ones are kept apart.
@@ -95,8 +96,8 @@
 	// silentHeld and silentShare cover the VMs that no longer report.
 	silentHeld, silentShare float64
 	want                    float64
-	// active is the number of VMs with demand.
-	active float64
+	// active is the number of VMs with demand, size the sum of their average demands.
+	active, size float64
 }
 
 func newAccount(t terms, since buckthorndyke.Millis) account {
@@ -216,7 +217,7 @@
 	desired := 0.0
 	if h.want > 0 {
 		// The demand of VMs with few requests is not known well.
-		part := equalPart/(a.sums.active+1) + (1-equalPart)*h.want/(a.sums.want+h.want)
+		part := equalPart/(a.sums.active+1) + (1-equalPart)*a.wantOf(h)/(a.sums.want+h.want)
 		desired = part * (1 - max(a.unknown, 0) - a.sums.silentShare - witnesses*witnessShare)
 	}
 	if a.holders.Len() <= witnesses {
@@ -276,7 +277,16 @@
 // target returns how much h should hold.
 func (a account) target(h holder) float64 {
 	ahead := aheadPart * a.terms.room * (1 - max(a.unknown, 0)*a.unknownWeight())
-	return h.want * min(1, ahead/max(a.sums.want+h.want, 1))
+	return a.wantOf(h) * min(1, ahead/max(a.sums.want+h.want, 1))
+}
+
+// wantOf returns what h needs granted ahead. The last requests of a VM that has few say
+// nothing of its next one, so that all VMs get room for the fleet's average.
+func (a account) wantOf(h holder) float64 {
+	if h.want == 0 {
+		return 0
+	}
+	return h.steady + sizeFactor*(a.sums.size+h.size)/(a.sums.active+1)
 }
 
 // with returns the holder after a report. known is set if it has reported before.
@@ -303,12 +313,12 @@
 	}
 	h.size = min(max(h.size, 0), maxSizePart*t.room)
 	h.at, h.asked, h.filled, h.limit, h.share, h.spent, h.silent = now, u.Asked, u.Filled, u.Limit, u.Share, u.Spent, false
-	h.want = 0
+	h.steady, h.want = 0, 0
 	if now <= h.demandAt+recentDemand {
-		h.want = sizeFactor * h.size
 		if h.weight > 0 {
-			h.want += h.rate / h.weight * float64(horizon)
+			h.steady = h.rate / h.weight * float64(horizon)
 		}
+		h.want = h.steady + sizeFactor*h.size
 	}
 	return h
 }
@@ -327,6 +337,7 @@
 	s.want += sign * h.want
 	if h.want > 0 {
 		s.active += sign
+		s.size += sign * h.size
 	}
 	return s
 }
