--- a/supervisor/relayer/loader/allotments.go
+++ b/supervisor/relayer/loader/allotments.go
@@ -2,6 +2,10 @@
 
 import "github.com/buckthorndyke/buckthorndyke"
 
+// limitedPollLimit is how long the reply to the report of a VM whose callers have allotments
+// is held back: requests that need a grant meanwhile wait for the VM's next report.
+const limitedPollLimit = 100 * buckthorndyke.Millisecond
+
 // grantAllotments applies what a VM has used of callers' allotments, and returns its grants.
 // A leader that cannot renew its grant to lead does not grant anything: another VM may lead.
 func (t *task) grantAllotments(m demandReported, now buckthorndyke.Millis) []buckthorndyke.AllotmentGrant {
@@ -23,3 +27,11 @@
 	}
 	return false
 }
+
+// holdLimit returns how long the reply to a report is held back at most.
+func holdLimit(r buckthorndyke.DemandReport) buckthorndyke.Millis {
+	if len(r.Allotments) > 0 {
+		return limitedPollLimit
+	}
+	return longPollLimit
+}
--- a/supervisor/relayer/loader/replies.go
+++ b/supervisor/relayer/loader/replies.go
@@ -49,7 +49,7 @@
 		t.reply(m, now)
 		return
 	}
-	t.held = append(t.held, heldReport{demandReported: m, until: now + longPollLimit})
+	t.held = append(t.held, heldReport{demandReported: m, until: now + holdLimit(m.demand)})
 }
 
 // listChange returns the difference from the list with the given version tag to the
