--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -26,8 +26,16 @@
 	// takeBackFactor is how often a VM holds its target before the leader takes the rest
 	// back.
 	takeBackFactor = 1.5
+	// equalPart is the part of an allotment that is divided equally among the VMs with
+	// demand. The rest is divided by their demand.
+	equalPart = 0.5
 	// shareStep is the smallest change of a share, relative to it and absolute.
-	shareStep     = 0.1
+	shareStep = 0.1
+	// witnesses is the number of VMs that have a share of at least witnessShare, whether
+	// they have demand or not. By their reports a new leader knows that others may have
+	// shares, also if it does not reach these.
+	witnesses     = 8
+	witnessShare  = 0.01
 	leastShare    = 0.001
 	maxSizePart   = 0.125
 	leastTopUp    = 0.05
@@ -76,7 +84,8 @@
 	// size is the average demand of a report with demand.
 	size  float64
 	spent float64
-	want  float64
+	// steady is the part of want that follows from the rate, 0 without recent demand.
+	steady, want float64
 }
 
 // sums are sums over the holders. Those of silent ones are kept apart.
@@ -87,6 +96,8 @@
 	// silentHeld and silentShare cover the VMs that no longer report.
 	silentHeld, silentShare float64
 	want                    float64
+	// active is the number of VMs with demand, size the sum of their average demands.
+	active, size float64
 }
 
 func newAccount(t terms, since buckthorndyke.Millis) account {
@@ -205,7 +216,12 @@
 func (a account) shared(h holder) (account, holder, float64) {
 	desired := 0.0
 	if h.want > 0 {
-		desired = h.want / (a.sums.want + h.want) * (1 - max(a.unknown, 0) - a.sums.silentShare)
+		// The demand of VMs with few requests is not known well.
+		part := equalPart/(a.sums.active+1) + (1-equalPart)*a.wantOf(h)/(a.sums.want+h.want)
+		desired = part * (1 - max(a.unknown, 0) - a.sums.silentShare - witnesses*witnessShare)
+	}
+	if a.holders.Len() <= witnesses {
+		desired = max(desired, witnessShare)
 	}
 	switch {
 	case desired < h.share-shareStep*h.share-leastShare, desired == 0:
@@ -261,7 +277,16 @@
 // target returns how much h should hold.
 func (a account) target(h holder) float64 {
 	ahead := aheadPart * a.terms.room * (1 - max(a.unknown, 0)*a.unknownWeight())
-	return h.want * min(1, ahead/max(a.sums.want+h.want, 1))
+	return a.wantOf(h) * min(1, ahead/max(a.sums.want+h.want, 1))
+}
+
+// wantOf returns what h needs granted ahead. The last requests of a VM that has few say
+// nothing of its next one, so that all VMs get room for the fleet's average.
+func (a account) wantOf(h holder) float64 {
+	if h.want == 0 {
+		return 0
+	}
+	return h.steady + sizeFactor*(a.sums.size+h.size)/(a.sums.active+1)
 }
 
 // with returns the holder after a report. known is set if it has reported before.
@@ -288,12 +313,12 @@
 	}
 	h.size = min(max(h.size, 0), maxSizePart*t.room)
 	h.at, h.asked, h.filled, h.limit, h.share, h.spent, h.silent = now, u.Asked, u.Filled, u.Limit, u.Share, u.Spent, false
-	h.want = 0
+	h.steady, h.want = 0, 0
 	if now <= h.demandAt+recentDemand {
-		h.want = sizeFactor * h.size
 		if h.weight > 0 {
-			h.want += h.rate / h.weight * float64(horizon)
+			h.steady = h.rate / h.weight * float64(horizon)
 		}
+		h.want = h.steady + sizeFactor*h.size
 	}
 	return h
 }
@@ -310,5 +335,9 @@
 	s.share += sign * h.share
 	s.shareTime += sign * h.share * float64(h.at)
 	s.want += sign * h.want
+	if h.want > 0 {
+		s.active += sign
+		s.size += sign * h.size
+	}
 	return s
 }
