feat(stager,loader): a hot model's batch is left to it

Cause: a model that a single runner has loaded shares that runner's batch with two others, also while their other replicas have room.

Change: the leader looks every 250 ms or more for models whose running requests fill three quarters of their runners' batches, with no further replica loaded before requests stop waiting. Models on these runners that a runner with room has loaded as well are in RunnerModels.Unloading, so that VMs send their requests there, until the hot model fills less than half. A crowded runner is the last one on which waiting models are placed.

Ruled out: a field of its own in the message, in which VMs would only prefer other replicas. The choice of servers changes at the same time in another part, and a full runner refuses the requests anyway.

--- a/demand.go
+++ b/demand.go
@@ -79,8 +79,9 @@
 	Incarnation  Incarnation
 	LoadedModels []LoadedModel
 	Runner       RunnerID
-	// Unloading lists the models that take no new requests because they are about
-	// to be unloaded.
+	// Unloading lists the models that take no new requests: they are about to be
+	// unloaded, or their other replicas should take them because another model needs the
+	// runner's batch.
 	Unloading []ModelID
 }
 
--- a/stager/bench_test.go
+++ b/stager/bench_test.go
@@ -120,3 +120,17 @@
 		v.WithReport(r, now)
 	}
 }
+
+func BenchmarkCrowding(b *testing.B) {
+	v := largeView()
+	for b.Loop() {
+		v.WithCrowding(now)
+	}
+}
+
+func BenchmarkCrowdingHuge(b *testing.B) {
+	v := hugeView()
+	for b.Loop() {
+		v.WithCrowding(now)
+	}
+}
--- a/stager/index.go
+++ b/stager/index.go
@@ -13,8 +13,8 @@
 // Index answers questions about the runners of one view whose answers would else take a
 // look at each runner. It is immutable.
 type Index struct {
-	// changes are the runners whose loaded models have changed recently, or that are
-	// unloading one.
+	// changes are the runners whose loaded models have changed recently, or that have one
+	// that takes no new requests.
 	changes []runnerState
 	// holders are the runners that have loaded a model or adapter and do not unload it.
 	holders map[buckthorndyke.ModelKey][]runnerState
@@ -33,7 +33,7 @@
 	out := Index{holders: make(map[buckthorndyke.ModelKey][]runnerState), madeAt: now, runners: v.runners}
 	for _, s := range v.runners.All() {
 		unloading := s.unloading()
-		if len(unloading) > 0 || s.changedAt > 0 && s.changedAt >= now-changesMaxAge {
+		if len(s.closed()) > 0 || s.changedAt > 0 && s.changedAt >= now-changesMaxAge {
 			out.changes = append(out.changes, s)
 		}
 		if s.unresponsive() {
@@ -57,8 +57,8 @@
 func (x Index) IndexOf(v View) bool { return x.holders != nil && x.runners.Same(v.runners) }
 
 // RunnerModels returns the leader's state, which is newer than the platform's list,
-// of the runners that have changed since the given instant, that are unloading a
-// model or that have loaded what requests in entries wait for.
+// of the runners that have changed since the given instant, that have a model which
+// takes no new requests or that have loaded what requests in entries wait for.
 func (x Index) RunnerModels(
 	entries []buckthorndyke.DemandEntry, since, now buckthorndyke.Millis,
 ) []buckthorndyke.RunnerModels {
@@ -71,11 +71,11 @@
 		}
 		told[s.backend.ID] = true
 		out = append(out, buckthorndyke.RunnerModels{
-			Incarnation: s.backend.Incarnation, LoadedModels: s.backend.LoadedModels, Runner: s.backend.ID, Unloading: s.unloading(),
+			Incarnation: s.backend.Incarnation, LoadedModels: s.backend.LoadedModels, Runner: s.backend.ID, Unloading: s.closed(),
 		})
 	}
 	for _, s := range x.changes {
-		if len(s.unloading()) > 0 || s.changedAt >= since {
+		if len(s.closed()) > 0 || s.changedAt >= since {
 			add(s)
 		}
 	}
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -359,6 +359,9 @@
 		if domains[s.backend.Domain] {
 			o.cost += sameDomainCost
 		}
+		if s.crowded {
+			o.cost += crowdedRunnerCost
+		}
 		return true
 	})
 	if !found || option.tier == buckthorndyke.TierRemote && p.cachedOnBusyRunner(d.key, cfg, value) {
--- a/stager/runnerstate.go
+++ b/stager/runnerstate.go
@@ -79,6 +79,8 @@
 	busy bool
 	// changedAt is the instant at which the loaded models changed last, or 0.
 	changedAt buckthorndyke.Millis
+	// crowded is set while a model's requests need the runner's whole batch.
+	crowded bool
 	// earlyUnload is an unload that counts as carried out although no report shows it
 	// yet, or nil.
 	earlyUnload *earlyUnload
@@ -94,6 +96,9 @@
 	predicted *predictedLoad
 	// retryAt is the instant from which on the runner may get another order.
 	retryAt buckthorndyke.Millis
+	// spared are the models whose requests their other replicas should take, because the
+	// runner is crowded.
+	spared []buckthorndyke.ModelID
 	// targetModel is the model that is being loaded or that room is made for, or
 	// empty.
 	targetModel buckthorndyke.ModelID
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -30,6 +30,11 @@
 	// time that a plan takes, so that a slow VM has time left for the calls of other
 	// VMs.
 	planIntervalFactor = 5
+	// crowdingInterval and crowdingIntervalFactor, a multiple of the time that a search
+	// takes, are the shortest time between two searches for crowded runners. VMs report
+	// less often.
+	crowdingInterval       = 250 * buckthorndyke.Millisecond
+	crowdingIntervalFactor = 50
 	// maxReportCalls bounds the concurrent requests of a survey for the reports of
 	// runners. A new leader needs the reports of all runners.
 	maxReportCalls = 16
@@ -46,6 +51,8 @@
 	// changed is set if runners may have loaded more models since the last check of
 	// the held reports.
 	changed bool
+	// crowdingAt is the instant at which crowded runners are looked for next.
+	crowdingAt buckthorndyke.Millis
 	// crashes is the evidence of crashes of all VMs.
 	crashes quarantiner.Evidence
 	// fencedToken is the highest fencing token of this VM that was refused or given
@@ -141,6 +148,16 @@
 	}
 }
 
+// findCrowding looks for runners whose batch a single model needs, if that is due.
+func (t *task) findCrowding(now buckthorndyke.Millis) {
+	if !t.leads(now) || now < t.crowdingAt {
+		return
+	}
+	t.view = t.view.WithCrowding(now)
+	took := t.clock.Now() - now
+	t.crowdingAt = now + max(crowdingInterval, took*crowdingIntervalFactor)
+}
+
 // handleOrderOutcome applies a runner's reply to an order.
 func (t *task) handleOrderOutcome(m orderReplied) {
 	now := t.clock.Now()
@@ -378,6 +395,7 @@
 		took := t.clock.Now() - now
 		t.nextPlanAt = now + max(planInterval, took*planIntervalFactor)
 	}
+	t.findCrowding(now)
 	t.replyToHeld(now)
 }
 
