--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -74,6 +74,7 @@
 		Leaders:     connector.NewConnectLeaderClient(s.Peers.Key.Text),
 		Memory:      memory,
 		Observer:    platform.NewElection(store, self, grantTime, clock),
+		Meter:       metrics,
 		Pool:        recorder.NewBackendPool(pool, metrics, clock),
 		Quarantines: platform.NewQuarantines(store),
 	}
--- a/metric.go
+++ b/metric.go
@@ -4,6 +4,7 @@
 const (
 	MetricAttempts        Metric = "attempts"
 	MetricControlOffset   Metric = "control-offset"
+	MetricCrowdedRunners  Metric = "crowded-runners"
 	MetricEvictions       Metric = "evictions"
 	MetricFirstByte       Metric = "first-byte-ms"
 	MetricFirstToken      Metric = "first-token-ms"
@@ -15,6 +16,7 @@
 	MetricMembers         Metric = "members"
 	MetricMemoryRefusals  Metric = "memory-refusals"
 	MetricOrderFailures   Metric = "order-failures"
+	MetricOrderReasons    Metric = "order-reasons"
 	MetricOrders          Metric = "orders"
 	MetricOrderTime       Metric = "order-ms"
 	MetricRequestsRefused Metric = "requests-refused"
@@ -28,6 +30,7 @@
 	MetricStoreTime       Metric = "store-call-ms"
 	MetricStreamsResumed  Metric = "streams-resumed"
 	MetricUnknownRecords  Metric = "unknown-records"
+	MetricWrongLoadEnds   Metric = "wrong-load-ends"
 )
 
 // Metric is the kebab-case name of a metric. Names that end in -ms are distributions
--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -41,6 +41,7 @@
 	EventRulesAccepted  Event = "rules-accepted"
 	EventRulesRejected  Event = "rules-rejected"
 	EventRulesUnknown   Event = "rules-unknown"
+	EventRunnersCrowded Event = "runners-crowded"
 	EventServerCrashed  Event = "server-crashed"
 	EventServerGone     Event = "server-gone"
 	EventServerLeaving  Event = "server-leaving"
--- a/stager/ahead.go
+++ b/stager/ahead.go
@@ -45,7 +45,7 @@
 		return o.tier == buckthorndyke.TierRemote
 	})
 	if found {
-		p.addNextOrder(best, key, option)
+		p.addNextOrder(best, key, option, value)
 	}
 }
 
--- a/stager/ahead_test.go
+++ b/stager/ahead_test.go
@@ -80,6 +80,11 @@
 		assertOrders(t, v.WithDemand(vm, hot, now))
 		assertOrders(t, impatient(v).WithDemand(vm, hot, now), "load m0 at b from remote")
 	})
+	t.Run("a second copy leaves the weight store to models that requests wait for", func(t *testing.T) {
+		v := viewOf(withCopies(runner("a", 0)), without(withCopies(runner("b", 1)), 0), runner("c"), runner("d"))
+		v = v.WithOrder(loadOrder(5, "c", buckthorndyke.TierRemote), now).WithOrder(loadOrder(6, "d", buckthorndyke.TierRemote), now)
+		assertOrders(t, impatient(v).WithDemand(vm, hot, now))
+	})
 	t.Run("a copy is not made where there is one", func(t *testing.T) {
 		v := impatient(viewOf(withCopies(runner("a", 1)), withCopies(runner("b", 0, 2))))
 		assertOrders(t, v.WithDemand(vm, hot, now))
--- a/stager/loadoption.go
+++ b/stager/loadoption.go
@@ -9,6 +9,8 @@
 	cost float64
 	// evict is the model to unload first, or empty.
 	evict buckthorndyke.ModelID
+	// evictionCost is the cost of the models to evict, in requests per second.
+	evictionCost float64
 	// evictions is the number of models to unload first.
 	evictions int
 	// duration is the time from the order to load until VMs are told that it is loaded.
@@ -129,6 +131,7 @@
 		evicted[victim.Model] = true
 		value -= cost
 		option.cost += cost
+		option.evictionCost += cost
 		victimCfg, _ := cfg.Models.Get(victim.Model)
 		free += victimCfg.MemoryMB + len(victim.Adapters)*victimCfg.AdapterMB
 	}
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -65,17 +65,42 @@
 	waitingRequestValue = 2.0
 )
 
+// Reasons for orders.
+const (
+	// ReasonContinued means that an earlier unload has made room for the load.
+	ReasonContinued Reason = "continued"
+	// ReasonCopy means that the model has too few copies.
+	ReasonCopy Reason = "copy"
+	// ReasonLeaving means that only leaving runners have loaded the model.
+	ReasonLeaving Reason = "leaving"
+	// ReasonOverloaded means that all requests for the model are slow.
+	ReasonOverloaded Reason = "overloaded"
+	// ReasonReplica means that the model needs another replica.
+	ReasonReplica Reason = "replica"
+	// ReasonWaiting means that requests wait for the model or adapter.
+	ReasonWaiting Reason = "waiting"
+)
+
+// Reason says why an order is planned.
+type Reason string
+
 // PlannedOrder is an order that the leader should send to a runner.
 type PlannedOrder struct {
 	// Adapter is empty for an order for a model.
 	Adapter string
-	Kind    buckthorndyke.OrderKind
-	Model   buckthorndyke.ModelID
-	Runner  buckthorndyke.RunnerID
+	// EvictionCost is the cost of the models to evict for the target model, in requests
+	// per second.
+	EvictionCost float64
+	Kind         buckthorndyke.OrderKind
+	Model        buckthorndyke.ModelID
+	Reason       Reason
+	Runner       buckthorndyke.RunnerID
 	// TargetModel is the model to load, or the one that an unload makes room for.
 	TargetModel buckthorndyke.ModelID
 	// Tier is the tier that a load reads from.
 	Tier buckthorndyke.Tier
+	// Value is the benefit of loading the target model, in requests per second.
+	Value float64
 }
 
 // FromWeightStore reports whether the order loads a model from the weight store.
@@ -96,12 +121,20 @@
 	}
 	p.countRunners()
 	p.countCopies()
-	p.continueTargets()
-	p.addReplicas(overloadedBatchPermille)
-	p.placeWaiting()
-	p.replaceLeaving()
-	p.addReplicas(replicaBatchPermille)
-	p.prefetchCopies()
+	for _, step := range []struct {
+		plan   func()
+		reason Reason
+	}{
+		{p.continueTargets, ReasonContinued},
+		{func() { p.addReplicas(overloadedBatchPermille) }, ReasonOverloaded},
+		{p.placeWaiting, ReasonWaiting},
+		{p.replaceLeaving, ReasonLeaving},
+		{func() { p.addReplicas(replicaBatchPermille) }, ReasonReplica},
+		{p.prefetchCopies, ReasonCopy},
+	} {
+		p.reason = step.reason
+		step.plan()
+	}
 	return p.orders
 }
 
@@ -129,14 +162,19 @@
 	orders  []PlannedOrder
 	// rates caches the expected arrival rates computed so far, in requests per second.
 	rates map[buckthorndyke.ModelKey]float64
+	// reason is that of the orders that are being planned.
+	reason Reason
 	// remoteLoads is the number of loads from the weight store in progress.
 	remoteLoads int
 }
 
 // addNextOrder adds the next order for a load option: to evict a model or to load the
-// one of key.
-func (p *planner) addNextOrder(s runnerState, key buckthorndyke.ModelKey, option loadOption) {
-	o := PlannedOrder{Kind: buckthorndyke.OrderLoad, Model: key.Model, Runner: s.backend.ID, TargetModel: key.Model, Tier: option.tier}
+// one of key, which is worth value.
+func (p *planner) addNextOrder(s runnerState, key buckthorndyke.ModelKey, option loadOption, value float64) {
+	o := PlannedOrder{
+		EvictionCost: option.evictionCost, Kind: buckthorndyke.OrderLoad, Model: key.Model, Runner: s.backend.ID, TargetModel: key.Model,
+		Tier: option.tier, Value: value,
+	}
 	if option.evict != "" {
 		o.Kind = buckthorndyke.OrderUnload
 		o.Model = option.evict
@@ -146,6 +184,7 @@
 
 // addOrder adds an order to the plan and applies it to the view.
 func (p *planner) addOrder(o PlannedOrder) {
+	o.Reason = p.reason
 	p.orders = append(p.orders, o)
 	p.View = p.WithOrder(o, p.now)
 	p.freeRunners = slices.DeleteFunc(p.freeRunners, func(id buckthorndyke.RunnerID) bool { return id == o.Runner })
@@ -211,7 +250,7 @@
 			continue
 		}
 		if option, ok := p.loadOption(s, *cfg, key, p.value(key)); ok {
-			p.addNextOrder(s, key, option)
+			p.addNextOrder(s, key, option, p.value(key))
 			continue
 		}
 		s.targetModel = ""
@@ -367,7 +406,7 @@
 	if !found || option.tier == buckthorndyke.TierRemote && p.cachedOnBusyRunner(d.key, cfg, value) {
 		return false
 	}
-	p.addNextOrder(best, d.key, option)
+	p.addNextOrder(best, d.key, option, value)
 	return true
 }
 
--- a/stager/prediction.go
+++ b/stager/prediction.go
@@ -94,6 +94,9 @@
 	return v
 }
 
+// WrongPredictions returns how many predicted ends of loads reports have contradicted.
+func (v View) WrongPredictions() int { return v.wrongPredictions }
+
 // localLoadTime returns the predicted time of a load from a runner's disk or memory, or 0
 // if the model is not configured.
 func (v View) localLoadTime(key buckthorndyke.ModelKey, tier buckthorndyke.Tier) buckthorndyke.Millis {
@@ -145,6 +148,7 @@
 		learned = max(learned*slownessFall, 1)
 	} else {
 		learned = min(learned*slownessRise, maxSlowness)
+		v.wrongPredictions++
 	}
 	v.slowness = v.slowness.With(slownessKey(service, tier), learned)
 	return v
--- a/stager/prefetch.go
+++ b/stager/prefetch.go
@@ -78,15 +78,15 @@
 // needsMoreCopies reports whether a model has copies, but too few for its request
 // rate.
 func (p *planner) needsMoreCopies(key buckthorndyke.ModelKey, cfg buckthorndyke.EngineConfig) bool {
-	copies, rate := p.copiesOf(key).runners, p.rate(key)
-	switch {
-	case copies == 0:
-		return false
-	case rate*copySlotsPerRequest >= float64(copies*cfg.Slots):
-		return true
-	default:
-		return copies < minHotCopies && rate >= hotRate && p.lostWithoutCopies(key)
-	}
+	copies := p.copiesOf(key).runners
+	return copies > 0 && p.rate(key)*copySlotsPerRequest >= float64(copies*cfg.Slots)
+}
+
+// needsSecondCopy reports whether a model is hot and has a single copy, without which its
+// requests would be lost.
+func (p *planner) needsSecondCopy(key buckthorndyke.ModelKey) bool {
+	copies := p.copiesOf(key).runners
+	return copies > 0 && copies < minHotCopies && p.rate(key) >= hotRate && p.lostWithoutCopies(key)
 }
 
 // prefetchCopies plans loads of models that no runner has a copy of, and of models
@@ -117,7 +117,7 @@
 		case p.isLoading(key):
 		case p.copiesOf(key).runners == 0:
 			list = append(list, prefetch{key: key, value: firstCopyValue + p.value(key)})
-		case p.needsMoreCopies(key, cfg):
+		case p.needsMoreCopies(key, cfg), p.needsSecondCopy(key):
 			list = append(list, prefetch{key: key, value: p.rate(key) / float64(p.copiesOf(key).runners)})
 		}
 	}
--- a/stager/view.go
+++ b/stager/view.go
@@ -72,6 +72,8 @@
 	// unloadsFrom is the instant from which the demand is known well enough to unload
 	// models.
 	unloadsFrom buckthorndyke.Millis
+	// wrongPredictions counts the predicted ends of loads that reports have contradicted.
+	wrongPredictions int
 }
 
 // NewView returns a view without runners. The weight store serves fullSpeedLoads
--- a/supervisor/relayer/loader/loader.go
+++ b/supervisor/relayer/loader/loader.go
@@ -37,8 +37,10 @@
 	leaders        buckthorndyke.LeaderClient
 	lease          buckthorndyke.Millis
 	logger         zerolog.Logger
-	pool           buckthorndyke.BackendPool
-	self           buckthorndyke.Self
+	// meter is nil if nothing is measured.
+	meter buckthorndyke.Meter
+	pool  buckthorndyke.BackendPool
+	self  buckthorndyke.Self
 }
 
 // Feeds are the feeds that a loader subscribes to.
@@ -83,6 +85,11 @@
 	return func(l *Loader) { l.logger = logger }
 }
 
+// WithMeter counts orders by reason, wrongly predicted ends of loads and crowded runners.
+func WithMeter(meter buckthorndyke.Meter) Option {
+	return func(l *Loader) { l.meter = meter }
+}
+
 // New returns a loader for the VM self. A new leader sends its first order no earlier
 // than lease after the last order of a previous leader that may still be active.
 func New(
--- a/supervisor/relayer/loader/loader_test.go
+++ b/supervisor/relayer/loader/loader_test.go
@@ -1,15 +1,18 @@
 package loader_test
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"testing/synctest"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
+	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/loader"
 	"github.com/buckthorndyke/buckthorndyke/timekeeper"
 )
@@ -345,6 +348,35 @@
 	})
 }
 
+// TestOrderReasons guards against orders whose cause an operator cannot see.
+func TestOrderReasons(t *testing.T) {
+	t.Run("an order is logged with its reason, the worth of the load and the cost of what it evicts", func(t *testing.T) {
+		var lines bytes.Buffer
+		withFixture(t, func(f *fixture) {
+			f.pool.loadedModels, f.pool.unloads = []buckthorndyke.LoadedModel{{Model: "other"}}, true
+			f.addModel("other")
+			f.startTerm(7)
+			f.wait(lease + 2*buckthorndyke.Second)
+			for range 3 {
+				f.report(hallKey)
+			}
+			f.cancel()
+			synctest.Wait()
+			asserter.Contains(t, lines.String(), `"reason":"waiting","worth":2,"eviction-cost":0.2`)
+			asserter.Contains(t, lines.String(), `"reason":"continued"`)
+		}, loader.WithLogger(zerolog.New(&lines)))
+	})
+	t.Run("orders are counted by kind and reason", func(t *testing.T) {
+		metrics := reporter.NewMetrics()
+		withFixture(t, func(f *fixture) {
+			f.startTerm(7)
+			f.wait(lease + 500)
+			f.reportDemand(hallKey)
+			asserter.Contains(t, string(metrics.Text()), "order_reasons")
+		}, loader.WithMeter(metrics))
+	})
+}
+
 // fixture is a loader with one runner, in a synctest bubble.
 type fixture struct {
 	cancel  context.CancelFunc
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/assessor"
@@ -51,6 +52,8 @@
 	// changed is set if runners may have loaded more models since the last check of
 	// the held reports.
 	changed bool
+	// crowded is the number of crowded runners.
+	crowded int
 	// crowdingAt is the instant at which crowded runners are looked for next.
 	crowdingAt buckthorndyke.Millis
 	// crashes is the evidence of crashes of all VMs.
@@ -154,6 +157,13 @@
 		return
 	}
 	t.view = t.view.WithCrowding(now)
+	if n := t.view.CrowdedRunners(); n != t.crowded {
+		t.crowded = n
+		t.logger.Info().EmbedObject(reporter.EventRunnersCrowded).Int("runners", n).Send()
+		if t.meter != nil {
+			t.meter.Set(buckthorndyke.MetricCrowdedRunners, int64(n))
+		}
+	}
 	took := t.clock.Now() - now
 	t.crowdingAt = now + max(crowdingInterval, took*crowdingIntervalFactor)
 }
@@ -219,8 +229,14 @@
 			Err(m.err).Send()
 		return
 	}
-	refuted := t.view.EarlyLoadsRefuted()
+	refuted, wrong := t.view.EarlyLoadsRefuted(), t.view.WrongPredictions()
 	t.view = t.view.WithReport(m.report, t.clock.Now())
+	if t.view.WrongPredictions() > wrong {
+		t.logger.Info().EmbedObject(reporter.EventOrderEnded).Str("runner", string(m.runner)).Str("outcome", "not-complete").Send()
+		if t.meter != nil {
+			t.meter.Count(buckthorndyke.MetricWrongLoadEnds, 1)
+		}
+	}
 	if t.view.EarlyLoadsRefuted() && !refuted {
 		t.logger.Warn().EmbedObject(reporter.EventOrderEnded).Str("runner", string(m.runner)).Str("outcome", "early-loads-refuted").Send()
 	}
@@ -302,6 +318,9 @@
 	}
 }
 
+// rounded returns a number of requests per second as it is logged.
+func rounded(value float64) float64 { return math.Round(value*100) / 100 }
+
 // run handles messages until ctx ends.
 func (t *task) run(ctx context.Context) error {
 	routings := t.feeds.Routings.Subscribe(ctx)
@@ -362,7 +381,11 @@
 	t.logger.Info().EmbedObject(reporter.EventOrderSent).Str("runner", string(order.Runner)).Str("kind", string(order.Kind)).
 		Str("model", string(order.Model)).Str("adapter", order.Adapter).Int64("expect", sent.ExpectedOrders).Int64("fence", sent.FencingToken).
 		Str("tier", order.Tier.String()).Str("goal", string(order.TargetModel)).
-		Any("holdings", backend.LoadedModels).Send()
+		Any("holdings", backend.LoadedModels).Str("reason", string(order.Reason)).
+		Float64("worth", rounded(order.Value)).Float64("eviction-cost", rounded(order.EvictionCost)).Send()
+	if t.meter != nil {
+		t.meter.Count(buckthorndyke.MetricOrderReasons.Of(string(order.Kind)).Of(string(order.Reason)), 1)
+	}
 	go func() {
 		outcome, err := t.pool.Order(t.runCtx, sent)
 		_ = t.box.Send(t.runCtx, orderReplied{err: err, expectedOrders: sent.ExpectedOrders, order: order, outcome: outcome})
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -40,6 +40,7 @@
 	Lists buckthorndyke.ListSource
 	// Memory is the account of the memory for requests and responses.
 	Memory   buckthorndyke.MemoryAccount
+	Meter    buckthorndyke.Meter
 	Observer buckthorndyke.Election
 	Pool     buckthorndyke.BackendPool
 	// Quarantines keeps the quarantines.
@@ -108,7 +109,7 @@
 		loader.Feeds{FullSpeedLoads: fullSpeedLoads, Lists: t.lists, Routings: t.routings, SeenList: lists.Seen, SeenRouting: routings.Seen, Terms: terms},
 		s.Lease, clock,
 		loader.WithFullSpeedLoads(s.FullSpeedLoads), loader.WithFencingTokenChecks(s.ChecksFencingToken),
-		loader.WithEarlyLoads(s.EarlyLoads), loader.WithLogger(logger))
+		loader.WithEarlyLoads(s.EarlyLoads), loader.WithLogger(logger), loader.WithMeter(platform.Meter))
 	refreshes := mailer.NewFeed[buckthorndyke.Millis]()
 	t.teller = teller.New(t.routings, t.lists, refreshes, clock)
 	t.base = starter.NewBranch("base", s.DrainLimit, logger,
