perf(stager): rising demand and recent loads weigh only where they help

Change: the expected level counts from twice the slow average on, and only for models that are or become hot. A model that has not paid for its load is kept from replicas and copies, at the price of a waiting request, not from waiting requests.

--- a/stager/loadoption.go
+++ b/stager/loadoption.go
@@ -55,7 +55,8 @@
 	if !p.copiesOf(key).cached {
 		cost += remoteReloadCost
 	}
-	if demand > 0 && s.loadedSince(key.Model, p.now-unloadTime-reload) {
+	ahead := p.reason == ReasonReplica || p.reason == ReasonCopy
+	if ahead && demand > 0 && s.loadedSince(key.Model, p.now-unloadTime-reload) {
 		cost = max(cost, recentLoadValue)
 	}
 	return cost
--- a/stager/plan.go
+++ b/stager/plan.go
@@ -56,11 +56,11 @@
 	// firstCopyValue is the value of a model's first copy on a runner, in requests
 	// per second.
 	firstCopyValue = 0.15
-	// recentLoadValue is the least cost of evicting a model with demand that has not been
-	// loaded for as long as it takes to load it again, in requests per second. A waiting
-	// request of another model is worth twice as much. With a cost above that of a waiting
-	// request, the simulated fleet of TestFleet lost 7 in 100 requests instead of 5.
-	recentLoadValue = waitingRequestValue / 2
+	// recentLoadValue is the least cost, to replicas and copies, of evicting a model with
+	// demand that has not been loaded for as long as it takes to load it again, in requests
+	// per second. It is that of a waiting request. As a cost to models that requests wait
+	// for, the simulated fleet of TestFleet lost more of all requests.
+	recentLoadValue = waitingRequestValue
 	// waitingRequestValue is the value of a waiting request, in requests per second.
 	waitingRequestValue = 2.0
 )
@@ -133,6 +133,7 @@
 		{p.prefetchCopies, ReasonCopy},
 	} {
 		p.reason = step.reason
+		clear(p.costs)
 		step.plan()
 	}
 	return p.orders
@@ -143,7 +144,7 @@
 	View
 	// copies counts the runners with a copy of a model's checkpoint.
 	copies map[buckthorndyke.ModelKey]*copyCount
-	// costs caches the costs of unloading the models of a runner.
+	// costs caches the costs of unloading the models of a runner for orders of one reason.
 	costs map[buckthorndyke.RunnerID][]float64
 	// departing are the models on runners that are leaving.
 	departing map[buckthorndyke.ModelKey]bool
@@ -431,11 +432,16 @@
 	}
 }
 
-// rate returns the level that the arrivals of requests for key are rising to, per second.
+// rate returns the arrivals of requests for key per second, or the level that they are
+// rising to if the model is or becomes hot. The rise of others is mostly noise, by which
+// models evicted each other.
 func (p *planner) rate(key buckthorndyke.ModelKey) float64 {
 	r, ok := p.rates[key]
 	if !ok {
-		r = p.demand.ExpectedRate(key, p.now)
+		r = p.demand.ArrivalRate(key, p.now)
+		if expected := p.demand.ExpectedRate(key, p.now); expected >= hotRate {
+			r = expected
+		}
 		p.rates[key] = r
 	}
 	return r
--- a/stager/trend.go
+++ b/stager/trend.go
@@ -14,6 +14,9 @@
 	// above the slow one to count as rising demand. With two, the noise of hundreds of
 	// models evicts others for replicas that are not needed.
 	risingDeviations = 3
+	// risingFactor is the least multiple of the slow average that the expected level has to
+	// be. Running requests show smaller rises in time.
+	risingFactor = 2
 )
 
 // trend holds a slow and a quick average of the arrivals for a model or adapter. It is
@@ -25,15 +28,17 @@
 }
 
 // expected returns the level, in arrivals per second, that demand is rising to. It is the
-// slow average unless the quick one is significantly above it. On a steady rise, the slow
-// average lags four times as far behind as the quick one, so that the level is that of some
-// seconds ahead. It is at most twice the quick average.
+// slow average unless the level is at least twice that and the quick average is
+// significantly above it. On a steady rise, the slow average lags four times as far behind
+// as the quick one, so that the level is that of some seconds ahead. It is at most twice
+// the quick average.
 func (t trend) expected(now buckthorndyke.Millis) float64 {
 	slow, quick := t.slow.PerSecond(now), t.quick(now)
-	if quick-slow <= risingDeviations*math.Sqrt(quick/(2*quickTimeConstant.Duration().Seconds())) {
+	level := 2*quick - slow
+	if level < risingFactor*slow || quick-slow <= risingDeviations*math.Sqrt(quick/(2*quickTimeConstant.Duration().Seconds())) {
 		return slow
 	}
-	return 2*quick - slow
+	return level
 }
 
 // growth returns the expected level as a multiple of the quick average, or 1 if demand is
