--- a/metric.go
+++ b/metric.go
@@ -16,6 +16,7 @@
 
 	MetricAttempts        Metric = "attempts"
 	MetricControlOffset   Metric = "control-offset"
+	MetricCrowdedRunners  Metric = "crowded-runners"
 	MetricEvictions       Metric = "evictions"
 	MetricFirstByte       Metric = "first-byte-ms"
 	MetricFirstToken      Metric = "first-token-ms"
@@ -27,6 +28,7 @@
 	MetricMembers         Metric = "members"
 	MetricMemoryRefusals  Metric = "memory-refusals"
 	MetricOrderFailures   Metric = "order-failures"
+	MetricOrderReasons    Metric = "order-reasons"
 	MetricOrders          Metric = "orders"
 	MetricOrderTime       Metric = "order-ms"
 	MetricPassedOver      Metric = "waits-passed-over"
@@ -48,6 +50,7 @@
 	MetricWaitsPromised   Metric = "returns-expected"
 	MetricWaitsRefused    Metric = "waits-refused"
 	MetricWaitsReturned   Metric = "returns"
+	MetricWrongLoadEnds   Metric = "wrong-load-ends"
 )
 
 // Metric is the kebab-case name of a metric. Names that end in -ms are distributions
--- a/stager/loadoption.go
+++ b/stager/loadoption.go
@@ -9,6 +9,8 @@
 	cost float64
 	// evict is the model to unload first, or empty.
 	evict buckthorndyke.ModelID
+	// evictionCost is the cost of the models to evict, in requests per second.
+	evictionCost float64
 	// evictions is the number of models to unload first.
 	evictions int
 	// duration is the time from the order to load until VMs are told that it is loaded.
@@ -50,10 +52,11 @@
 	default:
 		cost += rate * float64(reload) / float64(patience)
 	}
-	if !p.copies[key].cached {
+	if !p.copiesOf(key).cached {
 		cost += remoteReloadCost
 	}
-	if demand > 0 && s.loadedSince(key.Model, p.now-unloadTime-reload) {
+	ahead := p.reason == ReasonReplica || p.reason == ReasonCopy
+	if ahead && demand > 0 && s.loadedSince(key.Model, p.now-unloadTime-reload) {
 		cost = max(cost, recentLoadValue)
 	}
 	return cost
@@ -62,7 +65,7 @@
 // reloadTime returns the time of a load of the model of key after its eviction: from the
 // fastest copy, or from the weight store, whose loads in progress share its bandwidth.
 func (p *planner) reloadTime(key buckthorndyke.ModelKey) buckthorndyke.Millis {
-	if c := p.copies[key]; c.cached {
+	if c := p.copiesOf(key); c.cached {
 		return p.loadDuration(key, c.tier)
 	}
 	takes := p.loadDuration(key, buckthorndyke.TierRemote)
@@ -129,6 +132,7 @@
 		evicted[victim.Model] = true
 		value -= cost
 		option.cost += cost
+		option.evictionCost += cost
 		victimCfg, _ := cfg.Models.Get(victim.Model)
 		free += victimCfg.MemoryMB + len(victim.Adapters)*victimCfg.AdapterMB
 	}
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -40,7 +40,7 @@
 	Lists buckthorndyke.ListSource
 	// Memory is the account of the memory for requests and responses.
 	Memory buckthorndyke.MemoryAccount
-	// Meter records the requests that wait, and what callers use of their allotments.
+	// Meter records the requests that wait, what callers use of their allotments, and orders.
 	Meter    buckthorndyke.Meter
 	Observer buckthorndyke.Election
 	Pool     buckthorndyke.BackendPool
@@ -121,7 +121,8 @@
 		loader.Feeds{FullSpeedLoads: fullSpeedLoads, Lists: t.lists, Routings: t.routings, SeenList: lists.Seen, SeenRouting: routings.Seen, Terms: terms},
 		s.Lease, clock,
 		loader.WithFullSpeedLoads(s.FullSpeedLoads), loader.WithFencingTokenChecks(s.ChecksFencingToken),
-		loader.WithEarlyLoads(s.EarlyLoads), loader.WithLogger(logger), loader.WithAllotmentBounds(s.Allotments))
+		loader.WithEarlyLoads(s.EarlyLoads), loader.WithLogger(logger), loader.WithAllotmentBounds(s.Allotments),
+		loader.WithMeter(platform.Meter))
 	t.teller = teller.New(t.routings, t.lists, refreshes, clock)
 	t.base = starter.NewBranch("base", s.DrainLimit, logger,
 		t.routings, t.lists, terms, losses, found, fullSpeedLoads, refreshes, confirmations, lists.Seen, lists.Notices, routings.Seen, routings.Notices, t.dispatcher, t.loader, t.teller,
