feat(limiter): each VM limits its requests in flight at each runner

A runner that rejected a request as full was asked again after 120 ms by each VM, whatever the VMs together had sent there: 13 in 100 arrivals were rejected on deployment K.

Each VM now has a limit for each lifetime of a runner (limiter.Limit), which begins with its fair part of the batch, grows with successes at the limit and falls with rejections. Limits below one request are a part of the time. The other VMs' requests from the leader's reply bound the requests beyond the first. A request whose model is loaded waits for room behind earlier ones for the model, until shortly before its client disconnects, and gets it when an attempt ends. View.Choose goes through the servers that hold the model instead of the whole list.

Ruled out: slots granted by the leader (useless without one, and older than the requests), the other VMs' requests as the only limit (up to 1.6 s old), halving from the requests in flight (8 VMs left runners unused).

--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -73,6 +73,7 @@
 		Lists:       bootstrapper.NewLists(peers, s.Seeds, self.PeerAddress, clock, logger),
 		Leaders:     connector.NewConnectLeaderClient(s.Peers.Key.Text),
 		Memory:      memory,
+		Meter:       metrics,
 		Observer:    platform.NewElection(store, self, grantTime, clock),
 		Pool:        recorder.NewBackendPool(pool, metrics, clock),
 		Quarantines: platform.NewQuarantines(store),
--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -52,6 +52,7 @@
 	EventServerUnconfirmed Event = "server-unconfirmed"
 	// EventServersListed reports how many changes of the list of servers were not logged
 	// one by one.
+	EventServersLimited   Event = "servers-limited"
 	EventServersListed    Event = "servers-listed"
 	EventServersMalformed Event = "servers-malformed"
 	EventServersSuspected Event = "servers-suspected"
--- /dev/null
+++ b/selector/bench_test.go
@@ -0,0 +1,84 @@
+package selector_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/selector"
+)
+
+// fleetModel returns the name of model number n.
+func fleetModel(n int) buckthorndyke.ModelID {
+	return buckthorndyke.ModelID(fmt.Sprintf("model-%04d", n))
+}
+
+// fleetView returns a view of runners with three of the models each, and of seven
+// servers of a plain service.
+func fleetView(runners, models int) selector.View {
+	var all []buckthorndyke.Backend
+	var loads []buckthorndyke.ServerLoad
+	for n := range runners {
+		id := buckthorndyke.RunnerID(fmt.Sprintf("i-%06x", n*7919))
+		all = append(all, runner(id, fleetModel(3*n%models), fleetModel((3*n+1)%models), fleetModel((3*n+2)%models)))
+		loads = append(loads, buckthorndyke.ServerLoad{Requests: n % 9, Server: id})
+	}
+	for n := range 7 {
+		all = append(all, server(buckthorndyke.RunnerID(fmt.Sprintf("p-%d", n))))
+	}
+	return viewOf(all...).WithOtherVMsLoads(loads, now)
+}
+
+// benchmarkChoose measures one choice for a model on several runners.
+func benchmarkChoose(b *testing.B, runners, models int) {
+	v := fleetView(runners, models)
+	q := selector.Query{Key: buckthorndyke.ModelKey{Model: fleetModel(1), Service: engines}, Now: now}
+	for b.Loop() {
+		q.Seed++
+		v.Choose(q)
+	}
+}
+
+// benchmarkChooseNone measures a choice for a model that no runner has loaded.
+func benchmarkChooseNone(b *testing.B, runners, models int) {
+	v := fleetView(runners, models)
+	q := selector.Query{Key: buckthorndyke.ModelKey{Model: "missing", Service: engines}, Now: now}
+	for b.Loop() {
+		q.Seed++
+		v.Choose(q)
+	}
+}
+
+func BenchmarkChoose56(b *testing.B)       { benchmarkChoose(b, 56, 42) }
+func BenchmarkChoose3000(b *testing.B)     { benchmarkChoose(b, 3000, 900) }
+func BenchmarkChooseNone56(b *testing.B)   { benchmarkChooseNone(b, 56, 42) }
+func BenchmarkChooseNone3000(b *testing.B) { benchmarkChooseNone(b, 3000, 900) }
+
+// benchmarkBackends measures a new list of servers.
+func benchmarkBackends(b *testing.B, runners, models int) {
+	v := fleetView(runners, models)
+	list := v.List()
+	for b.Loop() {
+		list.ModelsAt++
+		v = v.WithBackends(list)
+	}
+}
+
+func BenchmarkWithBackends56(b *testing.B)   { benchmarkBackends(b, 56, 42) }
+func BenchmarkWithBackends3000(b *testing.B) { benchmarkBackends(b, 3000, 900) }
+
+// benchmarkRunnerModels measures a reply of the leader that changes two runners.
+func benchmarkRunnerModels(b *testing.B, runners, models int) {
+	v := fleetView(runners, models)
+	var changed []buckthorndyke.RunnerModels
+	for n := range 2 {
+		id := buckthorndyke.RunnerID(fmt.Sprintf("i-%06x", n*7919))
+		changed = append(changed, buckthorndyke.RunnerModels{Incarnation: 1, LoadedModels: []buckthorndyke.LoadedModel{{Model: fleetModel(n)}}, Runner: id})
+	}
+	for b.Loop() {
+		v.WithRunnerModels(changed, now)
+	}
+}
+
+func BenchmarkWithRunnerModels56(b *testing.B)   { benchmarkRunnerModels(b, 56, 42) }
+func BenchmarkWithRunnerModels3000(b *testing.B) { benchmarkRunnerModels(b, 3000, 900) }
--- a/selector/choose.go
+++ b/selector/choose.go
@@ -116,21 +116,12 @@
 // the request.
 func (v View) candidates(q Query) []candidate {
 	var byHealth [healthLevels][]candidate
-	for id, listed := range v.list.Servers.All() {
-		if listed.Service != q.Key.Service || v.Leaves(listed) || slices.Contains(q.Excluded, id) || v.isPaused(listed, q.Now) || !v.holds(listed, q) {
+	for _, h := range v.holders(q.Key) {
+		if !v.canTake(h, q) {
 			continue
 		}
-		c := candidate{backend: listed, draw: float64(hashOf(id, q.Seed)), units: v.loadUnits(listed, q.Domain)}
-		c.total = c.units
-		if q.Now < v.otherVMsLoadsUntil {
-			others, _ := v.otherVMsLoads.Get(id)
-			c.draw, c.units = v.weightedDraw(listed, q), v.ownLoadUnits(listed)
-			c.total = c.units + others*unitsPerRequest
-		}
-		if q.Prefix != 0 {
-			c.affinity = hashOf(id, q.Prefix)
-		}
-		byHealth[v.health(id, q.Now)] = append(byHealth[v.health(id, q.Now)], c)
+		level := v.health(h.server.ID, q.Now)
+		byHealth[level] = append(byHealth[level], v.candidate(*h.server, q))
 	}
 	for _, list := range byHealth {
 		if len(list) > 0 {
@@ -140,6 +131,28 @@
 	return nil
 }
 
+// candidate returns a server as a candidate for the request.
+func (v View) candidate(listed buckthorndyke.Backend, q Query) candidate {
+	id := listed.ID
+	c := candidate{backend: listed, draw: float64(hashOf(id, q.Seed)), units: v.loadUnits(listed, q.Domain)}
+	c.total = c.units
+	if q.Now < v.otherVMsLoadsUntil {
+		others, _ := v.otherVMsLoads.Get(id)
+		c.draw, c.units = v.weightedDraw(listed, q), v.ownLoadUnits(listed)
+		c.total = c.units + others*unitsPerRequest
+	}
+	if q.Prefix != 0 {
+		c.affinity = hashOf(id, q.Prefix)
+	}
+	return c
+}
+
+// canTake reports whether a server can take the request now.
+func (v View) canTake(h holder, q Query) bool {
+	return !v.Leaves(*h.server) && !slices.Contains(q.Excluded, h.server.ID) && !v.isPaused(*h.server, q.Now) &&
+		v.holdsModel(h, q) && v.hasRoom(*h.server, q)
+}
+
 // health returns the health of a server as seen by this VM and the leader.
 func (v View) health(id buckthorndyke.RunnerID, now buckthorndyke.Millis) health {
 	if s, ok := v.backoffs.Get(id); ok && now < s.until || now < v.suspectsUntil && v.suspects.Has(id) {
@@ -151,31 +164,20 @@
 	return healthGood
 }
 
-// holds reports whether a server has loaded what the request needs and has not
-// refused a request just now because its batch is full.
-func (v View) holds(listed buckthorndyke.Backend, q Query) bool {
-	if q.Key.Model == "" {
-		return true
-	}
-	if until, ok := v.fullUntil.Get(listed.ID); ok && q.Now < until {
-		return false
-	}
-	return v.holdsModel(listed, q)
-}
-
 // holdsModel reports whether a server has loaded what the request needs.
-func (v View) holdsModel(listed buckthorndyke.Backend, q Query) bool {
+func (v View) holdsModel(h holder, q Query) bool {
 	if q.Key.Model == "" {
 		return true
 	}
-	if until, ok := v.missingUntil.Get(missingKey(listed.ID, q.Key)); ok && q.Now < until {
-		return false
-	}
-	if until, ok := v.missingUntil.Get(missingKey(listed.ID, q.Key.Base())); ok && q.Now < until {
-		return false
+	if v.missingUntil.Len() > 0 {
+		if until, ok := v.missingUntil.Get(missingKey(h.server.ID, q.Key)); ok && q.Now < until {
+			return false
+		}
+		if until, ok := v.missingUntil.Get(missingKey(h.server.ID, q.Key.Base())); ok && q.Now < until {
+			return false
+		}
 	}
-	h, ok := v.latest(listed).LoadedModel(q.Key.Model)
-	return ok && h.HasAdapter(q.Key.Adapter)
+	return h.model.HasAdapter(q.Key.Adapter)
 }
 
 // loadUnits returns the load of a server by this VM in units, with the penalty for
--- a/selector/pause.go
+++ b/selector/pause.go
@@ -24,8 +24,12 @@
 // request pause.
 func (v View) PausedUntil(q Query) (buckthorndyke.Millis, bool) {
 	var until buckthorndyke.Millis
-	for id, listed := range v.list.Servers.All() {
-		if listed.Service != q.Key.Service || v.Leaves(listed) || !v.holdsModel(listed, q) {
+	if v.pauses.Len() == 0 {
+		return 0, false
+	}
+	for _, h := range v.holders(q.Key) {
+		listed, id := *h.server, h.server.ID
+		if v.Leaves(listed) || !v.holdsModel(h, q) {
 			continue
 		}
 		p, ok := v.pauses.Get(id)
--- a/selector/view.go
+++ b/selector/view.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/limiter"
 )
 
 const (
@@ -14,9 +15,6 @@
 	// otherVMsLoadsTTL is how long the leader's data on the load of the other VMs is
 	// valid.
 	otherVMsLoadsTTL = 2500 * buckthorndyke.Millisecond
-	// fullTTL is how long a runner that has refused a request because its batch is
-	// full gets no other. A short request ends in about this time.
-	fullTTL = 120 * buckthorndyke.Millisecond
 	// slowTTL is how long a server that has not responded in time is avoided if there
 	// is another.
 	slowTTL = buckthorndyke.Second
@@ -42,13 +40,18 @@
 	// report to the leader.
 	attempts buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.AttemptCounts]
 	backoffs buckthorndyke.Table[buckthorndyke.RunnerID, backoff]
-	// fullUntil holds the runners that have refused a request because their batch was
-	// full, and until when they get no other.
+	// fleetSize is the number of entry VMs, or 0 if unknown.
+	fleetSize int
+	// fullUntil holds the runners to which no request may be sent for a time because
+	// of their limit, and until when.
 	fullUntil buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Millis]
+	index     index
 	// leaving holds the servers that have said that they are shutting down, by the
 	// incarnation that has said so.
 	leaving buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Incarnation]
-	list    buckthorndyke.Backends
+	// limits holds the limits on the VM's requests in flight by runner.
+	limits buckthorndyke.Table[buckthorndyke.RunnerID, limiter.Limit]
+	list   buckthorndyke.Backends
 	// missingUntil holds the models and adapters that a runner has reported as not
 	// loaded, and until when that is assumed.
 	missingUntil buckthorndyke.Table[string, buckthorndyke.Millis]
@@ -62,6 +65,8 @@
 	// pauses holds the servers that have asked for a pause.
 	pauses       buckthorndyke.Table[buckthorndyke.RunnerID, pause]
 	runnerModels buckthorndyke.Table[buckthorndyke.RunnerID, runnerModels]
+	// service is how long the runner that has served last takes for a request, or 0.
+	service buckthorndyke.Millis
 	// slowUntil holds the servers that have not responded in time, and until when
 	// they are avoided.
 	slowUntil buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Millis]
@@ -136,6 +141,7 @@
 
 // WithBackends returns a view with another list of servers.
 func (v View) WithBackends(list buckthorndyke.Backends) View {
+	isIndexed := list.Servers.Same(v.list.Servers) && list.ModelsAt == v.list.ModelsAt
 	v.list = list
 	for id, incarnation := range v.leaving.All() {
 		if listed, ok := list.Servers.Get(id); ok && listed.Incarnation != incarnation {
@@ -147,7 +153,15 @@
 			v.backoffs = v.backoffs.Without(id)
 		}
 	}
-	return v
+	for id := range v.limits.All() {
+		if !list.Servers.Has(id) {
+			v.limits = v.limits.Without(id)
+		}
+	}
+	if isIndexed {
+		return v
+	}
+	return v.indexed()
 }
 
 // WithFailedAttempt returns a view with one more failed attempt at a server, for
@@ -167,13 +181,6 @@
 	return v.WithFailedAttempt(id)
 }
 
-// WithFull returns a view in which a runner has refused a request at now because its
-// batch is full.
-func (v View) WithFull(id buckthorndyke.RunnerID, now buckthorndyke.Millis) View {
-	v.fullUntil = v.fullUntil.With(id, now+fullTTL)
-	return v
-}
-
 // WithLeaving returns a view in which a server has said that it is shutting down. No list
 // changes that for the same incarnation: the list lags behind the server.
 func (v View) WithLeaving(l buckthorndyke.Lifetime) View {
@@ -233,8 +240,11 @@
 // WithRunnerModels returns a view with the loaded models of runners, as received from
 // the leader at now.
 func (v View) WithRunnerModels(list []buckthorndyke.RunnerModels, now buckthorndyke.Millis) View {
+	before := v
+	changed := make([]buckthorndyke.RunnerID, 0, len(list))
 	for _, r := range list {
 		v.runnerModels = v.runnerModels.With(r.Runner, runnerModels{RunnerModels: r, at: now})
+		changed = append(changed, r.Runner)
 	}
 	for id, r := range v.runnerModels.All() {
 		if v.list.ModelsAt >= r.at+listLag {
@@ -242,7 +252,10 @@
 		}
 	}
 	v.missingUntil, v.fullUntil, v.slowUntil = withoutExpired(v.missingUntil, now), withoutExpired(v.fullUntil, now), withoutExpired(v.slowUntil, now)
-	return v
+	if len(changed) == 0 {
+		return v
+	}
+	return v.reindexed(before, changed)
 }
 
 // WithSlow returns a view in which a server has not responded in time at now.
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -21,12 +21,14 @@
 // Dispatcher is the task that selects backend servers for requests. It implements
 // buckthorndyke.Relay, buckthorndyke.DemandSource and buckthorndyke.CrashSource.
 type Dispatcher struct {
-	box         *mailer.Mailbox[message]
-	clock       buckthorndyke.Clock
-	domain      buckthorndyke.DomainID
-	lists       *mailer.Feed[buckthorndyke.Backends]
-	logger      zerolog.Logger
-	memory      buckthorndyke.MemoryAccount
+	box    *mailer.Mailbox[message]
+	clock  buckthorndyke.Clock
+	domain buckthorndyke.DomainID
+	lists  *mailer.Feed[buckthorndyke.Backends]
+	logger zerolog.Logger
+	memory buckthorndyke.MemoryAccount
+	// meter is nil if measurements are not recorded.
+	meter       buckthorndyke.Meter
 	pool        buckthorndyke.BackendPool
 	retryBurst  int
 	routings    *mailer.Feed[buckthorndyke.Routing]
@@ -51,6 +53,11 @@
 	return func(d *Dispatcher) { d.memory = account }
 }
 
+// WithMeter records measurements of servers and limits to meter.
+func WithMeter(meter buckthorndyke.Meter) Option {
+	return func(d *Dispatcher) { d.meter = meter }
+}
+
 // WithRetryBurst bounds the burst of retries that all entry VMs together send to a
 // service.
 func WithRetryBurst(n int) Option {
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -68,9 +68,13 @@
 	rates map[buckthorndyke.ModelKey]buckthorndyke.Rate
 	// recent holds the fingerprints that were served recently.
 	recent  quarantiner.Recent
-	routing buckthorndyke.Routing
-	runCtx  context.Context
-	running map[buckthorndyke.ModelKey]int
+	roomLog roomLog
+	// roomSignalAt is the instant of the last early report because of requests that wait
+	// for room, or 0.
+	roomSignalAt buckthorndyke.Millis
+	routing      buckthorndyke.Routing
+	runCtx       context.Context
+	running      map[buckthorndyke.ModelKey]int
 	// suspects are the servers that fail requests of all VMs, from the leader's latest
 	// reply.
 	suspects []buckthorndyke.RunnerID
@@ -132,13 +136,11 @@
 		m.reply.Answer(admission{err: errBudget})
 		return
 	}
-	if t.refuseStopping(m) || t.tryAdmit(m) || t.refusePaused(m) {
+	if t.refuseStopping(m) || !t.mustQueue(m) && t.tryAdmit(m) || t.refusePaused(m) {
 		return
 	}
 	t.waiting = append(t.waiting, m)
-	if key.Model != "" {
-		t.signalWaiting()
-	}
+	t.signalNewWait(m)
 }
 
 // applyLeaderReply applies a leader's reply.
@@ -161,7 +163,7 @@
 		t.logger.Info().EmbedObject(reporter.EventServersSuspected).Any("servers", reply.Suspects).Send()
 	}
 	t.view = t.view.WithRunnerModels(reply.RunnerModels, now).WithOtherVMsLoads(reply.ServerLoads, now).
-		WithSuspects(reply.Suspects, now)
+		WithSuspects(reply.Suspects, now).WithFleetSize(t.fleetSize)
 	t.retryWaiting()
 }
 
@@ -207,6 +209,7 @@
 		change(key, func(e *buckthorndyke.DemandEntry) { e.Running = n })
 	}
 	now := t.clock.Now()
+	t.measureRoom(now)
 	report := buckthorndyke.DemandReport{
 		Attempts: t.view.AttemptCounts(), Crashes: t.crashesToReport(recent), CrashesSeen: t.crashSync.seen,
 		ServerLoads: t.view.OwnLoads(),
@@ -260,6 +263,7 @@
 	case resultServed:
 		t.durations[m.route] = t.durations[m.route].With(m.duration, now)
 		t.view = t.view.WithSuccess(m.backend.ID).WithoutPause(m.backend.ID, now)
+		t.noteRoomUsed(m, now)
 	case resultModelMissing:
 		t.view = t.view.WithMissing(m.backend.ID, m.key, now)
 	case resultFailed:
@@ -268,8 +272,9 @@
 	case resultServerError:
 		t.view = t.view.WithFailedAttempt(m.backend.ID)
 	case resultBusy:
-		t.view = t.view.WithFull(m.backend.ID, now)
+		t.noteFull(m, now)
 	}
+	t.offerRoom(m)
 }
 
 // includeRecent counts all recent arrivals as not reported yet.
@@ -351,5 +356,9 @@
 
 // waitUntil returns the instant until which a request may wait.
 func (t *task) waitUntil(m admissionRequested) buckthorndyke.Millis {
-	return m.limits.WithDrain(t.drain.waitUntil).Until(m.query.Key, t.hasLeader, t.expected[m.query.Key])
+	limits := m.limits.WithDrain(t.drain.waitUntil)
+	if t.waitsForRoom(m) {
+		return limits.UntilRoom()
+	}
+	return limits.Until(m.query.Key, t.hasLeader, t.expected[m.query.Key])
 }
--- a/supervisor/relayer/dispatcher/waitlimits.go
+++ b/supervisor/relayer/dispatcher/waitlimits.go
@@ -70,6 +70,15 @@
 	default:
 		until = l.loading
 	}
+	return l.drained(until)
+}
+
+// UntilRoom returns the instant until which a request may wait for a runner that has loaded
+// its model. A late response is worth more than a refusal.
+func (l waitLimits) UntilRoom() buckthorndyke.Millis { return l.drained(l.loading) }
+
+// drained returns the instant until, or an earlier one on a VM that is draining.
+func (l waitLimits) drained(until buckthorndyke.Millis) buckthorndyke.Millis {
 	if l.drain > 0 {
 		until = min(until, l.drain)
 	}
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -39,7 +39,9 @@
 	// Lists has other VMs' copies of large lists of servers.
 	Lists buckthorndyke.ListSource
 	// Memory is the account of the memory for requests and responses.
-	Memory   buckthorndyke.MemoryAccount
+	Memory buckthorndyke.MemoryAccount
+	// Meter records measurements of the choice of servers, or is nil.
+	Meter    buckthorndyke.Meter
 	Observer buckthorndyke.Election
 	Pool     buckthorndyke.BackendPool
 	// Quarantines keeps the quarantines.
@@ -97,7 +99,7 @@
 	}
 	terms := mailer.NewFeed[buckthorndyke.Term]()
 	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock,
-		dispatcher.WithDomain(self.Domain), dispatcher.WithLogger(logger), dispatcher.WithMemory(platform.Memory),
+		dispatcher.WithDomain(self.Domain), dispatcher.WithLogger(logger), dispatcher.WithMemory(platform.Memory), dispatcher.WithMeter(platform.Meter),
 		dispatcher.WithRetryBurst(s.RetryBurst))
 	losses, found, fullSpeedLoads := mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[int]()
 	lists, routings := newWatchFeeds(terms), newWatchFeeds(terms)
