feat(selector): expected times decide when a request's target is at risk

A server was chosen by the VM's own load and a constant worth of the prefix cache, whatever servers, models and prompts cost.

estimator.Times learns from the VM's own responses how long servers take to read prompts, to make events and for calls: a time by amount, with a factor for each server lifetime and each model, a spread and an age. The expected time to the first event includes the VM's own prompts that the server has not begun to answer; a cached prefix is worth the tokens that it saves. While the expected time, with three times its spread, is under half of the route's target, the choice is as before. Otherwise a server is drawn by expected time, own and other VMs' requests. Log line server-times, metric expectation_error_ms.

Ruled out: the shorter expected time of two random candidates, which overloads the faster of two runners because all VMs know about the same.

--- a/metric.go
+++ b/metric.go
@@ -5,6 +5,7 @@
 	MetricAttempts         Metric = "attempts"
 	MetricControlOffset    Metric = "control-offset"
 	MetricEvictions        Metric = "evictions"
+	MetricExpectationError Metric = "expectation-error-ms"
 	MetricFirstByte        Metric = "first-byte-ms"
 	MetricFirstToken       Metric = "first-token-ms"
 	MetricGap              Metric = "gap-ms"
--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -53,6 +53,7 @@
 	// EventServersListed reports how many changes of the list of servers were not logged
 	// one by one.
 	EventServersLimited   Event = "servers-limited"
+	EventServerTimes      Event = "server-times"
 	EventServersListed    Event = "servers-listed"
 	EventServersMalformed Event = "servers-malformed"
 	EventServersSuspected Event = "servers-suspected"
--- a/selector/bench_test.go
+++ b/selector/bench_test.go
@@ -82,3 +82,23 @@
 
 func BenchmarkWithRunnerModels56(b *testing.B)   { benchmarkRunnerModels(b, 56, 42) }
 func BenchmarkWithRunnerModels3000(b *testing.B) { benchmarkRunnerModels(b, 3000, 900) }
+
+// benchmarkChooseAtRisk measures a choice by expected times.
+func benchmarkChooseAtRisk(b *testing.B, runners, models int) {
+	v := fleetView(runners, models)
+	q := selector.Query{
+		Key: buckthorndyke.ModelKey{Model: fleetModel(1), Service: engines}, Now: now, OutputTokens: 65, Prefix: 77, PrefixTokens: 600,
+		Target: 400, Tokens: 20_000,
+	}
+	for n, listed := range v.List().Servers.All() {
+		s := selector.Sent{Backend: listed, Key: q.Key, OutputTokens: 65, ReadTokens: 100 * len(n)}
+		v = v.WithFirstEvent(s, 20, now, "").WithFirstEvent(s, 30, now, "").WithRest(s, 200, now)
+	}
+	for b.Loop() {
+		q.Seed++
+		v.Choose(q)
+	}
+}
+
+func BenchmarkChooseAtRisk56(b *testing.B)   { benchmarkChooseAtRisk(b, 56, 42) }
+func BenchmarkChooseAtRisk3000(b *testing.B) { benchmarkChooseAtRisk(b, 3000, 900) }
--- a/selector/choose.go
+++ b/selector/choose.go
@@ -48,10 +48,18 @@
 	Excluded []buckthorndyke.RunnerID
 	Key      buckthorndyke.ModelKey
 	Now      buckthorndyke.Millis
+	// OutputTokens is the maximum length of the response.
+	OutputTokens int
 	// Prefix is the hash of the prompt's beginning, or 0.
 	Prefix uint64
+	// PrefixTokens is the length of the prompt's beginning.
+	PrefixTokens int
 	// Seed makes the choice among equal servers random.
 	Seed uint64
+	// Target is the objective for the time to the first event or the response, or 0.
+	Target buckthorndyke.Millis
+	// Tokens is the length of the prompt.
+	Tokens int
 }
 
 // Choose returns the server to send the request to, or false if none can take it now.
@@ -59,20 +67,36 @@
 // that have failed recently or that fail requests of all VMs, only if there is no
 // other. A server that fails each request at once has no load, so it would otherwise
 // be chosen by load.
+//
+// While the request is expected to meet its target with ease at the server that is chosen by
+// load and prefix cache, or too little is known, that server is chosen. Otherwise the
+// expected times decide.
 func (v View) Choose(q Query) (buckthorndyke.Backend, bool) {
 	candidates := v.candidates(q)
 	if len(candidates) == 0 {
 		return buckthorndyke.Backend{}, false
 	}
+	chosen := chooseByLoad(candidates, q)
+	if len(candidates) > 1 && v.isAtRisk(chosen, q) {
+		if c, ok := v.chooseByTime(candidates, q); ok {
+			chosen = c
+		}
+	}
+	return chosen.backend, true
+}
+
+// chooseByLoad returns the candidate with the least load, or the one that probably caches the
+// prefix if it has little more.
+func chooseByLoad(candidates []candidate, q Query) candidate {
 	best := slices.MinFunc(candidates, func(x, y candidate) int { return x.compareLoad(y) })
 	if q.Prefix == 0 {
-		return best.backend, true
+		return best
 	}
 	cached := slices.MaxFunc(candidates, func(x, y candidate) int { return x.compareAffinity(y) })
 	if cached.total <= best.total+affinitySlack {
-		return cached.backend, true
+		return cached
 	}
-	return best.backend, true
+	return best
 }
 
 // candidate is a server that can take a request.
@@ -206,8 +230,7 @@
 	if q.Domain != "" && listed.Domain != q.Domain {
 		weight *= otherDomainFactor
 	}
-	uniform := (float64(hashOf(listed.ID, q.Seed)>>uniformShift) + 0.5) / (1 << (64 - uniformShift))
-	return -math.Log(uniform) * weight
+	return -math.Log(uniformOf(listed.ID, q.Seed)) * weight
 }
 
 // hashOf returns a hash of a server and a seed.
--- a/selector/room.go
+++ b/selector/room.go
@@ -67,8 +67,7 @@
 		return v
 	}
 	inFlight := v.OwnLoad(id).Requests + 1
-	spread := float64(hashOf(id, uint64(now))>>uniformShift) / (1 << (64 - uniformShift))
-	l := v.limit(listed, now).WithRejected(inFlight, sent, now, spread)
+	l := v.limit(listed, now).WithRejected(inFlight, sent, now, uniformOf(id, uint64(now)))
 	return v.withLimit(id, l, now)
 }
 
--- a/selector/site_test.go
+++ b/selector/site_test.go
@@ -41,6 +41,8 @@
 	vms           int
 	vmOf          func(s *site) int
 	withoutLeader bool
+	// withoutTimes is set if choices are made without expected times.
+	withoutTimes bool
 }
 
 const (
@@ -72,8 +74,9 @@
 	domain   buckthorndyke.DomainID
 	id       buckthorndyke.RunnerID
 	inFlight int
-	// busy is the sum of the requests in flight over time.
+	// busy is the sum of the requests in flight over time, until busyAt.
 	busy        float64
+	busyAt      buckthorndyke.Millis
 	incarnation buckthorndyke.Incarnation
 	readUntil   float64
 	// slow returns the factor on the time for all work at an instant.
@@ -90,10 +93,12 @@
 }
 
 type simRequest struct {
-	arrived buckthorndyke.Millis
-	query   selector.Query
-	retry   bool
-	tokens  int
+	arrived, began buckthorndyke.Millis
+	load           selector.Load
+	sent           selector.Sent
+	query          selector.Query
+	retry          bool
+	tokens         int
 }
 
 // event is something that happens at an instant.
@@ -149,9 +154,6 @@
 		if e.at > end {
 			break
 		}
-		for _, r := range s.runners {
-			r.busy += float64(r.inFlight) * float64(e.at-s.now)
-		}
 		s.now = e.at
 		e.do()
 	}
@@ -283,19 +285,15 @@
 	if !ok {
 		return false
 	}
-	var runner *simRunner
-	for _, other := range s.runners {
-		if other.id == b.ID {
-			runner = other
-		}
-	}
+	n := slices.IndexFunc(s.runners, func(r *simRunner) bool { return r.id == b.ID })
+	runner := s.runners[n]
 	latency := buckthorndyke.Millis(0)
 	if runner.domain != vm.domain {
 		latency = 1
 	}
 	s.attempts++
-	sent, taken := s.now, s.loadOf(r)
-	vm.view = vm.view.WithLoad(b.ID, taken)
+	sent := s.now
+	s.take(vm, r, b)
 	s.in(latency, func() { s.execute(vm, r, runner, sent, latency) })
 	return true
 }
@@ -307,7 +305,7 @@
 		s.in(latency, func() { s.reject(vm, r, runner.id, sent) })
 		return
 	}
-	runner.inFlight++
+	runner.change(1, s.now)
 	runner.accepted++
 	factor := runner.speed * runner.slow(s.now)
 	cost := 1.0
@@ -327,13 +325,19 @@
 	s.in(first, func() {
 		s.noteFirst(vm, r, runner, sent)
 	})
-	s.in(first+rest-latency, func() { runner.inFlight-- })
+	s.in(first+rest-latency, func() { runner.change(-1, s.now) })
 	s.in(first+rest, func() {
 		s.served++
 		s.end(vm, r, runner, sent)
 	})
 }
 
+// change changes the number of requests in flight.
+func (r *simRunner) change(by int, now buckthorndyke.Millis) {
+	r.busy += float64(r.inFlight) * float64(now-r.busyAt)
+	r.inFlight, r.busyAt = r.inFlight+by, now
+}
+
 // noteFirst notes the first event of a response.
 func (s *site) noteFirst(vm *simVM, r *simRequest, runner *simRunner, sent buckthorndyke.Millis) {
 	took := s.now - r.arrived
--- a/selector/view.go
+++ b/selector/view.go
@@ -40,6 +40,9 @@
 	// report to the leader.
 	attempts buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.AttemptCounts]
 	backoffs buckthorndyke.Table[buckthorndyke.RunnerID, backoff]
+	// domainDelay is the extra time to servers in other failure domains in milliseconds, or
+	// 0 if unknown.
+	domainDelay float64
 	// fleetSize is the number of entry VMs, or 0 if unknown.
 	fleetSize int
 	// fullUntil holds the runners to which no request may be sent for a time because
@@ -75,6 +78,8 @@
 	suspects buckthorndyke.Table[buckthorndyke.RunnerID, struct{}]
 	// suspectsUntil is the instant until which suspects is valid.
 	suspectsUntil buckthorndyke.Millis
+	// times holds how long servers take, by service.
+	times buckthorndyke.Table[buckthorndyke.ServiceID, serviceTimes]
 }
 
 // Load is the work in flight from a VM at a server.
@@ -83,11 +88,19 @@
 	Requests int
 	// Tokens is the number of their prompt tokens.
 	Tokens int
+	// Unread is the number of prompt tokens of the requests that the server has not begun
+	// to answer.
+	Unread int
 }
 
 // plus returns the sum of l and other.
 func (l Load) plus(other Load) Load {
-	return Load{Requests: l.Requests + other.Requests, Tokens: l.Tokens + other.Tokens}
+	return Load{Requests: l.Requests + other.Requests, Tokens: l.Tokens + other.Tokens, Unread: l.Unread + other.Unread}
+}
+
+// Negative returns the load whose sum with l is none.
+func (l Load) Negative() Load {
+	return Load{Requests: -l.Requests, Tokens: -l.Tokens, Unread: -l.Unread}
 }
 
 // AttemptCounts returns the outcomes of the VM's requests by server since its last
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -68,6 +68,8 @@
 	fingerprints []buckthorndyke.Fingerprint
 	// firstEvent is the time from the request's arrival to the first event.
 	firstEvent buckthorndyke.Millis
+	// firstTook is the time from the start of the attempt to its first event, or 0.
+	firstTook buckthorndyke.Millis
 	// heard is set once the server of the attempt has sent an event.
 	heard bool
 	key   buckthorndyke.ModelKey
@@ -82,6 +84,10 @@
 	responded chan struct{}
 	route     buckthorndyke.Route
 	seed      uint64
+	// sent describes the request at the server of the attempt.
+	sent selector.Sent
+	// taken is what the attempt still adds to the load of its server.
+	taken selector.Load
 	// trail describes the attempts for the log.
 	trail []string
 }
@@ -137,13 +143,11 @@
 // acquireServer waits until the task assigns a server to the request.
 func (j *job) acquireServer(ctx context.Context) (buckthorndyke.Backend, error) {
 	now := j.clock.Now()
-	j.attemptStart = 0
+	j.attemptStart, j.firstTook = 0, 0
 	m := admissionRequested{
-		job:  j,
-		load: j.load(),
-		query: selector.Query{
-			Excluded: j.excluded, Key: j.key, Prefix: j.promptPrefix(), Seed: j.seed + uint64(j.attempts),
-		},
+		job:    j,
+		load:   j.load(),
+		query:  j.query(),
 		limits: newWaitLimits(j.route, j.request.Arrived, j.deadline),
 		reply:  mailer.NewReply[admission](),
 		retry:  j.attempts > 0,
@@ -157,6 +161,7 @@
 		if a.err != nil {
 			return a.backend, j.withRetryAfter(a)
 		}
+		j.sent, j.taken = a.sent, a.load
 		return a.backend, nil
 	case <-ctx.Done():
 	}
@@ -179,6 +184,7 @@
 	case a := <-m.reply.Receive():
 		// The task assigned a server before it received the cancellation.
 		if a.err == nil {
+			j.sent, j.taken = a.sent, a.load
 			j.releaseServer(ctx, a.backend, resultNeutral)
 		}
 	default:
@@ -199,11 +205,11 @@
 }
 
 // promptPrefix returns a hash that identifies the part of the prompt that other requests
-// share, or 0 if that has fewer than minPrefixTokens.
-func (j *job) promptPrefix() uint64 {
+// share, and the number of its tokens, or 0 if that has fewer than minPrefixTokens.
+func (j *job) promptPrefix() (prefix uint64, tokens int) {
 	parts := j.request.Prompt
 	if j.key.Model == "" || len(parts) < 2 {
-		return 0
+		return 0, 0
 	}
 	d := xxhash.New()
 	_, _ = d.WriteString(string(j.key.Model) + "/" + j.key.Adapter)
@@ -213,9 +219,9 @@
 		_, _ = d.WriteString("," + part.ID)
 	}
 	if shared < minPrefixTokens {
-		return 0
+		return 0, 0
 	}
-	return d.Sum64() | 1
+	return d.Sum64() | 1, shared
 }
 
 // releaseServer reports the result of an attempt to the task, which no longer counts it as
@@ -224,8 +230,8 @@
 	// The server has to be released even if the client has disconnected.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout.Duration())
 	defer cancel()
-	m := attemptEnded{backend: backend, fingerprints: j.fingerprints, key: j.key, load: j.load(), result: r}
-	m.route = j.route.Name
+	m := attemptEnded{backend: backend, fingerprints: j.fingerprints, key: j.key, load: j.taken, result: r}
+	m.first, m.route, m.sent = j.firstTook, j.route.Name, j.sent
 	if j.attemptStart > 0 {
 		m.duration = j.clock.Now() - j.attemptStart
 	}
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -35,6 +35,10 @@
 type admission struct {
 	backend buckthorndyke.Backend
 	err     error
+	// load is what the request adds to the load of the server.
+	load selector.Load
+	// sent describes the request at the server.
+	sent selector.Sent
 	// expected is the instant at which the model is expected to be loaded, or 0.
 	expected buckthorndyke.Millis
 	// final is set if the error already says when to retry.
@@ -60,6 +64,17 @@
 		reply mailer.Reply[struct{}]
 	}
 
+	// attemptBegun reports the first event of a server's response.
+	attemptBegun struct {
+		// isWhole is set if the server has read the whole prompt and resumes no stream.
+		isWhole bool
+		sent    selector.Sent
+		// took is the time since the request was sent.
+		took buckthorndyke.Millis
+		// unread is the number of tokens that the server has read by now.
+		unread int
+	}
+
 	// attemptEnded reports the result of an attempt.
 	attemptEnded struct {
 		backend buckthorndyke.Backend
@@ -70,11 +85,14 @@
 		// duration is how long the attempt took.
 		duration     buckthorndyke.Millis
 		fingerprints []buckthorndyke.Fingerprint
-		key          buckthorndyke.ModelKey
-		load         selector.Load
-		result       result
+		// first is the time to the first event, or 0 if there was none.
+		first  buckthorndyke.Millis
+		key    buckthorndyke.ModelKey
+		load   selector.Load
+		result result
 		// route is the name of the request's route.
 		route string
+		sent  selector.Sent
 	}
 
 	// crashChecked reports whether a server whose connections broke has ended.
@@ -144,6 +162,7 @@
 
 func (m admissionRequested) apply(t *task) { t.admit(m) }
 func (m admissionCancelled) apply(t *task) { t.cancelAdmission(m) }
+func (m attemptBegun) apply(t *task)       { t.noteFirstEvent(m) }
 func (m attemptEnded) apply(t *task)       { t.endAttempt(m) }
 func (m crashChecked) apply(t *task)       { t.handleCrashCheck(m) }
 func (m crashesRequested) apply(t *task) {
--- a/supervisor/relayer/dispatcher/room_test.go
+++ b/supervisor/relayer/dispatcher/room_test.go
@@ -95,14 +95,16 @@
 
 // meter implements buckthorndyke.Meter. Only the dispatcher's task writes to it.
 type meter struct {
-	values map[buckthorndyke.Metric]int64
+	// observed counts the observations.
+	observed int
+	values   map[buckthorndyke.Metric]int64
 }
 
 // Count implements buckthorndyke.Meter.
 func (m *meter) Count(name buckthorndyke.Metric, n int64) { m.values[name] += n }
 
 // Observe implements buckthorndyke.Meter.
-func (*meter) Observe(buckthorndyke.Metric, buckthorndyke.Millis) {}
+func (m *meter) Observe(buckthorndyke.Metric, buckthorndyke.Millis) { m.observed++ }
 
 // Set implements buckthorndyke.Meter.
 func (m *meter) Set(name buckthorndyke.Metric, value int64) { m.values[name] = value }
--- a/supervisor/relayer/dispatcher/stream.go
+++ b/supervisor/relayer/dispatcher/stream.go
@@ -75,6 +75,9 @@
 			err = j.checkStreamEnd(pending[whole:], whole > 0, a.EndsWithConnection)
 		}
 		if whole > 0 || ended && err == nil {
+			if whole > 0 && !j.heard {
+				j.tellFirstEvent(ctx)
+			}
 			if failed := j.writeEvents(a, pending[:whole]); failed != nil {
 				return failed
 			}
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -78,7 +78,9 @@
 	// suspects are the servers that fail requests of all VMs, from the leader's latest
 	// reply.
 	suspects []buckthorndyke.RunnerID
-	view     selector.View
+	// timesLoggedAt is the instant of the last line on the times of servers.
+	timesLoggedAt buckthorndyke.Millis
+	view          selector.View
 	// waiting holds the requests that wait for a server, in the order of their arrival.
 	waiting []admissionRequested
 }
@@ -210,6 +212,7 @@
 	}
 	now := t.clock.Now()
 	t.measureRoom(now)
+	t.logTimes(now)
 	report := buckthorndyke.DemandReport{
 		Attempts: t.view.AttemptCounts(), Crashes: t.crashesToReport(recent), CrashesSeen: t.crashSync.seen,
 		ServerLoads: t.view.OwnLoads(),
@@ -249,7 +252,7 @@
 // endAttempt applies the result of an attempt.
 func (t *task) endAttempt(m attemptEnded) {
 	now := t.clock.Now()
-	t.view = t.view.WithLoad(m.backend.ID, selector.Load{Requests: -m.load.Requests, Tokens: -m.load.Tokens})
+	t.view = t.view.WithLoad(m.backend.ID, m.load.Negative())
 	if m.key.Model != "" {
 		if t.running[m.key]--; t.running[m.key] <= 0 {
 			delete(t.running, m.key)
@@ -264,6 +267,7 @@
 		t.durations[m.route] = t.durations[m.route].With(m.duration, now)
 		t.view = t.view.WithSuccess(m.backend.ID).WithoutPause(m.backend.ID, now)
 		t.noteRoomUsed(m, now)
+		t.learnEnd(m, now)
 	case resultModelMissing:
 		t.view = t.view.WithMissing(m.backend.ID, m.key, now)
 	case resultFailed:
@@ -346,11 +350,12 @@
 	if m.retry {
 		t.budgets[key.Service] = t.budget(key.Service).WithRetry()
 	}
-	t.view = t.view.WithLoad(backend.ID, m.load)
+	load, sent := t.expect(m, backend)
+	t.view = t.view.WithLoad(backend.ID, load)
 	if key.Model != "" {
 		t.running[key]++
 	}
-	m.reply.Answer(admission{backend: backend})
+	m.reply.Answer(admission{backend: backend, load: load, sent: sent})
 	return true
 }
 
