fix(limiter): limits leave no slots unused beside few other VMs

A limit that was made before the number of VMs was known kept its initial part, and one request for 31 VMs at 16 slots is too small a part.

The part now follows the number of VMs (Limit.WithPart) and is rounded up.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -13,7 +13,7 @@
 	// something about it. The load by other VMs changes within seconds.
 	limitTTL = 10 * buckthorndyke.Second
 	// assumedVMs is the number of VMs that share a server until a leader tells it.
-	assumedVMs = 32
+	assumedVMs = 24
 	// headroom is the initial limit as a multiple of the VM's fair part of the batch:
 	// most servers get requests from a part of the VMs only.
 	headroom = 2
@@ -34,7 +34,7 @@
 	// were late with the lower factors and 57 with these.
 	sharedFactor           = 0.9
 	sharedOverloadedFactor = 0.75
-	largePart              = 2
+	largePart              = 3
 	// slowStart is added for a success at the limit while the server has rejected nothing.
 	slowStart = 1
 	// minRequests and minFairPart bound the limit from below: the smaller of minRequests
@@ -85,17 +85,11 @@
 // batch, how many VMs there are, and how long servers like it take for a request. Each may
 // be 0 if unknown.
 func New(incarnation buckthorndyke.Incarnation, slots, vms int, service, now buckthorndyke.Millis) Limit {
-	if vms == 0 {
-		vms = assumedVMs
-	}
 	l := Limit{at: now, first: 1, floor: minRequests, incarnation: incarnation, requests: unlimited, service: float64(service)}
 	if slots > 0 {
-		fair := float64(slots) / float64(vms)
-		l.floor = max(min(minRequests, minFairPart*fair), leastRequests)
-		l.first = max(math.Floor(headroom*fair), 1)
-		l.requests = l.first
+		l.requests = 0
 	}
-	return l
+	return l.WithPart(slots, vms)
 }
 
 // Allows reports whether one more request may be sent at now while inFlight requests of
@@ -125,6 +119,24 @@
 	return l.incarnation == incarnation && now < l.at+limitTTL
 }
 
+// WithPart returns the limit for a server with a batch of slots that vms VMs share. Either may
+// be 0 if unknown.
+func (l Limit) WithPart(slots, vms int) Limit {
+	if slots == 0 {
+		return l
+	}
+	if vms == 0 {
+		vms = assumedVMs
+	}
+	fair := float64(slots) / float64(vms)
+	l.floor = max(min(minRequests, minFairPart*fair), leastRequests)
+	l.first = max(math.Ceil(headroom*fair), 1)
+	if !l.lowered {
+		l.requests = max(l.requests, l.first)
+	}
+	return l
+}
+
 // WithRejected returns the limit after the server has rejected a request that was sent at
 // sent, as one of inFlight. spread, from 0 to 1, spreads the times at which several VMs
 // try again.
--- a/selector/room.go
+++ b/selector/room.go
@@ -104,7 +104,7 @@
 // of the server does not count.
 func (v View) limit(listed buckthorndyke.Backend, now buckthorndyke.Millis) limiter.Limit {
 	if l, ok := v.limits.Get(listed.ID); ok && l.Valid(listed.Incarnation, now) {
-		return l
+		return l.WithPart(listed.Slots, v.fleetSize)
 	}
 	return limiter.New(listed.Incarnation, listed.Slots, v.fleetSize, v.service, now)
 }
