feat(selector): unread prompt tokens of all VMs and memory for tokens

Expected times knew only the VM's own prompts at a server, a thirtieth of what it has to read with 31 VMs, and nothing kept the requests at a runner within its memory for tokens.

Demand reports carry the prompt tokens of requests that servers have not begun to answer, the leader adds them up, and a view averages what the replies tell. A runner has room for a request only if its memory for tokens holds it beside the VM's other requests and, estimated, those of the other VMs.

--- a/selector/choose.go
+++ b/selector/choose.go
@@ -42,6 +42,8 @@
 
 // Query describes a request that needs a server.
 type Query struct {
+	// CacheTokens is a runner's memory for tokens, or 0 if unknown.
+	CacheTokens int
 	// Domain is the VM's own failure domain.
 	Domain buckthorndyke.DomainID
 	// Excluded are servers that the request must not be sent to again.
--- a/selector/expected.go
+++ b/selector/expected.go
@@ -240,7 +240,7 @@
 // readTokens returns the number of prompt tokens that a server has to read before the first
 // event of a request.
 func (v View) readTokens(id buckthorndyke.RunnerID, q Query, cached int) int {
-	return max(q.Tokens-cached, 0) + v.OwnLoad(id).Unread
+	return max(q.Tokens-cached, 0) + v.OwnLoad(id).Unread + v.othersUnread(id, q.Now)
 }
 
 // timesOf returns the times of a service.
--- a/selector/room.go
+++ b/selector/room.go
@@ -92,7 +92,7 @@
 		return true
 	}
 	own := v.OwnLoad(listed.ID).Requests
-	if !v.limit(listed, q.Now).Allows(own, q.Now) {
+	if !v.hasMemory(listed, q) || !v.limit(listed, q.Now).Allows(own, q.Now) {
 		return false
 	}
 	others, known := v.othersAt(listed.ID, q.Now)
--- a/selector/view.go
+++ b/selector/view.go
@@ -55,12 +55,17 @@
 	// limits holds the limits on the VM's requests in flight by runner.
 	limits buckthorndyke.Table[buckthorndyke.RunnerID, limiter.Limit]
 	list   buckthorndyke.Backends
+	// meanHeld is the average memory of the VM's requests, in tokens.
+	meanHeld float64
 	// missingUntil holds the models and adapters that a runner has reported as not
 	// loaded, and until when that is assumed.
 	missingUntil buckthorndyke.Table[string, buckthorndyke.Millis]
 	// otherVMsLoads are the requests of the other VMs by server, by the leader's last
 	// reply.
 	otherVMsLoads buckthorndyke.Table[buckthorndyke.RunnerID, int]
+	// otherVMsUnread are the prompt tokens of the other VMs' requests that servers have not
+	// begun to answer, averaged over the leader's last replies.
+	otherVMsUnread buckthorndyke.Table[buckthorndyke.RunnerID, float64]
 	// otherVMsLoadsUntil is the instant until which otherVMsLoads is valid.
 	otherVMsLoadsUntil buckthorndyke.Millis
 	// ownLoads is the load of the VM's own requests by server.
@@ -84,6 +89,9 @@
 
 // Load is the work in flight from a VM at a server.
 type Load struct {
+	// Held is the number of tokens of memory that the requests may take: their prompts and
+	// the longest responses.
+	Held int
 	// Requests is the number of requests.
 	Requests int
 	// Tokens is the number of their prompt tokens.
@@ -95,12 +103,12 @@
 
 // plus returns the sum of l and other.
 func (l Load) plus(other Load) Load {
-	return Load{Requests: l.Requests + other.Requests, Tokens: l.Tokens + other.Tokens, Unread: l.Unread + other.Unread}
+	return Load{Held: l.Held + other.Held, Requests: l.Requests + other.Requests, Tokens: l.Tokens + other.Tokens, Unread: l.Unread + other.Unread}
 }
 
 // Negative returns the load whose sum with l is none.
 func (l Load) Negative() Load {
-	return Load{Requests: -l.Requests, Tokens: -l.Tokens, Unread: -l.Unread}
+	return Load{Held: -l.Held, Requests: -l.Requests, Tokens: -l.Tokens, Unread: -l.Unread}
 }
 
 // AttemptCounts returns the outcomes of the VM's requests by server since its last
@@ -147,7 +155,7 @@
 func (v View) OwnLoads() []buckthorndyke.ServerLoad {
 	var out []buckthorndyke.ServerLoad
 	for id, load := range v.ownLoads.All() {
-		out = append(out, buckthorndyke.ServerLoad{Requests: load.Requests, Server: id})
+		out = append(out, buckthorndyke.ServerLoad{PromptTokens: load.Unread, Requests: load.Requests, Server: id})
 	}
 	return out
 }
@@ -221,6 +229,9 @@
 // WithLoad returns a view in which the VM's load at a server has changed by d.
 func (v View) WithLoad(id buckthorndyke.RunnerID, d Load) View {
 	next := v.OwnLoad(id).plus(d)
+	if d.Requests > 0 && d.Held > 0 {
+		v.meanHeld += (float64(d.Held) - v.meanHeld) * heldWeight
+	}
 	if next.Requests <= 0 {
 		v.ownLoads = v.ownLoads.Without(id)
 	} else {
@@ -243,6 +254,7 @@
 	for _, l := range list {
 		v.otherVMsLoads = v.otherVMsLoads.With(l.Server, l.Requests)
 	}
+	v = v.withOtherVMsUnread(list, now)
 	v.otherVMsLoadsUntil = 0
 	if len(list) > 0 {
 		v.otherVMsLoadsUntil = now + otherVMsLoadsTTL
--- a/stager/serverloads.go
+++ b/stager/serverloads.go
@@ -6,12 +6,12 @@
 // estimate the load of servers from its own.
 const minReportingVMs = 16
 
-// ServerLoads holds the requests in flight at servers that all VMs report. It is
-// immutable.
+// ServerLoads holds the requests in flight at servers, and their prompt tokens that the
+// servers have not read yet, that all VMs report. It is immutable.
 type ServerLoads struct {
 	reports buckthorndyke.Table[buckthorndyke.VMID, loadReport]
-	// totals adds the requests in all reports up, so that an answer does not have to.
-	totals buckthorndyke.Table[buckthorndyke.RunnerID, int]
+	// totals adds the loads in all reports up, so that an answer does not have to.
+	totals buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.ServerLoad]
 }
 
 // loadReport is the last report of one VM.
@@ -20,26 +20,27 @@
 	list []buckthorndyke.ServerLoad
 }
 
-// OtherVMsLoads returns the requests in flight at servers of all VMs but vm, as far
+// OtherVMsLoads returns the loads of servers by all VMs but vm, as far
 // as they have reported recently. It returns nil if fewer than minReportingVMs VMs have
 // reported.
 func (l ServerLoads) OtherVMsLoads(vm buckthorndyke.VMID, now buckthorndyke.Millis) []buckthorndyke.ServerLoad {
 	if l.reports.Len() < minReportingVMs {
 		return nil
 	}
-	excluded := make(map[buckthorndyke.RunnerID]int)
+	excluded := make(map[buckthorndyke.RunnerID]buckthorndyke.ServerLoad)
 	for id, r := range l.reports.All() {
 		if id != vm && now < r.at+reportTTL {
 			continue
 		}
 		for _, s := range r.list {
-			excluded[s.Server] += s.Requests
+			excluded[s.Server] = sumOf(excluded[s.Server], s, 1)
 		}
 	}
 	out := make([]buckthorndyke.ServerLoad, 0, l.totals.Len())
-	for id, n := range l.totals.All() {
-		if n -= excluded[id]; n > 0 {
-			out = append(out, buckthorndyke.ServerLoad{Requests: n, Server: id})
+	for id, total := range l.totals.All() {
+		if rest := sumOf(total, excluded[id], -1); rest.Requests > 0 {
+			rest.Server = id
+			out = append(out, rest)
 		}
 	}
 	return out
@@ -60,22 +61,30 @@
 func (l ServerLoads) WithReport(vm buckthorndyke.VMID, list []buckthorndyke.ServerLoad, now buckthorndyke.Millis) ServerLoads {
 	before, _ := l.reports.Get(vm)
 	for _, s := range before.list {
-		l = l.withRequests(s.Server, -s.Requests)
+		l = l.withLoad(s, -1)
 	}
 	for _, s := range list {
-		l = l.withRequests(s.Server, s.Requests)
+		l = l.withLoad(s, 1)
 	}
 	l.reports = l.reports.With(vm, loadReport{at: now, list: list})
 	return l
 }
 
-// withRequests returns a copy with n more requests at a server.
-func (l ServerLoads) withRequests(id buckthorndyke.RunnerID, n int) ServerLoads {
-	total, _ := l.totals.Get(id)
-	if total += n; total == 0 {
-		l.totals = l.totals.Without(id)
+// withLoad returns a copy with a load added to that of its server, or subtracted from it if
+// sign is -1.
+func (l ServerLoads) withLoad(s buckthorndyke.ServerLoad, sign int) ServerLoads {
+	total, _ := l.totals.Get(s.Server)
+	if total = sumOf(total, s, sign); total.Requests == 0 && total.PromptTokens == 0 {
+		l.totals = l.totals.Without(s.Server)
 	} else {
-		l.totals = l.totals.With(id, total)
+		l.totals = l.totals.With(s.Server, total)
 	}
 	return l
 }
+
+// sumOf returns a load with another one added, or subtracted if sign is -1.
+func sumOf(l, other buckthorndyke.ServerLoad, sign int) buckthorndyke.ServerLoad {
+	l.PromptTokens += sign * other.PromptTokens
+	l.Requests += sign * other.Requests
+	return l
+}
--- a/stager/serverloads_test.go
+++ b/stager/serverloads_test.go
@@ -27,6 +27,16 @@
 		asserter.Equal(t, l.OtherVMsLoads("vm-3", now), []buckthorndyke.ServerLoad{at("a", 5), at("b", 1)})
 		asserter.Equal(t, l.OtherVMsLoads("vm-1", now), []buckthorndyke.ServerLoad{at("a", 3)})
 	})
+	t.Run("unread prompt tokens are added up and replaced like requests", func(t *testing.T) {
+		tokens := func(server buckthorndyke.RunnerID, n int) []buckthorndyke.ServerLoad {
+			return []buckthorndyke.ServerLoad{{PromptTokens: n, Requests: 1, Server: server}}
+		}
+		l := l.WithReport("vm-1", tokens("a", 700), now).WithReport("vm-2", tokens("a", 9000), now)
+		asserter.Equal(t, l.OtherVMsLoads("vm-3", now), []buckthorndyke.ServerLoad{{PromptTokens: 9700, Requests: 2, Server: "a"}})
+		asserter.Equal(t, l.OtherVMsLoads("vm-2", now), tokens("a", 700))
+		l = l.WithReport("vm-2", tokens("a", 0), now)
+		asserter.Equal(t, l.OtherVMsLoads("vm-3", now), []buckthorndyke.ServerLoad{{PromptTokens: 700, Requests: 2, Server: "a"}})
+	})
 	t.Run("a VM's latest report counts", func(t *testing.T) {
 		got := l.WithReport("vm-2", nil, now).OtherVMsLoads("vm-1", now)
 		asserter.Equal(t, len(got), 0)
--- a/supervisor/relayer/dispatcher/expected.go
+++ b/supervisor/relayer/dispatcher/expected.go
@@ -50,6 +50,7 @@
 		return m.load, sent
 	}
 	sent.ReadTokens = t.view.ReadTokens(backend, m.query)
+	m.load.Held = m.query.HeldTokens()
 	m.load.Unread = t.view.UncachedTokens(backend, m.query)
 	return m.load, sent
 }
--- a/supervisor/relayer/dispatcher/fixture_test.go
+++ b/supervisor/relayer/dispatcher/fixture_test.go
@@ -138,7 +138,9 @@
 	endsWithConnection bool
 	err                error
 	hang               bool
-	leaving            bool
+	// lasts is the time between the body and its end.
+	lasts   buckthorndyke.Millis
+	leaving bool
 	// length is the length that the response declares, or 0 for none.
 	length int64
 	// mediaType is that of the response, or empty if it does not name one.
@@ -207,6 +209,9 @@
 	if next.endless {
 		body = endlessReader(next.body)
 	}
+	if next.lasts > 0 {
+		body = io.MultiReader(body, lastingReader(next.lasts))
+	}
 	if next.broken {
 		body = io.MultiReader(body, &brokenReader{})
 	}
@@ -279,6 +284,15 @@
 // Read implements io.Reader.
 func (r endlessReader) Read(p []byte) (int, error) { return copy(p, r), nil }
 
+// lastingReader is the end of a body that ends after a time in milliseconds.
+type lastingReader buckthorndyke.Millis
+
+// Read implements io.Reader.
+func (r lastingReader) Read([]byte) (int, error) {
+	time.Sleep(buckthorndyke.Millis(r).Duration())
+	return 0, io.EOF
+}
+
 // brokenReader is the body of a response whose connection was reset.
 type brokenReader struct{}
 
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -124,7 +124,7 @@
 
 // admit assigns a server to a request or queues the request.
 func (t *task) admit(m admissionRequested) {
-	if t.refuseQuarantined(m) {
+	if t.refuseQuarantined(m) || t.refuseTooLarge(m) {
 		return
 	}
 	key := m.query.Key
@@ -342,6 +342,7 @@
 	}
 	m.query.Now = t.clock.Now()
 	m.query.Domain = t.domain
+	m.query.CacheTokens = t.cacheTokens(m.query.Key)
 	backend, ok := t.view.Choose(m.query)
 	if !ok {
 		return false
