--- a/selector/bench_test.go
+++ b/selector/bench_test.go
@@ -102,3 +102,31 @@
 
 func BenchmarkChooseAtRisk56(b *testing.B)   { benchmarkChooseAtRisk(b, 56, 42) }
 func BenchmarkChooseAtRisk3000(b *testing.B) { benchmarkChooseAtRisk(b, 3000, 900) }
+
+// benchmarkOtherVMsLoads measures a reply of the leader with the loads of all runners.
+func benchmarkOtherVMsLoads(b *testing.B, runners, models int) {
+	v := fleetView(runners, models)
+	var loads []buckthorndyke.ServerLoad
+	for id := range v.List().Servers.All() {
+		loads = append(loads, buckthorndyke.ServerLoad{PromptTokens: 900, Requests: 3, Server: id})
+	}
+	for b.Loop() {
+		v = v.WithOtherVMsLoads(loads, now)
+	}
+}
+
+func BenchmarkWithOtherVMsLoads56(b *testing.B)   { benchmarkOtherVMsLoads(b, 56, 42) }
+func BenchmarkWithOtherVMsLoads3000(b *testing.B) { benchmarkOtherVMsLoads(b, 3000, 900) }
+
+// BenchmarkAttempt56 measures what an attempt changes in a view: its load, its first event
+// and its end.
+func BenchmarkAttempt56(b *testing.B) {
+	v := fleetView(56, 42)
+	listed, _ := v.List().Servers.Get("i-000000")
+	load := selector.Load{Held: 700, Requests: 1, Tokens: 640, Unread: 640}
+	s := selector.Sent{Backend: listed, Key: buckthorndyke.ModelKey{Model: fleetModel(0), Service: engines}, OutputTokens: 60, ReadTokens: 640}
+	for b.Loop() {
+		v = v.WithLoad(listed.ID, load).WithFirstEvent(s, 20, now, "").WithLoad(listed.ID, load.Negative()).
+			WithRoomUsed(listed.ID, now, now).WithRest(s, 200, now)
+	}
+}
--- a/selector/unread.go
+++ b/selector/unread.go
@@ -22,26 +22,23 @@
 }
 
 // withOtherVMsUnread returns the view with what the leader's reply tells of the other VMs'
-// unread tokens.
+// unread tokens. Their requests have to be those of the same reply.
 func (v View) withOtherVMsUnread(list []buckthorndyke.ServerLoad, now buckthorndyke.Millis) View {
 	before := v.otherVMsUnread
 	if now >= v.otherVMsLoadsUntil {
 		before = buckthorndyke.Table[buckthorndyke.RunnerID, float64]{}
 	}
-	next := make(map[buckthorndyke.RunnerID]float64, len(list))
-	for id, unread := range before.All() {
-		if unread *= 1 - unreadWeight; unread >= 1 {
-			next[id] = unread
-		}
-	}
-	for _, l := range list {
-		if l.PromptTokens > 0 {
-			next[l.Server] += unreadWeight * float64(l.PromptTokens)
-		}
-	}
 	v.otherVMsUnread = buckthorndyke.NewTable(func(yield func(buckthorndyke.RunnerID, float64) bool) {
-		for id, unread := range next {
-			if !yield(id, unread) {
+		for _, l := range list {
+			known, _ := before.Get(l.Server)
+			unread := (1-unreadWeight)*known + unreadWeight*float64(l.PromptTokens)
+			if unread >= 1 && !yield(l.Server, unread) {
+				return
+			}
+		}
+		for id, known := range before.All() {
+			unread := (1 - unreadWeight) * known
+			if unread >= 1 && !v.otherVMsLoads.Has(id) && !yield(id, unread) {
 				return
 			}
 		}
--- a/selector/view.go
+++ b/selector/view.go
@@ -250,10 +250,13 @@
 // WithOtherVMsLoads returns a view with the requests of the other VMs, as received
 // from the leader at now.
 func (v View) WithOtherVMsLoads(list []buckthorndyke.ServerLoad, now buckthorndyke.Millis) View {
-	v.otherVMsLoads = buckthorndyke.Table[buckthorndyke.RunnerID, int]{}
-	for _, l := range list {
-		v.otherVMsLoads = v.otherVMsLoads.With(l.Server, l.Requests)
-	}
+	v.otherVMsLoads = buckthorndyke.NewTable(func(yield func(buckthorndyke.RunnerID, int) bool) {
+		for _, l := range list {
+			if !yield(l.Server, l.Requests) {
+				return
+			}
+		}
+	})
 	v = v.withOtherVMsUnread(list, now)
 	v.otherVMsLoadsUntil = 0
 	if len(list) > 0 {
