--- a/supervisor/relayer/dispatcher/room.go
+++ b/supervisor/relayer/dispatcher/room.go
@@ -69,11 +69,29 @@
 	}
 }
 
-// offerRoom assigns the room that the end of an attempt has left to waiting requests.
-func (t *task) offerRoom(m attemptEnded) {
-	if m.key.Model != "" && len(t.waiting) > 0 {
-		t.retryWaiting()
+// offerRoom assigns the room that the end of an attempt has left at its runner to waiting
+// requests. It asks once for each key that no runner has room for, however many requests wait
+// for it.
+func (t *task) offerRoom(ended attemptEnded) {
+	if ended.key.Model == "" || len(t.waiting) == 0 {
+		return
+	}
+	full := make(map[buckthorndyke.ModelKey]bool)
+	kept := t.waiting[:0]
+	for _, m := range t.waiting {
+		key := m.query.Key
+		if full[key] || !t.view.HoldsAt(ended.backend.ID, key) {
+			kept = append(kept, m)
+			continue
+		}
+		if t.refuseQuarantined(m) || t.refuseStopping(m) || t.tryAdmit(m) {
+			continue
+		}
+		full[key] = !m.retry && len(m.query.Excluded) == 0
+		kept = append(kept, m)
 	}
+	clear(t.waiting[len(kept):])
+	t.waiting = kept
 }
 
 // signalNewWait makes the demand source report early that a request has begun to wait.
