feat(dispatcher): room goes first to requests that can still meet their target

Waiting requests were offered room in the order of arrival. At a model with twice the requests that its runners can serve, nearly all were then served just after their target.

Requests that can still meet their target come first, the newest first, and then the others, the oldest first. New requests do not queue behind those that are late already.

--- a/supervisor/relayer/dispatcher/room.go
+++ b/supervisor/relayer/dispatcher/room.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -15,6 +16,8 @@
 	// that wait for a runner with their model. The leader can do less for these than for
 	// requests whose model is not loaded, and there may be hundreds a second.
 	roomSignalInterval = 120 * buckthorndyke.Millisecond
+	// targetMarginDivisor divides a target; that part of it is left for the server.
+	targetMarginDivisor = 8
 	// maxLoggedLimits bounds the servers in such a line.
 	maxLoggedLimits = 8
 )
@@ -34,14 +37,33 @@
 	}
 }
 
-// mustQueue reports whether a new request has to wait because earlier ones wait for the
-// same key: the room that a runner has is theirs.
-func (t *task) mustQueue(m admissionRequested) bool {
-	return !m.retry && m.query.Key.Model != "" && slices.ContainsFunc(t.waiting, func(w admissionRequested) bool {
-		return !w.retry && w.query.Key == m.query.Key
+// sortWaiting puts the waiting requests into the order in which they are offered room: those
+// that can still meet their target first, the newest of them first, and then the others, the
+// oldest first. In the order of arrival, all requests to an overloaded model would wait until
+// just after their targets.
+func (t *task) sortWaiting(now buckthorndyke.Millis) {
+	slices.SortStableFunc(t.waiting, func(a, b admissionRequested) int {
+		aInTime, bInTime := a.isInTime(now), b.isInTime(now)
+		switch {
+		case aInTime != bInTime && aInTime:
+			return -1
+		case aInTime != bInTime:
+			return 1
+		case aInTime:
+			return cmp.Compare(b.job.request.Arrived, a.job.request.Arrived)
+		default:
+			return cmp.Compare(a.job.request.Arrived, b.job.request.Arrived)
+		}
 	})
 }
 
+// isInTime reports whether a request can still meet its target at now, with an eighth of the
+// target left for the server.
+func (m admissionRequested) isInTime(now buckthorndyke.Millis) bool {
+	target := m.job.route.LatencyTarget
+	return now < m.job.request.Arrived+target-target/targetMarginDivisor
+}
+
 // noteFull applies that a runner has rejected a request because it is full.
 func (t *task) noteFull(m attemptEnded, now buckthorndyke.Millis) {
 	t.view = t.view.WithFull(m.backend.ID, now-m.duration, now)
@@ -76,6 +98,7 @@
 	if ended.key.Model == "" || len(t.waiting) == 0 {
 		return
 	}
+	t.sortWaiting(t.clock.Now())
 	full := make(map[buckthorndyke.ModelKey]bool)
 	kept := t.waiting[:0]
 	for _, m := range t.waiting {
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -81,7 +81,7 @@
 	// timesLoggedAt is the instant of the last line on the times of servers.
 	timesLoggedAt buckthorndyke.Millis
 	view          selector.View
-	// waiting holds the requests that wait for a server, in the order of their arrival.
+	// waiting holds the requests that wait for a server. sortWaiting orders it.
 	waiting []admissionRequested
 }
 
@@ -138,7 +138,7 @@
 		m.reply.Answer(admission{err: errBudget})
 		return
 	}
-	if t.refuseStopping(m) || !t.mustQueue(m) && t.tryAdmit(m) || t.refusePaused(m) {
+	if t.refuseStopping(m) || t.tryAdmit(m) || t.refusePaused(m) {
 		return
 	}
 	t.waiting = append(t.waiting, m)
@@ -312,6 +312,7 @@
 // have waited too long.
 func (t *task) retryWaiting() {
 	now := t.clock.Now()
+	t.sortWaiting(now)
 	kept := t.waiting[:0]
 	for _, m := range t.waiting {
 		switch {
