fix(dispatcher): the first event waits at most 50 ms for the task's mailbox

A full mailbox could have held the first event of a response for a second, since the report of it shared the time-out of results. Limits that are too old are dropped with the times of servers.

--- a/selector/bench_test.go
+++ b/selector/bench_test.go
@@ -130,3 +130,19 @@
 			WithRoomUsed(listed.ID, now, now).WithRest(s, 200, now)
 	}
 }
+
+// benchmarkChooseFull measures a choice for a model whose runners have no room.
+func benchmarkChooseFull(b *testing.B, runners, models int) {
+	v := fleetView(runners, models)
+	q := selector.Query{Key: buckthorndyke.ModelKey{Model: fleetModel(1), Service: engines}, Now: now}
+	for id := range v.List().Servers.All() {
+		v = v.WithLoad(id, selector.Load{Requests: 40})
+	}
+	for b.Loop() {
+		q.Seed++
+		v.Choose(q)
+	}
+}
+
+func BenchmarkChooseFull56(b *testing.B)   { benchmarkChooseFull(b, 56, 42) }
+func BenchmarkChooseFull3000(b *testing.B) { benchmarkChooseFull(b, 3000, 900) }
--- a/selector/expected.go
+++ b/selector/expected.go
@@ -137,9 +137,14 @@
 	return v.withTime(s.Key.Service, workCall, workOf(s, 0), took, now)
 }
 
-// WithoutOldTimes returns a view without what is known of servers that are not listed
-// anymore, or is too old.
+// WithoutOldTimes returns a view without the times and limits of servers that are not listed
+// anymore, or that are too old.
 func (v View) WithoutOldTimes(now buckthorndyke.Millis) View {
+	for id, l := range v.limits.All() {
+		if listed, ok := v.list.Servers.Get(id); !ok || !l.Valid(listed.Incarnation, now) {
+			v.limits = v.limits.Without(id)
+		}
+	}
 	for service, t := range v.times.All() {
 		for kind := range t {
 			t[kind] = t[kind].WithoutOld(now, v.list.Servers.Has)
--- a/supervisor/relayer/dispatcher/expected.go
+++ b/supervisor/relayer/dispatcher/expected.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// firstEventTimeout bounds how long the first event of a response waits while the task's
+	// mailbox is full. Without the message, the prompt counts as unread until the end.
+	firstEventTimeout = 50 * buckthorndyke.Millisecond
 	// timesLogInterval is the time between two lines on the times of servers, and between
 	// two removals of old times.
 	timesLogInterval = 30 * buckthorndyke.Second
@@ -31,7 +34,7 @@
 	m := attemptBegun{
 		isWhole: j.request.LastEventID == "", sent: j.sent, took: max(j.clock.Now()-j.attemptStart, 1), unread: j.taken.Unread,
 	}
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, firstEventTimeout.Duration())
 	defer cancel()
 	if err := j.box.Send(ctx, m); err != nil {
 		return
