--- a/selector/choose.go
+++ b/selector/choose.go
@@ -42,16 +42,26 @@
 
 // Query describes a request that needs a server.
 type Query struct {
+	// CacheTokens is a runner's memory for tokens, or 0 if unknown.
+	CacheTokens int
 	// Domain is the VM's own failure domain.
 	Domain buckthorndyke.DomainID
 	// Excluded are servers that the request must not be sent to again.
 	Excluded []buckthorndyke.RunnerID
 	Key      buckthorndyke.ModelKey
 	Now      buckthorndyke.Millis
+	// OutputTokens is the maximum length of the response.
+	OutputTokens int
 	// Prefix is the hash of the prompt's beginning, or 0.
 	Prefix uint64
+	// PrefixTokens is the length of the prompt's beginning.
+	PrefixTokens int
 	// Seed makes the choice among equal servers random.
 	Seed uint64
+	// Target is the objective for the time to the first event or the response, or 0.
+	Target buckthorndyke.Millis
+	// Tokens is the length of the prompt.
+	Tokens int
 }
 
 // Choose returns the server to send the request to, or false if none can take it now.
@@ -59,20 +69,36 @@
 // that have failed recently or that fail requests of all VMs, only if there is no
 // other. A server that fails each request at once has no load, so it would otherwise
 // be chosen by load.
+//
+// While the request is expected to meet its target with ease at the server that is chosen by
+// load and prefix cache, or too little is known, that server is chosen. Otherwise the
+// expected times decide.
 func (v View) Choose(q Query) (buckthorndyke.Backend, bool) {
 	candidates := v.candidates(q)
 	if len(candidates) == 0 {
 		return buckthorndyke.Backend{}, false
 	}
+	chosen := chooseByLoad(candidates, q)
+	if len(candidates) > 1 && v.isAtRisk(chosen, q) {
+		if c, ok := v.chooseByTime(candidates, q); ok {
+			chosen = c
+		}
+	}
+	return chosen.backend, true
+}
+
+// chooseByLoad returns the candidate with the least load, or the one that probably caches the
+// prefix if it has little more.
+func chooseByLoad(candidates []candidate, q Query) candidate {
 	best := slices.MinFunc(candidates, func(x, y candidate) int { return x.compareLoad(y) })
 	if q.Prefix == 0 {
-		return best.backend, true
+		return best
 	}
 	cached := slices.MaxFunc(candidates, func(x, y candidate) int { return x.compareAffinity(y) })
 	if cached.total <= best.total+affinitySlack {
-		return cached.backend, true
+		return cached
 	}
-	return best.backend, true
+	return best
 }
 
 // candidate is a server that can take a request.
@@ -116,21 +142,12 @@
 // the request.
 func (v View) candidates(q Query) []candidate {
 	var byHealth [healthLevels][]candidate
-	for id, listed := range v.list.Servers.All() {
-		if listed.Service != q.Key.Service || v.Leaves(listed) || slices.Contains(q.Excluded, id) || v.isPaused(listed, q.Now) || !v.holds(listed, q) {
+	for _, h := range v.holders(q.Key) {
+		if !v.canTake(h, q) {
 			continue
 		}
-		c := candidate{backend: listed, draw: float64(hashOf(id, q.Seed)), units: v.loadUnits(listed, q.Domain)}
-		c.total = c.units
-		if q.Now < v.otherVMsLoadsUntil {
-			others, _ := v.otherVMsLoads.Get(id)
-			c.draw, c.units = v.weightedDraw(listed, q), v.ownLoadUnits(listed)
-			c.total = c.units + others*unitsPerRequest
-		}
-		if q.Prefix != 0 {
-			c.affinity = hashOf(id, q.Prefix)
-		}
-		byHealth[v.health(id, q.Now)] = append(byHealth[v.health(id, q.Now)], c)
+		level := v.health(h.server.ID, q.Now)
+		byHealth[level] = append(byHealth[level], v.candidate(*h.server, q))
 	}
 	for _, list := range byHealth {
 		if len(list) > 0 {
@@ -140,6 +157,28 @@
 	return nil
 }
 
+// candidate returns a server as a candidate for the request.
+func (v View) candidate(listed buckthorndyke.Backend, q Query) candidate {
+	id := listed.ID
+	c := candidate{backend: listed, draw: float64(hashOf(id, q.Seed)), units: v.loadUnits(listed, q.Domain)}
+	c.total = c.units
+	if q.Now < v.otherVMsLoadsUntil {
+		others, _ := v.otherVMsLoads.Get(id)
+		c.draw, c.units = v.weightedDraw(listed, q), v.ownLoadUnits(listed)
+		c.total = c.units + others*unitsPerRequest
+	}
+	if q.Prefix != 0 {
+		c.affinity = hashOf(id, q.Prefix)
+	}
+	return c
+}
+
+// canTake reports whether a server can take the request now.
+func (v View) canTake(h holder, q Query) bool {
+	return !v.Leaves(*h.server) && !slices.Contains(q.Excluded, h.server.ID) && !v.isPaused(*h.server, q.Now) &&
+		v.holdsModel(h, q) && v.hasRoom(*h.server, q)
+}
+
 // health returns the health of a server as seen by this VM and the leader.
 func (v View) health(id buckthorndyke.RunnerID, now buckthorndyke.Millis) health {
 	if s, ok := v.backoffs.Get(id); ok && now < s.until || now < v.suspectsUntil && v.suspects.Has(id) {
@@ -151,31 +190,20 @@
 	return healthGood
 }
 
-// holds reports whether a server has loaded what the request needs and has not
-// refused a request just now because its batch is full.
-func (v View) holds(listed buckthorndyke.Backend, q Query) bool {
-	if q.Key.Model == "" {
-		return true
-	}
-	if until, ok := v.fullUntil.Get(listed.ID); ok && q.Now < until {
-		return false
-	}
-	return v.holdsModel(listed, q)
-}
-
 // holdsModel reports whether a server has loaded what the request needs.
-func (v View) holdsModel(listed buckthorndyke.Backend, q Query) bool {
+func (v View) holdsModel(h holder, q Query) bool {
 	if q.Key.Model == "" {
 		return true
 	}
-	if until, ok := v.missingUntil.Get(missingKey(listed.ID, q.Key)); ok && q.Now < until {
-		return false
-	}
-	if until, ok := v.missingUntil.Get(missingKey(listed.ID, q.Key.Base())); ok && q.Now < until {
-		return false
+	if v.missingUntil.Len() > 0 {
+		if until, ok := v.missingUntil.Get(missingKey(h.server.ID, q.Key)); ok && q.Now < until {
+			return false
+		}
+		if until, ok := v.missingUntil.Get(missingKey(h.server.ID, q.Key.Base())); ok && q.Now < until {
+			return false
+		}
 	}
-	h, ok := v.latest(listed).LoadedModel(q.Key.Model)
-	return ok && h.HasAdapter(q.Key.Adapter)
+	return h.model.HasAdapter(q.Key.Adapter)
 }
 
 // loadUnits returns the load of a server by this VM in units, with the penalty for
@@ -204,8 +232,7 @@
 	if q.Domain != "" && listed.Domain != q.Domain {
 		weight *= otherDomainFactor
 	}
-	uniform := (float64(hashOf(listed.ID, q.Seed)>>uniformShift) + 0.5) / (1 << (64 - uniformShift))
-	return -math.Log(uniform) * weight
+	return -math.Log(uniformOf(listed.ID, q.Seed)) * weight
 }
 
 // hashOf returns a hash of a server and a seed.
--- a/selector/holds_test.go
+++ b/selector/holds_test.go
@@ -27,10 +27,9 @@
 	view := selector.View{}.WithBackends(list)
 	assertReady := func(t *testing.T, v selector.View, want ...buckthorndyke.ModelKey) {
 		t.Helper()
-		got := v.Ready(now)
 		for _, key := range []buckthorndyke.ModelKey{{Service: "desk"}, model("hall"), model("gym"), model("mill")} {
 			_, chosen := v.Choose(selector.Query{Key: key, Now: now})
-			asserter.Equal(t, got[key], chosen)
+			asserter.Equal(t, v.Ready(key, now), chosen)
 			if chosen {
 				asserter.Equal(t, key, want[0])
 				want = want[1:]
@@ -43,7 +42,7 @@
 		asserter.True(t, view.Takes("r1", model("gym"), now) && !view.Takes("r2", model("gym"), now), "the wrong server takes the key")
 	})
 	t.Run("a full runner and a server that pauses take no request", func(t *testing.T) {
-		v := view.WithFull("r1", now).WithPause(buckthorndyke.Lifetime{Server: "a"}, now+1000, now)
+		v := view.WithFull("r1", now, now).WithPause(buckthorndyke.Lifetime{Server: "a"}, now+1000, now)
 		assertReady(t, v, model("hall"))
 		asserter.True(t, !v.Takes("r1", model("hall"), now) && v.Pauses(), "a full runner takes a request")
 		asserter.True(t, v.Loaded(model("gym"), now) && !v.Loaded(model("mill"), now), "a model on a full runner counts as not loaded")
--- a/selector/view.go
+++ b/selector/view.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/limiter"
 )
 
 const (
@@ -14,9 +15,6 @@
 	// otherVMsLoadsTTL is how long the leader's data on the load of the other VMs is
 	// valid.
 	otherVMsLoadsTTL = 2500 * buckthorndyke.Millisecond
-	// fullTTL is how long a runner that has refused a request because its batch is
-	// full gets no other. A short request ends in about this time.
-	fullTTL = 120 * buckthorndyke.Millisecond
 	// slowTTL is how long a server that has not responded in time is avoided if there
 	// is another.
 	slowTTL = buckthorndyke.Second
@@ -42,19 +40,32 @@
 	// report to the leader.
 	attempts buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.AttemptCounts]
 	backoffs buckthorndyke.Table[buckthorndyke.RunnerID, backoff]
-	// fullUntil holds the runners that have refused a request because their batch was
-	// full, and until when they get no other.
+	// domainDelay is the extra time to servers in other failure domains in milliseconds, or
+	// 0 if unknown.
+	domainDelay float64
+	// fleetSize is the number of entry VMs, or 0 if unknown.
+	fleetSize int
+	// fullUntil holds the runners to which no request may be sent for a time because
+	// of their limit, and until when.
 	fullUntil buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Millis]
+	index     index
 	// leaving holds the servers that have said that they are shutting down, by the
 	// incarnation that has said so.
 	leaving buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Incarnation]
-	list    buckthorndyke.Backends
+	// limits holds the limits on the VM's requests in flight by runner.
+	limits buckthorndyke.Table[buckthorndyke.RunnerID, limiter.Limit]
+	list   buckthorndyke.Backends
+	// meanHeld is the average memory of the VM's requests, in tokens.
+	meanHeld float64
 	// missingUntil holds the models and adapters that a runner has reported as not
 	// loaded, and until when that is assumed.
 	missingUntil buckthorndyke.Table[string, buckthorndyke.Millis]
 	// otherVMsLoads are the requests of the other VMs by server, by the leader's last
 	// reply.
 	otherVMsLoads buckthorndyke.Table[buckthorndyke.RunnerID, int]
+	// otherVMsUnread are the prompt tokens of the other VMs' requests that servers have not
+	// begun to answer, averaged over the leader's last replies.
+	otherVMsUnread buckthorndyke.Table[buckthorndyke.RunnerID, float64]
 	// otherVMsLoadsUntil is the instant until which otherVMsLoads is valid.
 	otherVMsLoadsUntil buckthorndyke.Millis
 	// ownLoads is the load of the VM's own requests by server.
@@ -62,6 +73,8 @@
 	// pauses holds the servers that have asked for a pause.
 	pauses       buckthorndyke.Table[buckthorndyke.RunnerID, pause]
 	runnerModels buckthorndyke.Table[buckthorndyke.RunnerID, runnerModels]
+	// service is how long the runner that has served last takes for a request, or 0.
+	service buckthorndyke.Millis
 	// slowUntil holds the servers that have not responded in time, and until when
 	// they are avoided.
 	slowUntil buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Millis]
@@ -70,19 +83,32 @@
 	suspects buckthorndyke.Table[buckthorndyke.RunnerID, struct{}]
 	// suspectsUntil is the instant until which suspects is valid.
 	suspectsUntil buckthorndyke.Millis
+	// times holds how long servers take, by service.
+	times buckthorndyke.Table[buckthorndyke.ServiceID, serviceTimes]
 }
 
 // Load is the work in flight from a VM at a server.
 type Load struct {
+	// Held is the number of tokens of memory that the requests may take: their prompts and
+	// the longest responses.
+	Held int
 	// Requests is the number of requests.
 	Requests int
 	// Tokens is the number of their prompt tokens.
 	Tokens int
+	// Unread is the number of prompt tokens of the requests that the server has not begun
+	// to answer.
+	Unread int
 }
 
 // plus returns the sum of l and other.
 func (l Load) plus(other Load) Load {
-	return Load{Requests: l.Requests + other.Requests, Tokens: l.Tokens + other.Tokens}
+	return Load{Held: l.Held + other.Held, Requests: l.Requests + other.Requests, Tokens: l.Tokens + other.Tokens, Unread: l.Unread + other.Unread}
+}
+
+// Negative returns the load whose sum with l is none.
+func (l Load) Negative() Load {
+	return Load{Held: -l.Held, Requests: -l.Requests, Tokens: -l.Tokens, Unread: -l.Unread}
 }
 
 // AttemptCounts returns the outcomes of the VM's requests by server since its last
@@ -129,13 +155,14 @@
 func (v View) OwnLoads() []buckthorndyke.ServerLoad {
 	var out []buckthorndyke.ServerLoad
 	for id, load := range v.ownLoads.All() {
-		out = append(out, buckthorndyke.ServerLoad{Requests: load.Requests, Server: id})
+		out = append(out, buckthorndyke.ServerLoad{PromptTokens: load.Unread, Requests: load.Requests, Server: id})
 	}
 	return out
 }
 
 // WithBackends returns a view with another list of servers.
 func (v View) WithBackends(list buckthorndyke.Backends) View {
+	isIndexed := list.Servers.Same(v.list.Servers) && list.ModelsAt == v.list.ModelsAt
 	v.list = list
 	for id, incarnation := range v.leaving.All() {
 		if listed, ok := list.Servers.Get(id); ok && listed.Incarnation != incarnation {
@@ -147,7 +174,15 @@
 			v.backoffs = v.backoffs.Without(id)
 		}
 	}
-	return v
+	for id := range v.limits.All() {
+		if !list.Servers.Has(id) {
+			v.limits = v.limits.Without(id)
+		}
+	}
+	if isIndexed {
+		return v
+	}
+	return v.indexed()
 }
 
 // WithFailedAttempt returns a view with one more failed attempt at a server, for
@@ -167,13 +202,6 @@
 	return v.WithFailedAttempt(id)
 }
 
-// WithFull returns a view in which a runner has refused a request at now because its
-// batch is full.
-func (v View) WithFull(id buckthorndyke.RunnerID, now buckthorndyke.Millis) View {
-	v.fullUntil = v.fullUntil.With(id, now+fullTTL)
-	return v
-}
-
 // WithLeaving returns a view in which a server has said that it is shutting down. No list
 // changes that for the same incarnation: the list lags behind the server.
 func (v View) WithLeaving(l buckthorndyke.Lifetime) View {
@@ -201,6 +229,9 @@
 // WithLoad returns a view in which the VM's load at a server has changed by d.
 func (v View) WithLoad(id buckthorndyke.RunnerID, d Load) View {
 	next := v.OwnLoad(id).plus(d)
+	if d.Requests > 0 && d.Held > 0 {
+		v.meanHeld += (float64(d.Held) - v.meanHeld) * heldWeight
+	}
 	if next.Requests <= 0 {
 		v.ownLoads = v.ownLoads.Without(id)
 	} else {
@@ -219,10 +250,14 @@
 // WithOtherVMsLoads returns a view with the requests of the other VMs, as received
 // from the leader at now.
 func (v View) WithOtherVMsLoads(list []buckthorndyke.ServerLoad, now buckthorndyke.Millis) View {
-	v.otherVMsLoads = buckthorndyke.Table[buckthorndyke.RunnerID, int]{}
-	for _, l := range list {
-		v.otherVMsLoads = v.otherVMsLoads.With(l.Server, l.Requests)
-	}
+	v.otherVMsLoads = buckthorndyke.NewTable(func(yield func(buckthorndyke.RunnerID, int) bool) {
+		for _, l := range list {
+			if !yield(l.Server, l.Requests) {
+				return
+			}
+		}
+	})
+	v = v.withOtherVMsUnread(list, now)
 	v.otherVMsLoadsUntil = 0
 	if len(list) > 0 {
 		v.otherVMsLoadsUntil = now + otherVMsLoadsTTL
@@ -233,8 +268,11 @@
 // WithRunnerModels returns a view with the loaded models of runners, as received from
 // the leader at now.
 func (v View) WithRunnerModels(list []buckthorndyke.RunnerModels, now buckthorndyke.Millis) View {
+	before := v
+	changed := make([]buckthorndyke.RunnerID, 0, len(list))
 	for _, r := range list {
 		v.runnerModels = v.runnerModels.With(r.Runner, runnerModels{RunnerModels: r, at: now})
+		changed = append(changed, r.Runner)
 	}
 	for id, r := range v.runnerModels.All() {
 		if v.list.ModelsAt >= r.at+listLag {
@@ -242,7 +280,10 @@
 		}
 	}
 	v.missingUntil, v.fullUntil, v.slowUntil = withoutExpired(v.missingUntil, now), withoutExpired(v.fullUntil, now), withoutExpired(v.slowUntil, now)
-	return v
+	if len(changed) == 0 {
+		return v
+	}
+	return v.reindexed(before, changed)
 }
 
 // WithSlow returns a view in which a server has not responded in time at now.
--- a/supervisor/relayer/dispatcher/bench_test.go
+++ b/supervisor/relayer/dispatcher/bench_test.go
@@ -31,7 +31,7 @@
 	}
 	work.view = work.view.WithBackends(list)
 	for id := range list.Servers.All() {
-		work.view = work.view.WithFull(id, clock.now)
+		work.view = work.view.WithFull(id, clock.now, clock.now)
 	}
 	n := 0
 	request := func(model int) admissionRequested {
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -79,7 +79,8 @@
 	return func(d *Dispatcher) { d.order = []sequencer.Option{sequencer.WithArrivalOrder()} }
 }
 
-// WithMeter counts the requests that wait, and what callers use of their allotments, with m.
+// WithMeter records with m the requests that wait, what callers use of their allotments, and
+// the times and limits of servers.
 func WithMeter(m buckthorndyke.Meter) Option {
 	return func(d *Dispatcher) { d.meter = m }
 }
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -36,6 +36,10 @@
 type admission struct {
 	backend buckthorndyke.Backend
 	err     error
+	// load is what the request adds to the load of the server.
+	load selector.Load
+	// sent describes the request at the server.
+	sent selector.Sent
 	// expected is the instant at which the model is expected to be loaded, or 0.
 	expected buckthorndyke.Millis
 	// final is set if the error already says when to retry.
@@ -65,6 +69,17 @@
 		reply mailer.Reply[struct{}]
 	}
 
+	// attemptBegun reports the first event of a server's response.
+	attemptBegun struct {
+		// isWhole is set if the server has read the whole prompt and resumes no stream.
+		isWhole bool
+		sent    selector.Sent
+		// took is the time since the request was sent.
+		took buckthorndyke.Millis
+		// unread is the number of tokens that the server has read by now.
+		unread int
+	}
+
 	// attemptEnded reports the result of an attempt.
 	attemptEnded struct {
 		backend buckthorndyke.Backend
@@ -83,6 +98,7 @@
 		result result
 		// route is the name of the request's route.
 		route string
+		sent  selector.Sent
 	}
 
 	// chargeEnded says that a request whose caller is known has ended.
@@ -154,6 +170,7 @@
 
 func (m admissionRequested) apply(t *task) { t.admit(m) }
 func (m admissionCancelled) apply(t *task) { t.cancelAdmission(m) }
+func (m attemptBegun) apply(t *task)       { t.noteFirstEvent(m) }
 func (m attemptEnded) apply(t *task)       { t.endAttempt(m) }
 func (m chargeEnded) apply(t *task)        { t.endCharge(m) }
 func (m crashChecked) apply(t *task)       { t.handleCrashCheck(m) }
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -78,9 +78,13 @@
 	rates map[buckthorndyke.ModelKey]buckthorndyke.Rate
 	// recent holds the fingerprints that were served recently.
 	recent  quarantiner.Recent
-	routing buckthorndyke.Routing
-	runCtx  context.Context
-	running map[buckthorndyke.ModelKey]int
+	roomLog roomLog
+	// roomSignalAt is the instant of the last early report because of requests that wait
+	// for room, or 0.
+	roomSignalAt buckthorndyke.Millis
+	routing      buckthorndyke.Routing
+	runCtx       context.Context
+	running      map[buckthorndyke.ModelKey]int
 	// seenRouting is the version of the configuration that this VM or the leader has read
 	// last.
 	seenRouting buckthorndyke.SeenVersion
@@ -90,6 +94,8 @@
 	// spans holds how long the requests of each route take until their first event or
 	// response.
 	spans map[string]sequencer.Span
+	// timesLoggedAt is the instant of the last line on the times of servers.
+	timesLoggedAt buckthorndyke.Millis
 	// unconfirmed holds the requests that wait for a confirmation of the configuration's
 	// version.
 	unconfirmed []confirmationRequested
@@ -147,7 +153,7 @@
 
 // admit assigns a server to a request or queues the request.
 func (t *task) admit(m admissionRequested) {
-	if t.refuseQuarantined(m) || !m.retry && !t.charge(m) {
+	if t.refuseQuarantined(m) || t.refuseTooLarge(m) || !m.retry && !t.charge(m) {
 		return
 	}
 	t.admitCharged(m)
@@ -193,7 +199,7 @@
 		t.logger.Info().EmbedObject(reporter.EventServersSuspected).Any("servers", reply.Suspects).Send()
 	}
 	t.view = t.view.WithRunnerModels(reply.RunnerModels, now).WithOtherVMsLoads(reply.ServerLoads, now).
-		WithSuspects(reply.Suspects, now)
+		WithSuspects(reply.Suspects, now).WithFleetSize(t.fleetSize)
 	t.updateLimits()
 	t.offerAll()
 }
@@ -243,6 +249,8 @@
 		change(key, func(e *buckthorndyke.DemandEntry) { e.Running = n })
 	}
 	now := t.clock.Now()
+	t.measureRoom(now)
+	t.logTimes(now)
 	report := buckthorndyke.DemandReport{
 		Attempts: t.view.AttemptCounts(), Crashes: t.crashesToReport(recent), CrashesSeen: t.crashSync.seen,
 		ServerLoads: t.view.OwnLoads(),
@@ -292,7 +300,7 @@
 // endAttempt applies the result of an attempt.
 func (t *task) endAttempt(m attemptEnded) {
 	now := t.clock.Now()
-	t.view = t.view.WithLoad(m.backend.ID, selector.Load{Requests: -m.load.Requests, Tokens: -m.load.Tokens})
+	t.view = t.view.WithLoad(m.backend.ID, m.load.Negative())
 	if m.key.Model != "" {
 		if t.running[m.key]--; t.running[m.key] <= 0 {
 			delete(t.running, m.key)
@@ -309,6 +317,8 @@
 			t.spans[m.route] = t.spans[m.route].With(m.first)
 		}
 		t.view = t.view.WithSuccess(m.backend.ID).WithoutPause(m.backend.ID, now)
+		t.noteRoomUsed(m, now)
+		t.learnEnd(m, now)
 	case resultModelMissing:
 		t.waiting.queue = t.waiting.queue.WithRejected(m.key)
 		t.view = t.view.WithMissing(m.backend.ID, m.key, now)
@@ -319,7 +329,7 @@
 		t.view = t.view.WithFailedAttempt(m.backend.ID)
 	case resultBusy:
 		t.waiting.queue = t.waiting.queue.WithRejected(m.key)
-		t.view = t.view.WithFull(m.backend.ID, now)
+		t.noteFull(m, now)
 	}
 	t.offerServer(m.backend.ID)
 }
@@ -354,6 +364,7 @@
 	}
 	m.query.Now = t.clock.Now()
 	m.query.Domain = t.domain
+	m.query.CacheTokens = t.cacheTokens(m.query.Key)
 	backend, ok := t.view.Choose(m.query)
 	if !ok {
 		return outcomeNoServer
@@ -363,15 +374,20 @@
 		t.budgets[key.Service] = t.budget(key.Service).WithRetry()
 	}
 	t.noteSent(m.job)
-	t.view = t.view.WithLoad(backend.ID, m.load)
+	load, sent := t.expect(m, backend)
+	t.view = t.view.WithLoad(backend.ID, load)
 	if key.Model != "" {
 		t.running[key]++
 	}
-	m.reply.Answer(admission{backend: backend})
+	m.reply.Answer(admission{backend: backend, load: load, sent: sent})
 	return outcomeAdmitted
 }
 
 // waitUntil returns the instant until which a request may wait.
 func (t *task) waitUntil(m admissionRequested) buckthorndyke.Millis {
-	return m.limits.WithDrain(t.drain.waitUntil).Until(m.query.Key, t.hasLeader, t.expected[m.query.Key])
+	limits := m.limits.WithDrain(t.drain.waitUntil)
+	if t.waitsForRoom(m) {
+		return limits.UntilRoom()
+	}
+	return limits.Until(m.query.Key, t.hasLeader, t.expected[m.query.Key])
 }
--- a/supervisor/relayer/dispatcher/waiting.go
+++ b/supervisor/relayer/dispatcher/waiting.go
@@ -64,8 +64,8 @@
 	if !first {
 		t.offer(t.waiting.queue.PassOf(t.clock.Now(), key))
 	}
-	if _, ok := t.waiting.requests[r.Ticket]; ok && !t.refuseIfHopeless(r) && key.Model != "" {
-		t.signalWaiting()
+	if _, ok := t.waiting.requests[r.Ticket]; ok && !t.refuseIfHopeless(r) {
+		t.signalNewWait(m)
 	}
 }
 
@@ -183,8 +183,7 @@
 		return
 	}
 	now := t.clock.Now()
-	ready := t.view.Ready(now)
-	t.offer(t.waiting.queue.Pass(now, func(key buckthorndyke.ModelKey) bool { return ready[key.Base()] }))
+	t.offer(t.waiting.queue.Pass(now, func(key buckthorndyke.ModelKey) bool { return t.view.Ready(key, now) }))
 	if t.view.Pauses() {
 		for key := range t.waiting.queue.Keys() {
 			t.refusePausedKey(key)
--- a/supervisor/relayer/dispatcher/waiting_test.go
+++ b/supervisor/relayer/dispatcher/waiting_test.go
@@ -70,7 +70,7 @@
 	})
 	t.Run("an offer whose instant has passed is made up for", func(t *testing.T) {
 		work, clock := waitingTask(t)
-		work.view = work.view.WithFull("a", clock.now)
+		work.view = work.view.WithPause(buckthorndyke.Lifetime{Server: "a"}, clock.now+120, clock.now)
 		asserter.Equal(t, work.nextWake(), 120)
 		clock.now += 120
 		asserter.Equal(t, work.nextWake(), 1)
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -40,7 +40,8 @@
 	Lists buckthorndyke.ListSource
 	// Memory is the account of the memory for requests and responses.
 	Memory buckthorndyke.MemoryAccount
-	// Meter records the requests that wait, what callers use of their allotments, and orders.
+	// Meter records the requests that wait, what callers use of their allotments, orders and the choice
+	// of servers.
 	Meter    buckthorndyke.Meter
 	Observer buckthorndyke.Election
 	Pool     buckthorndyke.BackendPool
