fix(apportioner): a new leader that does not know what VMs hold refuses nobody

Cause: after a change of the leader, the new one told VMs that allotments had no room until most VMs had reported to it, about 1 s. Requests within the allotment got 429 in that time.

Ruled out: giving half of the tolerance as a higher rate; then too little is admitted of sparse traffic (TestUndisturbedFleet).

--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -40,6 +40,10 @@
 	maxSizePart   = 0.125
 	leastTopUp    = 0.05
 	unknownShares = 1.0
+	// maxUnknown is the part of an allotment held by VMs that have not reported to a new
+	// leader above which the leader does not tell when there is room: requests wait for the
+	// other VMs' reports instead of being refused.
+	maxUnknown = 0.25
 )
 
 // account is the leader's record of one caller's allotment. It is immutable.
@@ -268,7 +272,7 @@
 // roomIn returns the time until the bucket has filled by missing, or 0 if it is not known.
 func (a account) roomIn(h holder, missing float64) buckthorndyke.Millis {
 	perMilli := (a.sums.share + h.share + a.pool) * a.terms.perMilli
-	if perMilli <= 0 || a.unknown > 0 && !a.claimed {
+	if perMilli <= 0 || a.unknown > 0 && !a.claimed || a.unknown > maxUnknown {
 		return 0
 	}
 	return max(buckthorndyke.Millis(math.Ceil(missing/perMilli)), 1)
