feat(selector): long prompts with time left yield to short ones at servers

A server that reads a long prompt makes short ones with a target of 400 ms late, also where the long one has seconds left: both are sent with the urgency of their priority.

A request is now sent with an urgency between its own priority and the next one if its uncached prompt takes more than a quarter of the service's shortest recent target to read, and if more time is left after that than a request with the shortest target has. Read times are the learned ones, so nothing yields before they are known. The setting long-prompts (yield or ignore) switches it off; the metric prompts-yielded counts.

Ruled out by trials in the test model at 31 VMs and 56 runners: a cap on the unread tokens at a server, as a preference and with waiting, and runners preferred by all VMs for long prompts. Neither served both classes better.

--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -92,6 +92,7 @@
 		RetryBurst:         s.RetryBurst,
 		Seeds:              s.Seeds,
 		ArrivalOrder:       s.ArrivalOrder,
+		IgnoreLongPrompts:  s.IgnoreLongPrompts,
 	}, clock, logger)
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
--- a/configurer/relay.go
+++ b/configurer/relay.go
@@ -28,6 +28,14 @@
 	orderSlack = "slack"
 )
 
+// What happens to long prompts.
+const (
+	// longPromptsIgnore sends them to servers with the urgency of short ones.
+	longPromptsIgnore = "ignore"
+	// longPromptsYield sends them with less urgency while they have time left.
+	longPromptsYield = "yield"
+)
+
 // Relay holds the settings of an entry VM that relays requests to backend servers
 // on a platform with a metadata store. It is immutable.
 type Relay struct {
@@ -56,6 +64,9 @@
 	FullSpeedLoads int
 	// LeaveLimit is the time after which a leaving server must get no new requests.
 	LeaveLimit buckthorndyke.Millis
+	// IgnoreLongPrompts is set if long prompts are sent to servers with the urgency of short
+	// ones.
+	IgnoreLongPrompts bool
 	// Lease is the minimum time between the last order of a leader and the first order
 	// of its successor.
 	Lease buckthorndyke.Millis
@@ -99,6 +110,7 @@
 		DrainLimit:         buckthorndyke.Millis(root.rounded("drain-limit-s", defaultRelayDrainSeconds, 1, maxRelayDrainSeconds, math.Floor)) * buckthorndyke.Second,
 		EarlyLoads:         runners.boolean("early-loads", false),
 		FullSpeedLoads:     weights.rounded("model-loads-at-once", defaultModelLoads, 1, maxLoads, math.Floor),
+		IgnoreLongPrompts:  root.choice("long-prompts", longPromptsYield, longPromptsIgnore) == longPromptsIgnore,
 		LeaveLimit:         root.roundedMillis("leave-limit-ms", defaultChangeLimit, minChangeLimit, maxChangeLimit, math.Floor),
 		Lease:              root.roundedMillis("lease-ms", defaultLease, minLease, maxLease, math.Ceil),
 		LogLevel:           root.choice("log-level", "info", "debug", "warn", "error"),
--- a/configurer/relay_test.go
+++ b/configurer/relay_test.go
@@ -83,6 +83,16 @@
 			asserter.Contains(t, err.Error(), fault)
 		}
 	})
+	t.Run("long prompts yield to short ones, unless that is switched off", func(t *testing.T) {
+		for member, ignore := range map[string]bool{"": false, `"long-prompts": "yield", `: false, `"long-prompts": "ignore", `: true} {
+			got, err := configurer.ParseRelay([]byte(strings.Replace(relaySettings, `"lease-ms"`, member+`"lease-ms"`, 1)))
+			asserter.NoError(t, err)
+			asserter.Equal(t, got.IgnoreLongPrompts, ignore)
+		}
+		_, err := configurer.ParseRelay([]byte(strings.Replace(relaySettings, `"lease-ms"`, `"long-prompts": "spread", "lease-ms"`, 1)))
+		asserter.Error(t, err)
+		asserter.Contains(t, err.Error(), `"long-prompts" is "spread"`)
+	})
 	numbers := map[string]func(s configurer.Relay) int{
 		"change-limit-ms": func(s configurer.Relay) int { return int(s.ChangeLimit) },
 		"drain-limit-s":   func(s configurer.Relay) int { return int(s.DrainLimit / buckthorndyke.Second) },
--- a/metric.go
+++ b/metric.go
@@ -33,6 +33,7 @@
 	MetricOrders           Metric = "orders"
 	MetricOrderTime        Metric = "order-ms"
 	MetricPassedOver       Metric = "waits-passed-over"
+	MetricPromptsYielded   Metric = "prompts-yielded"
 	MetricRequestsRejected Metric = "requests-rejected"
 	MetricRequestsRefused  Metric = "requests-refused"
 	MetricRequestsServed   Metric = "requests-served"
--- a/selector/choose.go
+++ b/selector/choose.go
@@ -62,6 +62,8 @@
 	Target buckthorndyke.Millis
 	// Tokens is the length of the prompt.
 	Tokens int
+	// Waited is the time since the request arrived.
+	Waited buckthorndyke.Millis
 }
 
 // Choose returns the server to send the request to, or false if none can take it now.
--- a/selector/site_test.go
+++ b/selector/site_test.go
@@ -19,7 +19,15 @@
 	costs map[buckthorndyke.ModelID]float64
 	// digestPart is the part of the requests with a prompt of digestTokens.
 	digestPart float64
-	duration   buckthorndyke.Millis
+	// digestTarget is the target of these requests, or 0 for that of the others.
+	digestTarget buckthorndyke.Millis
+	duration     buckthorndyke.Millis
+	// longTokens is the length of their prompts, or 0 for digestTokens.
+	longTokens int
+	// ignoreLong is set if long prompts are sent with the urgency of short ones.
+	ignoreLong bool
+	// byUrgency is set if runners read the most urgent prompt first, not the oldest one.
+	byUrgency bool
 	// disturb, if set, is called before the load begins.
 	disturb func(s *site)
 	// holders holds the runners of each model.
@@ -66,8 +74,28 @@
 
 	arrived, attempts, late, refused, rejected, served int
 	firstEvents                                        []buckthorndyke.Millis
+	// classes holds the results of the short prompts and of the long ones.
+	classes [2]classResult
 }
 
+// classResult is what the requests of a class have seen.
+type classResult struct {
+	arrived, inTime int
+	firstEvents     []buckthorndyke.Millis
+}
+
+// firstEvent returns a percentile of the time to the first event.
+func (c classResult) firstEvent(percent int) buckthorndyke.Millis {
+	sorted := slices.Sorted(slices.Values(c.firstEvents))
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[(len(sorted)-1)*percent/100]
+}
+
+// inTimePermille returns the part of the requests that met their target, in thousandths.
+func (c classResult) inTimePermille() int { return c.inTime * 1000 / max(c.arrived, 1) }
+
 type simRunner struct {
 	accepted int
 	cached   map[uint64]bool
@@ -79,11 +107,20 @@
 	busyAt      buckthorndyke.Millis
 	incarnation buckthorndyke.Incarnation
 	readUntil   float64
+	// unread holds the prompts that wait to be read, if they are read by urgency.
+	unread []unreadPrompt
 	// slow returns the factor on the time for all work at an instant.
 	slow  func(now buckthorndyke.Millis) float64
 	speed float64
 }
 
+// unreadPrompt is a prompt that a runner has not begun to read.
+type unreadPrompt struct {
+	// read reads the prompt from an instant on, and returns the instant of its end.
+	read   func(at float64) float64
+	yields bool
+}
+
 type simVM struct {
 	domain  buckthorndyke.DomainID
 	id      buckthorndyke.VMID
@@ -94,11 +131,22 @@
 
 type simRequest struct {
 	arrived, began buckthorndyke.Millis
+	isLong         bool
 	load           selector.Load
 	sent           selector.Sent
 	query          selector.Query
 	retry          bool
+	target         buckthorndyke.Millis
 	tokens         int
+	yields         bool
+}
+
+// class returns 1 for a long prompt, or 0.
+func (r *simRequest) class() int {
+	if r.isLong {
+		return 1
+	}
+	return 0
 }
 
 // event is something that happens at an instant.
@@ -222,9 +270,19 @@
 	rate := s.rate(s.now)
 	s.in(max(buckthorndyke.Millis(math.Round(s.random.ExpFloat64()*1000/rate)), 0), s.arrive)
 	s.arrived++
-	r := &simRequest{arrived: s.now, tokens: s.promptTokens}
+	r := &simRequest{arrived: s.now, target: s.target, tokens: s.promptTokens}
 	if s.random.Float64() < s.digestPart {
-		r.tokens = digestTokens
+		r.isLong, r.tokens = true, digestTokens
+		if s.longTokens > 0 {
+			r.tokens = s.longTokens
+		}
+		if s.digestTarget > 0 {
+			r.target = s.digestTarget
+		}
+	}
+	// Requests that arrive shortly before the end are not seen to end.
+	if s.now < now+s.duration-2500 {
+		s.classes[r.class()].arrived++
 	}
 	vm := s.vms[s.random.IntN(len(s.vms))]
 	if s.vmOf != nil {
@@ -247,8 +305,7 @@
 	var kept []*simRequest
 	// The dispatcher offers room in this order too.
 	slices.SortStableFunc(vm.waiting, func(a, b *simRequest) int {
-		margin := s.target - s.target/8
-		aInTime, bInTime := s.now < a.arrived+margin, s.now < b.arrived+margin
+		aInTime, bInTime := s.now < a.arrived+a.target-a.target/8, s.now < b.arrived+b.target-b.target/8
 		switch {
 		case aInTime != bInTime && aInTime:
 			return -1
@@ -289,7 +346,7 @@
 // send sends a request to the server that its VM chooses, and reports whether there is
 // one.
 func (s *site) send(vm *simVM, r *simRequest) bool {
-	r.query.Now = s.now
+	r.query.Now, r.query.Waited = s.now, s.now-r.arrived
 	b, ok := vm.view.Choose(r.query)
 	if !ok {
 		return false
@@ -328,17 +385,41 @@
 		}
 		runner.cached[r.query.Prefix] = true
 	}
-	runner.readUntil = max(runner.readUntil, float64(s.now)) + float64(tokens)/s.prefillPerMs*factor*cost
-	first := buckthorndyke.Millis(math.Ceil(runner.readUntil)) - s.now + latency
 	rest := buckthorndyke.Millis(math.Ceil(float64(s.outputTokens) * s.stepMs * factor))
-	s.in(first, func() {
-		s.noteFirst(vm, r, runner, sent)
-	})
-	s.in(first+rest-latency, func() { runner.change(-1, s.now) })
-	s.in(first+rest, func() {
-		s.served++
-		s.end(vm, r, runner, sent)
-	})
+	read := func(at float64) float64 {
+		at += float64(tokens) / s.prefillPerMs * factor * cost
+		first := buckthorndyke.Millis(math.Ceil(at)) - s.now + latency
+		s.in(first, func() { s.noteFirst(vm, r, runner, sent) })
+		s.in(first+rest-latency, func() { runner.change(-1, s.now) })
+		s.in(first+rest, func() {
+			s.served++
+			s.end(vm, r, runner, sent)
+		})
+		return at
+	}
+	if !s.byUrgency {
+		runner.readUntil = read(max(runner.readUntil, float64(s.now)))
+		return
+	}
+	runner.unread = append(runner.unread, unreadPrompt{read: read, yields: r.yields})
+	s.readNext(runner)
+}
+
+// readNext lets a runner that reads nothing read the oldest of the most urgent prompts.
+func (s *site) readNext(runner *simRunner) {
+	if len(runner.unread) == 0 || runner.readUntil > float64(s.now) {
+		return
+	}
+	next := 0
+	for n, p := range runner.unread {
+		if !p.yields && runner.unread[next].yields {
+			next = n
+		}
+	}
+	p := runner.unread[next]
+	runner.unread = slices.Delete(runner.unread, next, next+1)
+	runner.readUntil = p.read(float64(s.now))
+	s.in(buckthorndyke.Millis(math.Ceil(runner.readUntil))-s.now, func() { s.readNext(runner) })
 }
 
 // change changes the number of requests in flight.
@@ -351,9 +432,16 @@
 func (s *site) noteFirst(vm *simVM, r *simRequest, runner *simRunner, sent buckthorndyke.Millis) {
 	took := s.now - r.arrived
 	s.firstEvents = append(s.firstEvents, took)
-	if took > s.target {
+	if took > r.target {
 		s.late++
 	}
+	if r.arrived < now+s.duration-2500 {
+		c := &s.classes[r.class()]
+		c.firstEvents = append(c.firstEvents, took)
+		if took <= r.target {
+			c.inTime++
+		}
+	}
 	s.began(vm, r, runner, sent)
 }
 
--- a/selector/sitehooks_test.go
+++ b/selector/sitehooks_test.go
@@ -12,7 +12,7 @@
 		r.query.PrefixTokens = prefixTokens
 	}
 	if !s.withoutTimes {
-		r.query.Target = s.target
+		r.query.Target = r.target
 	}
 }
 
@@ -20,6 +20,8 @@
 func (s *site) take(vm *simVM, r *simRequest, b buckthorndyke.Backend) {
 	r.load = selector.Load{Requests: 1, Tokens: r.tokens, Unread: vm.view.UncachedTokens(b, r.query)}
 	r.sent = selector.Sent{Backend: b, Key: r.query.Key, OutputTokens: s.outputTokens, ReadTokens: vm.view.ReadTokens(b, r.query)}
+	vm.view = vm.view.WithTarget(r.query)
+	r.yields = !s.ignoreLong && vm.view.Yields(b, r.query)
 	vm.view = vm.view.WithLoad(b.ID, r.load)
 }
 
--- a/selector/view.go
+++ b/selector/view.go
@@ -75,6 +75,8 @@
 	runnerModels buckthorndyke.Table[buckthorndyke.RunnerID, runnerModels]
 	// service is how long the runner that has served last takes for a request, or 0.
 	service buckthorndyke.Millis
+	// shortestTargets holds the shortest target of recent requests by service.
+	shortestTargets buckthorndyke.Table[buckthorndyke.ServiceID, shortestTarget]
 	// slowUntil holds the servers that have not responded in time, and until when
 	// they are avoided.
 	slowUntil buckthorndyke.Table[buckthorndyke.RunnerID, buckthorndyke.Millis]
--- a/supervisor/relayer/dispatcher/attempt.go
+++ b/supervisor/relayer/dispatcher/attempt.go
@@ -39,7 +39,7 @@
 		Backend:  backend,
 		Request:  j.request,
 		TimeLeft: j.deadline - j.clock.Now(),
-		Urgency:  min(j.priority*urgencyStep, maxUrgency),
+		Urgency:  j.urgency(),
 	})
 	if err != nil {
 		j.mayHaveCrashed = !buckthorndyke.VerdictOf(err).RetryIsSafe()
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -27,12 +27,14 @@
 	box             *mailer.Mailbox[message]
 	clock           buckthorndyke.Clock
 	domain          buckthorndyke.DomainID
-	lists           *mailer.Feed[buckthorndyke.Backends]
-	logger          zerolog.Logger
-	memory          buckthorndyke.MemoryAccount
-	meter           buckthorndyke.Meter
-	order           []sequencer.Option
-	pool            buckthorndyke.BackendPool
+	// ignoresLongPrompts is set if long prompts are sent with the urgency of short ones.
+	ignoresLongPrompts bool
+	lists              *mailer.Feed[buckthorndyke.Backends]
+	logger             zerolog.Logger
+	memory             buckthorndyke.MemoryAccount
+	meter              buckthorndyke.Meter
+	order              []sequencer.Option
+	pool               buckthorndyke.BackendPool
 	// refreshes gets the instants at which the configuration's version has to be confirmed,
 	// or is nil.
 	refreshes  *mailer.Feed[buckthorndyke.Millis]
@@ -79,6 +81,11 @@
 	return func(d *Dispatcher) { d.order = []sequencer.Option{sequencer.WithArrivalOrder()} }
 }
 
+// WithLongPromptsIgnored sends long prompts with the urgency of short ones.
+func WithLongPromptsIgnored() Option {
+	return func(d *Dispatcher) { d.ignoresLongPrompts = true }
+}
+
 // WithMeter records with m the requests that wait, what callers use of their allotments, and
 // the times and limits of servers.
 func WithMeter(m buckthorndyke.Meter) Option {
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -96,6 +96,8 @@
 	sent selector.Sent
 	// taken is what the attempt still adds to the load of its server.
 	taken selector.Load
+	// yields is set if the server should read the prompt after shorter ones.
+	yields bool
 	// trail describes the attempts for the log.
 	trail []string
 }
@@ -173,7 +175,7 @@
 		if a.err != nil {
 			return a.backend, j.withRetryAfter(a)
 		}
-		j.sent, j.taken = a.sent, a.load
+		j.sent, j.taken, j.yields = a.sent, a.load, a.yields
 		return a.backend, nil
 	case <-ctx.Done():
 	}
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -44,6 +44,8 @@
 	expected buckthorndyke.Millis
 	// final is set if the error already says when to retry.
 	final bool
+	// yields is set if the server should read the prompt after shorter ones.
+	yields bool
 }
 
 type (
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -364,6 +364,7 @@
 	}
 	m.query.Now = t.clock.Now()
 	m.query.Domain = t.domain
+	m.query.Waited = m.query.Now - m.job.request.Arrived
 	m.query.CacheTokens = t.cacheTokens(m.query.Key)
 	backend, ok := t.view.Choose(m.query)
 	if !ok {
@@ -379,7 +380,7 @@
 	if key.Model != "" {
 		t.running[key]++
 	}
-	m.reply.Answer(admission{backend: backend, load: load, sent: sent})
+	m.reply.Answer(admission{backend: backend, load: load, sent: sent, yields: t.yields(m, backend)})
 	return outcomeAdmitted
 }
 
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -57,6 +57,8 @@
 	ArrivalOrder bool
 	// ChangeLimit is the time within which a changed configuration has to be in force.
 	ChangeLimit buckthorndyke.Millis
+	// IgnoreLongPrompts is set if long prompts are sent with the urgency of short ones.
+	IgnoreLongPrompts bool
 	// ChecksFencingToken is set if the runners refuse orders with an outdated fencing
 	// token.
 	ChecksFencingToken bool
@@ -117,6 +119,9 @@
 	if s.ArrivalOrder {
 		options = append(options, dispatcher.WithArrivalOrder())
 	}
+	if s.IgnoreLongPrompts {
+		options = append(options, dispatcher.WithLongPromptsIgnored())
+	}
 	t.dispatcher = dispatcher.New(platform.Pool, t.routings, t.lists, clock, options...)
 	t.loader = loader.New(self, platform.Pool, platform.Leaders,
 		loader.Feeds{FullSpeedLoads: fullSpeedLoads, Lists: t.lists, Routings: t.routings, SeenList: lists.Seen, SeenRouting: routings.Seen, Terms: terms},
