fix(dispatcher): a server that cuts an unread response does not count as failing

Cause: servers cut responses that stay unread for some seconds. While the relay waits for a slow client it does not read from the server, and the cut that follows was counted as a failure of the server: backoff, attempt counts, and an exclusion for the request. A client that disconnected within the body of a call had the same effect, because the error of the closed connection was taken for one of the server.

A stream is resumed only where its route allows it, also at the same server. The log names such attempts. The disconnect of a client within a body ends the attempt as in a stream.

Ruled out: the time of a single write, since many short ones leave a response unread as well; excusing the end of a deadline within a body, which is still a failure of the server; excusing what is no cut, as an event that may not follow.

--- a/supervisor/relayer/dispatcher/attempt.go
+++ b/supervisor/relayer/dispatcher/attempt.go
@@ -107,6 +107,13 @@
 		}
 		return false, errTimeout
 	}
+	if errors.Is(err, errUnread) {
+		// The server is not excluded: it has not failed.
+		j.noteAttempt(backend, "cut while the client did not read: %v", err)
+		j.releaseServer(ctx, backend, resultNeutral)
+		j.executions++
+		return j.mayRetry(), errUnread
+	}
 	j.noteAttempt(backend, "failed: %v", err)
 	if errors.Is(err, buckthorndyke.ErrMemory) || errors.Is(err, errEventMemory) {
 		j.releaseServer(ctx, backend, resultNeutral)
--- a/supervisor/relayer/dispatcher/copy.go
+++ b/supervisor/relayer/dispatcher/copy.go
@@ -40,10 +40,17 @@
 		return false, j.answer.writeWhole(a.Status, a.Header, held.Bytes())
 	case tooLarge && a.Length < 0:
 		return j.handleFailure(ctx, backend, errResponseTooLarge)
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTimeout):
+		// The client has disconnected or the VM is stopping. A server whose response is not
+		// complete at the deadline has failed.
+		return j.handleFailure(ctx, backend, context.Cause(ctx))
 	case !tooLarge && !errors.Is(err, buckthorndyke.ErrMemory):
 		return j.handleFailure(ctx, backend, errors.Wrap(err, "read the response"))
 	}
+	w := &pacedResponse{clock: j.clock, reader: a.Body, writer: j.answer.w}
+	a.Body, j.answer.w = io.NopCloser(w), w
 	err = j.passOn(a, held)
+	j.answer.w = w.writer
 	switch {
 	case err == nil:
 		j.noteServed(ctx, backend, a)
@@ -53,6 +60,8 @@
 		return false, errClientGone
 	case ctx.Err() != nil:
 		err = context.Cause(ctx)
+	case w.cutUnread():
+		err = errors.Mark(err, errUnread)
 	}
 	// The client has a part of this response. No other one can follow.
 	_, err = j.handleFailure(ctx, backend, err)
--- a/supervisor/relayer/dispatcher/fixture_test.go
+++ b/supervisor/relayer/dispatcher/fixture_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -153,7 +154,9 @@
 	mediaType string
 	notRun    bool
 	// pause is the pause that the server asks for.
-	pause    buckthorndyke.Millis
+	pause buckthorndyke.Millis
+	// stalls is set if nothing follows the body until the exchange ends.
+	stalls   bool
 	status   int
 	unsigned bool
 }
@@ -215,6 +218,9 @@
 	if next.endless {
 		body = endlessReader(next.body)
 	}
+	if next.stalls {
+		body = io.MultiReader(body, stalledReader{ctx})
+	}
 	if next.broken {
 		body = io.MultiReader(body, &brokenReader{})
 	}
@@ -293,6 +299,18 @@
 // Read implements io.Reader.
 func (*brokenReader) Read([]byte) (int, error) { return 0, errors.New("reset") }
 
+// stalledReader is the body of a response of which no more arrives before ctx ends. Like a
+// connection it then returns the error of a deadline.
+type stalledReader struct {
+	ctx context.Context
+}
+
+// Read implements io.Reader.
+func (r stalledReader) Read([]byte) (int, error) {
+	<-r.ctx.Done()
+	return 0, os.ErrDeadlineExceeded
+}
+
 // errNoResponse is the error of an attempt after which the server may have run the request.
 var errNoResponse = errors.New("no response")
 
--- a/supervisor/relayer/dispatcher/stream.go
+++ b/supervisor/relayer/dispatcher/stream.go
@@ -35,7 +35,10 @@
 // at another server if the route allows that.
 func (j *job) relayStream(ctx context.Context, backend buckthorndyke.Backend, a buckthorndyke.DispatchResponse) (bool, error) {
 	j.heard = false
+	w := &pacedResponse{clock: j.clock, reader: a.Body, writer: j.answer.w}
+	a.Body, j.answer.w = io.NopCloser(w), w
 	err := j.forwardEvents(ctx, a)
+	j.answer.w = w.writer
 	switch {
 	case err == nil:
 		j.noteAttempt(backend, "streamed up to event %s", j.answer.lastEventID)
@@ -49,7 +52,11 @@
 		return j.handleFailure(ctx, backend, context.Cause(ctx))
 	}
 	j.mayHaveCrashed = !j.heard
-	retry, err := j.handleFailure(ctx, backend, errors.Wrapf(err, "the stream was truncated after event %q", j.answer.lastEventID))
+	err = errors.Wrapf(err, "the stream was truncated after event %q", j.answer.lastEventID)
+	if w.cutUnread() {
+		err = errors.Mark(err, errUnread)
+	}
+	retry, err := j.handleFailure(ctx, backend, err)
 	if j.answer.lastEventID != "" {
 		j.request = j.request.WithLastEventID(j.answer.lastEventID)
 	}
