feat(platform): requests are screened by their heads before large bodies are read

Cause: a body was read before its caller's key was checked, so that a client without a key made a VM hold bodies. A client that gave a deadline of an hour could hold the memory of a body that trickles in for as long.

Change: interface Screener.

--- a/relay.go
+++ b/relay.go
@@ -128,6 +128,13 @@
 	Relay(ctx context.Context, r RelayRequest, w RelayWriter) error
 }
 
+// Screener refuses requests that cannot be served, whatever their bodies hold.
+type Screener interface {
+	// Screen returns the refusal of a request whose body has not been read, or nil. A request
+	// that is refused has not run and is not passed to the relay.
+	Screen(ctx context.Context, r RelayRequest) error
+}
+
 // Dispatch is one attempt to serve a relayed request at one backend server.
 type Dispatch struct {
 	Backend Backend
--- a/supervisor/recorder/relay.go
+++ b/supervisor/recorder/relay.go
@@ -28,19 +28,42 @@
 
 // Relay implements buckthorndyke.Relay.
 func (r *Relay) Relay(ctx context.Context, request buckthorndyke.RelayRequest, w buckthorndyke.RelayWriter) error {
-	label := labelCall
-	if request.Model != "" {
-		label = labelStream
-	}
+	label := labelOf(request)
 	err := r.relay.Relay(ctx, request, &recordingWriter{RelayWriter: w, arrived: request.Arrived, label: label, relay: r})
 	if err != nil {
-		r.meter.Count(buckthorndyke.MetricRequestsRefused.Of(label).Of(string(buckthorndyke.RefusalOf(err).Code())), 1)
+		r.countRefused(label, err)
 		return err
 	}
 	r.meter.Count(buckthorndyke.MetricRequestsServed.Of(label), 1)
 	return nil
 }
 
+// Screen implements buckthorndyke.Screener. Without a screener it refuses nothing.
+func (r *Relay) Screen(ctx context.Context, request buckthorndyke.RelayRequest) error {
+	screener, ok := r.relay.(buckthorndyke.Screener)
+	if !ok {
+		return nil
+	}
+	err := screener.Screen(ctx, request)
+	if err != nil {
+		r.countRefused(labelOf(request), err)
+	}
+	return err
+}
+
+// countRefused counts a request that was refused.
+func (r *Relay) countRefused(label string, err error) {
+	r.meter.Count(buckthorndyke.MetricRequestsRefused.Of(label).Of(string(buckthorndyke.RefusalOf(err).Code())), 1)
+}
+
+// labelOf returns the label of a request.
+func labelOf(request buckthorndyke.RelayRequest) string {
+	if request.Model != "" {
+		return labelStream
+	}
+	return labelCall
+}
+
 // recordingWriter wraps a writer and records when the response begins and the
 // pauses between its parts.
 type recordingWriter struct {
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -162,6 +162,15 @@
 	return err
 }
 
+// Screen implements buckthorndyke.Screener.
+func (d *Dispatcher) Screen(ctx context.Context, r buckthorndyke.RelayRequest) error {
+	j, err := d.newJob(ctx, r, nil)
+	if err != nil {
+		d.log(r, j, err)
+	}
+	return err
+}
+
 // subscribe returns the values of feed, or nil if there is none.
 func subscribe[V any](ctx context.Context, feed *mailer.Feed[V]) <-chan V {
 	if feed == nil {
