--- a/supervisor/relayer/dispatcher/fixture_test.go
+++ b/supervisor/relayer/dispatcher/fixture_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -155,7 +156,9 @@
 	mediaType string
 	notRun    bool
 	// pause is the pause that the server asks for.
-	pause    buckthorndyke.Millis
+	pause buckthorndyke.Millis
+	// stalls is set if nothing follows the body until the exchange ends.
+	stalls   bool
 	status   int
 	unsigned bool
 }
@@ -220,6 +223,9 @@
 	if next.lasts > 0 {
 		body = io.MultiReader(body, lastingReader(next.lasts))
 	}
+	if next.stalls {
+		body = io.MultiReader(body, stalledReader{ctx})
+	}
 	if next.broken {
 		body = io.MultiReader(body, &brokenReader{})
 	}
@@ -307,6 +313,18 @@
 // Read implements io.Reader.
 func (*brokenReader) Read([]byte) (int, error) { return 0, errors.New("reset") }
 
+// stalledReader is the body of a response of which no more arrives before ctx ends. Like a
+// connection it then returns the error of a deadline.
+type stalledReader struct {
+	ctx context.Context
+}
+
+// Read implements io.Reader.
+func (r stalledReader) Read([]byte) (int, error) {
+	<-r.ctx.Done()
+	return 0, os.ErrDeadlineExceeded
+}
+
 // errNoResponse is the error of an attempt after which the server may have run the request.
 var errNoResponse = errors.New("no response")
 
