test(endtoend): the soak shows that a lowered limit binds

The window is 1 s, the limits are 5, 20 and 80 a second, and each seed with callers lowers the limit to 5 at the beginning of its last 6.5 s, which have no faults.

--- a/endtoend/soak_test.go
+++ b/endtoend/soak_test.go
@@ -49,7 +49,7 @@
 			if s.hasCallers {
 				// The time without faults replaces a part of the one with faults, so that
 				// the seeds take about as long as others.
-				span -= calmTime / 2
+				span -= calmTime * 2 / 3
 				s.startCallers()
 			}
 			ctx, cancel := context.WithCancel(s.ctx)
--- a/endtoend/soakcallers_test.go
+++ b/endtoend/soakcallers_test.go
@@ -11,8 +11,8 @@
 	"github.com/buckthorndyke/buckthorndyke/platform/imitator"
 )
 
-// Callers of the soak. The keys of the changing one are numbered, and none is used again
-// after it was taken away.
+// Callers of the soak. The keys of the changing one are numbered, and none but the last is
+// used again after it was taken away.
 const (
 	steadyCaller, steadyKey   = "steady", "steady-key"
 	limitedCaller, limitedKey = "limited", "limited-key"
@@ -25,10 +25,10 @@
 
 // Allotment of the limited caller.
 const (
-	allotmentBurst   = 20
+	allotmentBurst   = 10
 	allotmentOverage = 0.1
 	allotmentSlack   = 10
-	allotmentWindow  = 2 * time.Second
+	allotmentWindow  = time.Second
 )
 
 const (
@@ -38,15 +38,17 @@
 	floodInterval = 10 * time.Millisecond
 	// changeSettleTime is the change limit of 3 s and 1 s for the load of the machine.
 	changeSettleTime = 4 * time.Second
-	// calmTime is the part of a seed with callers that has no faults. The keys change at its
-	// beginning, and requests after changeSettleTime show whether each VM knows that.
-	calmTime = changeSettleTime + time.Second
+	// calmTime is the part of a seed with callers that has no faults. At its beginning the keys
+	// change and the limit falls, and requests after changeSettleTime show whether each VM
+	// knows that. The lower limit binds one window later.
+	calmTime = changeSettleTime + 2*allotmentWindow + time.Second/2
 	// allVMs is the VM of a fault of the store.
 	allVMs = -1
 )
 
-// allotmentPaces are the limits that are drawn, in requests per second.
-var allotmentPaces = []float64{5, 10, 20, 40}
+// allotmentPaces are the limits that are drawn, in requests per second. What the highest one
+// allows exceeds the bound of the lowest one, and the flood exceeds both.
+var allotmentPaces = []float64{5, 20, 80}
 
 // callerVersion is the part of a version of the configuration that concerns callers.
 type callerVersion struct {
@@ -146,7 +148,7 @@
 // checks keys.
 func (s *soak) startCallers() {
 	s.t.Helper()
-	s.putCallers(callerVersion{keys: []string{s.newKey()}, pace: allotmentPaces[2]})
+	s.putCallers(callerVersion{keys: []string{s.newKey()}, pace: slices.Max(allotmentPaces)})
 	for i := range relayVMs {
 		asserter.Eventually(s.t, waitLimit, func() bool {
 			return s.send(http.DefaultClient, i, imitator.Request{Body: "body", Key: unknownKey, Target: "/calls/x"}).Status == http.StatusUnauthorized
@@ -172,12 +174,13 @@
 	s.putCallers(next)
 }
 
-// calmDown leaves the VMs without faults after all keys of a caller were replaced.
+// calmDown leaves the VMs without faults after all keys of a caller were replaced and the limit
+// was lowered.
 func (s *soak) calmDown() {
 	s.t.Helper()
 	s.clearFaults()
 	next := s.history.newest()
-	next.keys = []string{s.newKey(), s.newKey()}
+	next.keys, next.pace = []string{s.newKey(), s.newKey()}, slices.Min(allotmentPaces)
 	s.putCallers(next)
 	select {
 	case <-s.ctx.Done():
