perf(selector): prompts count as long from an eighth of the shortest target on

Under load, 430 of 1,035 long prompts did not yield: their learned read times are too short there, below a quarter of the shortest target. Those passed the ones that did yield.

A prompt is now long if reading takes more than an eighth of the shortest target, and if it is at least twice the service's average prompt. The second part keeps short prompts from yielding when the expected time of any prompt contains the wait for others.

--- a/selector/longprompts.go
+++ b/selector/longprompts.go
@@ -3,19 +3,28 @@
 import "github.com/buckthorndyke/buckthorndyke"
 
 const (
-	// longDivisor divides the shortest recent target of a service: a prompt that takes longer
-	// to read than that part of it is long. Several short prompts may wait behind each other
-	// within their target, but not behind several long ones.
-	longDivisor = 4
+	// longDivisor divides the shortest recent target of a service: a prompt that is expected
+	// to take longer to read than that part of it is long. With 4, two fifths of the long
+	// prompts in a loaded test model did not count as long, since the learned read times of
+	// long prompts are too short under load.
+	longDivisor = 8
+	// longFactor is how many times the average prompt of a service a long one has at least.
+	// Under load, the expected time of any prompt contains the wait for others.
+	longFactor = 2
+	// promptWeight is the weight of a further prompt in that average.
+	promptWeight = 1.0 / 64
 	// targetWindow is how long a target counts after the last request with it, at least; it
 	// counts at most twice as long.
 	targetWindow = 10 * buckthorndyke.Second
 )
 
-// shortestTarget is the shortest target of a service's recent requests. It is immutable.
+// shortestTarget is the shortest target of a service's recent requests, and their average
+// prompt. It is immutable.
 type shortestTarget struct {
 	// current and previous are the shortest targets of two successive windows, or 0.
 	current, previous buckthorndyke.Millis
+	// prompt is the average prompt of the service's requests, in tokens.
+	prompt float64
 	// since is the beginning of the current window.
 	since buckthorndyke.Millis
 }
@@ -26,9 +35,7 @@
 		return v
 	}
 	before, _ := v.shortestTargets.Get(q.Key.Service)
-	if after := before.with(q.Target, q.Now); after != before {
-		v.shortestTargets = v.shortestTargets.With(q.Key.Service, after)
-	}
+	v.shortestTargets = v.shortestTargets.With(q.Key.Service, before.with(q))
 	return v
 }
 
@@ -41,8 +48,12 @@
 	if q.Key.Model == "" || shortest == 0 || q.Target <= shortest {
 		return false
 	}
+	uncached := v.UncachedTokens(listed, q)
+	if float64(uncached) < longFactor*targets.prompt {
+		return false
+	}
 	s := Sent{Backend: listed, Key: q.Key}
-	read, ok := v.timesOf(q.Key.Service)[workRead].Estimate(workOf(s, v.UncachedTokens(listed, q)), q.Now)
+	read, ok := v.timesOf(q.Key.Service)[workRead].Estimate(workOf(s, uncached), q.Now)
 	return ok && read.Time > shortest/longDivisor && q.Target-q.Waited-read.Time > shortest
 }
 
@@ -61,17 +72,21 @@
 	case now < s.since+targetWindow:
 		return s
 	case now < s.since+2*targetWindow:
-		return shortestTarget{previous: s.current, since: s.since + targetWindow}
+		return shortestTarget{previous: s.current, prompt: s.prompt, since: s.since + targetWindow}
 	default:
-		return shortestTarget{since: now}
+		return shortestTarget{prompt: s.prompt, since: now}
 	}
 }
 
-// with returns s after a request with a target.
-func (s shortestTarget) with(target, now buckthorndyke.Millis) shortestTarget {
-	s = s.turned(now)
-	if s.current == 0 || target < s.current {
-		s.current = target
+// with returns s after a request.
+func (s shortestTarget) with(q Query) shortestTarget {
+	s = s.turned(q.Now)
+	if s.current == 0 || q.Target < s.current {
+		s.current = q.Target
+	}
+	if s.prompt == 0 {
+		s.prompt = float64(q.Tokens)
 	}
+	s.prompt += (float64(q.Tokens) - s.prompt) * promptWeight
 	return s
 }
--- a/selector/longprompts_test.go
+++ b/selector/longprompts_test.go
@@ -117,6 +117,10 @@
 	t.Run("a short prompt does not, however long its target", func(t *testing.T) {
 		assertYields(t, v, false, func(q *selector.Query) { q.Tokens = 600 })
 	})
+	t.Run("an average prompt does not, however long servers take for it", func(t *testing.T) {
+		slow := withReads(a, b, 100, 100).WithTarget(short)
+		assertYields(t, slow, false, func(q *selector.Query) { q.Tokens = 900 })
+	})
 	t.Run("a long prompt with the shortest target does not", func(t *testing.T) {
 		assertYields(t, v, false, func(q *selector.Query) { q.Target = 400 })
 	})
