fix(dispatcher): messages do not delay decisions on requests that wait for a grant

Cause: requests that wait for a grant of their caller's allotment, or for a confirmation of the configuration, were decided on only when the task's timer fired. A task that is busy with messages chooses between them and the timer at random, and starts the timer anew after each.

Change: what is due is done before each message, as for requests that wait for a server.

Measured: the new subtest of TestNextWake fails without the change.

--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -145,8 +145,6 @@
 			t.view = t.view.WithBackends(l)
 			t.offerAll()
 		case <-t.clock.After(t.nextWake()):
-			t.retryGrants(t.clock.Now(), false)
-			t.answerUnconfirmed()
 		}
 	}
 }
--- a/supervisor/relayer/dispatcher/waiting.go
+++ b/supervisor/relayer/dispatcher/waiting.go
@@ -223,14 +223,19 @@
 	}
 }
 
-// handleDue does what is due now: it refuses requests that have waited too long, and offers
-// free slots if a server may have become available.
+// handleDue does what is due now: it decides on requests that wait for a grant or a
+// confirmation, refuses requests that have waited too long, and offers free slots if a server
+// may have become available.
 func (t *task) handleDue() {
+	now := t.clock.Now()
+	t.retryGrants(now, false)
+	if len(t.unconfirmed) > 0 {
+		t.answerUnconfirmed()
+	}
 	if t.waiting.queue.Len() == 0 {
 		t.waiting.offerAt = 0
 		return
 	}
-	now := t.clock.Now()
 	if at := t.waiting.offerAt; at > 0 && now >= at {
 		t.offerAll()
 		return
--- a/supervisor/relayer/dispatcher/waiting_test.go
+++ b/supervisor/relayer/dispatcher/waiting_test.go
@@ -77,6 +77,25 @@
 		work.handleDue()
 		asserter.Equal(t, work.nextWake(), maxWake)
 	})
+	t.Run("messages do not delay the decision on a request that waits for a grant", func(t *testing.T) {
+		work, clock := waitingTask(t)
+		work.hasLeader = true
+		work.applyCallers(buckthorndyke.NewCallers().WithCaller(buckthorndyke.Caller{
+			Allotment: buckthorndyke.Allotment{Burst: 100, PerSecond: 100, Unit: buckthorndyke.AllotmentRequests}, ID: "limited",
+		}))
+		charged := work.charge(admissionRequested{
+			job: &job{
+				Dispatcher: work.Dispatcher, deadline: 9000, request: buckthorndyke.RelayRequest{Arrived: 1000, Caller: "limited"},
+			},
+			limits: waitLimits{loading: 8000, plain: 2000},
+			query:  selector.Query{Key: buckthorndyke.ModelKey{Service: "desk"}},
+			reply:  mailer.NewReply[admission](),
+		})
+		asserter.True(t, !charged, "a request was admitted without a grant")
+		clock.now = 2000
+		work.handleDue()
+		asserter.Equal(t, work.allotments.waits, 0)
+	})
 	t.Run("a request is refused at the instant until which it may wait", func(t *testing.T) {
 		work, clock := waitingTask(t)
 		clock.now = 7999
