fix(attributor): a busy VM does not take the server of a slow client for a failing one

Cause: after its client had begun to read again, a read of 5 ms or more counted as one that had waited for the server, so that the cut of an unread response counted as a failure of the server. On a busy machine reads of bytes that have already arrived take as long.

Change: reads have to take 100 ms in sum since the last long write.

--- a/attributor/attributor_test.go
+++ b/attributor/attributor_test.go
@@ -29,6 +29,16 @@
 		p := attributor.Pace{}.WithWrite(3 * second).WithRead(second).WithWrite(second / 4)
 		asserter.True(t, !p.Unread(), "the response counts as unread")
 	})
+	t.Run("short reads on a busy VM do not show that the response was read", func(t *testing.T) {
+		asserter.True(t, attributor.Pace{}.WithRead(90).WithWrite(3*second).WithRead(40).WithRead(40).Unread(), "the response counts as read")
+	})
+	t.Run("short reads show in sum that the response was read", func(t *testing.T) {
+		p := attributor.Pace{}.WithWrite(3 * second)
+		for range 5 {
+			p = p.WithRead(20).WithWrite(1)
+		}
+		asserter.True(t, !p.Unread(), "the response counts as unread")
+	})
 	t.Run("a clock that goes back does not shorten the time", func(t *testing.T) {
 		asserter.True(t, attributor.Pace{}.WithWrite(second).WithWrite(-second).Unread(), "the response counts as read")
 	})
