refactor(routing): one formula for how long clients wait for an event; dead code

View.HoldsAt lost its only caller when the ordered queue took over the offers of room.

Behaviour is the same.

--- a/routing.go
+++ b/routing.go
@@ -29,6 +29,16 @@
 	Weight int
 }
 
+const (
+	// minEventWait and the two factors determine how long clients wait for the next
+	// event of a stream before they disconnect, as the platform documents it: the
+	// longest of minEventWait and the two multiples of the route's latency target and
+	// gap target.
+	minEventWait        = 2 * Second
+	latencyTargetFactor = 4
+	gapTargetFactor     = 8
+)
+
 // Route says which services handle the requests for a host and path prefix, and
 // how.
 type Route struct {
@@ -55,6 +65,12 @@
 	Timeout Millis
 }
 
+// EventWait returns how long clients wait for the next event of a stream before they
+// disconnect.
+func (r Route) EventWait() Millis {
+	return max(minEventWait, latencyTargetFactor*r.LatencyTarget, gapTargetFactor*r.GapTarget)
+}
+
 // Repeatable reports whether a request that may have run can be sent again.
 func (r Route) Repeatable() bool {
 	return r.Kind == RouteSafe || r.Kind == RouteStream && r.Resumable
--- a/selector/room.go
+++ b/selector/room.go
@@ -37,13 +37,6 @@
 	})
 }
 
-// HoldsAt reports whether a server has loaded what requests for key need.
-func (v View) HoldsAt(id buckthorndyke.RunnerID, key buckthorndyke.ModelKey) bool {
-	return slices.ContainsFunc(v.holders(key), func(h holder) bool {
-		return h.server.ID == id && h.model.HasAdapter(key.Adapter)
-	})
-}
-
 // LimitedServers returns the runners whose limits rejections have lowered, the lowest
 // limits first.
 func (v View) LimitedServers(now buckthorndyke.Millis) []LimitedServer {
--- a/supervisor/relayer/dispatcher/waitlimits.go
+++ b/supervisor/relayer/dispatcher/waitlimits.go
@@ -6,13 +6,6 @@
 )
 
 const (
-	// minEventWait and the two factors determine how long clients wait for the next
-	// event of a stream before they disconnect, as the platform documents it: the
-	// longest of minEventWait and the two multiples of the route's latency target and
-	// gap target.
-	minEventWait        = 2 * buckthorndyke.Second
-	latencyTargetFactor = 4
-	gapTargetFactor     = 8
 	// responseMargin is how long before the client disconnects a refusal is sent.
 	responseMargin = 300 * buckthorndyke.Millisecond
 	// plainPermille is the part of a request's time limit, in thousandths, that it may
@@ -50,8 +43,7 @@
 	span := deadline - from
 	longest := span - responseMargin
 	if route.Kind == buckthorndyke.RouteStream {
-		gap := max(minEventWait, latencyTargetFactor*route.LatencyTarget, gapTargetFactor*route.GapTarget)
-		longest = min(longest, gap-responseMargin)
+		longest = min(longest, route.EventWait()-responseMargin)
 	}
 	longest = max(longest, 0)
 	return waitLimits{
