feat(entrance): requests without a complete response in a stop are logged

Cause: the lines on requests cannot tell whether a client left, its connection was closed by the VM, or its request was ended with the stop. Change: request-cut names the client's address, the path, the time since the head was read, and whether the connection was closed before the end of the stop. Nothing is written outside of stops.

--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -39,6 +39,8 @@
 	EventReadiness      Event = "readiness-changed"
 	EventReclaimed      Event = "vm-reclaimed"
 	EventQuarantine     Event = "quarantine-changed"
+	// EventRequestCut reports a request in a stop that got no complete response.
+	EventRequestCut     Event = "request-cut"
 	EventRequestFailed  Event = "request-failed"
 	EventRequestServed  Event = "request-served"
 	EventRoutingInForce Event = "routing-in-force"
--- a/supervisor/relayer/entrance/entrance.go
+++ b/supervisor/relayer/entrance/entrance.go
@@ -81,7 +81,7 @@
 	defer end(nil)
 	clientServer := &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return serverCtx },
-		Handler:           closeAfter(ctx, e.handler),
+		Handler:           e.reportCuts(ctx, closeAfter(ctx, e.handler)),
 		IdleTimeout:       idleTimeout.Duration(),
 		MaxHeaderBytes:    headerLimit,
 		ReadHeaderTimeout: headerTimeout.Duration(),
@@ -141,6 +141,27 @@
 	}
 }
 
+// reportCuts returns a handler that logs the requests that end without a complete response
+// once ctx has ended.
+func (e *Entrance) reportCuts(ctx context.Context, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began := e.clock.Now()
+		defer func() {
+			aborted := recover()
+			if aborted == nil {
+				return
+			}
+			if ctx.Err() != nil {
+				e.logger.Warn().EmbedObject(reporter.EventRequestCut).Str("client", r.RemoteAddr).Str("path", r.URL.EscapedPath()).
+					Bool("disconnected", errors.Is(context.Cause(r.Context()), context.Canceled)).
+					Int64("ms", int64(e.clock.Now()-began)).Send()
+			}
+			panic(aborted)
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
 // reportNotReady replies that the VM is not ready, until the process ends.
 func (e *Entrance) reportNotReady() {
 	for reply := range e.readinessRequests.Receive() {
