fix(drainer): a stop closes no connection from which a request has been read

Callers: in a planned stop, a whole request on a kept connection got neither a response nor a refusal, although it had been passed to a server (LOST). Cause: http.Server.Shutdown closes connections that count as idle, and net/http counts one as idle until the head of its next request is parsed. A request whose bytes were read by then is handled, and its response is lost. The class: a resource is closed from outside, by a state that lags behind what its owner has done. Change: drainer.Server leaves each connection to the goroutine that serves it. A drain interrupts the reads that wait for a request by their deadline, which has no effect once bytes were read. The client, caller and operator interfaces use it; the last two now also announce that connections will be closed. Dropped: half-closing idle connections, since the response could not be sent; leaving them open to the end, since the same race happens there.

--- a/supervisor/listener/listener.go
+++ b/supervisor/listener/listener.go
@@ -6,13 +6,13 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
 	"golang.org/x/net/netutil"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/drainer"
 )
 
 // Fixed time limits of the caller interface.
@@ -124,38 +124,43 @@
 	// Requests run on after ctx, until the drain has ended.
 	serverCtx, end := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer end(nil)
-	server := &http.Server{
+	server := drainer.New(&http.Server{
 		BaseContext:       func(net.Listener) context.Context { return serverCtx },
-		Handler:           handler,
+		Handler:           drainer.AnnounceClose(ctx, handler),
 		IdleTimeout:       idleTimeout.Duration(),
 		MaxHeaderBytes:    l.limits.Header,
 		ReadHeaderTimeout: headerTimeout.Duration(),
 		ReadTimeout:       l.limits.Request.Duration(),
-	}
+	})
 	stopped := make(chan error, 1)
 	go func() { stopped <- server.Serve(netutil.LimitListener(socket, l.limits.Connections)) }()
 	select {
 	case err := <-stopped:
 		return errors.Wrap(err, "serve callers over HTTP")
 	case <-ctx.Done():
-		l.drain(server, end)
+		l.drain(server, stopped, end)
 		return ctx.Err()
 	}
 }
 
-// drain waits for the grace period and then shuts server down. It calls end for the requests
-// that are still in progress shortly before the drain limit, so that they get a response, and
-// closes all connections at the limit.
-func (l *Listener) drain(server *http.Server, end context.CancelCauseFunc) {
+// drain waits for the grace period and then stops server once its requests are done, which
+// done reports. It calls end for the requests that are still in progress shortly before the
+// drain limit, so that they get a response, and closes all connections at the limit.
+func (l *Listener) drain(server *drainer.Server, done <-chan error, end context.CancelCauseFunc) {
 	if l.limits.Grace > 0 {
 		<-l.clock.After(l.limits.Grace)
 	}
 	refusalTime := min(maxRefusalTime, l.limits.Drain/8)
-	stop := time.AfterFunc((l.limits.Drain - refusalTime).Duration(), func() { end(buckthorndyke.ErrStopping) })
-	defer stop.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), l.limits.Drain.Duration())
-	defer cancel()
-	if server.Shutdown(ctx) != nil {
+	server.Drain()
+	select {
+	case <-done:
+		return
+	case <-l.clock.After(l.limits.Drain - refusalTime):
+	}
+	end(buckthorndyke.ErrStopping)
+	select {
+	case <-done:
+	case <-l.clock.After(refusalTime):
 		_ = server.Close()
 	}
 }
--- a/supervisor/listener/listener_test.go
+++ b/supervisor/listener/listener_test.go
@@ -16,6 +16,7 @@
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/asserter"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/listener"
+	"github.com/buckthorndyke/buckthorndyke/tester"
 	"github.com/buckthorndyke/buckthorndyke/timekeeper"
 )
 
@@ -144,6 +145,21 @@
 		asserter.Contains(t, string(body), "[DONE]")
 		asserter.Equal(t, errors.Is(<-done, context.Canceled), true)
 	})
+	t.Run("a request that was read when idle connections are closed is answered", func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		socket := tester.NewHeldListener(t.Context(), t)
+		l := listener.New("", &fakeGateway{}, timekeeper.NewRealClock(), listener.WithListener(socket))
+		done := make(chan error, 1)
+		go func() { done <- l.Serve(ctx) }()
+		idle := socket.OpenIdle(t.Context(), t, "/livez")
+		status := socket.Send(t.Context(), t, "/livez")
+		<-socket.Received
+		stop()
+		tester.AssertClosed(t, idle)
+		close(socket.Release)
+		asserter.Equal(t, <-status, http.StatusOK)
+		asserter.Equal(t, errors.Is(<-done, context.Canceled), true)
+	})
 	t.Run("a request in progress at the drain limit gets a response", func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		gateway := &fakeGateway{called: stop}
--- a/supervisor/operator/operator.go
+++ b/supervisor/operator/operator.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
@@ -13,6 +14,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/drainer"
 )
 
 // defaultAddress is the loopback address with a port chosen by the system.
@@ -165,20 +167,20 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{
-		Handler:           handler,
+	server := drainer.New(&http.Server{
+		Handler:           drainer.AnnounceClose(ctx, handler),
 		MaxHeaderBytes:    o.limits.Header,
 		ReadHeaderTimeout: o.limits.Read.Duration(),
 		ReadTimeout:       o.limits.Read.Duration(),
 		WriteTimeout:      o.limits.Write.Duration(),
-	}
+	})
 	stopped := make(chan error, 1)
 	go func() { stopped <- server.Serve(netutil.LimitListener(socket, o.limits.Connections)) }()
 	select {
 	case err := <-stopped:
 		return errors.Wrap(err, "serve operators over HTTP")
 	case <-ctx.Done():
-		o.shutdown(context.WithoutCancel(ctx), server)
+		o.drain(server, stopped)
 		return ctx.Err()
 	}
 }
@@ -193,12 +195,13 @@
 	return socket, errors.Wrap(err, "listen for connections from operators")
 }
 
-// shutdown waits for the requests in progress and stops server. Requests that are
-// still in progress at the drain limit are cut off.
-func (o *Operator) shutdown(ctx context.Context, server *http.Server) {
-	ctx, cancel := context.WithTimeout(ctx, o.limits.Drain.Duration())
-	defer cancel()
-	if server.Shutdown(ctx) != nil {
+// drain stops server once the requests in progress are done, which done reports. Requests
+// that are still in progress at the drain limit are cut off.
+func (o *Operator) drain(server *drainer.Server, done <-chan error) {
+	server.Drain()
+	select {
+	case <-done:
+	case <-time.After(o.limits.Drain.Duration()):
 		_ = server.Close()
 	}
 }
--- a/supervisor/relayer/entrance/entrance.go
+++ b/supervisor/relayer/entrance/entrance.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/drainer"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 )
@@ -36,8 +37,10 @@
 	drainLimit buckthorndyke.Millis
 	handler    http.Handler
 	// lists delivers the lists of backend servers.
-	lists             *mailer.Feed[buckthorndyke.Backends]
-	logger            zerolog.Logger
+	lists  *mailer.Feed[buckthorndyke.Backends]
+	logger zerolog.Logger
+	// open opens the socket at an address.
+	open              func(ctx context.Context, address string) (net.Listener, error)
 	readinessAddress  string
 	readinessRequests *mailer.Mailbox[mailer.Reply[bool]]
 	// routings delivers the configurations of routes.
@@ -52,24 +55,37 @@
 	Readiness string
 }
 
+// Option configures an Entrance.
+type Option func(*Entrance)
+
+// WithOpen makes the entrance open its sockets by open.
+func WithOpen(open func(ctx context.Context, address string) (net.Listener, error)) Option {
+	return func(e *Entrance) { e.open = open }
+}
+
 // New returns an entrance that passes requests to handler. It is ready once routings and
 // lists have each delivered a value.
 func New(
 	addresses Addresses, handler http.Handler, routings *mailer.Feed[buckthorndyke.Routing],
 	lists *mailer.Feed[buckthorndyke.Backends], drainLimit buckthorndyke.Millis, clock buckthorndyke.Clock,
-	logger zerolog.Logger,
+	logger zerolog.Logger, opts ...Option,
 ) *Entrance {
-	return &Entrance{
+	e := &Entrance{
 		address:           addresses.Clients,
 		clock:             clock,
 		drainLimit:        drainLimit,
 		handler:           handler,
 		lists:             lists,
 		logger:            logger,
+		open:              openSocket,
 		readinessAddress:  addresses.Readiness,
 		readinessRequests: mailer.NewMailbox[mailer.Reply[bool]](),
 		routings:          routings,
 	}
+	for _, opt := range opts {
+		opt(e)
+	}
+	return e
 }
 
 // Serve implements suture.Service. When ctx ends it reports that it is not ready, accepts
@@ -79,46 +95,44 @@
 	// The servers run on after ctx, until the drain has ended.
 	serverCtx, end := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer end(nil)
-	clientServer := &http.Server{
+	clientServer := drainer.New(&http.Server{
 		BaseContext:       func(net.Listener) context.Context { return serverCtx },
-		Handler:           e.reportCuts(ctx, closeAfter(ctx, e.handler)),
+		Handler:           e.reportCuts(ctx, drainer.AnnounceClose(ctx, e.handler)),
 		IdleTimeout:       idleTimeout.Duration(),
 		MaxHeaderBytes:    headerLimit,
 		ReadHeaderTimeout: headerTimeout.Duration(),
-	}
+	})
 	readinessServer := &http.Server{Handler: http.HandlerFunc(e.handleReadiness), ReadHeaderTimeout: headerTimeout.Duration()}
-	failed := make(chan error, 2)
-	for address, server := range map[string]*http.Server{e.address: clientServer, e.readinessAddress: readinessServer} {
-		l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+	clientsDone, readinessDone := make(chan error, 1), make(chan error, 1)
+	for _, s := range []struct {
+		address string
+		done    chan<- error
+		serve   func(l net.Listener) error
+	}{{e.address, clientsDone, clientServer.Serve}, {e.readinessAddress, readinessDone, readinessServer.Serve}} {
+		l, err := e.open(ctx, s.address)
 		if err != nil {
 			return errors.Wrap(err, "listen for clients or readiness checks")
 		}
-		go func() { failed <- server.Serve(l) }()
+		go func() { s.done <- s.serve(l) }()
 	}
 	defer func() { _ = readinessServer.Close() }()
-	err := e.serveReadiness(ctx, failed)
+	err := e.serveReadiness(ctx, clientsDone, readinessDone)
 	if ctx.Err() == nil {
 		_ = clientServer.Close()
 		return err
 	}
-	e.drain(clientServer, end)
+	e.drain(clientServer, clientsDone, end)
 	return ctx.Err()
 }
 
-// drain shuts clientServer down once its requests are done. It calls end for those that are
-// still in progress when the schedule says so.
-func (e *Entrance) drain(clientServer *http.Server, end context.CancelCauseFunc) {
+// drain stops clientServer once its requests are done, which done reports. It calls end for
+// those that are still in progress when the schedule says so.
+func (e *Entrance) drain(clientServer *drainer.Server, done <-chan error, end context.CancelCauseFunc) {
 	e.logger.Info().EmbedObject(reporter.EventReadiness).Bool("ready", false).Send()
 	schedule, began := NewSchedule(e.drainLimit), e.clock.Now()
 	left := func(at buckthorndyke.Millis) <-chan time.Time { return e.clock.After(max(began+at-e.clock.Now(), 0)) }
 	<-left(schedule.AcceptUntil)
-	shutdownCtx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = clientServer.Shutdown(shutdownCtx)
-	}()
+	clientServer.Drain()
 	select {
 	case <-done:
 		return
@@ -169,8 +183,9 @@
 	}
 }
 
-// serveReadiness replies whether the VM is ready until ctx ends or a server fails.
-func (e *Entrance) serveReadiness(ctx context.Context, failed <-chan error) error {
+// serveReadiness replies whether the VM is ready until ctx ends or a server fails, which
+// clients and checks report.
+func (e *Entrance) serveReadiness(ctx context.Context, clients, checks <-chan error) error {
 	routings, lists := e.routings.Subscribe(ctx), e.lists.Subscribe(ctx)
 	var hasRouting, hasList, ready bool
 	for {
@@ -178,8 +193,10 @@
 		case <-ctx.Done():
 			go e.reportNotReady()
 			return ctx.Err()
-		case err := <-failed:
-			return errors.Wrap(err, "serve clients or readiness checks")
+		case err := <-clients:
+			return errors.Wrap(err, "serve clients")
+		case err := <-checks:
+			return errors.Wrap(err, "serve readiness checks")
 		case <-routings:
 			hasRouting = true
 		case <-lists:
@@ -194,13 +211,7 @@
 	}
 }
 
-// closeAfter returns a handler that asks clients to close their connections once ctx has
-// ended.
-func closeAfter(ctx context.Context, next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if ctx.Err() != nil {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
+// openSocket listens at address.
+func openSocket(ctx context.Context, address string) (net.Listener, error) {
+	return new(net.ListenConfig).Listen(ctx, "tcp", address)
 }
