feat(watcher): a configuration that is older than the VM's own is logged

Cause: the lines of a VM that stays at a version do not show whether the store has an older configuration or the VM does not see a newer one. Change: routing-older has both versions. What is in force does not change.

--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -44,6 +44,9 @@
 	EventRequestFailed  Event = "request-failed"
 	EventRequestServed  Event = "request-served"
 	EventRoutingInForce Event = "routing-in-force"
+	// EventRoutingOlder reports that the platform has an older configuration than the VM,
+	// which keeps its own.
+	EventRoutingOlder   Event = "routing-older"
 	EventRulesAccepted  Event = "rules-accepted"
 	EventRulesRejected  Event = "rules-rejected"
 	EventRulesUnknown   Event = "rules-unknown"
--- a/supervisor/relayer/watcher/routings.go
+++ b/supervisor/relayer/watcher/routings.go
@@ -97,6 +97,9 @@
 			if err := r.feed.Publish(ctx, next); err != nil {
 				return err
 			}
+		case changed && next.Version < current.Version:
+			r.logger.Warn().EmbedObject(reporter.EventRoutingOlder).Int64("version", next.Version).
+				Int64("in-force", current.Version).Send()
 		}
 		if next.Copied {
 			w.copied(current.VersionTag())
--- a/supervisor/relayer/watcher/watcher_test.go
+++ b/supervisor/relayer/watcher/watcher_test.go
@@ -22,6 +22,7 @@
 	t.Run("an older configuration never replaces a newer one", func(t *testing.T) {
 		got := runRoutings(t, []int64{3, 7, 5, 7, 9}, buckthorndyke.Minute)
 		asserter.Equal(t, got.versions, []int64{3, 7, 9})
+		asserter.Equal(t, bytes.Count([]byte(got.log), []byte("routing-older")), 1)
 	})
 	t.Run("a call that gets no response leaves time for another one within the limit", func(t *testing.T) {
 		got := runRoutings(t, []int64{3}, buckthorndyke.Minute)
