fix(watcher): a restored store does not bring back servers that have left

Callers: a server that has left would get requests again while an older copy of the store lists it, until its entry expires (DRAIN). Cause: the list as read last was the truth. Of servers that it lacks nothing was remembered, so that an entry from before their leaving looked new. Change: a VM remembers for two minutes how many heartbeats a server had sent that is no longer listed (departures). After a restore, which the store's era shows, it lists such a server only with more heartbeats than that and than the first entry read. directory-restored is logged. Without a restore nothing changes: entries that lapsed in an outage are listed again at once. Not covered: VMs that have started after the server had left, and copies of large lists, which carry no era; the leader's notices correct these.

--- a/backend.go
+++ b/backend.go
@@ -67,6 +67,9 @@
 type Backends struct {
 	// At is the instant as of which the listed servers are known to be current.
 	At Millis
+	// Era rises each time that the platform's directory is restored from an older copy. It
+	// is 0 if the list was not read from the directory.
+	Era int64
 	// ModelsAt is the instant as of which the servers' loaded models were read.
 	ModelsAt Millis
 	// Malformed is the number of entries that do not describe a usable server.
--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -23,6 +23,9 @@
 	// EventDirectoryCopied reports that a VM asked the others for their copies of the
 	// directory, since it could not read the platform's.
 	EventDirectoryCopied Event = "knowledge-inherited"
+	// EventDirectoryRestored reports that the platform's directory was restored from an older
+	// copy, or still lists servers that have left before.
+	EventDirectoryRestored Event = "directory-restored"
 	// EventListCopied reports that a VM asked another for its copy of a large list of
 	// servers.
 	EventListCopied     Event = "list-copied"
--- a/supervisor/relayer/watcher/backends.go
+++ b/supervisor/relayer/watcher/backends.go
@@ -93,7 +93,8 @@
 // backendsRun is the state of one run of Backends.
 type backendsRun struct {
 	*Backends
-	current buckthorndyke.Backends
+	current  buckthorndyke.Backends
+	departed departures
 	// keepUntil is the instant until which servers that are no longer listed are kept.
 	keepUntil buckthorndyke.Millis
 	watch     *recordWatch
@@ -141,6 +142,7 @@
 // publish makes next the current list.
 func (r *backendsRun) publish(ctx context.Context, next buckthorndyke.Backends) error {
 	r.logChanges(r.current, next)
+	r.departed = r.departed.WithChange(r.current, next, r.clock.Now())
 	r.current = next
 	return r.feed.Publish(ctx, next)
 }
@@ -158,7 +160,7 @@
 	if r.watch.outage.failures > 0 {
 		r.keepUntil = r.watch.failedAt + outageGrace
 	}
-	next = next.WithNewestEntries(r.current)
+	next = r.withoutDeparted(next).WithNewestEntries(r.current)
 	// Other VMs may not have had the outage. They are told the version that was read, without
 	// the servers that this VM keeps.
 	versionTag := next.VersionTag()
@@ -172,6 +174,19 @@
 	return r.publish(ctx, next)
 }
 
+// withoutDeparted returns a list that was read without the servers that have left and that
+// only an older copy of the store lists again.
+func (r *backendsRun) withoutDeparted(read buckthorndyke.Backends) buckthorndyke.Backends {
+	before := r.departed.era
+	next, departed := r.departed.Apply(read)
+	r.departed = departed
+	if listed := read.Servers.Len() - next.Servers.Len(); listed > 0 || before != 0 && departed.era != before {
+		r.logger.Warn().EmbedObject(reporter.EventDirectoryRestored).Int64("era", departed.era).Int64("before", before).
+			Int("departed", listed).Send()
+	}
+	return next
+}
+
 // logChanges logs the servers that were added, removed, restarted, or changed their
 // leaving state, up to a number of them.
 func (b *Backends) logChanges(old, next buckthorndyke.Backends) {
