fix(keeper): a leader writes the quarantines again that a restored store has lost

Callers: once the store had come back from an older copy, a request that ends servers could have ended them again after a restart of all VMs. Found by looking for the cause of the stale configuration elsewhere. Cause: the leader compared its quarantines with those that it had written, not with those that the store has. Evidence: the new case of TestKeeper fails before: no entry. Change: a new fencing token, which each restore brings, counts as a new term, at whose begin the leader reads what the store has. Not covered: a quarantine that had been lifted since the copy lasts on for the time that its record names.

--- a/supervisor/relayer/keeper/keeper.go
+++ b/supervisor/relayer/keeper/keeper.go
@@ -29,6 +29,8 @@
 	clock   buckthorndyke.Clock
 	// kept holds the quarantines in the store, once they were loaded.
 	kept map[buckthorndyke.Fingerprint]bool
+	// fencingToken is the fencing token of the VM's last term as leader.
+	fencingToken int64
 	// leading is set while the VM leads.
 	leading bool
 	logger  zerolog.Logger
@@ -54,14 +56,15 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case term := <-terms:
-			begins := term.Leading && !k.leading
+			begins := term.Leading && (!k.leading || term.FencingToken != k.fencingToken)
 			k.leading = term.Leading
 			if !begins {
 				// The timer runs on: a leader's terms come as often as its steps.
 				continue
 			}
-			// A previous leader may have written since.
-			k.kept = nil
+			// A previous leader may have written since, or the store was restored from an
+			// older copy.
+			k.fencingToken, k.kept = term.FencingToken, nil
 		case <-timer:
 		}
 		timer = k.after(k.step(ctx))
--- a/supervisor/relayer/keeper/keeper_test.go
+++ b/supervisor/relayer/keeper/keeper_test.go
@@ -241,4 +241,19 @@
 			asserter.Equal(t, f.entries(), 1)
 		})
 	})
+	t.Run("a leader writes the quarantines again that a restored store has lost", func(t *testing.T) {
+		withFixture(t, newWorld(), func(f *fixture) {
+			f.lead()
+			asserter.NoError(t, f.HandleCrashEvidence(f.ctx, buckthorndyke.CrashEvidence{
+				Quarantines: []buckthorndyke.QuarantineNotice{{Fingerprint: "f", Left: minute}},
+			}))
+			f.wait(2 * time.Second)
+			asserter.Equal(t, f.entries(), 1)
+			f.change(func(w *world) { clear(w.entries) })
+			// The restore has ended the term, and the same VM leads again.
+			asserter.NoError(t, f.terms.Publish(f.ctx, buckthorndyke.Term{FencingToken: 7, Leading: true}))
+			f.wait(2 * time.Second)
+			asserter.Equal(t, f.entries(), 1)
+		})
+	})
 }
