fix(watcher): servers that a restored store lacks are kept like after an outage

Callers: if the store was away between two reads of a VM, the servers that had been listed in the seconds that the older copy lacks were dropped at once, and their requests found fewer servers until they had written again. Cause: the grace period began with a failed read alone. Evidence: the new case of TestDepartures fails before: the server is dropped. Change: another era of the store begins the grace period too.

--- a/supervisor/relayer/watcher/backends.go
+++ b/supervisor/relayer/watcher/backends.go
@@ -160,7 +160,12 @@
 	if r.watch.outage.failures > 0 {
 		r.keepUntil = r.watch.failedAt + outageGrace
 	}
-	next = r.withoutDeparted(next).WithNewestEntries(r.current)
+	next, isRestored := r.withoutDeparted(next)
+	if isRestored {
+		// The copy lacks the servers that have started since, until they write again.
+		r.keepUntil = r.clock.Now() + outageGrace
+	}
+	next = next.WithNewestEntries(r.current)
 	// Other VMs may not have had the outage. They are told the version that was read, without
 	// the servers that this VM keeps.
 	versionTag := next.VersionTag()
@@ -175,16 +180,18 @@
 }
 
 // withoutDeparted returns a list that was read without the servers that have left and that
-// only an older copy of the store lists again.
-func (r *backendsRun) withoutDeparted(read buckthorndyke.Backends) buckthorndyke.Backends {
+// only an older copy of the store lists again, and whether the store was restored from one
+// since the last read.
+func (r *backendsRun) withoutDeparted(read buckthorndyke.Backends) (buckthorndyke.Backends, bool) {
 	before := r.departed.era
 	next, departed := r.departed.Apply(read)
 	r.departed = departed
-	if listed := read.Servers.Len() - next.Servers.Len(); listed > 0 || before != 0 && departed.era != before {
+	isRestored := before != 0 && departed.era != before
+	if listed := read.Servers.Len() - next.Servers.Len(); listed > 0 || isRestored {
 		r.logger.Warn().EmbedObject(reporter.EventDirectoryRestored).Int64("era", departed.era).Int64("before", before).
 			Int("departed", listed).Send()
 	}
-	return next
+	return next, isRestored
 }
 
 // logChanges logs the servers that were added, removed, restarted, or changed their
--- a/supervisor/relayer/watcher/departures_test.go
+++ b/supervisor/relayer/watcher/departures_test.go
@@ -49,6 +49,11 @@
 	t.Run("a store without eras lists a server again at once", func(t *testing.T) {
 		assertListed(t, runBackends(t, list(0, 5), list(0, gone), list(0, 6)), false, true)
 	})
+	t.Run("a server that the copy lacks is kept until it may have written again", func(t *testing.T) {
+		got := runBackends(t, list(1, 5), list(2, gone), list(2, gone), list(2, gone), list(2, gone))
+		assertListed(t, got, true)
+		asserter.True(t, !got[len(got)-1].Servers.Has("a"), "the server is kept for too long")
+	})
 	t.Run("a second restore is noticed too", func(t *testing.T) {
 		assertListed(t, runBackends(t, list(1, 5), list(1, gone), list(2, gone), list(3, 6), list(3, 6)), false, false, false, false)
 	})
