fix(drainer): a drain interrupts no request that was read together with the one before

Callers: of two requests that had arrived together on a connection, the second one was cancelled by a stop and got no answer. Responses to requests that had come before the stop no longer announced that the connection would be closed. Both came with the drainer, found by review. Cause: the second request is parsed without a read, so that the connection still counted as waiting, and the read beside the handler was interrupted. The announcement was decided when the handler began. Evidence: the first new case of TestServer fails without the change (the context of the second request is cancelled); the second one failed with the announcement at the handler's begin (trial of the review). Change: a connection waits no more once its request is handled. The announcement is made when the head of the response is written. CloseWrite of the connection is passed on, and a stop whose listener had failed before waits for the requests in progress.

--- a/drainer/connection.go
+++ b/drainer/connection.go
@@ -33,9 +33,21 @@
 	waiting context.Context
 }
 
+// CloseWrite closes the sending direction if the connection can do that.
+func (c *connection) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
 // awaitRequest makes the connection wait for the first bytes of a request until ctx ends.
 func (c *connection) awaitRequest(ctx context.Context) { c.waiting = ctx }
 
+// beginRequest makes the connection wait no more: a request is handled, whose bytes may have
+// been read with those of the one before.
+func (c *connection) beginRequest() { c.waiting = nil }
+
 // Read implements net.Conn. A read that waits for a request fails with a timeout once the
 // wait is interrupted, but not after it has read bytes.
 func (c *connection) Read(p []byte) (int, error) {
--- a/drainer/server.go
+++ b/drainer/server.go
@@ -26,7 +26,7 @@
 	drains  *mailer.Mailbox[struct{}]
 }
 
-// New returns a server with the settings of s. It sets the hook for states of connections.
+// New returns a server with the settings of s. Serve sets the hook for states of connections.
 func New(s *http.Server) *Server {
 	return &Server{
 		Server: s, changes: mailer.NewMailbox[int](mailer.WithCapacity(0)),
@@ -39,7 +39,7 @@
 func (s *Server) Drain() { s.drains.TrySend(struct{}{}) }
 
 // Serve serves connections from l, which it closes. It returns nil at the end of a drain, and
-// otherwise the error that has ended the acceptance of connections.
+// otherwise, at once, the error that has ended the acceptance of connections.
 func (s *Server) Serve(l net.Listener) error {
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -78,25 +78,15 @@
 // changeState handles a new state of a connection. One that becomes idle is closed when idle
 // ends.
 func (s *Server) changeState(running, idle context.Context, c net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
+	conn, ok := c.(*connection)
+	switch {
+	case state == http.StateNew:
 		_ = s.changes.Send(running, 1)
-	case http.StateClosed:
+	case state == http.StateClosed:
 		_ = s.changes.Send(running, -1)
-	case http.StateIdle:
-		if c, ok := c.(*connection); ok {
-			c.awaitRequest(idle)
-		}
+	case state == http.StateActive && ok:
+		conn.beginRequest()
+	case state == http.StateIdle && ok:
+		conn.awaitRequest(idle)
 	}
 }
-
-// AnnounceClose returns a handler that asks clients to close their connections once ctx has
-// ended.
-func AnnounceClose(ctx context.Context, next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if ctx.Err() != nil {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/drainer/server_test.go
+++ b/drainer/server_test.go
@@ -36,7 +36,7 @@
 	})
 	t.Run("a request in progress is answered, and its connection is closed", func(t *testing.T) {
 		socket, begun, resume := tester.NewHeldListener(t.Context(), t), make(chan struct{}), make(chan struct{})
-		s, done := serve(t, socket, func() {
+		s, done := serve(t, socket, func(*http.Request) {
 			close(begun)
 			<-resume
 		})
@@ -85,6 +85,43 @@
 		asserter.Equal(t, tester.ReadStatus(conn), http.StatusOK)
 		asserter.NoError(t, <-done)
 	})
+	t.Run("a request that was read together with the one before is served in a drain", func(t *testing.T) {
+		socket, begun, resume := tester.NewHeldListener(t.Context(), t), make(chan struct{}, 2), make(chan struct{})
+		ended := make(chan bool, 2)
+		s, done := serve(t, socket, func(r *http.Request) {
+			begun <- struct{}{}
+			<-resume
+			ended <- r.Context().Err() != nil
+		})
+		conn := socket.Open(t.Context(), t)
+		const request = "GET /x HTTP/1.1\r\nHost: hall.example\r\n\r\n"
+		_, err := conn.Write([]byte(request + request))
+		asserter.NoError(t, err)
+		<-begun
+		resume <- struct{}{}
+		asserter.True(t, !<-ended, "the first request was cancelled")
+		<-begun
+		s.Drain()
+		asserter.Eventually(t, waitLimit, func() bool { return !accepts(t, socket) })
+		<-time.After(100 * time.Millisecond)
+		resume <- struct{}{}
+		asserter.True(t, !<-ended, "the second request was cancelled")
+		asserter.NoError(t, <-done)
+	})
+	t.Run("a response that begins in a stop announces it, although its request came before", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		socket := tester.NewHeldListener(t.Context(), t)
+		handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			cancel()
+			asserter.NoError(t, http.NewResponseController(w).Flush())
+		})
+		s := drainer.New(&http.Server{Handler: drainer.AnnounceClose(ctx, handler), ReadHeaderTimeout: waitLimit})
+		go func() { _ = s.Serve(socket) }()
+		conn := socket.Open(t.Context(), t)
+		asserter.Equal(t, tester.Exchange(conn, "/x", ""), http.StatusOK)
+		tester.AssertClosed(t, conn)
+		s.Drain()
+	})
 	t.Run("a failure of the listener is returned", func(t *testing.T) {
 		socket := tester.NewHeldListener(t.Context(), t)
 		_, done := serve(t, socket, nil)
@@ -107,11 +144,11 @@
 
 // serve runs a server on l whose handler calls handle, if it is set. The channel gets the
 // result of Serve.
-func serve(t *testing.T, l net.Listener, handle func()) (*drainer.Server, <-chan error) {
+func serve(t *testing.T, l net.Listener, handle func(r *http.Request)) (*drainer.Server, <-chan error) {
 	t.Helper()
-	s := drainer.New(&http.Server{ReadHeaderTimeout: waitLimit, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+	s := drainer.New(&http.Server{ReadHeaderTimeout: waitLimit, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if handle != nil {
-			handle()
+			handle(r)
 		}
 	})})
 	done := make(chan error, 1)
--- a/supervisor/relayer/entrance/entrance.go
+++ b/supervisor/relayer/entrance/entrance.go
@@ -133,10 +133,15 @@
 	left := func(at buckthorndyke.Millis) <-chan time.Time { return e.clock.After(max(began+at-e.clock.Now(), 0)) }
 	<-left(schedule.AcceptUntil)
 	clientServer.Drain()
+	atEnd := left(schedule.End)
 	select {
-	case <-done:
-		return
-	case <-left(schedule.End):
+	case err := <-done:
+		if err == nil {
+			return
+		}
+		// The acceptance of connections had failed before. Requests may be in progress.
+		<-atEnd
+	case <-atEnd:
 	}
 	end(buckthorndyke.ErrStopping)
 	select {
