fix(dispatcher): requests get an answer although the task that assigns servers fails

The tasks that ask for the demand or for evidence of crashes waited for ever. Cause: a restarted run starts with an empty state, and the senders of the messages that the failed run had taken waited for its reply without a limit. Change: a run that ends replies to all that wait for it. Waiting requests ask the next run, and only the request that was being handled is refused, since it may be the cause. The cancellation of a wait needs no reply any more, so that it cannot delay the refusal: the task itself releases a server that it had assigned before. The benchmark of arrivals uses the changed message. Dropped: keeping the waiting requests for the next run, since the state that made the task fail may be among them; refusing all of them, since most can be served.

--- a/supervisor/relayer/dispatcher/allotments.go
+++ b/supervisor/relayer/dispatcher/allotments.go
@@ -418,10 +418,5 @@
 		return
 	}
 	notRun := err != nil && j.executions == 0 && (j.attempts == 0 || buckthorndyke.VerdictOf(err).RetryIsSafe())
-	// The charge has to be refunded even if the client has disconnected.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout.Duration())
-	defer cancel()
-	if err := j.box.Send(ctx, chargeEnded{job: j, ran: !notRun}); err != nil {
-		j.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
-	}
+	j.tell(ctx, chargeEnded{job: j, ran: !notRun})
 }
--- a/supervisor/relayer/dispatcher/attempt.go
+++ b/supervisor/relayer/dispatcher/attempt.go
@@ -156,12 +156,7 @@
 	if response.Pause > 0 {
 		m.pausedUntil = j.clock.Now() + response.Pause
 	}
-	// It has to be told even if the client has disconnected.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout.Duration())
-	defer cancel()
-	if err := j.box.Send(ctx, m); err != nil {
-		j.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
-	}
+	j.tell(ctx, m)
 }
 
 // watchSilence tells the task if a server has not responded within the silence limit, so
--- a/supervisor/relayer/dispatcher/bench_test.go
+++ b/supervisor/relayer/dispatcher/bench_test.go
@@ -62,7 +62,7 @@
 				for b.Loop() {
 					m := request(1)
 					work.admit(m)
-					work.cancelAdmission(admissionCancelled{job: m.job, reply: mailer.NewReply[struct{}]()})
+					work.cancelAdmission(admissionCancelled{job: m.job, reply: mailer.NewReply[admission]()})
 				}
 			})
 			b.Run(name+"end", func(b *testing.B) {
--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 
 	"github.com/rs/zerolog"
@@ -127,14 +128,15 @@
 	out, err := mailer.Ask(ctx, d.box, func(reply mailer.Reply[crashesReply]) message {
 		return crashesRequested{reply: reply}
 	})
-	return out.evidence, out.hasLeader, err
+	return out.evidence, out.hasLeader, cmp.Or(err, out.err)
 }
 
 // Demand implements buckthorndyke.DemandSource.
 func (d *Dispatcher) Demand(ctx context.Context, recent bool) (buckthorndyke.DemandReport, error) {
-	return mailer.Ask(ctx, d.box, func(reply mailer.Reply[buckthorndyke.DemandReport]) message {
+	out, err := mailer.Ask(ctx, d.box, func(reply mailer.Reply[demandReply]) message {
 		return demandRequested{recent: recent, reply: reply}
 	})
+	return out.report, cmp.Or(err, out.err)
 }
 
 // Drain tells the dispatcher that the VM is stopping. From now on, requests wait for a server
@@ -187,9 +189,11 @@
 	return feed.Subscribe(ctx)
 }
 
-// Serve implements suture.Service.
+// Serve implements suture.Service. The next run knows nothing of the requests of this one.
 func (d *Dispatcher) Serve(ctx context.Context) error {
-	return newTask(ctx, d).run(ctx)
+	t := newTask(ctx, d)
+	defer t.abandon()
+	return t.run(ctx)
 }
 
 // WorkWaiting implements buckthorndyke.DemandSource.
--- a/supervisor/relayer/dispatcher/job.go
+++ b/supervisor/relayer/dispatcher/job.go
@@ -34,9 +34,18 @@
 	// maxAttempts bounds the servers that one request is sent to, including those that
 	// did not run it.
 	maxAttempts = 5
+	// identifyTimeout bounds how long a request waits until the task has told the
+	// configuration, and confirmed it for an unknown key. A task that takes longer fails again
+	// and again, and other VMs can serve the request.
+	identifyTimeout = authenticator.MaxWait + 2*buckthorndyke.Second
 	// sendTimeout bounds how long a message to the task may wait for a place in its
-	// mailbox, and for a reply.
+	// mailbox.
 	sendTimeout = buckthorndyke.Second
+	// undecidedMargin and undecidedDivisor determine how long before its deadline a request
+	// stops waiting for a server: undecidedMargin, or that part of its time if that is less.
+	// The limits of the task are shorter (responseMargin, plainPermille).
+	undecidedMargin  = responseMargin / 2
+	undecidedDivisor = 5
 )
 
 // Refusals by a job.
@@ -44,8 +53,12 @@
 	errClientGone = buckthorndyke.NewRefusal(buckthorndyke.CodeCallerGone, buckthorndyke.MayHaveRun, "the client has disconnected")
 	errNoRouting  = buckthorndyke.NewRefusal(buckthorndyke.CodeNotReady, buckthorndyke.NotRun,
 		"the configuration has not been read yet").WithRetryAfter(minRetryAfter)
-	errNoRoute = buckthorndyke.NewRefusal(buckthorndyke.CodeServiceUnknown, buckthorndyke.NotRun, "no route matches the host and path")
-	errTooLate = buckthorndyke.NewRefusal(buckthorndyke.CodeDeadline, buckthorndyke.NotRun, "the deadline of the request passed before it could be sent")
+	errNoRoute   = buckthorndyke.NewRefusal(buckthorndyke.CodeServiceUnknown, buckthorndyke.NotRun, "no route matches the host and path")
+	errTooLate   = buckthorndyke.NewRefusal(buckthorndyke.CodeDeadline, buckthorndyke.NotRun, "the deadline of the request passed before it could be sent")
+	errRestarted = buckthorndyke.NewRefusal(buckthorndyke.CodeNotReady, buckthorndyke.NotRun,
+		"the assignment of servers has failed and starts again").WithRetryAfter(minRetryAfter)
+	errUndecided = buckthorndyke.NewRefusal(buckthorndyke.CodeNotReady, buckthorndyke.NotRun,
+		"the request was not assigned to a server in time").WithRetryAfter(minRetryAfter)
 	errTimeout = buckthorndyke.NewRefusal(buckthorndyke.CodeDeadline, buckthorndyke.MayHaveRun, "the deadline of the request has passed")
 )
 
@@ -105,16 +118,19 @@
 // newJob returns a job for r. The job is not nil if there is an error.
 func (d *Dispatcher) newJob(ctx context.Context, r buckthorndyke.RelayRequest, w buckthorndyke.RelayWriter) (*job, error) {
 	j := &job{Dispatcher: d, request: r, answer: answer{w: w}, seed: xxhash.Sum64String(string(r.ID))}
-	state, err := mailer.Ask(ctx, d.box, func(reply mailer.Reply[routingState]) message {
+	left := r.Arrived + timeLimit(r.Deadline) - d.clock.Now()
+	limit, cancel := undecidedAfter(ctx, min(max(left-attemptMargin/2, undecidedMargin), identifyTimeout))
+	defer cancel()
+	state, err := mailer.Ask(limit, d.box, func(reply mailer.Reply[routingState]) message {
 		return routingRequested{reply: reply}
 	})
 	if err != nil {
-		return j, endOf(ctx)
+		return j, endOf(limit)
 	}
 	if state.routing.Version == 0 {
 		return j, errNoRouting
 	}
-	if state, err = j.identify(ctx, state); err != nil {
+	if state, err = j.identify(limit, state); err != nil {
 		return j, err
 	}
 	routing := state.routing
@@ -154,10 +170,31 @@
 	}
 }
 
-// acquireServer waits until the task assigns a server to the request.
+// acquireServer waits until the task assigns a server to the request. It asks again if the
+// run of the task that had the request has failed.
 func (j *job) acquireServer(ctx context.Context) (buckthorndyke.Backend, error) {
-	now := j.clock.Now()
+	began := j.clock.Now()
 	j.attemptStart, j.firstTook = 0, 0
+	left := j.deadline - began
+	ctx, cancel := undecidedAfter(ctx, left-min(undecidedMargin, left/undecidedDivisor))
+	defer cancel()
+	a := admission{lost: true}
+	for a.lost {
+		var err error
+		if a, err = j.requestAdmission(ctx); err != nil {
+			return buckthorndyke.Backend{}, err
+		}
+	}
+	j.queued += j.clock.Now() - began
+	if a.err != nil {
+		return a.backend, j.withRetryAfter(a)
+	}
+	j.sent, j.taken, j.yields = a.sent, a.load, a.yields
+	return a.backend, nil
+}
+
+// requestAdmission asks the task for a server and waits for its reply until ctx ends.
+func (j *job) requestAdmission(ctx context.Context) (admission, error) {
 	m := admissionRequested{
 		job:    j,
 		load:   j.load(),
@@ -167,48 +204,23 @@
 		retry:  j.attempts > 0,
 	}
 	if err := j.box.Send(ctx, m); err != nil {
-		return buckthorndyke.Backend{}, endOf(ctx)
+		return admission{}, endOf(ctx)
 	}
 	select {
 	case a := <-m.reply.Receive():
-		j.queued += j.clock.Now() - now
-		if a.err != nil {
-			return a.backend, j.withRetryAfter(a)
-		}
-		j.sent, j.taken, j.yields = a.sent, a.load, a.yields
-		return a.backend, nil
+		return a, nil
 	case <-ctx.Done():
 	}
-	j.cancelAdmission(ctx, m)
-	return buckthorndyke.Backend{}, endOf(ctx)
-}
-
-// cancelAdmission tells the task that the request no longer waits for a server, because
-// its client has disconnected.
-func (j *job) cancelAdmission(ctx context.Context, m admissionRequested) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout.Duration())
-	defer cancel()
-	_, err := mailer.Ask(ctx, j.box, func(reply mailer.Reply[struct{}]) message {
-		return admissionCancelled{job: j, reply: reply}
-	})
-	if err != nil {
-		return
-	}
-	select {
-	case a := <-m.reply.Receive():
-		// The task assigned a server before it received the cancellation.
-		if a.err == nil {
-			j.sent, j.taken = a.sent, a.load
-			j.releaseServer(ctx, a.backend, resultNeutral)
-		}
-	default:
-	}
+	j.tell(ctx, admissionCancelled{job: j, reply: m.reply})
+	return admission{}, endOf(ctx)
 }
 
 // endOf returns why the context of a request has ended.
 func endOf(ctx context.Context) error {
-	if errors.Is(context.Cause(ctx), buckthorndyke.ErrStopping) {
-		return buckthorndyke.ErrStopping
+	for _, err := range []error{buckthorndyke.ErrStopping, errUndecided} {
+		if errors.Is(context.Cause(ctx), err) {
+			return err
+		}
 	}
 	return errClientGone
 }
@@ -241,9 +253,6 @@
 // releaseServer reports the result of an attempt to the task, which no longer counts it as
 // load of the server.
 func (j *job) releaseServer(ctx context.Context, backend buckthorndyke.Backend, r result) {
-	// The server has to be released even if the client has disconnected.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout.Duration())
-	defer cancel()
 	m := attemptEnded{backend: backend, fingerprints: j.fingerprints, key: j.key, load: j.taken, result: r}
 	m.first, m.route, m.sent = j.firstTook, j.route.Name, j.sent
 	if j.attemptStart > 0 {
@@ -253,6 +262,13 @@
 		}
 	}
 	m.begun, m.broken = j.begun, r == resultFailed && j.mayHaveCrashed
+	j.tell(ctx, m)
+}
+
+// tell sends m to the task, also if the client has disconnected.
+func (j *job) tell(ctx context.Context, m message) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout.Duration())
+	defer cancel()
 	if err := j.box.Send(ctx, m); err != nil {
 		j.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
 	}
@@ -263,6 +279,12 @@
 	return strings.Join(j.trail, "; ")
 }
 
+// undecidedAfter returns a context that ends when the request has waited for the task for the
+// given time.
+func undecidedAfter(ctx context.Context, wait buckthorndyke.Millis) (context.Context, context.CancelFunc) {
+	return context.WithTimeoutCause(ctx, wait.Duration(), errUndecided)
+}
+
 // withRetryAfter returns the refusal in a with the time after which the client should
 // retry: when a server is expected to be available, but early enough before its deadline.
 func (j *job) withRetryAfter(a admission) error {
--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -12,6 +12,13 @@
 	apply(t *task)
 }
 
+// question is a message whose sender waits for a reply.
+type question interface {
+	message
+	// abandon replies that the task has failed while it handled the message.
+	abandon()
+}
+
 // Results of an attempt.
 const (
 	// resultServed means that the server served the request.
@@ -36,6 +43,9 @@
 type admission struct {
 	backend buckthorndyke.Backend
 	err     error
+	// lost is set if the run of the task that had the request has failed, and the request
+	// still has to be assigned a server.
+	lost bool
 	// load is what the request adds to the load of the server.
 	load selector.Load
 	// sent describes the request at the server.
@@ -67,8 +77,9 @@
 
 	// admissionCancelled says that a request no longer waits for a server.
 	admissionCancelled struct {
-		job   *job
-		reply mailer.Reply[struct{}]
+		job *job
+		// reply is the one that the request waited for. The task may have answered it.
+		reply mailer.Reply[admission]
 	}
 
 	// attemptBegun reports the first event of a server's response.
@@ -124,6 +135,7 @@
 
 	// crashesReply is the reply to crashesRequested.
 	crashesReply struct {
+		err       error
 		evidence  buckthorndyke.CrashEvidence
 		hasLeader bool
 	}
@@ -138,7 +150,13 @@
 		// recent is set if all recent arrivals are to be reported, also those that were
 		// reported before.
 		recent bool
-		reply  mailer.Reply[buckthorndyke.DemandReport]
+		reply  mailer.Reply[demandReply]
+	}
+
+	// demandReply is the reply to demandRequested.
+	demandReply struct {
+		err    error
+		report buckthorndyke.DemandReport
 	}
 
 	// drainStarted says that the VM is stopping.
@@ -180,7 +198,7 @@
 	m.reply.Answer(crashesReply{evidence: t.crashes.Since(0, t.clock.Now()), hasLeader: t.hasLeader})
 }
 func (m crashesShared) apply(t *task)   { t.addCrashEvidence(m.evidence) }
-func (m demandRequested) apply(t *task) { m.reply.Answer(t.demand(m.recent)) }
+func (m demandRequested) apply(t *task) { m.reply.Answer(demandReply{report: t.demand(m.recent)}) }
 func (m drainStarted) apply(t *task) {
 	t.drain = m.drain
 	t.updateLimits()
@@ -196,3 +214,10 @@
 }
 func (m serverTold) apply(t *task)   { t.handleServerTold(m) }
 func (m serverSilent) apply(t *task) { t.view = t.view.WithSlow(m.server, t.clock.Now()) }
+
+// abandon refuses the request: it may be the cause of the failure.
+func (m admissionRequested) abandon()    { m.reply.Answer(admission{err: errRestarted, final: true}) }
+func (m confirmationRequested) abandon() { m.reply.Answer(m.known) }
+func (m crashesRequested) abandon()      { m.reply.Answer(crashesReply{err: errRestarted}) }
+func (m demandRequested) abandon()       { m.reply.Answer(demandReply{err: errRestarted}) }
+func (m routingRequested) abandon()      { m.reply.Answer(routingState{}) }
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -70,6 +70,8 @@
 	fleetSize int
 	// formerKeys are the keys that were removed from the configuration.
 	formerKeys authenticator.FormerKeys
+	// handled is the message that is being handled, or nil.
+	handled message
 	// hasLeader is set while a leader replies to demand reports.
 	hasLeader bool
 	// labels are the callers that have metrics of their own.
@@ -133,7 +135,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case m := <-t.box.Receive():
+			t.handled = m
 			m.apply(t)
+			t.handled = nil
 		case r := <-routings:
 			t.applyRouting(r)
 		case seen := <-reads:
@@ -149,6 +153,25 @@
 	}
 }
 
+// abandon replies to those that wait for a reply of the run, which has ended. Requests that
+// wait for a server or a grant ask the next run.
+func (t *task) abandon() {
+	if q, ok := t.handled.(question); ok {
+		q.abandon()
+	}
+	for _, m := range t.unconfirmed {
+		m.abandon()
+	}
+	for _, queue := range t.allotments.waiting {
+		for _, w := range queue {
+			w.m.reply.Answer(admission{lost: true})
+		}
+	}
+	for _, m := range t.waiting.requests {
+		m.reply.Answer(admission{lost: true})
+	}
+}
+
 // admit assigns a server to a request or queues the request.
 func (t *task) admit(m admissionRequested) {
 	if t.refuseQuarantined(m) || t.refuseTooLarge(m) || !m.retry && !t.charge(m) {
@@ -218,13 +241,24 @@
 	return max(t.retryBurst*burstPermille/1000/t.fleetSize, 1)
 }
 
-// cancelAdmission removes a request that no longer waits.
+// cancelAdmission removes a request that no longer waits, and releases the server that was
+// assigned to it before the cancellation was received.
 func (t *task) cancelAdmission(cancelled admissionCancelled) {
-	t.cancelGrantWait(cancelled.job)
-	if ticket, ok := t.waiting.tickets[cancelled.job]; ok {
+	j := cancelled.job
+	t.cancelGrantWait(j)
+	if ticket, ok := t.waiting.tickets[j]; ok {
 		t.forget(ticket)
 	}
-	cancelled.reply.Answer(struct{}{})
+	select {
+	case a := <-cancelled.reply.Receive():
+		if a.err == nil && !a.lost {
+			t.endAttempt(attemptEnded{
+				backend: a.backend, fingerprints: j.fingerprints, key: j.key, load: a.load, result: resultNeutral, route: j.route.Name,
+				sent: a.sent,
+			})
+		}
+	default:
+	}
 }
 
 // demand returns the demand since the previous call. With recent it includes all recent
