fix(dispatcher): a stop shortens the waits for grants

Callers: a request that waited for a grant of its allotment when a planned stop began could wait until the VM ended all requests, 200 ms before it closed their connections. A VM that is short of processor time may not have written the response by then (LOST: read, neither answered nor refused). Cause: the start of a stop shortened the waits for servers only. Requests that wait for a grant learnt of it with the next reply or loss of the leader. Evidence: TestWaitsInDrain on the code before: the request for a grant waited beyond half of the drain limit, the one for a server did not. Change: requests that wait for a grant are decided on again when a stop begins.

--- a/supervisor/relayer/dispatcher/messages.go
+++ b/supervisor/relayer/dispatcher/messages.go
@@ -202,6 +202,7 @@
 func (m drainStarted) apply(t *task) {
 	t.drain = m.drain
 	t.updateLimits()
+	t.retryGrants(t.clock.Now(), true)
 }
 func (m leaderReplied) apply(t *task) { t.applyLeaderReply(m.reply) }
 func (m leaderUnavailable) apply(t *task) {
