fix(drainer): a request that has arrived is read before its connection is closed

Callers: a request that had reached a stopping VM, but that the VM had not read yet, was answered by a reset of its connection. Cause: the wait for a request is interrupted by a deadline in the past, and a read with such a deadline fails even if bytes are there. A VM that gets no processor time for a tenth of a second finds both the bytes and the end of the wait. Evidence: TestUnseenRequest, where the wait ends before the bytes are seen, got no response before. The race itself was not hit over plain sockets: a first test that sent the next request at the end of a response passed on the code before. Change: an interrupted wait reads once more, for at most 20 ms. Dropped: a longer wait, since each idle connection would hold up the drain.

--- a/drainer/connection.go
+++ b/drainer/connection.go
@@ -4,8 +4,14 @@
 	"context"
 	"net"
 	"time"
+
+	"github.com/buckthorndyke/buckthorndyke"
 )
 
+// lastReadTime is how long a wait for a request that is interrupted still reads bytes that have
+// arrived. It only has to outlast the time between two steps of a busy VM.
+const lastReadTime = 20 * buckthorndyke.Millisecond
+
 // listener accepts connections that can be interrupted while they wait for a request.
 type listener struct {
 	net.Listener
@@ -37,7 +43,8 @@
 func (c *connection) awaitRequest(ctx context.Context) { c.waiting = ctx }
 
 // Read implements net.Conn. A read that waits for a request fails with a timeout once the
-// wait is interrupted, but not after it has read bytes.
+// wait is interrupted, but not if it has read bytes, or some have arrived without having been
+// seen.
 func (c *connection) Read(p []byte) (int, error) {
 	if c.waiting == nil {
 		return c.Conn.Read(p)
@@ -50,6 +57,10 @@
 	n, err := c.Conn.Read(p)
 	if !stop() {
 		<-interrupted
+		if n == 0 {
+			_ = c.SetReadDeadline(time.Now().Add(lastReadTime.Duration()))
+			n, err = c.Conn.Read(p)
+		}
 		if n > 0 {
 			// The rest of the request's head is still read.
 			_ = c.SetReadDeadline(time.Now().Add(c.headerTimeout))
