fix(loader): a leader whose grant has not expired sends orders after a restore of the store

Callers: where servers do not check fencing tokens, no model was loaded for a lease after a restore of the store, although the same VM led all the while. Cause: since fencing tokens begin with the store's era, the leader's next term has another one, which counted as the first term of a new leader. Its first order waited for the lease of a leader whose end is not known. Two cases of TestLeading fail before. Change: a term that follows one of the same VM whose grant is still valid delays no order: no other VM can have led in between. A wait that has begun is kept. Not changed: if the store is away for longer than the grant, another VM may have led in what was lost, so that the lease is waited for.

--- a/supervisor/relayer/loader/loader_test.go
+++ b/supervisor/relayer/loader/loader_test.go
@@ -53,6 +53,45 @@
 			asserter.Equal(t, len(f.pool.sent()), 1)
 		}, loader.WithFencingTokenChecks(true))
 	})
+	// After a restore of the store from an older copy, the leader's next term has another
+	// fencing token. A lease without orders is time in which no model is loaded.
+	t.Run("a leader does not wait for the lease if its own grant has not expired", func(t *testing.T) {
+		withFixture(t, func(f *fixture) {
+			f.startTerm(7)
+			f.wait(lease)
+			f.startTerm(8)
+			f.reportDemand(hallKey)
+			sent := f.pool.sent()
+			asserter.Equal(t, len(sent), 1)
+			for _, order := range sent {
+				asserter.Equal(t, order.FencingToken, int64(8))
+			}
+		})
+	})
+	t.Run("a leader whose own grant has not expired waits for the rest of the lease", func(t *testing.T) {
+		withFixture(t, func(f *fixture) {
+			f.startTerm(7)
+			f.wait(lease - 400)
+			f.startTerm(8)
+			f.reportDemand(hallKey)
+			asserter.Equal(t, len(f.pool.sent()), 0)
+			f.wait(400)
+			f.reportDemand(hallKey)
+			asserter.Equal(t, len(f.pool.sent()), 1)
+		})
+	})
+	t.Run("a leader whose own grant has expired waits for the lease", func(t *testing.T) {
+		withFixture(t, func(f *fixture) {
+			f.startTermFor(7, lease)
+			f.wait(lease)
+			f.startTerm(8)
+			f.reportDemand(hallKey)
+			asserter.Equal(t, len(f.pool.sent()), 0)
+			f.wait(lease)
+			f.reportDemand(hallKey)
+			asserter.Equal(t, len(f.pool.sent()), 1)
+		})
+	})
 	t.Run("a leader that has sent no order replies with the time of its predecessor's last order", func(t *testing.T) {
 		withFixture(t, func(f *fixture) {
 			f.leaders.reply = buckthorndyke.YieldReply{GrantValid: true, SinceLastOrder: 500}
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -112,16 +112,22 @@
 }
 
 // changeTerm applies the VM's new term. If it makes the VM the leader, the first
-// order is delayed while a previous leader may still be active.
+// order is delayed while a previous leader may still be active. A term that follows one of
+// this VM whose grant has not expired, as after a restore of the store, delays no order: no
+// other VM can have led in between.
 func (t *task) changeTerm(term buckthorndyke.Term) {
 	if term.Leading && (!t.term.Leading || term.FencingToken != t.term.FencingToken) {
 		now := t.clock.Now()
 		t.view = t.view.WithTerm(now)
 		t.ledger = t.ledger.WithTerm(now)
 		clear(t.repliedAt)
-		t.ordersFrom = now
-		if term.PreviousLeader != "" || !t.checksFencingTokens {
+		continues := t.term.Leading && now < t.term.Until && term.PreviousLeader == ""
+		switch {
+		case continues:
+		case term.PreviousLeader != "" || !t.checksFencingTokens:
 			t.ordersFrom = now + t.lease
+		default:
+			t.ordersFrom = now
 		}
 		if term.PreviousLeader != "" {
 			t.askPredecessor(term.PreviousLeader, term.FencingToken)
