fix(dispatcher): a restarted task knows that the VM is stopping

Callers: if the task that assigns servers failed during a planned stop, its next run sent requests to servers that could not answer before the end of the stop, and let others wait until all requests were ended. Streams among them were cut. Cause: the state of the stop was lost with the run. Evidence: TestDrainOfFailedTask on the code before: a request of unknown duration was served after the failure instead of being refused as during a stop. Change: a run that ends in a stop tells the next one.

--- a/supervisor/relayer/dispatcher/restart_test.go
+++ b/supervisor/relayer/dispatcher/restart_test.go
@@ -181,3 +181,18 @@
 		})
 	}
 }
+
+// TestDrainOfFailedTask guards against stops that are forgotten because the task that assigns
+// servers fails.
+func TestDrainOfFailedTask(t *testing.T) {
+	withFailures(t, "the next run knows that the VM is stopping", func(t *testing.T, s *fixture, failures chan<- buckthorndyke.Metric) {
+		s.publish(slowCallersRouting())
+		s.list(server("a"))
+		s.startDrain()
+		s.fail(failures)
+		r := withKey(request("/unsafe/"), "key-a")
+		r.Deadline = buckthorndyke.Minute
+		_, err := s.relay(r)
+		asserter.Refused(t, err, buckthorndyke.CodeDraining, buckthorndyke.NotRun)
+	})
+}
--- a/supervisor/relayer/dispatcher/task.go
+++ b/supervisor/relayer/dispatcher/task.go
@@ -154,8 +154,11 @@
 }
 
 // abandon replies to those that wait for a reply of the run, which has ended. Requests that
-// wait for a server or a grant ask the next run.
+// wait for a server or a grant ask the next run, which is told if the VM is stopping.
 func (t *task) abandon() {
+	if t.drain.end > 0 {
+		t.box.TrySend(drainStarted{drain: t.drain})
+	}
 	if q, ok := t.handled.(question); ok {
 		q.abandon()
 	}
