--- a/supervisor/relayer/dispatcher/restart_test.go
+++ b/supervisor/relayer/dispatcher/restart_test.go
@@ -182,8 +182,8 @@
 	}
 }
 
-// TestDrainOfFailedTask guards against stops that are forgotten because the task that assigns
-// servers fails.
+// TestDrainOfFailedTask guards against stops that hang, or that are forgotten, because the task
+// that assigns servers fails.
 func TestDrainOfFailedTask(t *testing.T) {
 	withFailures(t, "the next run knows that the VM is stopping", func(t *testing.T, s *fixture, failures chan<- buckthorndyke.Metric) {
 		s.publish(slowCallersRouting())
@@ -195,4 +195,16 @@
 		_, err := s.relay(r)
 		asserter.Refused(t, err, buckthorndyke.CodeDraining, buckthorndyke.NotRun)
 	})
+	t.Run("a stop does not wait for a task that receives no messages", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFailingFixture(t.Context(), t, failingMeter{})
+			full, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			for s.dispatcher.HandleNoLeader(full) == nil {
+			}
+			done := make(chan error, 1)
+			go func() { done <- s.dispatcher.Drain(t.Context(), drainEnd/2, drainEnd) }()
+			asserter.Error(t, assertAnswered(t, done, 2*buckthorndyke.Second))
+		})
+	})
 }
