fix(loader): after a restore of the store, a leader waits for the lease of one whose record is lost

Operators: where servers do not check fencing tokens, servers got orders from two VMs within a lease. Cause: a VM names as the previous leader the one whose record it read last. If the store has lost the record of a leader that followed, that VM was asked for its last order instead, and the next leader sent orders at once. Change: a term tells that the platform has lost who led before; where servers do not check fencing tokens, its first order waits for the whole lease.

--- a/election.go
+++ b/election.go
@@ -12,6 +12,9 @@
 	// PreviousLeader is the peer address of the leader before this VM, or empty if
 	// no other VM has led.
 	PreviousLeader string
+	// PreviousUncertain is set if the platform has lost who led last: a VM other than
+	// PreviousLeader may have led until just before this one.
+	PreviousUncertain bool
 	// Until is the instant at which the grant expires.
 	Until Millis
 }
--- a/supervisor/relayer/loader/loader_test.go
+++ b/supervisor/relayer/loader/loader_test.go
@@ -92,6 +92,24 @@
 			asserter.Equal(t, len(f.pool.sent()), 1)
 		})
 	})
+	// The store may have lost the record of a leader that followed the known one, and that sent
+	// orders until its grant expired.
+	t.Run("a leader that may have another predecessor waits for the lease", func(t *testing.T) {
+		withFixture(t, func(f *fixture) {
+			f.leaders.reply = buckthorndyke.YieldReply{SinceLastOrder: lease}
+			asserter.NoError(t, f.feeds.Terms.Publish(f.ctx, buckthorndyke.Term{
+				FencingToken: 7, Leading: true, PreviousLeader: "10.0.0.2:1", PreviousUncertain: true,
+				Until: f.clock.Now() + buckthorndyke.Hour,
+			}))
+			synctest.Wait()
+			f.wait(lease - 400)
+			f.reportDemand(hallKey)
+			asserter.Equal(t, len(f.pool.sent()), 0)
+			f.wait(400)
+			f.reportDemand(hallKey)
+			asserter.Equal(t, len(f.pool.sent()), 1)
+		})
+	})
 	t.Run("a leader that has sent no order replies with the time of its predecessor's last order", func(t *testing.T) {
 		withFixture(t, func(f *fixture) {
 			f.leaders.reply = buckthorndyke.YieldReply{GrantValid: true, SinceLastOrder: 500}
--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -215,6 +215,8 @@
 	}
 	now := t.clock.Now()
 	switch {
+	case t.term.PreviousUncertain && !t.checksFencingTokens:
+		// Another VM may have sent the last order.
 	case m.err == nil && m.reply.SinceLastOrder == buckthorndyke.NeverOrdered:
 		t.ordersFrom = now
 	case t.checksFencingTokens && (m.err != nil || !m.reply.GrantValid):
