test(endtoend): the soak restores the store from older copies and stops VMs under kept connections

Cause: the soak drew neither a restore of the store nor requests on idle connections around the closing of a stop. Checks: each VM serves the route of a confirmed version after the change limit and never goes back; fencing tokens rise, also those of lost terms, and belong to one VM; a request that ran gets a response unless its VM or the store had a fault other than planned work.

--- a/endtoend/relay_test.go
+++ b/endtoend/relay_test.go
@@ -293,14 +293,14 @@
 	s.startVM(1)
 }
 
-// assertFencingTokens reports an error if a runner received orders from two leaders
-// with the same fencing token, or a fencing token below an earlier one.
+// assertFencingTokens reports an error if runners received orders from two leaders with the
+// same fencing token, or if one received a fencing token below an earlier one.
 func (s *relayFixture) assertFencingTokens() {
 	s.t.Helper()
+	leaders := make(map[int64]string)
 	for _, r := range s.runners {
 		orders, err := r.Orders(s.ctx)
 		asserter.NoError(s.t, err)
-		leaders := make(map[int64]string)
 		highest := int64(0)
 		for _, o := range orders {
 			if leader, ok := leaders[o.FencingToken]; ok {
@@ -310,6 +310,7 @@
 			asserter.True(s.t, o.FencingToken >= highest, "a fencing token is lower than an earlier one")
 			highest = max(highest, o.FencingToken)
 		}
+		s.t.Logf("a runner has received %d orders, the last one with the fencing token %d", len(orders), highest)
 	}
 }
 
--- a/endtoend/soak_test.go
+++ b/endtoend/soak_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -40,7 +41,8 @@
 // requests, and compares the responses with what the servers have run. It guards
 // against faults that break a guarantee only in combination. The runners of every third
 // seed accept outdated fencing tokens. Seeds with an odd number have callers with keys and an
-// allotment, which change.
+// allotment, which change; in the others runners have room for one model, so that the leader
+// has orders to send.
 func TestSoak(t *testing.T) {
 	for seed := *soakFirst; seed < *soakFirst+uint64(*soakSeeds); seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
@@ -48,26 +50,26 @@
 			span := *soakDuration
 			if s.hasCallers {
 				// The time without faults replaces a part of the one with faults, so that
-				// the seeds take about as long as others.
+				// the one seed of CI takes about as long as before.
 				span -= calmTime * 2 / 3
 				s.startCallers()
+			} else {
+				s.putConfig(callerVersion{})
 			}
 			ctx, cancel := context.WithCancel(s.ctx)
 			responses := s.sendRequests(ctx)
 			for end := time.Now().Add(span); time.Now().Before(end); {
-				if s.hasCallers {
-					s.changeCallers()
-				}
+				s.changeConfig()
+				s.copyStore()
 				s.injectFault()
 				s.sleepRandom(maxFaultInterval)
 			}
-			if s.hasCallers {
-				s.calmDown()
-			}
+			s.calmDown()
+			probes := s.probeAll()
 			cancel()
-			s.clearFaults()
+			s.assertTerms()
 			s.assertRecovered()
-			s.assertGuarantees(<-responses)
+			s.assertGuarantees(slices.Concat(<-responses, probes, s.stopResponses))
 			s.assertFencingTokens()
 		})
 	}
@@ -78,22 +80,31 @@
 	*relayFixture
 	// checkedFrom is the time from which on each VM checks keys.
 	checkedFrom time.Time
-	hasCallers  bool
-	history     callerHistory
+	// copies are the copies of the store.
+	copies     []storeCopy
+	hasCallers bool
+	history    callerHistory
 	// key is the key of requests that check the recovery, if there are callers.
 	key string
 	// keys is the number of keys that the changing caller has had.
 	keys   int
 	random *rand.Rand
-	seed   uint64
-	// version is that of the newest configuration.
+	// restores is the number of times that the store was restored.
+	restores int
+	seed     uint64
+	// stopResponses are the responses to the clients that kept connections to VMs that were
+	// stopped.
+	stopResponses []recordedResponse
+	// version is that of the operator's newest configuration.
 	version int
+	// written is version, once the store has it.
+	written atomic.Int64
 }
 
 // startSoak starts the processes for a seed.
 func startSoak(t *testing.T, seed uint64) *soak {
 	t.Helper()
-	s := &soak{hasCallers: seed%2 == 1, random: rand.New(rand.NewPCG(seed, seed)), seed: seed, version: 10}
+	s := &soak{hasCallers: seed%2 == 1, random: rand.New(rand.NewPCG(seed, seed)), seed: seed, version: firstVersion - 1}
 	var overrides map[string]any
 	if s.hasCallers {
 		s.key = steadyKey
@@ -116,8 +127,9 @@
 
 // assertGuarantees compares the responses with the requests that the servers have
 // run, and reports an error for each incomplete or foreign response that looks
-// complete, for each request that ran although it was reported as not run, and for
-// each unsafe call that ran twice.
+// complete, for each request that ran although it was reported as not run, for each that
+// ran without a response while there was planned work alone, and for each unsafe call that
+// ran twice.
 func (s *soak) assertGuarantees(responses []recordedResponse) {
 	s.t.Helper()
 	runs := make(map[string]int)
@@ -146,10 +158,13 @@
 			http.StatusNotFound, http.StatusUnauthorized:
 			asserter.True(s.t, runs[r.ID] == 0, "a request that was reported as not run has run: "+r.ID)
 		}
+		isLost := r.Status == 0 && runs[r.ID] > 0 && s.history.calmBesidesPlans(r.vm, r.sent, r.ended)
+		asserter.True(s.t, !isLost, "a request has run and its client got no response: "+describe(r))
 		asserter.True(s.t, r.stream || runs[r.ID] <= 1, "an unsafe call has run more than once: "+r.ID)
 	}
 	s.t.Logf("%d of %d requests were served; responses by status: %v", served, len(responses), statuses)
 	asserter.True(s.t, served > 0, "no request was served")
+	s.assertRoutes(responses)
 	if s.hasCallers {
 		assertCallers(s.t, s.history, s.checkedFrom, all, responses)
 	}
@@ -179,40 +194,36 @@
 // injectFault injects one random fault.
 func (s *soak) injectFault() {
 	s.t.Helper()
-	vm, begin := s.random.IntN(relayVMs), time.Now()
-	switch s.random.IntN(8) {
+	d := disturbance{begin: time.Now(), vm: s.random.IntN(relayVMs)}
+	switch s.random.IntN(10) {
 	case 0:
-		s.processes[vm].Kill()
-		s.startVM(vm)
+		s.processes[d.vm].Kill()
+		s.startVM(d.vm)
+		d.restarts = true
 	case 1:
-		asserter.NoError(s.t, s.processes[vm].Pause())
+		asserter.NoError(s.t, s.processes[d.vm].Pause())
 		s.sleepRandom(maxPause)
-		asserter.NoError(s.t, s.processes[vm].Resume())
+		asserter.NoError(s.t, s.processes[d.vm].Resume())
 	case 2:
-		ctx, cancel := context.WithTimeout(s.ctx, stopTimeout)
-		defer cancel()
-		code, err := s.processes[vm].Stop(ctx)
-		asserter.NoError(s.t, err)
-		asserter.Equal(s.t, code, 0)
-		s.startVM(vm)
+		s.stopVM(d.vm)
+		d.isPlanned, d.restarts = true, true
 	case 3:
-		asserter.NoError(s.t, s.processes[vm].Signal(syscall.SIGHUP))
+		asserter.NoError(s.t, s.processes[d.vm].Signal(syscall.SIGHUP))
+		d.isPlanned = true
 	case 4:
-		if s.hasCallers {
-			s.putCallers(s.history.newest())
-			return
-		}
-		s.version++
-		asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, imitator.Config(s.version, "/calls/")))
+		s.putConfig(s.history.newest())
 		return
 	case 5:
 		s.injectServerFaults()
 		return
+	case 6, 7:
+		d.vm = allVMs
+		s.restoreStore()
 	default:
-		vm = allVMs
+		d.vm = allVMs
 		s.injectStoreFaults()
 	}
-	s.history = s.history.withDisturbance(vm, begin)
+	s.history = s.history.withDisturbance(d)
 }
 
 // injectServerFaults sets random faults for the next requests of one server.
@@ -276,8 +287,13 @@
 	client := &http.Client{Transport: &http.Transport{}}
 	for i := n; ctx.Err() == nil; i++ {
 		q := s.newRequest(i)
-		if s.hasCallers {
+		switch {
+		case random.IntN(8) == 0:
+			q = s.probe(random.IntN(probedVersions))
+		case s.hasCallers:
 			q = withIdentity(q, random)
+		case q.Model != "" && random.IntN(4) == 0:
+			q.Model = fmt.Sprint("cold-", 1+random.IntN(2))
 		}
 		list = append(list, s.send(client, i%relayVMs, q))
 	}
--- a/endtoend/soakcallers_test.go
+++ b/endtoend/soakcallers_test.go
@@ -52,10 +52,12 @@
 
 // callerVersion is the part of a version of the configuration that concerns callers.
 type callerVersion struct {
-	// begun and done are the times before and after the version was put in the store.
+	// begun and done are the times before and after the store got the version, from the
+	// operator or from a copy.
 	begun, done time.Time
 	// keys are those of the changing caller.
-	keys []string
+	keys   []string
+	number int
 	// pace is the limit of the limited caller.
 	pace float64
 }
@@ -68,7 +70,11 @@
 // disturbance is the time of a fault that may delay a change at a VM.
 type disturbance struct {
 	begin, end time.Time
-	vm         int
+	// isPlanned is set if each request that a server runs must get a response.
+	isPlanned bool
+	// restarts is set if another process of the VM runs afterwards.
+	restarts bool
+	vm       int
 }
 
 // callerHistory holds the versions and the faults of a soak, in their order. It is
@@ -79,8 +85,9 @@
 }
 
 // withDisturbance returns the history with a fault that ends now.
-func (h callerHistory) withDisturbance(vm int, begin time.Time) callerHistory {
-	h.disturbances = append(slices.Clip(h.disturbances), disturbance{begin: begin, end: time.Now(), vm: vm})
+func (h callerHistory) withDisturbance(d disturbance) callerHistory {
+	d.end = time.Now()
+	h.disturbances = append(slices.Clip(h.disturbances), d)
 	return h
 }
 
@@ -95,8 +102,23 @@
 
 // undisturbed reports whether a VM had no fault of its own or of the store from begin to end.
 func (h callerHistory) undisturbed(vm int, begin, end time.Time) bool {
-	return !slices.ContainsFunc(h.disturbances, func(d disturbance) bool {
-		return (d.vm == vm || vm == allVMs || d.vm == allVMs) && d.begin.Before(end) && d.end.After(begin)
+	return !h.has(vm, begin, end, func(disturbance) bool { return true })
+}
+
+// calmBesidesPlans is undisturbed, but for planned work.
+func (h callerHistory) calmBesidesPlans(vm int, begin, end time.Time) bool {
+	return !h.has(vm, begin, end, func(d disturbance) bool { return !d.isPlanned })
+}
+
+// restarted reports whether a VM's process has changed from begin to end.
+func (h callerHistory) restarted(vm int, begin, end time.Time) bool {
+	return h.has(vm, begin, end, func(d disturbance) bool { return d.restarts })
+}
+
+// has reports whether there was a fault of a VM or of the store from begin to end that counts.
+func (h callerHistory) has(vm int, begin, end time.Time, counts func(disturbance) bool) bool {
+	return slices.ContainsFunc(h.disturbances, func(d disturbance) bool {
+		return counts(d) && (d.vm == vm || vm == allVMs || d.vm == allVMs) && d.begin.Before(end) && d.end.After(begin)
 	})
 }
 
@@ -148,7 +170,7 @@
 // checks keys.
 func (s *soak) startCallers() {
 	s.t.Helper()
-	s.putCallers(callerVersion{keys: []string{s.newKey()}, pace: slices.Max(allotmentPaces)})
+	s.putConfig(callerVersion{keys: []string{s.newKey()}, pace: slices.Max(allotmentPaces)})
 	for i := range relayVMs {
 		asserter.Eventually(s.t, waitLimit, func() bool {
 			return s.send(http.DefaultClient, i, imitator.Request{Body: "body", Key: unknownKey, Target: "/calls/x"}).Status == http.StatusUnauthorized
@@ -157,10 +179,14 @@
 	s.checkedFrom = time.Now()
 }
 
-// changeCallers puts a version with a random change of callers in the store.
-func (s *soak) changeCallers() {
+// changeConfig puts a version in the store, with a random change of callers if there are any.
+func (s *soak) changeConfig() {
 	s.t.Helper()
 	next := s.history.newest()
+	if !s.hasCallers {
+		s.putConfig(next)
+		return
+	}
 	switch s.random.IntN(4) {
 	case 0:
 		next.keys = append(slices.Clone(next.keys), s.newKey())
@@ -171,17 +197,20 @@
 	default:
 		next.pace = allotmentPaces[s.random.IntN(len(allotmentPaces))]
 	}
-	s.putCallers(next)
+	s.putConfig(next)
 }
 
-// calmDown leaves the VMs without faults after all keys of a caller were replaced and the limit
-// was lowered.
+// calmDown leaves the VMs without faults after the store was restored, all keys of a caller
+// were replaced and the limit was lowered.
 func (s *soak) calmDown() {
 	s.t.Helper()
 	s.clearFaults()
+	begin := time.Now()
+	s.restoreStore()
+	s.history = s.history.withDisturbance(disturbance{begin: begin, vm: allVMs})
 	next := s.history.newest()
 	next.keys, next.pace = []string{s.newKey(), s.newKey()}, slices.Min(allotmentPaces)
-	s.putCallers(next)
+	s.putConfig(next)
 	select {
 	case <-s.ctx.Done():
 	case <-time.After(calmTime):
@@ -197,16 +226,32 @@
 // changingKey returns a key of the changing caller, which are numbered from 1.
 func changingKey(n int) string { return fmt.Sprintf("key-%d", n) }
 
-// putCallers puts a version in the store.
-func (s *soak) putCallers(v callerVersion) {
+// putConfig puts the next version in the store, with the given callers if there are any.
+func (s *soak) putConfig(v callerVersion) {
 	s.t.Helper()
 	s.version++
+	v.number = s.version
+	s.writeConfig(v)
+}
+
+// writeConfig puts a version in the store.
+func (s *soak) writeConfig(v callerVersion) {
+	s.t.Helper()
+	config := imitator.Config(v.number, "/calls/")
+	for n := firstVersion; n <= v.number; n++ {
+		config = imitator.WithRoute(config, fmt.Sprint("version-", n), routeOf(n))
+	}
+	if s.hasCallers {
+		config = imitator.WithCallers(config, imitator.Caller(steadyCaller, steadyKey), imitator.Caller(changingCaller, v.keys...),
+			imitator.LimitedCaller(limitedCaller, v.pace, allotmentBurst, limitedKey))
+	} else {
+		config = imitator.WithWeightRoom(config, roomForOneModel)
+	}
 	v.begun = time.Now()
-	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, imitator.WithCallers(imitator.Config(s.version, "/calls/"),
-		imitator.Caller(steadyCaller, steadyKey), imitator.Caller(changingCaller, v.keys...),
-		imitator.LimitedCaller(limitedCaller, v.pace, allotmentBurst, limitedKey))))
+	asserter.NoError(s.t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, config))
 	v.done = time.Now()
 	s.history = s.history.withVersion(v)
+	s.written.Store(int64(v.number))
 }
 
 // withIdentity returns the request with a random key, or without one, and at times with a
--- a/endtoend/soakchecks_test.go
+++ b/endtoend/soakchecks_test.go
@@ -102,5 +102,6 @@
 
 // describe returns what identifies a request in a failure.
 func describe(r recordedResponse) string {
-	return fmt.Sprintf("id %s, key %q, alias %q, target %s, VM %d, sent %s", r.ID, r.Key, r.Alias, r.Target, r.vm, r.sent.Format(time.StampMilli))
+	return fmt.Sprintf("id %s, key %q, alias %q, target %s, VM %d, sent %s, ended %s", r.ID, r.Key, r.Alias, r.Target, r.vm,
+		r.sent.Format(time.StampMilli), r.ended.Format(time.StampMilli))
 }
--- a/endtoend/unfenced_test.go
+++ b/endtoend/unfenced_test.go
@@ -10,18 +10,17 @@
 	"github.com/buckthorndyke/buckthorndyke/platform/imitator"
 )
 
+// roomForOneModel is the size of a runner's memory for weights that has room for one of the
+// models of imitator.Config, in megabytes.
+const roomForOneModel = 70000
+
 // TestRunnersWithoutFencing checks that orders of two leaders do not mix at runners that
 // accept outdated fencing tokens, whatever stops a leader. Runners have room for one of
 // four models, so that leaders always have orders to send. Each subtest makes another VM
 // take over, and lets the one before go on while the successor orders.
 func TestRunnersWithoutFencing(t *testing.T) {
 	s := startRelayFixture(t, false, nil)
-	config := imitator.Config(2, "/calls/")
-	for _, service := range config["services"].([]map[string]any) {
-		if engine, ok := service["engine"].(map[string]any); ok {
-			engine["weightsMb"] = 70000
-		}
-	}
+	config := imitator.WithWeightRoom(imitator.Config(2, "/calls/"), roomForOneModel)
 	asserter.NoError(t, s.store.Put(s.ctx, imitator.ConfigTopic, imitator.ConfigKey, config))
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
