fix(apportioner): a leader that waits for shares gives no negative ones

Cause: while all shares may be with VMs that have not reported, what is left to divide is -0.08 (the part of the witnesses is subtracted from 0). In a large fleet a VM without a share got a part of that as its share, the pool the opposite, and the pool filled the leader's bucket.

Evidence: in a simulation of 90 VMs whose new leader waited for shares, the pool rose to 0.08 of the allotment and about 0.1 of the demand was admitted. TestLedger fails without the fix.

Change: what is left is at least 0. In the same simulation the pool stays at 0 and nothing is admitted while the leader waits.

--- a/apportioner/account.go
+++ b/apportioner/account.go
@@ -222,7 +222,8 @@
 	if h.want > 0 {
 		// The demand of VMs with few requests is not known well.
 		part := equalPart/(a.sums.active+1) + (1-equalPart)*a.wantOf(h)/(a.sums.want+h.want)
-		desired = part * (1 - max(a.unknown, 0) - a.sums.silentShare - witnesses*witnessShare)
+		// Nothing is left while all shares may be with VMs that have not reported.
+		desired = part * max(1-max(a.unknown, 0)-a.sums.silentShare-witnesses*witnessShare, 0)
 	}
 	if a.holders.Len() <= witnesses {
 		desired = max(desired, witnessShare)
