fix(apportioner): a leader counts a VM's share before it gives others' away

Cause: a leader that nobody has reported a share to for 4 s takes all shares for free with the next report, also if that report is the first one with a share. The VM that reported it was then told a share made of those of VMs that had not reported yet.

TestLedger fails without the fix: a VM with a share of 0.25 is told 0.92.

Change: the share in a report counts before the shares that nobody has reported are freed.

--- a/apportioner/ledger.go
+++ b/apportioner/ledger.go
@@ -118,6 +118,8 @@
 		if !ok {
 			a = newAccount(termsOf(caller.Allotment, l.bounds), l.since)
 		}
+		// The report may be the first one of a VM that has a share.
+		a.claimed = a.claimed || u.Share > 0
 		a = a.swept(now, settleTime)
 		if restarted {
 			a = a.without(vm)
--- a/apportioner/ledger_test.go
+++ b/apportioner/ledger_test.go
@@ -40,4 +40,10 @@
 		a, _ := l.accounts.Get(simCaller)
 		asserter.Equal(t, a.pool, 0)
 	})
+	// Guards against giving shares that VMs have: the others' are unknown when the first report
+	// with a share arrives, however late that is.
+	t.Run("the first VM with a share does not get the others' shares", func(t *testing.T) {
+		_, share := reportUse(t, newTerm(), "vm-1", 0.25, 10*second)
+		asserter.True(t, share <= 0.25, "the VM is told a larger share")
+	})
 }
