--- a/apportioner/properties_test.go
+++ b/apportioner/properties_test.go
@@ -67,7 +67,7 @@
 			return r
 		},
 	},
-	"a report's shares count after the others are free": {
+	"VMs do not report their shares": {
 		report: func(r buckthorndyke.DemandReport) buckthorndyke.DemandReport {
 			for i := range r.Allotments {
 				r.Allotments[i].Share = 0
