--- a/supervisor/relayer/loader/task.go
+++ b/supervisor/relayer/loader/task.go
@@ -119,7 +119,7 @@
 	if term.Leading && (!t.term.Leading || term.FencingToken != t.term.FencingToken) {
 		now := t.clock.Now()
 		t.view = t.view.WithTerm(now)
-		t.ledger = t.ledger.WithTerm(now)
+		t.ledger = t.ledger.WithTerm(term, now)
 		clear(t.repliedAt)
 		continues := t.term.Leading && now < t.term.Until && term.PreviousLeader == ""
 		switch {
