refactor(drainer): one wait for the end of a drain

The entrance and both interfaces of the product waited for it in their own ways, of which the entrance alone minded a listener that had failed before. Behaviour of the entrance is the same.

--- a/drainer/server.go
+++ b/drainer/server.go
@@ -75,6 +75,21 @@
 	return nil
 }
 
+// HasEnded waits for the end of a drain, which done reports, and returns false if that has not
+// come by the time limit. A server whose acceptance of connections had failed before may have
+// requests in progress until the limit.
+func HasEnded(done <-chan error, limit <-chan time.Time) bool {
+	select {
+	case err := <-done:
+		if err != nil {
+			<-limit
+		}
+		return err == nil
+	case <-limit:
+		return false
+	}
+}
+
 // changeState handles a new state of a connection. One that becomes idle is closed when idle
 // ends.
 func (s *Server) changeState(running, idle context.Context, c net.Conn, state http.ConnState) {
--- a/supervisor/listener/listener.go
+++ b/supervisor/listener/listener.go
@@ -152,15 +152,11 @@
 	}
 	refusalTime := min(maxRefusalTime, l.limits.Drain/8)
 	server.Drain()
-	select {
-	case <-done:
+	if drainer.HasEnded(done, l.clock.After(l.limits.Drain-refusalTime)) {
 		return
-	case <-l.clock.After(l.limits.Drain - refusalTime):
 	}
 	end(buckthorndyke.ErrStopping)
-	select {
-	case <-done:
-	case <-l.clock.After(refusalTime):
+	if !drainer.HasEnded(done, l.clock.After(refusalTime)) {
 		_ = server.Close()
 	}
 }
--- a/supervisor/operator/operator.go
+++ b/supervisor/operator/operator.go
@@ -199,9 +199,7 @@
 // that are still in progress at the drain limit are cut off.
 func (o *Operator) drain(server *drainer.Server, done <-chan error) {
 	server.Drain()
-	select {
-	case <-done:
-	case <-time.After(o.limits.Drain.Duration()):
+	if !drainer.HasEnded(done, time.After(o.limits.Drain.Duration())) {
 		_ = server.Close()
 	}
 }
--- a/supervisor/relayer/entrance/entrance.go
+++ b/supervisor/relayer/entrance/entrance.go
@@ -133,20 +133,11 @@
 	left := func(at buckthorndyke.Millis) <-chan time.Time { return e.clock.After(max(began+at-e.clock.Now(), 0)) }
 	<-left(schedule.AcceptUntil)
 	clientServer.Drain()
-	atEnd := left(schedule.End)
-	select {
-	case err := <-done:
-		if err == nil {
-			return
-		}
-		// The acceptance of connections had failed before. Requests may be in progress.
-		<-atEnd
-	case <-atEnd:
+	if drainer.HasEnded(done, left(schedule.End)) {
+		return
 	}
 	end(buckthorndyke.ErrStopping)
-	select {
-	case <-done:
-	case <-left(schedule.Close):
+	if !drainer.HasEnded(done, left(schedule.Close)) {
 		e.logger.Warn().EmbedObject(reporter.EventDrainStep).Str("step", "close-front").Err(errNotDone).Send()
 		_ = clientServer.Close()
 	}
