--- a/supervisor/relayer/dispatcher/allotments.go
+++ b/supervisor/relayer/dispatcher/allotments.go
@@ -341,7 +341,7 @@
 		}
 	}
 	a.usage, report.Allotments, report.Number = a.usage.WithReport(waiting, now)
-	report.Granted = a.usage.Granted()
+	report.Granted, report.LeaderPosition = a.usage.Granted(), a.usage.LeaderPosition()
 	for j, c := range a.charges {
 		if now > c.until {
 			delete(a.charges, j)
@@ -352,12 +352,12 @@
 	}
 }
 
-// applyGrants applies the grants in a leader's reply.
-func (t *task) applyGrants(grants []buckthorndyke.AllotmentGrant, now buckthorndyke.Millis) {
+// applyGrants applies the grants in the reply of a leader at a position.
+func (t *task) applyGrants(grants []buckthorndyke.AllotmentGrant, position int64, now buckthorndyke.Millis) {
+	t.allotments.usage = t.allotments.usage.WithGrants(grants, position, now)
 	if len(grants) == 0 {
 		return
 	}
-	t.allotments.usage = t.allotments.usage.WithGrants(grants, now)
 	t.allotments.askAt = now + askInterval
 	t.retryGrants(now, true)
 	if t.allotments.waits == 0 {
@@ -418,10 +418,5 @@
 		return
 	}
 	notRun := err != nil && j.executions == 0 && (j.attempts == 0 || buckthorndyke.VerdictOf(err).RetryIsSafe())
-	// The charge has to be refunded even if the client has disconnected.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout.Duration())
-	defer cancel()
-	if err := j.box.Send(ctx, chargeEnded{job: j, ran: !notRun}); err != nil {
-		j.logger.Warn().EmbedObject(reporter.EventDependencyLost).Str("dependency", "dispatcher").Err(err).Send()
-	}
+	j.tell(ctx, chargeEnded{job: j, ran: !notRun})
 }
