feat(bootstrapper): the VMs of a large fleet get a large configuration from each other

At 300 entry VMs a changed configuration was not in force in time: each VM read the whole record (about 350 kB, a third more in the store's encoding) at the moment at which the leader announced it. The reads exceeded their time-out and were repeated, and a read that is given up takes the store's bandwidth too, so that a fleet that started as a whole had no configuration at all. Besides, the time between two reports and the age of the leader's read together exceeded the time after which a VM waits at the store itself, so that a change went to all VMs at once.

From 128 reporting VMs and 64 KiB on, VMs now get changes from each other: compressed, with a fan-out of 4 and a tree for each version, beginning at the leader, or at a seed if the leader does not respond. A copy replaces only an earlier version and confirms nothing by itself; it has the position in the topic with the store's era, so that a confirmation reads nothing. A VM without a configuration whose read has timed out waits for a copy from a seed as long as one responds. The transfer of a configuration ends when it stalls, and a version is as old as its transfer took.

Each of these broken variants was caught on a scratch copy: one tree for all versions, a question that does not make the asked VM get the version, a copy that counts as confirmed, a position that is not skipped or is of an earlier era, an older copy that is taken, VMs that wait at the store between notices, a fixed time-out, copies in all fleets, no second child, the leader not asked, no fan-out, no copies at all or during an outage, repeated reads (first and later ones), a transfer that does not count, an asked seed that asks the leader.

Dropped: reads spread over the limit (140 MB a version all the same), /log-read for announced changes, differences between versions, and the seeds as roots (they may be down and learn of a version later). Red: a change just after an outage of the store at 300 VMs (TestRoutingFleetAfterOutage, in KNOWN-RED.txt).

--- a/assembler/relay.go
+++ b/assembler/relay.go
@@ -13,6 +13,7 @@
 	"github.com/buckthorndyke/buckthorndyke/bootstrapper"
 	"github.com/buckthorndyke/buckthorndyke/configurer"
 	"github.com/buckthorndyke/buckthorndyke/connector"
+	"github.com/buckthorndyke/buckthorndyke/encoder"
 	"github.com/buckthorndyke/buckthorndyke/platform"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/accountant"
@@ -65,18 +66,23 @@
 	memory := accountant.New(messageMemory(s.MemoryMB), metrics, clock, logger)
 	pool := platform.NewBackendPool(clock, platform.WithPoolMemory(memory))
 	peers := connector.NewConnectDirectoryPeers(s.Peers.Key.Text, clock)
+	directory := platform.NewDirectory(store, clock)
+	routings := recorder.NewRoutingSource(
+		bootstrapper.NewRoutings(peers, encoder.Routings{}, directory, s.Seeds, self.PeerAddress, clock, logger), metrics)
 	platformClients := relayer.Platform{
 		CrashPeers: peers,
 		Directory: bootstrapper.NewDirectory(
-			recorder.NewDirectory(platform.NewDirectory(store, clock), metrics, clock), peers, s.Seeds, logger),
-		Election:    platform.NewElection(store, self, grantTime, clock),
-		Lists:       bootstrapper.NewLists(peers, s.Seeds, self.PeerAddress, clock, logger),
-		Leaders:     connector.NewConnectLeaderClient(s.Peers.Key.Text),
-		Memory:      memory,
-		Meter:       metrics,
-		Observer:    platform.NewElection(store, self, grantTime, clock),
-		Pool:        recorder.NewBackendPool(pool, metrics, clock),
-		Quarantines: platform.NewQuarantines(store),
+			recorder.NewDirectory(directory, metrics, clock), peers, s.Seeds, logger, bootstrapper.WithRoutingCopies(routings, clock)),
+		Election:       platform.NewElection(store, self, grantTime, clock),
+		Lists:          bootstrapper.NewLists(peers, s.Seeds, self.PeerAddress, clock, logger),
+		Leaders:        connector.NewConnectLeaderClient(s.Peers.Key.Text),
+		Memory:         memory,
+		Meter:          metrics,
+		Observer:       platform.NewElection(store, self, grantTime, clock),
+		Pool:           recorder.NewBackendPool(pool, metrics, clock),
+		Quarantines:    platform.NewQuarantines(store),
+		RoutingEncoder: encoder.Routings{},
+		Routings:       routings,
 	}
 	tree := relayer.New(self, platformClients, relayer.Settings{
 		Allotments:         s.Allotments,
--- a/connector/connectdirectorypeers.go
+++ b/connector/connectdirectorypeers.go
@@ -13,8 +13,8 @@
 )
 
 // ConnectDirectoryPeers calls other entry VMs over the Connect protocol. It
-// implements buckthorndyke.DirectoryPeers, buckthorndyke.ListPeers and
-// buckthorndyke.CrashPeers.
+// implements buckthorndyke.DirectoryPeers, buckthorndyke.ListPeers,
+// buckthorndyke.RoutingPeers and buckthorndyke.CrashPeers.
 type ConnectDirectoryPeers struct {
 	client *http.Client
 	clock  buckthorndyke.Clock
@@ -46,6 +46,18 @@
 	return translator.ListCopyFromWire(out, p.clock.Now()), nil
 }
 
+// RoutingCopy implements buckthorndyke.RoutingPeers.
+func (p *ConnectDirectoryPeers) RoutingCopy(
+	ctx context.Context, address string, q buckthorndyke.RoutingQuery,
+) (buckthorndyke.RoutingCopy, error) {
+	client := wireconnect.NewSiblingServiceClient(p.client, "http://"+address)
+	out, err := client.TellRouting(ctx, &wire.RoutingRequest{Address: q.Address, Hops: int32(q.Hops), Version: q.Version})
+	if err != nil {
+		return buckthorndyke.RoutingCopy{}, errors.Wrap(err, "fetch the configuration of another VM")
+	}
+	return buckthorndyke.RoutingCopy{Ask: out.Ask, Encoded: out.Record}, nil
+}
+
 // ShareCrashes implements buckthorndyke.CrashPeers.
 func (p *ConnectDirectoryPeers) ShareCrashes(
 	ctx context.Context, address string, e buckthorndyke.CrashEvidence,
--- a/metric.go
+++ b/metric.go
@@ -39,6 +39,7 @@
 	MetricRequestsServed   Metric = "requests-served"
 	MetricRetries          Metric = "retries"
 	MetricCallers          Metric = "callers"
+	MetricRoutingCopies    Metric = "routing-copies"
 	MetricRoutingVersion   Metric = "routing-version"
 	MetricRulesVersion     Metric = "rules-version"
 	MetricRunnersOwned     Metric = "runners-owned"
--- a/notice.go
+++ b/notice.go
@@ -15,6 +15,10 @@
 	// Change is the difference from the list that the VM knows, or nil if it was not
 	// given.
 	Change *ListChange
+	// Leader is the peer address of the leader that has told the version, or empty.
+	Leader string
+	// ReportingVMs is the number of VMs that report to the leader, or 0 if unknown.
+	ReportingVMs int
 	// VersionTag identifies the version, or is 0 if there is none.
 	VersionTag uint64
 }
--- a/reporter/logger.go
+++ b/reporter/logger.go
@@ -43,9 +43,12 @@
 	EventReclaimed      Event = "vm-reclaimed"
 	EventQuarantine     Event = "quarantine-changed"
 	// EventRequestCut reports a request in a stop that got no complete response.
-	EventRequestCut     Event = "request-cut"
-	EventRequestFailed  Event = "request-failed"
-	EventRequestServed  Event = "request-served"
+	EventRequestCut    Event = "request-cut"
+	EventRequestFailed Event = "request-failed"
+	EventRequestServed Event = "request-served"
+	// EventRoutingCopied reports that a VM asked another for its copy of a large
+	// configuration.
+	EventRoutingCopied  Event = "routing-copied"
 	EventRoutingInForce Event = "routing-in-force"
 	// EventRoutingOlder reports that the platform has an older configuration than the VM,
 	// which keeps its own.
--- a/routing.go
+++ b/routing.go
@@ -143,6 +143,15 @@
 	IdleTimeout   Millis
 }
 
+// RoutingRecord is the platform's record of a configuration.
+type RoutingRecord struct {
+	// Bytes is the size of the record, or 0 if unknown.
+	Bytes int
+	// Era and Next are the era of the store and the position from which on the topic has
+	// later records. Positions of different eras must not be compared.
+	Era, Next int64
+}
+
 // Routing is one version of the operator's configuration. It is immutable.
 type Routing struct {
 	// CallerFaults are the irregular values in the callers of a configuration that this VM
@@ -151,9 +160,14 @@
 	// Callers are the zero value if the configuration has none.
 	Callers Callers
 	// Copied is set if another VM gave the configuration, whose age is not known.
-	Copied   bool
-	Limits   ClientLimits
+	Copied bool
+	Limits ClientLimits
+	// Record is where the configuration was read.
+	Record   RoutingRecord
 	Services Table[ServiceID, BackendService]
+	// Transfer is the time that the transfer of a configuration from the platform took, by
+	// which it was read earlier.
+	Transfer Millis
 	// Version increases with each configuration. It is 0 before the first one.
 	Version int64
 	// routes holds the routes of each host, sorted by falling length of the prefix.
--- a/spreader/fanout.go
+++ b/spreader/fanout.go
@@ -22,6 +22,19 @@
 // other. A smaller one takes the platform a single page.
 const LargeList = 256
 
+const (
+	// minCopyingVMs and minCopiedBytes are the number of VMs and the size of a configuration
+	// from which on VMs get it from each other. With 128 VMs, the reads of a record of 350 kB
+	// take a platform that sends 80 MB/s a quarter of the 3 s within which a change has to be
+	// in force.
+	minCopyingVMs  = 128
+	minCopiedBytes = 64 << 10
+)
+
+// CopiesRouting reports whether the VMs of a fleet get a configuration whose record has the
+// given size from each other.
+func CopiesRouting(vms, bytes int) bool { return vms >= minCopyingVMs && bytes >= minCopiedBytes }
+
 // Fanout holds the VMs that one VM gives copies to. The others are sent on to these, so
 // that the copies spread as on a tree, whatever the number of VMs. It is immutable.
 type Fanout struct {
--- a/supervisor/relayer/demander/demander.go
+++ b/supervisor/relayer/demander/demander.go
@@ -193,7 +193,9 @@
 	}
 	list := reply.List.SeenVersion(now)
 	list.Change = reply.ListChange
-	if d.replyFeeds.Lists.Publish(ctx, list) != nil || d.replyFeeds.Routings.Publish(ctx, reply.Routing.SeenVersion(now)) != nil {
+	routing := reply.Routing.SeenVersion(now)
+	routing.Leader, routing.ReportingVMs = d.address, reply.ReportingVMs
+	if d.replyFeeds.Lists.Publish(ctx, list) != nil || d.replyFeeds.Routings.Publish(ctx, routing) != nil {
 		return false
 	}
 	return reply.WantRecentArrivals
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -45,6 +45,9 @@
 	Meter    buckthorndyke.Meter
 	Observer buckthorndyke.Election
 	Pool     buckthorndyke.BackendPool
+	// RoutingEncoder and Routings encode and get other VMs' copies of large configurations.
+	RoutingEncoder buckthorndyke.RoutingEncoder
+	Routings       buckthorndyke.RoutingSource
 	// Quarantines keeps the quarantines.
 	Quarantines buckthorndyke.QuarantineStore
 }
@@ -111,6 +114,7 @@
 	losses, found, fullSpeedLoads := mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[int]()
 	lists, routings := newWatchFeeds(terms), newWatchFeeds(terms)
 	refreshes, confirmations := mailer.NewFeed[buckthorndyke.Millis](), mailer.NewFeed[buckthorndyke.Millis]()
+	wants := mailer.NewFeed[int64]()
 	options := []dispatcher.Option{
 		dispatcher.WithAllotmentBounds(s.Allotments), dispatcher.WithConfirmations(routings.Seen, routings.Notices, confirmations),
 		dispatcher.WithDomain(self.Domain), dispatcher.WithLogger(logger), dispatcher.WithMemory(platform.Memory),
@@ -129,11 +133,11 @@
 		loader.WithFullSpeedLoads(s.FullSpeedLoads), loader.WithFencingTokenChecks(s.ChecksFencingToken),
 		loader.WithEarlyLoads(s.EarlyLoads), loader.WithLogger(logger), loader.WithAllotmentBounds(s.Allotments),
 		loader.WithMeter(platform.Meter))
-	t.teller = teller.New(t.routings, t.lists, refreshes, clock)
+	t.teller = teller.New(t.routings, t.lists, refreshes, clock, teller.WithRoutingCopies(platform.RoutingEncoder, wants))
 	t.base = starter.NewBranch("base", s.DrainLimit, logger,
-		t.routings, t.lists, terms, losses, found, fullSpeedLoads, refreshes, confirmations, lists.Seen, lists.Notices, routings.Seen, routings.Notices, t.dispatcher, t.loader, t.teller,
+		t.routings, t.lists, terms, losses, found, fullSpeedLoads, refreshes, confirmations, wants, lists.Seen, lists.Notices, routings.Seen, routings.Notices, t.dispatcher, t.loader, t.teller,
 		watcher.NewRoutings(platform.Directory, t.routings, routings, s.ChangeLimit, clock, logger,
-			watcher.WithConfirmations(confirmations)),
+			watcher.WithConfirmations(confirmations), watcher.WithRoutingSource(platform.Routings, wants)),
 		watcher.NewBackends(platform.Directory, t.lists, lists, s.LeaveLimit, clock, logger,
 			watcher.WithListSource(platform.Lists), watcher.WithRefreshes(refreshes)),
 		campaigner.New(platform.Election, s.Grant, losses, terms, clock, logger, campaigner.WithFound(found), campaigner.WithStandby(s.Standby)),
--- a/supervisor/relayer/teller/service.go
+++ b/supervisor/relayer/teller/service.go
@@ -42,6 +42,15 @@
 	return translator.ListCopyToWire(out, s.teller.clock.Now()), nil
 }
 
+// TellRouting implements wireconnect.SiblingServiceHandler.
+func (s *Service) TellRouting(ctx context.Context, in *wire.RoutingRequest) (*wire.RoutingResponse, error) {
+	out, err := s.teller.RoutingCopy(ctx, buckthorndyke.RoutingQuery{Address: in.Address, Hops: int(in.Hops), Version: in.Version})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return &wire.RoutingResponse{Ask: out.Ask, Record: out.Encoded}, nil
+}
+
 // Tell implements wireconnect.SiblingServiceHandler.
 func (s *Service) Tell(ctx context.Context, _ *wire.TellRequest) (*wire.TellResponse, error) {
 	snapshot, err := s.teller.DirectorySnapshot(ctx)
--- a/supervisor/relayer/watcher/confirmation_test.go
+++ b/supervisor/relayer/watcher/confirmation_test.go
@@ -24,13 +24,16 @@
 	// pause is how long the process is paused in each call.
 	pause buckthorndyke.Millis
 	reads int
+	// transfer is how long the transfer of the first response takes.
+	transfer buckthorndyke.Millis
 }
 
 // Routing implements buckthorndyke.Directory.
 func (d *waitingDirectory) Routing(ctx context.Context, wait buckthorndyke.Millis) (buckthorndyke.Routing, bool, error) {
 	d.reads++
 	if d.reads == 1 {
-		r := buckthorndyke.Routing{Copied: d.copied, Version: 3}
+		time.Sleep(d.transfer.Duration())
+		r := buckthorndyke.Routing{Copied: d.copied, Transfer: d.transfer, Version: 3}
 		r.Callers = buckthorndyke.NewCallers()
 		return r, true, nil
 	}
@@ -116,6 +119,12 @@
 			asserter.True(t, (<-f.seen).At > began, "the version is not confirmed later")
 		})
 	})
+	t.Run("a version is as old as the transfer of its record took", func(t *testing.T) {
+		withRoutings(t, &waitingDirectory{transfer: buckthorndyke.Second}, func(t *testing.T, f confirmationFixture) {
+			seen := <-f.seen
+			asserter.True(t, f.clock.Now()-seen.At >= buckthorndyke.Second, "a version that was read before a slow transfer counts as newer")
+		})
+	})
 	t.Run("a response that waited during a pause of the process is as old as the pause", func(t *testing.T) {
 		withRoutings(t, &waitingDirectory{pause: buckthorndyke.Minute}, func(t *testing.T, f confirmationFixture) {
 			<-f.seen
--- a/supervisor/relayer/watcher/recordwatch.go
+++ b/supervisor/relayer/watcher/recordwatch.go
@@ -41,6 +41,14 @@
 	schedule schedule
 	seen     *mailer.Feed[buckthorndyke.SeenVersion]
 	terms    <-chan buckthorndyke.Term
+	// timedOut is set if the last failed read has exceeded its time-out.
+	timedOut bool
+	// wanted is the notice of the version that await has last reported as lacking. Without a
+	// leader's notice of that version it has no instant.
+	wanted buckthorndyke.SeenVersion
+	// wants delivers the versions that other VMs need, or is nil. It is used only for a
+	// record whose version tags rise.
+	wants <-chan int64
 }
 
 // newRecordWatch returns the state of a run that ends with ctx. Changes of the record called
@@ -60,6 +68,7 @@
 	before := w.schedule.leaderConfirmed
 	var lacks bool
 	w.schedule, lacks = w.schedule.WithNotice(s)
+	w.wanted = s
 	if w.schedule.leaderConfirmed > before {
 		// The leader has read the record, and this VM has the same version.
 		w.outage.succeeded()
@@ -67,9 +76,17 @@
 	return lacks
 }
 
+// applyWant records that another VM needs the given version, and reports whether this VM
+// lacks it.
+func (w *recordWatch) applyWant(version int64) bool {
+	w.wanted = buckthorndyke.SeenVersion{Leader: w.notice.Leader, ReportingVMs: w.notice.ReportingVMs, VersionTag: uint64(version)}
+	return uint64(version) > w.schedule.versionTag
+}
+
 // await handles terms and notices until due, or after a failure until the next try. If
 // that instant has passed, it only handles those that have already arrived. It returns
-// true as soon as the leader announces a change that this VM lacks and can get.
+// true as soon as the leader announces a change that this VM lacks and can get, or another
+// VM needs a version that it can get.
 func (w *recordWatch) await(ctx context.Context, due func() buckthorndyke.Millis) bool {
 	w.refreshed = false
 	for {
@@ -79,16 +96,8 @@
 		}
 		wait -= w.clock.Now()
 		if wait <= 0 {
-			select {
-			case term := <-w.terms:
-				w.schedule = w.schedule.WithLeading(term.Leading)
-			case s := <-w.notices:
-				if w.applyNotice(s) && w.mayRead() {
-					return true
-				}
-			case <-w.refreshes:
-			default:
-				return false
+			if lacks, handled := w.handleArrived(); lacks || !handled {
+				return lacks
 			}
 			continue
 		}
@@ -101,6 +110,10 @@
 			if w.applyNotice(s) && w.mayRead() {
 				return true
 			}
+		case v := <-w.wants:
+			if w.applyWant(v) && w.mayRead() {
+				return true
+			}
 		case at := <-w.refreshes:
 			if w.outage.failures == 0 && w.schedule.NeedsRefresh(at, w.refreshMargin) {
 				w.refreshed = true
@@ -111,6 +124,23 @@
 	}
 }
 
+// handleArrived handles one term or notice that has already arrived, if there is one. It
+// reports whether it tells of a change that this VM lacks and can get.
+func (w *recordWatch) handleArrived() (lacks, handled bool) {
+	select {
+	case term := <-w.terms:
+		w.schedule = w.schedule.WithLeading(term.Leading)
+	case s := <-w.notices:
+		lacks = w.applyNotice(s)
+	case v := <-w.wants:
+		lacks = w.applyWant(v)
+	case <-w.refreshes:
+	default:
+		return false, false
+	}
+	return lacks && w.mayRead(), true
+}
+
 // errCopied means that only another VM's copy of the record could be read.
 var errCopied = errors.New("only another VM's copy could be read")
 
@@ -121,16 +151,27 @@
 	w.failed(errCopied)
 }
 
+// copyTaken records that the VM has got another VM's copy of the given version. The leader's
+// notice of the same version confirms it; otherwise the next one does.
+func (w *recordWatch) copyTaken(ctx context.Context, versionTag uint64) error {
+	w.outage.succeeded()
+	if w.notice.VersionTag == versionTag && w.notice.At > 0 {
+		return w.noticeApplied(ctx)
+	}
+	w.schedule = w.schedule.WithCopy(versionTag)
+	return nil
+}
+
 // failed records a failed read.
 func (w *recordWatch) failed(err error) {
-	w.failedAt = w.clock.Now()
+	w.failedAt, w.timedOut = w.clock.Now(), errors.Is(err, context.DeadlineExceeded)
 	w.retryAt = w.failedAt + w.outage.failed(err)
 }
 
 // mayRead reports whether a change that the leader has announced can be got now: the
-// notice contains it, or reads of the record do not fail.
+// notice contains it, other VMs have it, or reads of the record do not fail.
 func (w *recordWatch) mayRead() bool {
-	return w.outage.failures == 0 || w.notice.Change != nil
+	return w.outage.failures == 0 || w.notice.Change != nil || w.schedule.copies
 }
 
 // noticeApplied records that the VM has applied the change in the leader's last notice.
--- a/supervisor/relayer/watcher/routings.go
+++ b/supervisor/relayer/watcher/routings.go
@@ -9,6 +9,7 @@
 	"github.com/buckthorndyke/buckthorndyke/authenticator"
 	"github.com/buckthorndyke/buckthorndyke/mailer"
 	"github.com/buckthorndyke/buckthorndyke/reporter"
+	"github.com/buckthorndyke/buckthorndyke/spreader"
 )
 
 const (
@@ -21,6 +22,9 @@
 	confirmationWait = buckthorndyke.Millisecond
 	// maxWait bounds the wait of a call.
 	maxWait = buckthorndyke.Minute
+	// repeatedCopyWait bounds the time in which a VM looks for a copy before it repeats a
+	// failed read.
+	repeatedCopyWait = 400 * buckthorndyke.Millisecond
 	// firstRetryWait and maxRetryWait are the shortest and the longest wait after a failed call.
 	firstRetryWait = 50 * buckthorndyke.Millisecond
 	maxRetryWait   = 800 * buckthorndyke.Millisecond
@@ -38,6 +42,10 @@
 	// refreshes delivers the instants from which on the version has to be confirmed, or is
 	// nil.
 	refreshes *mailer.Feed[buckthorndyke.Millis]
+	// source has copies of large configurations, or is nil.
+	source buckthorndyke.RoutingSource
+	// wants delivers the versions that other VMs need, or is nil.
+	wants *mailer.Feed[int64]
 }
 
 // RoutingsOption configures a Routings.
@@ -49,6 +57,12 @@
 	return func(r *Routings) { r.refreshes = refreshes }
 }
 
+// WithRoutingSource makes a VM of a large fleet that does not lead get the changes of a
+// large configuration from s, and get a version that wants delivers for other VMs.
+func WithRoutingSource(s buckthorndyke.RoutingSource, wants *mailer.Feed[int64]) RoutingsOption {
+	return func(r *Routings) { r.source, r.wants = s, wants }
+}
+
 // NewRoutings returns a task that publishes each new configuration to feed. A change
 // has to be in force within limit.
 func NewRoutings(
@@ -63,57 +77,138 @@
 }
 
 // Serve implements suture.Service. A VM to which the leader confirms its version reads
-// the configuration only after a change. The leader, and a VM that gets no notices from
-// it, wait for changes with long-polling calls.
+// the configuration only after a change, or gets it from another VM. The leader, and a VM
+// that gets no notices from it, wait for changes with long-polling calls.
 func (r *Routings) Serve(ctx context.Context) error {
-	w := newRecordWatch(ctx, "configuration", r.feeds, r.limit, r.clock, r.logger)
+	run := &routingsRun{Routings: r, watch: newRecordWatch(ctx, "configuration", r.feeds, r.limit, r.clock, r.logger)}
 	if r.refreshes != nil {
-		w.refreshes = r.refreshes.Subscribe(ctx)
+		run.watch.refreshes = r.refreshes.Subscribe(ctx)
+	}
+	if r.wants != nil {
+		run.watch.wants = r.wants.Subscribe(ctx)
 	}
-	var current buckthorndyke.Routing
 	for ctx.Err() == nil {
-		var wait buckthorndyke.Millis
-		lacks := w.await(ctx, func() buckthorndyke.Millis { return w.schedule.LeaderConfirmedUntil() })
-		switch {
-		case w.schedule.leading:
-			wait = r.limit / leaderReadsPerLimit
-		case lacks:
-		case w.refreshed:
-			wait = confirmationWait
-		default:
-			wait = min(r.limit/waitsPerLimit, maxWaitWithCallers(current))
-		}
-		began := r.clock.Now()
-		next, changed, err := r.directory.Routing(ctx, wait)
-		switch {
-		case ctx.Err() != nil:
-			return ctx.Err()
-		case err != nil:
-			w.failed(err)
-			continue
-		case changed && next.Version > current.Version:
-			current = next
-			r.logInForce(next)
-			if err := r.feed.Publish(ctx, next); err != nil {
-				return err
+		lacks := run.watch.await(ctx, run.due)
+		if wanted, ok := run.wanted(lacks); ok {
+			if done, err := run.copyChange(ctx, wanted, lacks); done || err != nil {
+				if err != nil {
+					return err
+				}
+				continue
 			}
-		case changed && next.Version < current.Version:
-			r.logger.Warn().EmbedObject(reporter.EventRoutingOlder).Int64("version", next.Version).
-				Int64("in-force", current.Version).Send()
 		}
-		if next.Copied {
-			w.copied(current.VersionTag())
-			continue
-		}
-		// The response may have waited in a buffer while this process was paused. The store
-		// sent it after wait at the latest.
-		if err := w.succeeded(ctx, min(r.clock.Now(), began+wait), current.VersionTag()); err != nil {
+		if err := run.read(ctx, lacks); err != nil {
 			return err
 		}
 	}
 	return ctx.Err()
 }
 
+// routingsRun is the state of one run of Routings.
+type routingsRun struct {
+	*Routings
+	current buckthorndyke.Routing
+	watch   *recordWatch
+}
+
+// copyChange gets the wanted version from another VM. It returns false if the directory has
+// to be read now.
+func (r *routingsRun) copyChange(ctx context.Context, wanted buckthorndyke.SeenVersion, lacks bool) (bool, error) {
+	limit := r.limit
+	if !lacks {
+		limit = repeatedCopyWait
+	}
+	callCtx, cancel := context.WithTimeout(ctx, limit.Duration())
+	defer cancel()
+	next, err := r.source.Routing(callCtx, wanted)
+	switch {
+	case ctx.Err() != nil:
+		return false, ctx.Err()
+	case err == nil && next.Version > r.current.Version:
+		if err := r.publish(ctx, next); err != nil {
+			return false, err
+		}
+		return true, r.watch.copyTaken(ctx, next.VersionTag())
+	case lacks && r.watch.outage.failures > 0:
+		// The directory is read when the next try is due.
+		r.watch.failed(err)
+		return true, nil
+	}
+	return false, nil
+}
+
+// due returns the instant of the next read.
+func (r *routingsRun) due() buckthorndyke.Millis {
+	r.watch.schedule = r.watch.schedule.WithCopies(r.copies(r.watch.notice, r.current))
+	return r.watch.schedule.LeaderConfirmedUntil()
+}
+
+// wanted returns the version that other VMs may have and that the VM needs, or false if it
+// has to read the directory: the one that it lacks or, before a read that has timed out is
+// repeated, the next one. Repeated reads of all VMs of a large fleet would keep the store's bandwidth
+// exceeded. Only a later version than the current one can be copied.
+func (r *routingsRun) wanted(lacks bool) (buckthorndyke.SeenVersion, bool) {
+	wanted := r.watch.wanted
+	if !lacks {
+		wanted = r.watch.notice
+		wanted.VersionTag = max(wanted.VersionTag, r.current.VersionTag()+1)
+	}
+	ok := (lacks || r.watch.outage.failures > 0 && r.watch.timedOut) && !r.watch.schedule.leading &&
+		wanted.VersionTag > r.current.VersionTag() && r.copies(wanted, r.current)
+	return wanted, ok
+}
+
+// publish makes next the current configuration.
+func (r *routingsRun) publish(ctx context.Context, next buckthorndyke.Routing) error {
+	r.current = next
+	r.logInForce(next)
+	return r.feed.Publish(ctx, next)
+}
+
+// read reads the configuration, at once if the VM lacks a change. It returns an error only if
+// ctx ends.
+func (r *routingsRun) read(ctx context.Context, lacks bool) error {
+	var wait buckthorndyke.Millis
+	switch {
+	case r.watch.schedule.leading:
+		wait = r.limit / leaderReadsPerLimit
+	case lacks:
+	case r.watch.refreshed:
+		wait = confirmationWait
+	default:
+		wait = min(r.limit/waitsPerLimit, maxWaitWithCallers(r.current))
+	}
+	began := r.clock.Now()
+	next, changed, err := r.directory.Routing(ctx, wait)
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case err != nil:
+		r.watch.failed(err)
+		return nil
+	case changed && next.Version > r.current.Version:
+		if err := r.publish(ctx, next); err != nil {
+			return err
+		}
+	case changed && next.Version < r.current.Version:
+		r.logger.Warn().EmbedObject(reporter.EventRoutingOlder).Int64("version", next.Version).
+			Int64("in-force", r.current.Version).Send()
+	}
+	if next.Copied {
+		r.watch.copied(r.current.VersionTag())
+		return nil
+	}
+	// The response may have waited in a buffer while this process was paused. The store
+	// sent it after wait at the latest, and before its transfer.
+	return r.watch.succeeded(ctx, min(r.clock.Now()-next.Transfer, began+wait), r.current.VersionTag())
+}
+
+// copies reports whether the VMs of the leader that has sent notice get changes of current
+// from each other.
+func (r *Routings) copies(notice buckthorndyke.SeenVersion, current buckthorndyke.Routing) bool {
+	return r.source != nil && spreader.CopiesRouting(notice.ReportingVMs, current.Record.Bytes)
+}
+
 // logInForce logs a new configuration and the irregular values in its callers.
 func (r *Routings) logInForce(next buckthorndyke.Routing) {
 	r.logger.Info().EmbedObject(reporter.EventRoutingInForce).Int64("version", next.Version).Int("routes", next.Routes()).
--- a/supervisor/relayer/watcher/schedule.go
+++ b/supervisor/relayer/watcher/schedule.go
@@ -17,12 +17,18 @@
 	// reads the record itself. A notice can be older by a quarter of the limit and the
 	// time between two demand reports.
 	stalePermille = 700
+	// copyingStalePermille is that part for a VM that gets large records from other VMs. In
+	// fleets of that size, the time between two notices and their age together exceed
+	// stalePermille, and VMs that wait at the store for a change all read it at once.
+	copyingStalePermille = 800
 )
 
 // schedule determines when a VM reads a record of the directory. It is immutable.
 type schedule struct {
 	// confirmed is the last instant at which the VM's version was known to be current.
 	confirmed buckthorndyke.Millis
+	// copies is set if the VM gets changes of the record from other VMs.
+	copies bool
 	// leaderConfirmed is the last instant at which the leader read the version that the
 	// VM has, or 0.
 	leaderConfirmed buckthorndyke.Millis
@@ -51,6 +57,9 @@
 	if s.leading || s.leaderConfirmed == 0 {
 		return 0
 	}
+	if s.copies {
+		return s.leaderConfirmed + s.limit*copyingStalePermille/1000
+	}
 	return s.leaderConfirmed + s.limit*stalePermille/1000
 }
 
@@ -66,6 +75,13 @@
 	return s
 }
 
+// WithCopies returns the schedule of a VM that gets changes of the record from other VMs, or
+// does not.
+func (s schedule) WithCopies(copies bool) schedule {
+	s.copies = copies
+	return s
+}
+
 // WithCopy returns the schedule of a VM that has another VM's copy of the given version.
 func (s schedule) WithCopy(versionTag uint64) schedule {
 	s.versionTag = versionTag
--- a/translator/directorysnapshot.go
+++ b/translator/directorysnapshot.go
@@ -10,7 +10,7 @@
 
 // DirectorySnapshotFromWire returns the snapshot in m, which was received at now.
 func DirectorySnapshotFromWire(m *wire.TellResponse, now buckthorndyke.Millis) buckthorndyke.DirectorySnapshot {
-	out := buckthorndyke.DirectorySnapshot{Age: buckthorndyke.Millis(m.AgeMs), Routing: routingFromWire(m.Routing)}
+	out := buckthorndyke.DirectorySnapshot{Age: buckthorndyke.Millis(m.AgeMs), Routing: RoutingFromWire(m.Routing)}
 	out.List.At = now - out.Age
 	out.List.ModelsAt = out.List.At
 	out.List.Servers = serversFromWire(m.Servers)
@@ -19,7 +19,7 @@
 
 // DirectorySnapshotToWire returns the message that carries s.
 func DirectorySnapshotToWire(s buckthorndyke.DirectorySnapshot) *wire.TellResponse {
-	out := &wire.TellResponse{AgeMs: int64(s.Age), Routing: routingToWire(s.Routing)}
+	out := &wire.TellResponse{AgeMs: int64(s.Age), Routing: RoutingToWire(s.Routing)}
 	for _, b := range s.List.Servers.All() {
 		out.Servers = append(out.Servers, backendToWire(b))
 	}
@@ -208,8 +208,8 @@
 	return out
 }
 
-// routingFromWire returns the configuration in m.
-func routingFromWire(m *wire.Routing) buckthorndyke.Routing {
+// RoutingFromWire returns the configuration in m.
+func RoutingFromWire(m *wire.Routing) buckthorndyke.Routing {
 	out := buckthorndyke.Routing{
 		Callers: callersFromWire(m.GetCallers(), m.GetCallersRequired()),
 		Limits: buckthorndyke.ClientLimits{
@@ -232,8 +232,8 @@
 	return out.WithRoutes(routes)
 }
 
-// routingToWire returns the message that carries r.
-func routingToWire(r buckthorndyke.Routing) *wire.Routing {
+// RoutingToWire returns the message that carries r.
+func RoutingToWire(r buckthorndyke.Routing) *wire.Routing {
 	out := &wire.Routing{
 		BodyBytes:       r.Limits.BodyBytes,
 		Callers:         callersToWire(r.Callers),
--- a/wire/wireconnect/demand.connect.go
+++ b/wire/wireconnect/demand.connect.go
@@ -43,6 +43,9 @@
 	SiblingServiceTellProcedure = "/buckthorndyke.wire.SiblingService/Tell"
 	// SiblingServiceTellListProcedure is the fully-qualified name of the SiblingService's TellList RPC.
 	SiblingServiceTellListProcedure = "/buckthorndyke.wire.SiblingService/TellList"
+	// SiblingServiceTellRoutingProcedure is the fully-qualified name of the SiblingService's
+	// TellRouting RPC.
+	SiblingServiceTellRoutingProcedure = "/buckthorndyke.wire.SiblingService/TellRouting"
 	// SiblingServiceShareCrashesProcedure is the fully-qualified name of the SiblingService's
 	// ShareCrashes RPC.
 	SiblingServiceShareCrashesProcedure = "/buckthorndyke.wire.SiblingService/ShareCrashes"
@@ -168,6 +171,9 @@
 	// TellList returns the VM's copy of the server list, or the address of a VM to ask
 	// instead. It waits for a copy that is new enough.
 	TellList(context.Context, *wire.ListRequest) (*wire.ListResponse, error)
+	// TellRouting returns the VM's copy of a large configuration, or the address of a VM to
+	// ask instead.
+	TellRouting(context.Context, *wire.RoutingRequest) (*wire.RoutingResponse, error)
 	// ShareCrashes takes the caller's evidence of crashes and returns the VM's own.
 	ShareCrashes(context.Context, *wire.CrashEvidence) (*wire.CrashEvidence, error)
 }
@@ -195,6 +201,12 @@
 			connect.WithSchema(siblingServiceMethods.ByName("TellList")),
 			connect.WithClientOptions(opts...),
 		),
+		tellRouting: connect.NewClient[wire.RoutingRequest, wire.RoutingResponse](
+			httpClient,
+			baseURL+SiblingServiceTellRoutingProcedure,
+			connect.WithSchema(siblingServiceMethods.ByName("TellRouting")),
+			connect.WithClientOptions(opts...),
+		),
 		shareCrashes: connect.NewClient[wire.CrashEvidence, wire.CrashEvidence](
 			httpClient,
 			baseURL+SiblingServiceShareCrashesProcedure,
@@ -208,6 +220,7 @@
 type siblingServiceClient struct {
 	tell         *connect.Client[wire.TellRequest, wire.TellResponse]
 	tellList     *connect.Client[wire.ListRequest, wire.ListResponse]
+	tellRouting  *connect.Client[wire.RoutingRequest, wire.RoutingResponse]
 	shareCrashes *connect.Client[wire.CrashEvidence, wire.CrashEvidence]
 }
 
@@ -229,6 +242,15 @@
 	return nil, err
 }
 
+// TellRouting calls buckthorndyke.wire.SiblingService.TellRouting.
+func (c *siblingServiceClient) TellRouting(ctx context.Context, req *wire.RoutingRequest) (*wire.RoutingResponse, error) {
+	response, err := c.tellRouting.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // ShareCrashes calls buckthorndyke.wire.SiblingService.ShareCrashes.
 func (c *siblingServiceClient) ShareCrashes(ctx context.Context, req *wire.CrashEvidence) (*wire.CrashEvidence, error) {
 	response, err := c.shareCrashes.CallUnary(ctx, connect.NewRequest(req))
@@ -246,6 +268,9 @@
 	// TellList returns the VM's copy of the server list, or the address of a VM to ask
 	// instead. It waits for a copy that is new enough.
 	TellList(context.Context, *wire.ListRequest) (*wire.ListResponse, error)
+	// TellRouting returns the VM's copy of a large configuration, or the address of a VM to
+	// ask instead.
+	TellRouting(context.Context, *wire.RoutingRequest) (*wire.RoutingResponse, error)
 	// ShareCrashes takes the caller's evidence of crashes and returns the VM's own.
 	ShareCrashes(context.Context, *wire.CrashEvidence) (*wire.CrashEvidence, error)
 }
@@ -269,6 +294,12 @@
 		connect.WithSchema(siblingServiceMethods.ByName("TellList")),
 		connect.WithHandlerOptions(opts...),
 	)
+	siblingServiceTellRoutingHandler := connect.NewUnaryHandlerSimple(
+		SiblingServiceTellRoutingProcedure,
+		svc.TellRouting,
+		connect.WithSchema(siblingServiceMethods.ByName("TellRouting")),
+		connect.WithHandlerOptions(opts...),
+	)
 	siblingServiceShareCrashesHandler := connect.NewUnaryHandlerSimple(
 		SiblingServiceShareCrashesProcedure,
 		svc.ShareCrashes,
@@ -281,6 +312,8 @@
 			siblingServiceTellHandler.ServeHTTP(w, r)
 		case SiblingServiceTellListProcedure:
 			siblingServiceTellListHandler.ServeHTTP(w, r)
+		case SiblingServiceTellRoutingProcedure:
+			siblingServiceTellRoutingHandler.ServeHTTP(w, r)
 		case SiblingServiceShareCrashesProcedure:
 			siblingServiceShareCrashesHandler.ServeHTTP(w, r)
 		default:
@@ -300,6 +333,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthorndyke.wire.SiblingService.TellList is not implemented"))
 }
 
+func (UnimplementedSiblingServiceHandler) TellRouting(context.Context, *wire.RoutingRequest) (*wire.RoutingResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthorndyke.wire.SiblingService.TellRouting is not implemented"))
+}
+
 func (UnimplementedSiblingServiceHandler) ShareCrashes(context.Context, *wire.CrashEvidence) (*wire.CrashEvidence, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthorndyke.wire.SiblingService.ShareCrashes is not implemented"))
 }
