fix(entrance): a failed start releases the clients' address

Cause: if the address for readiness checks could not be opened, the server for clients went on without its task, and no restart could open its address again. Found by review; not new. Evidence: TestAddressInUse fails before: the address is in use. Change: both sockets are opened before either is served.

--- a/supervisor/relayer/entrance/drain_test.go
+++ b/supervisor/relayer/entrance/drain_test.go
@@ -37,6 +37,23 @@
 	})
 }
 
+// TestAddressInUse guards against an entrance that holds the clients' address after it has
+// failed to open the one for readiness checks, so that no restart succeeds.
+func TestAddressInUse(t *testing.T) {
+	t.Run("the entrance can be started again once the address is free", func(t *testing.T) {
+		socket := tester.NewHeldListener(t.Context(), t)
+		clients := socket.Addr().String()
+		asserter.NoError(t, socket.Close())
+		taken := tester.NewHeldListener(t.Context(), t)
+		e := entrance.New(entrance.Addresses{Clients: clients, Readiness: taken.Addr().String()}, http.NotFoundHandler(),
+			mailer.NewFeed[buckthorndyke.Routing](), mailer.NewFeed[buckthorndyke.Backends](), drainLimit, timekeeper.NewRealClock(), zerolog.Nop())
+		asserter.Error(t, e.Serve(t.Context()))
+		l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", clients)
+		asserter.NoError(t, err)
+		asserter.NoError(t, l.Close())
+	})
+}
+
 // serveOn runs an entrance for clients on socket until ctx ends. The channel that it returns
 // is closed when the entrance has ended.
 func serveOn(ctx context.Context, t *testing.T, socket net.Listener) <-chan struct{} {
--- a/supervisor/relayer/entrance/entrance.go
+++ b/supervisor/relayer/entrance/entrance.go
@@ -103,20 +103,20 @@
 		ReadHeaderTimeout: headerTimeout.Duration(),
 	})
 	readinessServer := &http.Server{Handler: http.HandlerFunc(e.handleReadiness), ReadHeaderTimeout: headerTimeout.Duration()}
-	clientsDone, readinessDone := make(chan error, 1), make(chan error, 1)
-	for _, s := range []struct {
-		address string
-		done    chan<- error
-		serve   func(l net.Listener) error
-	}{{e.address, clientsDone, clientServer.Serve}, {e.readinessAddress, readinessDone, readinessServer.Serve}} {
-		l, err := e.open(ctx, s.address)
-		if err != nil {
-			return errors.Wrap(err, "listen for clients or readiness checks")
-		}
-		go func() { s.done <- s.serve(l) }()
+	clients, err := e.open(ctx, e.address)
+	if err != nil {
+		return errors.Wrap(err, "listen for clients")
 	}
+	checks, err := e.open(ctx, e.readinessAddress)
+	if err != nil {
+		_ = clients.Close()
+		return errors.Wrap(err, "listen for readiness checks")
+	}
+	clientsDone, readinessDone := make(chan error, 1), make(chan error, 1)
+	go func() { clientsDone <- clientServer.Serve(clients) }()
+	go func() { readinessDone <- readinessServer.Serve(checks) }()
 	defer func() { _ = readinessServer.Close() }()
-	err := e.serveReadiness(ctx, clientsDone, readinessDone)
+	err = e.serveReadiness(ctx, clientsDone, readinessDone)
 	if ctx.Err() == nil {
 		_ = clientServer.Close()
 		return err
