--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,6 @@
 # a synctest bubble share one race context: when two threads run timers of the same
 # bubble at a time, the race detector itself crashes (tsan_rtl.cpp:346).
 PACKAGES = $(shell go list ./...)
-# Packages whose tests bound real time run alone: beside seven others, whose processes and
-# race detectors take all processors, they measure these.
-TIMED = $(shell go list ./platform)
 BUBBLED = $(shell go list -f '{{.ImportPath}} {{.Imports}} {{.TestImports}} {{.XTestImports}}' ./... | awk '/testing\/synctest/ {print $$1}')
 
 # Adds to the flags of the environment instead of replacing them.
@@ -70,8 +67,7 @@
 
 test:
 	@sed -n 's|^test: \./|known red, passed over: ./|p' KNOWN-RED.txt
-	$(GO_TEST) $(filter-out $(BUBBLED) $(TIMED),$(PACKAGES))
-	$(GO_TEST) $(TIMED)
+	$(GO_TEST) $(filter-out $(BUBBLED),$(PACKAGES))
 	$(GO_TEST) -cpu 1 $(BUBBLED)
 
 tools:
