--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/stand-2"
 mkdir -p ../bin
-GOFLAGS=-buildvcs=false GOTOOLCHAIN=local GOWORK=off GOPROXY=off go build -o ../bin/ ./late ./window
+GOFLAGS=-buildvcs=false GOTOOLCHAIN=local GOWORK=off GOPROXY=off go build -o ../bin/ ./late ./spoiled ./window
--- a/review/stand-2/late/main.go
+++ b/review/stand-2/late/main.go
@@ -5,13 +5,12 @@
 import (
 	"fmt"
 	"net/http"
+	"review/lab"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"review/lab"
 )
 
 const (
--- a/review/stand-2/window/main.go
+++ b/review/stand-2/window/main.go
@@ -5,10 +5,9 @@
 import (
 	"fmt"
 	"net/http"
+	"review/lab"
 	"sync"
 	"time"
-
-	"review/lab"
 )
 
 const (
