fix(dispatcher): trust no estimate for requests that come late in a stop

Cause: a VM that is stopping passes a request on if the longest recent request of its route and an eighth more would end in time. Nothing makes a stream keep to that. Connections without a request stay open until 3.6 s after SIGTERM, so that such streams began at any time until then.

Change: an estimate counts only for requests that arrive while new connections are accepted, for 2.6 s. A later one is served if its deadline or its route's timeout ends before the stop, and is otherwise refused at once as not run. Drain takes a schedule with names instead of two times.

Ruled out: the close of idle connections (the cut ones had a request in progress). Dropped: closing unused connections sooner, which loses requests that are on their way.

--- a/supervisor/relayer/dispatcher/dispatcher.go
+++ b/supervisor/relayer/dispatcher/dispatcher.go
@@ -139,14 +139,13 @@
 	return out.report, cmp.Or(err, out.err)
 }
 
-// Drain tells the dispatcher that the VM is stopping. From now on, requests wait for a server
-// for at most wait, and those that will not have been answered after end are refused. It fails
-// if the task does not receive that within sendTimeout, so that it cannot hold up the stop.
-func (d *Dispatcher) Drain(ctx context.Context, wait, end buckthorndyke.Millis) error {
+// Drain tells the dispatcher that the VM begins to stop, and when it serves which requests.
+// Others are refused. It fails if the task does not receive that within sendTimeout, so that
+// it cannot hold up the stop.
+func (d *Dispatcher) Drain(ctx context.Context, s DrainSchedule) error {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout.Duration())
 	defer cancel()
-	now := d.clock.Now()
-	return d.box.Send(ctx, drainStarted{drain: drain{end: now + end, waitUntil: now + wait}})
+	return d.box.Send(ctx, drainStarted{drain: newDrain(d.clock.Now(), s)})
 }
 
 // HandleCrashEvidence implements buckthorndyke.CrashSource.
--- a/supervisor/relayer/dispatcher/dispatcher_test.go
+++ b/supervisor/relayer/dispatcher/dispatcher_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/supervisor/relayer/dispatcher"
 )
 
 func TestPlainCalls(t *testing.T) {
@@ -277,7 +278,7 @@
 		withFixture(t, func(s *fixture) {
 			s.leads()
 			began := s.clock.Now()
-			asserter.NoError(t, s.dispatcher.Drain(s.ctx, 500, buckthorndyke.Minute))
+			asserter.NoError(t, s.dispatcher.Drain(s.ctx, dispatcher.DrainSchedule{End: buckthorndyke.Minute, EstimateUntil: 500, WaitUntil: 500}))
 			_, err := s.relay(streamRequest("/stream/x", gym))
 			asserter.Verdict(t, err, buckthorndyke.NotRun)
 			asserter.Equal(t, s.clock.Now()-began, 500*buckthorndyke.Millisecond)
--- a/supervisor/relayer/dispatcher/restart_test.go
+++ b/supervisor/relayer/dispatcher/restart_test.go
@@ -203,7 +203,7 @@
 			for s.dispatcher.HandleNoLeader(full) == nil {
 			}
 			done := make(chan error, 1)
-			go func() { done <- s.dispatcher.Drain(t.Context(), drainEnd/2, drainEnd) }()
+			go func() { done <- s.dispatcher.Drain(t.Context(), drainSchedule) }()
 			asserter.Error(t, assertAnswered(t, done, 2*buckthorndyke.Second))
 		})
 	})
--- a/supervisor/relayer/relayer.go
+++ b/supervisor/relayer/relayer.go
@@ -184,8 +184,10 @@
 	<-ctx.Done()
 	t.logger.Info().EmbedObject(reporter.EventDrainBegun).Send()
 	// Requests that wait for a server get their responses through the front branch.
-	t.logStep("end-waiting", t.dispatcher.Drain(context.WithoutCancel(ctx), t.drainLimit/drainWaitDivisor,
-		entrance.NewSchedule(t.drainLimit).End))
+	schedule := entrance.NewSchedule(t.drainLimit)
+	t.logStep("end-waiting", t.dispatcher.Drain(context.WithoutCancel(ctx), dispatcher.DrainSchedule{
+		End: schedule.End, EstimateUntil: schedule.AcceptUntil, WaitUntil: t.drainLimit / drainWaitDivisor,
+	}))
 	t.logStep("close-front", t.front.Stop())
 	t.logStep("end-base", t.base.Stop())
 	t.logger.Info().EmbedObject(reporter.EventDrainEnded).Send()
