fix(platform): take no head with a line that is no field for a response

Cause: net/textproto accepts blanks in names and joins a line that begins with a blank to the one before. A length or a transfer encoding on such a line does not count, so that the body was read up to the end of the connection, with what followed or with the sizes of its chunks. It also drops a transfer encoding in HTTP/1.0 and the length of an interim response.

Change: the check of the head refuses lines that are no fields, among them continued ones, a transfer encoding in HTTP/1.0 and an interim response that declares a body.

Ruled out: a check of the parsed fields, which sees no continued lines.

--- a/inspector/head.go
+++ b/inspector/head.go
@@ -14,22 +14,85 @@
 	maxStatus = 599
 	// newline ends a line. A carriage return before it belongs to the end of the line.
 	newline = "\n"
+	// oldVersion is the version without chunks and interim responses.
+	oldVersion = "HTTP/1.0"
 	// statusDigits is the number of digits of a status.
 	statusDigits = 3
 	// versionPrefix is the beginning of the versions that are supported. One digit follows.
 	versionPrefix = "HTTP/1."
 )
 
+// statusLine is the first line of a head.
+type statusLine struct {
+	status  int
+	version string
+}
+
 // CheckHead returns an error unless head, including the empty line that ends it, is the head of
 // a response in HTTP/1.
 func CheckHead(head []byte) error {
-	line, _, _ := bytes.Cut(head, []byte(newline))
-	return checkStatusLine(string(bytes.TrimSuffix(line, []byte("\r"))))
+	line, fields := cutLine(head)
+	first, err := parseStatusLine(line)
+	if err != nil {
+		return err
+	}
+	var coded, sized bool
+	err = eachField(fields, func(name, value string) {
+		switch http.CanonicalHeaderKey(name) {
+		case "Content-Length":
+			sized = sized || value != "0"
+		case "Transfer-Encoding":
+			coded = true
+		}
+	})
+	switch {
+	case err != nil:
+		return err
+	case coded && first.version == oldVersion:
+		return errors.Newf("a response in %s has a transfer encoding", oldVersion)
+	case first.status < http.StatusOK && (coded || sized):
+		return errors.Newf("an interim response with status %d declares a body", first.status)
+	default:
+		return nil
+	}
+}
+
+// CheckTrailer returns an error unless trailer, including the empty line that ends it, is the
+// trailer of a body in chunks. Its lines have whole ends, like those of chunks.
+func CheckTrailer(trailer []byte) error {
+	if bytes.Count(trailer, []byte(newline)) != bytes.Count(trailer, []byte("\r"+newline)) {
+		return errors.New("a line of the trailer ends without a carriage return")
+	}
+	return eachField(trailer, func(string, string) {})
+}
+
+// cutLine returns the first line without its end, and the rest.
+func cutLine(data []byte) (string, []byte) {
+	line, rest, _ := bytes.Cut(data, []byte(newline))
+	return string(bytes.TrimSuffix(line, []byte("\r"))), rest
+}
+
+// eachField calls f with each field up to the empty line, with its value trimmed. It fails at a
+// line that is no field. A line that begins with a blank is none: it continues the line before
+// in an obsolete form, and its sender may have meant a field.
+func eachField(lines []byte, f func(name, value string)) error {
+	for {
+		var line string
+		line, lines = cutLine(lines)
+		if line == "" {
+			return nil
+		}
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+			return errors.Newf("the line %.80q is not a header field", line)
+		}
+		f(name, strings.Trim(value, " \t"))
+	}
 }
 
-// checkStatusLine checks the first line of a head. It fails if the status has no meaning, or
+// parseStatusLine parses the first line of a head. It fails if the status has no meaning, or
 // says that another protocol follows.
-func checkStatusLine(line string) error {
+func parseStatusLine(line string) (statusLine, error) {
 	version, rest, _ := strings.Cut(line, " ")
 	digits, reason, _ := strings.Cut(rest, " ")
 	minor, ok := strings.CutPrefix(version, versionPrefix)
@@ -40,9 +103,9 @@
 	}
 	ok = ok && len(minor) == 1 && minor[0] >= '0' && minor[0] <= '9'
 	if !ok || len(digits) != statusDigits || !httpguts.ValidHeaderFieldValue(reason) {
-		return errors.Newf("%.80q is not the status line of a response", line)
+		return statusLine{}, errors.Newf("%.80q is not the status line of a response", line)
 	}
-	return CheckStatus(status)
+	return statusLine{status: status, version: version}, CheckStatus(status)
 }
 
 // CheckStatus returns an error unless a response can have the given status. A status below 100 or
--- a/inspector/head_test.go
+++ b/inspector/head_test.go
@@ -28,3 +28,37 @@
 		})
 	}
 }
+
+// TestFields guards against lines that net/http reads as fields, or as parts of others, although
+// they are none.
+func TestFields(t *testing.T) {
+	const first, last = "HTTP/1.1 200 OK\r\nA: b\r\n", "\r\n\r\n"
+	for _, line := range []string{
+		"X", ":", " : a", "X : a", "X\t: a", " X: a", "\tX: a", " ", "X Y: a", "X\x00: a", "X\x7f: a", "X\xff: a", "X: \x00", "X: a\rb", "X: a\r\n b", "\r",
+	} {
+		t.Run("the line "+line+" is no field", func(t *testing.T) {
+			asserter.Error(t, inspector.CheckHead([]byte(first+line+last)))
+			asserter.Error(t, inspector.CheckTrailer([]byte("A: b\r\n"+line+last)))
+		})
+	}
+	for _, line := range []string{"X:", "X: a", "X:\ta \t", "x-y_z~!: \xff", "X: a: b", "Content-Length: 0", "Transfer-Encoding: chunked"} {
+		t.Run("the line "+line+" is a field", func(t *testing.T) {
+			asserter.NoError(t, inspector.CheckHead([]byte(first+line+last)))
+			asserter.NoError(t, inspector.CheckTrailer([]byte("A: b\r\n"+line+last)))
+		})
+	}
+	for name, head := range map[string]string{
+		"a coding in the old version":          "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked",
+		"a coding of an interim response":      "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked",
+		"a length of an interim response":      "HTTP/1.1 103 Early Hints\r\nContent-Length: 1",
+		"a second length after an empty body":  "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\ncontent-length: 2",
+		"a length of an interim one, unsigned": "HTTP/1.1 100 Continue\r\nContent-Length: x",
+	} {
+		t.Run(name+" is refused", func(t *testing.T) { asserter.Error(t, inspector.CheckHead([]byte(head+last))) })
+	}
+	t.Run("a trailer has whole ends of lines", func(t *testing.T) {
+		asserter.NoError(t, inspector.CheckTrailer([]byte("\r\n")))
+		asserter.Error(t, inspector.CheckTrailer([]byte("\n")))
+		asserter.Error(t, inspector.CheckTrailer([]byte("X: a\n\r\n")))
+	})
+}
