fix(inspector): reads of all connections see a failure that a write has got

A response without a length could still pass as complete after a reset where requests are not sent by the exchange with a server: a call of a plain service on the product's own interface got a part of the answer.

Change: the check moves from the exchange to the connection. A read returns the end of the data only if the peer has ended the connection; else it waits for a write in progress and returns its error.

Dropped: the result of the write by httptrace, whose errors the transport wraps without a way to unwrap them.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -6,11 +6,13 @@
 package connector
 
 import (
+	"context"
 	"net"
 	"net/http"
 
 	"github.com/buckthorndyke/buckthorndyke"
 	"github.com/buckthorndyke/buckthorndyke/gatherer"
+	"github.com/buckthorndyke/buckthorndyke/inspector"
 )
 
 // Defaults of the options, with sizes in bytes, and limits of connections.
@@ -69,10 +71,17 @@
 // Without keepAlive, it uses a new connection for each request.
 func newHTTPClient(o options, keepAlive bool) *http.Client {
 	dialer := &net.Dialer{KeepAlive: keepAlivePeriod.Duration(), Timeout: o.dialTimeout.Duration()}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return inspector.NewConn(conn), nil
+	}
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{
-			DialContext:            dialer.DialContext,
+			DialContext:            dial,
 			DisableCompression:     true,
 			DisableKeepAlives:      !keepAlive,
 			IdleConnTimeout:        idleTimeout.Duration(),
--- a/inspector/head.go
+++ b/inspector/head.go
@@ -28,6 +28,22 @@
 	version string
 }
 
+// BlockEnd returns the size of the lines up to the first empty one, with their ends, or 0 if there
+// is no empty line.
+func BlockEnd(data []byte) int {
+	for start := 0; ; {
+		i := bytes.IndexByte(data[start:], '\n')
+		if i < 0 {
+			return 0
+		}
+		line := data[start : start+i]
+		start += i + 1
+		if len(line) == 0 || string(line) == "\r" {
+			return start
+		}
+	}
+}
+
 // CheckHead returns an error unless head, including the empty line that ends it, is the head of
 // a response in HTTP/1.
 func CheckHead(head []byte) error {
