fix(connector): check the responses that net/http's clients read

A call of a plain service on the product's own interface got bytes of a server in trouble as its answer: a status of 0, 20 or 700, the end of an upgrade, a body with the sizes of its chunks. A call to the store with such a status counted as one that had no effect.

Change: inspector.Transport wraps a transport and checks the status, the names of fields, interim heads and trailers. Calls of plain services, one to a connection, have the heads checked before they are parsed. The client of the command line is wrapped as well.

Open: the parsed check sees no continued lines. The store, engines and the log keep it: their bodies are JSON, records with lengths or streams with an end mark.

--- a/commander/client.go
+++ b/commander/client.go
@@ -16,6 +16,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/buckthorndyke/buckthorndyke"
+	"github.com/buckthorndyke/buckthorndyke/inspector"
 	"github.com/buckthorndyke/buckthorndyke/supervisor/operator"
 )
 
@@ -79,7 +80,7 @@
 		http: &http.Client{
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 			Timeout:       requestTimeout.Duration(),
-			Transport:     &http.Transport{},
+			Transport:     inspector.NewTransport(&http.Transport{}),
 		},
 		token: token,
 		url:   "http://" + address,
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -73,14 +73,18 @@
 	dialer := &net.Dialer{KeepAlive: keepAlivePeriod.Duration(), Timeout: o.dialTimeout.Duration()}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
+		switch {
+		case err != nil:
 			return nil, err
+		case keepAlive:
+			return inspector.NewConn(conn), nil
+		default:
+			return inspector.NewHeadConn(inspector.NewConn(conn), int(o.headerLimit)), nil
 		}
-		return inspector.NewConn(conn), nil
 	}
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport: &http.Transport{
+		Transport: inspector.NewTransport(&http.Transport{
 			DialContext:            dial,
 			DisableCompression:     true,
 			DisableKeepAlives:      !keepAlive,
@@ -88,6 +92,6 @@
 			MaxIdleConns:           0,
 			MaxIdleConnsPerHost:    maxIdlePerHost,
 			MaxResponseHeaderBytes: o.headerLimit,
-		},
+		}),
 	}
 }
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -5,11 +5,14 @@
 	"testing"
 
 	"github.com/buckthorndyke/buckthorndyke/asserter"
+	"github.com/buckthorndyke/buckthorndyke/inspector"
 )
 
 func TestNewHTTPClient(t *testing.T) {
 	t.Run("proxy settings of the environment are ignored", func(t *testing.T) {
-		transport, ok := newHTTPClient(newOptions(nil), true).Transport.(*http.Transport)
+		checked, ok := newHTTPClient(newOptions(nil), true).Transport.(*inspector.Transport)
+		asserter.True(t, ok, "the transport does not check responses")
+		transport, ok := checked.RoundTripper.(*http.Transport)
 		asserter.True(t, ok, "the transport is not an http.Transport")
 		asserter.True(t, transport.Proxy == nil, "the transport has a proxy")
 	})
