fix(watcher): count the time to keep servers from the restore of the store

Cause: a VM keeps the servers that the restored store lacks for 2.4 s, counted from its own first read of that store. A VM whose list the leader confirms reads every 15 s. It noticed the restore when it read the list just after a server had left, and kept that server.

Change: the leader's notices carry the era and for how long it has been known. The time to keep servers counts from the earliest of these instants.

Ruled out: reading the list more often (calls of every VM), and keeping nothing (running servers are dropped).

--- a/notice.go
+++ b/notice.go
@@ -15,27 +15,45 @@
 	// Change is the difference from the list that the VM knows, or nil if it was not
 	// given.
 	Change *ListChange
+	// Era counts the restores of the directory from older copies, or is 0 if it is not known.
+	Era int64
+	// EraAt is the instant at which Era was first known.
+	EraAt Millis
 	// VersionTag identifies the version, or is 0 if there is none.
 	VersionTag uint64
 }
 
+// WithoutChange returns the version without the difference.
+func (s SeenVersion) WithoutChange() SeenVersion {
+	s.Change = nil
+	return s
+}
+
 // VersionNotice tells other VMs which version of a directory record the leader has
 // read last. The leader reads the records more often than the others do.
 type VersionNotice struct {
 	// Age is the time since the leader read it.
 	Age Millis
+	// Era counts the restores of the directory from older copies, or is 0 if it is not known.
+	Era int64
+	// EraAge is the time for which Era has been known.
+	EraAge Millis
 	// VersionTag identifies the version, or is 0 if the leader has read none.
 	VersionTag uint64
 }
 
 // VersionNoticeOf returns the notice that tells of s at now.
 func VersionNoticeOf(s SeenVersion, now Millis) VersionNotice {
-	return VersionNotice{Age: now - s.At, VersionTag: s.VersionTag}
+	n := VersionNotice{Age: now - s.At, Era: s.Era, VersionTag: s.VersionTag}
+	if s.Era != 0 {
+		n.EraAge = now - s.EraAt
+	}
+	return n
 }
 
 // SeenVersion returns the version that n tells of, for a VM that received n at now.
 func (n VersionNotice) SeenVersion(now Millis) SeenVersion {
-	return SeenVersion{At: now - n.Age, VersionTag: n.VersionTag}
+	return SeenVersion{At: now - n.Age, Era: n.Era, EraAt: now - n.EraAge, VersionTag: n.VersionTag}
 }
 
 // ListChange is the difference between two lists of servers.
--- a/supervisor/relayer/watcher/backends.go
+++ b/supervisor/relayer/watcher/backends.go
@@ -95,6 +95,8 @@
 	*Backends
 	current  buckthorndyke.Backends
 	departed departures
+	// eraAt is the instant at which the store's era was first known.
+	eraAt buckthorndyke.Millis
 	// keepUntil is the instant until which servers that are no longer listed are kept.
 	keepUntil buckthorndyke.Millis
 	watch     *recordWatch
@@ -121,6 +123,19 @@
 	return r.watch.schedule.Due()
 }
 
+// eraStart returns the instant at which the store's era was first known, after a read before
+// which it was before. The leader reads the list more often, and may have known the era earlier.
+func (r *backendsRun) eraStart(before int64) buckthorndyke.Millis {
+	at := r.clock.Now()
+	if r.departed.era == before && r.eraAt > 0 {
+		at = r.eraAt
+	}
+	if notice := r.watch.notice; notice.Era == r.departed.era && notice.Era != 0 {
+		at = min(at, notice.EraAt)
+	}
+	return at
+}
+
 // fetch returns the list: the first one, and a large one unless the VM leads, from
 // another VM if possible.
 func (r *backendsRun) fetch(ctx context.Context) (buckthorndyke.Backends, error) {
@@ -160,10 +175,12 @@
 	if r.watch.outage.failures > 0 {
 		r.keepUntil = r.watch.failedAt + outageGrace
 	}
+	era := r.departed.era
 	next, isRestored := r.withoutDeparted(next)
+	r.eraAt = r.eraStart(era)
 	if isRestored {
 		// The copy lacks the servers that have started since, until they write again.
-		r.keepUntil = r.clock.Now() + outageGrace
+		r.keepUntil = r.eraAt + outageGrace
 	}
 	next = next.WithNewestEntries(r.current)
 	// Other VMs may not have had the outage. They are told the version that was read, without
@@ -173,7 +190,8 @@
 		next = withMissing(next, r.current)
 	}
 	r.watch.schedule = r.watch.schedule.WithServers(next.Servers.Len())
-	if err := r.watch.succeeded(ctx, next.At, versionTag); err != nil {
+	read := buckthorndyke.SeenVersion{At: next.At, Era: r.departed.era, EraAt: r.eraAt, VersionTag: versionTag}
+	if err := r.watch.succeeded(ctx, read); err != nil {
 		return err
 	}
 	return r.publish(ctx, next)
--- a/supervisor/relayer/watcher/recordwatch.go
+++ b/supervisor/relayer/watcher/recordwatch.go
@@ -137,13 +137,12 @@
 func (w *recordWatch) noticeApplied(ctx context.Context) error {
 	w.outage.succeeded()
 	w.schedule = w.schedule.WithChangeApplied(w.notice)
-	return w.seen.Publish(ctx, buckthorndyke.SeenVersion{At: w.notice.At, VersionTag: w.notice.VersionTag})
+	return w.seen.Publish(ctx, w.notice.WithoutChange())
 }
 
-// succeeded records a read that began at the given instant and returned the given
-// version.
-func (w *recordWatch) succeeded(ctx context.Context, at buckthorndyke.Millis, versionTag uint64) error {
+// succeeded records a read of the given version.
+func (w *recordWatch) succeeded(ctx context.Context, read buckthorndyke.SeenVersion) error {
 	w.outage.succeeded()
-	w.schedule = w.schedule.WithRead(at, versionTag)
-	return w.seen.Publish(ctx, buckthorndyke.SeenVersion{At: at, VersionTag: versionTag})
+	w.schedule = w.schedule.WithRead(read.At, read.VersionTag)
+	return w.seen.Publish(ctx, read)
 }
--- a/supervisor/relayer/watcher/routings.go
+++ b/supervisor/relayer/watcher/routings.go
@@ -107,7 +107,7 @@
 		}
 		// The response may have waited in a buffer while this process was paused. The store
 		// sent it after wait at the latest.
-		if err := w.succeeded(ctx, min(r.clock.Now(), began+wait), current.VersionTag()); err != nil {
+		if err := w.succeeded(ctx, buckthorndyke.SeenVersion{At: min(r.clock.Now(), began+wait), VersionTag: current.VersionTag()}); err != nil {
 			return err
 		}
 	}
--- a/translator/demand.go
+++ b/translator/demand.go
@@ -155,10 +155,12 @@
 
 // versionNoticeFromWire returns the notice in m.
 func versionNoticeFromWire(m *wire.Notice) buckthorndyke.VersionNotice {
-	return buckthorndyke.VersionNotice{Age: buckthorndyke.Millis(m.GetAgeMs()), VersionTag: m.GetMark()}
+	return buckthorndyke.VersionNotice{
+		Age: buckthorndyke.Millis(m.GetAgeMs()), Era: m.GetEra(), EraAge: buckthorndyke.Millis(m.GetEraAgeMs()), VersionTag: m.GetMark(),
+	}
 }
 
 // versionNoticeToWire returns the message that carries n.
 func versionNoticeToWire(n buckthorndyke.VersionNotice) *wire.Notice {
-	return &wire.Notice{AgeMs: int64(n.Age), Mark: n.VersionTag}
+	return &wire.Notice{AgeMs: int64(n.Age), Era: n.Era, EraAgeMs: int64(n.EraAge), Mark: n.VersionTag}
 }
