fix(platform): reset the connection of a request that is given up

Cause: an exchange that is given up ended with a plain close, after which the kernel goes on delivering what it has taken.

Change: such an exchange ends with a reset. The peer learns it at once, and what has not been delivered is dropped. Complete exchanges and idle connections are closed as before.

--- a/inspector/conn.go
+++ b/inspector/conn.go
@@ -41,6 +41,15 @@
 	return n, err
 }
 
+// Reset closes the connection with a reset, if it is a TCP connection. What has not been delivered
+// is dropped: a plain close goes on delivering it, and the peer sees the end only behind it.
+func (c *Conn) Reset() error {
+	if conn, ok := c.Conn.(*net.TCPConn); ok {
+		_ = conn.SetLinger(0)
+	}
+	return c.Close()
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	conn, ok := c.Conn.(syscall.Conn)
