--- a/inspector/conn.go
+++ b/inspector/conn.go
@@ -35,7 +35,7 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, io.EOF) {
+	if err != nil && errors.Is(err, io.EOF) {
 		err = c.checkEnd()
 	}
 	return n, err
--- a/inspector/transport.go
+++ b/inspector/transport.go
@@ -74,7 +74,7 @@
 // Read implements io.Reader.
 func (b *trailedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
+	if err != nil && errors.Is(err, io.EOF) {
 		if invalid := checkNames(b.response.Trailer); invalid != nil {
 			err = invalid
 		}
