fix(watcher): a restore does not shorten the time after an outage

The time to keep unlisted servers after an outage of the store could be replaced by an earlier end, counted from a restore before that outage. The later of both counts.

--- a/supervisor/relayer/watcher/backends.go
+++ b/supervisor/relayer/watcher/backends.go
@@ -123,8 +123,9 @@
 	return r.watch.schedule.Due()
 }
 
-// eraStart returns the instant at which the store's era was first known, after a read before
-// which it was before. The leader reads the list more often, and may have known the era earlier.
+// eraStart returns the instant at which the store's era was first known, once a list was read.
+// The era known until then was before. The leader reads the list more often, and may have known
+// the present one earlier.
 func (r *backendsRun) eraStart(before int64) buckthorndyke.Millis {
 	at := r.clock.Now()
 	if r.departed.era == before && r.eraAt > 0 {
@@ -180,7 +181,7 @@
 	r.eraAt = r.eraStart(era)
 	if isRestored {
 		// The copy lacks the servers that have started since, until they write again.
-		r.keepUntil = r.eraAt + outageGrace
+		r.keepUntil = max(r.keepUntil, r.eraAt+outageGrace)
 	}
 	next = next.WithNewestEntries(r.current)
 	// Other VMs may not have had the outage. They are told the version that was read, without
