--- a/supervisor/relayer/watcher/lateera_test.go
+++ b/supervisor/relayer/watcher/lateera_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 
@@ -15,16 +16,20 @@
 )
 
 // restoredDirectory is a directory with the servers "a" and "other" that is restored at an
-// instant, and from which "a" is gone at a later one. It implements buckthorndyke.Directory.
+// instant, and from which "a" is gone at a later one. It cannot be read from failing until goneAt.
+// It implements buckthorndyke.Directory.
 type restoredDirectory struct {
 	buckthorndyke.Directory
-	clock            buckthorndyke.Clock
-	restored, goneAt buckthorndyke.Millis
+	clock                     buckthorndyke.Clock
+	restored, failing, goneAt buckthorndyke.Millis
 }
 
 // Backends implements buckthorndyke.Directory.
 func (d *restoredDirectory) Backends(context.Context) (buckthorndyke.Backends, error) {
 	now := d.clock.Now()
+	if now >= d.failing && now < d.goneAt {
+		return buckthorndyke.Backends{}, errors.New("unavailable")
+	}
 	out := listOf(buckthorndyke.Backend{Heartbeats: 1, ID: "other", Incarnation: 1})
 	out.At, out.Era = now, 1
 	if now >= d.restored {
@@ -37,8 +42,9 @@
 }
 
 // keptFor returns how long a VM lists "a" after the directory no longer does. The leader, which
-// has known of the restore since an instant after it, confirms the VM's list until "a" is gone.
-func keptFor(t *testing.T, restored, known, gone buckthorndyke.Millis) buckthorndyke.Millis {
+// has known of the restore since an instant after it, confirms the VM's list until reads of the
+// directory fail, or until "a" is gone.
+func keptFor(t *testing.T, restored, known, failing, gone buckthorndyke.Millis) buckthorndyke.Millis {
 	t.Helper()
 	var kept buckthorndyke.Millis
 	synctest.Test(t, func(t *testing.T) {
@@ -46,7 +52,7 @@
 		defer cancel()
 		clock := timekeeper.NewRealClock()
 		began := clock.Now()
-		d := &restoredDirectory{clock: clock, goneAt: began + gone, restored: began + restored}
+		d := &restoredDirectory{clock: clock, failing: began + failing, goneAt: began + gone, restored: began + restored}
 		feed, feeds := mailer.NewFeed[buckthorndyke.Backends](), newFeeds(ctx)
 		go func() { _ = feed.Serve(ctx) }()
 		published := feed.Subscribe(ctx)
@@ -59,6 +65,10 @@
 				if clock.Now() >= began+known {
 					notice.Era, notice.EraAt = 2, began+known
 				}
+				if clock.Now() >= d.failing {
+					// The leader has another version, so that it does not confirm this VM's.
+					notice.VersionTag++
+				}
 				if feeds.Notices.Publish(ctx, notice) != nil {
 					return
 				}
@@ -80,11 +90,16 @@
 func TestLateEra(t *testing.T) {
 	const second = buckthorndyke.Second
 	t.Run("a server that leaves after the time to be listed again is not kept", func(t *testing.T) {
-		kept := keptFor(t, second, 1500, 6*second)
+		kept := keptFor(t, second, 1500, 6*second, 6*second)
 		asserter.True(t, kept <= limit, "the server is kept for too long")
 	})
 	t.Run("a server that the copy may lack is kept, since the leader knows of the restore", func(t *testing.T) {
-		kept := keptFor(t, second, 1500, 1600)
+		kept := keptFor(t, second, 1500, 1600, 1600)
+		asserter.True(t, kept > second, "the server is not kept")
+		asserter.True(t, kept <= 3*second, "the server is kept for too long")
+	})
+	t.Run("a server that is missing after a later outage is kept", func(t *testing.T) {
+		kept := keptFor(t, second, 1500, 4*second, 6*second)
 		asserter.True(t, kept > second, "the server is not kept")
 		asserter.True(t, kept <= 3*second, "the server is kept for too long")
 	})
