fix(inspector): the lines of a head end alike

Clients could get the rest of a head as the body of an answer: a line feed before the name of a field ends the head for net/http, also where all other lines end with a carriage return and a line feed (MIXED).

Change: a head whose lines end in both ways is refused. One whose lines all end without a carriage return is read as before.

--- a/inspector/head.go
+++ b/inspector/head.go
@@ -47,6 +47,10 @@
 // CheckHead returns an error unless head, including the empty line that ends it, is the head of
 // a response in HTTP/1.
 func CheckHead(head []byte) error {
+	if n := shortEnds(head); n > 0 && n < bytes.Count(head, []byte(newline)) {
+		// A line feed alone may stand in a name: the rest of the head would be read as the body.
+		return errors.New("some lines of the head end without a carriage return")
+	}
 	line, fields := cutLine(head)
 	first, err := parseStatusLine(line)
 	if err != nil {
@@ -76,7 +80,7 @@
 // CheckTrailer returns an error unless trailer, including the empty line that ends it, is the
 // trailer of a body in chunks. Its lines have whole ends, like those of chunks.
 func CheckTrailer(trailer []byte) error {
-	if bytes.Count(trailer, []byte(newline)) != bytes.Count(trailer, []byte("\r"+newline)) {
+	if shortEnds(trailer) > 0 {
 		return errors.New("a line of the trailer ends without a carriage return")
 	}
 	return eachField(trailer, func(string, string) {})
@@ -124,6 +128,11 @@
 	return statusLine{status: status, version: version}, CheckStatus(status)
 }
 
+// shortEnds returns the number of lines that end without a carriage return.
+func shortEnds(lines []byte) int {
+	return bytes.Count(lines, []byte(newline)) - bytes.Count(lines, []byte("\r"+newline))
+}
+
 // CheckStatus returns an error unless a response can have the given status. A status below 100 or
 // above 599 has no meaning, and a server must not switch to another protocol by itself.
 func CheckStatus(status int) error {
--- a/inspector/head_test.go
+++ b/inspector/head_test.go
@@ -56,6 +56,14 @@
 	} {
 		t.Run(name+" is refused", func(t *testing.T) { asserter.Error(t, inspector.CheckHead([]byte(head+last))) })
 	}
+	t.Run("the lines of a head end alike", func(t *testing.T) {
+		for _, head := range []string{
+			first + "\nX: a" + last, "HTTP/1.1 200 OK\nA: b\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n\n",
+		} {
+			asserter.Error(t, inspector.CheckHead([]byte(head[:inspector.BlockEnd([]byte(head))])))
+		}
+		asserter.NoError(t, inspector.CheckHead([]byte("HTTP/1.1 200 OK\nA: b\n\n")))
+	})
 	t.Run("a trailer has whole ends of lines", func(t *testing.T) {
 		asserter.NoError(t, inspector.CheckTrailer([]byte("\r\n")))
 		asserter.Error(t, inspector.CheckTrailer([]byte("\n")))
